--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Metrics, health, status and announcements over HTTP.
--- /dev/null
+++ b/src/admit/mod.rs
@@ -0,0 +1,1 @@
+//! Admission at an upstream's own node: slots, connections and a short queue.
--- /dev/null
+++ b/src/border/mod.rs
@@ -0,0 +1,1 @@
+//! Types at the border, generated from the schemas and committed.
--- /dev/null
+++ b/src/burn/mod.rs
@@ -0,0 +1,1 @@
+//! Service-level objectives: burn rates and the budget left.
--- /dev/null
+++ b/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Claims of idempotency keys in the log.
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,57 @@
+//! The command line: one file for each command, typed failures and stable exit codes.
+
+use std::process;
+
+use bpaf::Bpaf;
+
+pub mod check;
+pub mod exit;
+pub mod local;
+pub mod node;
+pub mod publish;
+pub mod report;
+pub mod status;
+
+/// Distributes configuration to the proxies of a service mesh.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Check a configuration file and name every fault in it
+    #[bpaf(command)]
+    Check(#[bpaf(external(check::args))] check::Args),
+    /// Run a whole small mesh in this process, on loopback
+    #[bpaf(command)]
+    Local(#[bpaf(external(local::args))] local::Args),
+    /// Run the node beside an upstream
+    #[bpaf(command)]
+    Node(#[bpaf(external(node::args))] node::Args),
+    /// Publish a configuration file as a whole version
+    #[bpaf(command)]
+    Publish(#[bpaf(external(publish::args))] publish::Args),
+    /// Report on service levels or on usage
+    #[bpaf(command)]
+    Report(#[bpaf(external(report::args))] report::Args),
+    /// Show what the mesh runs, as seen from one node
+    #[bpaf(command)]
+    Status(#[bpaf(external(status::args))] status::Args),
+}
+
+/// Runs the command line of this process.
+pub fn main() -> process::ExitCode {
+    let command = match command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return exit::usage(failure),
+    };
+    exit::report(run(command))
+}
+
+fn run(command: Command) -> Result<(), exit::Failure> {
+    match command {
+        Command::Check(args) => check::run(&args),
+        Command::Local(args) => local::run(&args),
+        Command::Node(args) => node::run(&args),
+        Command::Publish(args) => publish::run(&args),
+        Command::Report(args) => report::run(&args),
+        Command::Status(args) => status::run(&args),
+    }
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,83 @@
+//! Monotonic time as the decisions see it.
+
+use std::ops;
+use std::time;
+
+/// A point in monotonic time, in microseconds since an arbitrary origin.
+///
+/// Decisions compare instants of one process only. Tests make their own.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// The origin.
+    pub const ZERO: Instant = Instant(0);
+
+    /// The instant `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// The instant `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time passed since `earlier`, zero when `earlier` is later than `self`.
+    pub const fn since(self, earlier: Instant) -> time::Duration {
+        time::Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl ops::Add<time::Duration> for Instant {
+    type Output = Instant;
+
+    fn add(self, rhs: time::Duration) -> Instant {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Instant(self.0.saturating_add(micros))
+    }
+}
+
+/// A source of time.
+pub trait Clock {
+    /// The current instant; never goes back.
+    fn now(&self) -> Instant;
+
+    /// Wall-clock milliseconds since the Unix epoch; may step.
+    fn unix_millis(&self) -> u64;
+}
+
+/// The operating system's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct System {
+    origin: time::Instant,
+}
+
+impl System {
+    /// A clock whose origin is the moment of this call.
+    pub fn new() -> Self {
+        Self { origin: time::Instant::now() }
+    }
+}
+
+impl Default for System {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for System {
+    fn now(&self) -> Instant {
+        Instant::ZERO + self.origin.elapsed()
+    }
+
+    fn unix_millis(&self) -> u64 {
+        let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        since.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/configs/log.rs
@@ -0,0 +1,27 @@
+//! Settings of the platform's log service.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of the platform's log service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Address of the service.
+    pub address: net::SocketAddr,
+    /// Longest one append may take, in milliseconds.
+    pub append_ms: u64,
+    /// Longest one read waits for a record, in milliseconds.
+    pub wait_ms: u64,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            address: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 7000)),
+            append_ms: 2000,
+            wait_ms: 10_000,
+        }
+    }
+}
--- /dev/null
+++ b/src/configs/mod.rs
@@ -0,0 +1,62 @@
+//! Settings of a node: one twin file for each feature, every field with a default and a unit.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+pub mod call;
+pub mod claim;
+pub mod log;
+pub mod member;
+pub mod spread;
+pub mod usage;
+
+/// Settings of a node.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Node {
+    /// Name of the mesh; nodes of other meshes are ignored.
+    pub mesh: SmolStr,
+    /// Secret shared by the nodes of the mesh, for the tags on their messages.
+    pub key: SmolStr,
+    /// Address and base port of this host; six consecutive ports are used.
+    pub listen: net::SocketAddr,
+    /// Region of this host.
+    pub region: SmolStr,
+    /// Availability zone of this host.
+    pub zone: SmolStr,
+    /// Base addresses of a few hosts to join through.
+    pub join: Vec<net::SocketAddr>,
+    /// Calls.
+    pub call: call::Call,
+    /// Claims of idempotency keys.
+    pub claim: claim::Claim,
+    /// The platform's log service.
+    pub log: log::Log,
+    /// Membership.
+    pub member: member::Member,
+    /// Distribution of configuration.
+    pub spread: spread::Spread,
+    /// Usage and burn.
+    pub usage: usage::Usage,
+}
+
+impl Default for Node {
+    fn default() -> Self {
+        Self {
+            mesh: SmolStr::default(),
+            key: SmolStr::default(),
+            listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 7100)),
+            region: SmolStr::new_static("region"),
+            zone: SmolStr::new_static("zone"),
+            join: Vec::new(),
+            call: call::Call::default(),
+            claim: claim::Claim::default(),
+            log: log::Log::default(),
+            member: member::Member::default(),
+            spread: spread::Spread::default(),
+            usage: usage::Usage::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/configs/usage.rs
@@ -0,0 +1,17 @@
+//! Settings of usage and burn.
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of usage and burn.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Usage {
+    /// Time between two totals sent to a writer, in milliseconds.
+    pub flush_ms: u64,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Self { flush_ms: 10_000 }
+    }
+}
--- /dev/null
+++ b/src/delta/mod.rs
@@ -0,0 +1,1 @@
+//! Differences between two configuration files.
--- /dev/null
+++ b/src/fold/mod.rs
@@ -0,0 +1,1 @@
+//! Acceptance of configurations: a pure fold over the log.
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,72 @@
+//! Identity and addresses of a host.
+//!
+//! A node listens on six consecutive ports from its base port; the order is the same everywhere,
+//! so that one address names a host completely.
+
+use std::fmt;
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+/// How many consecutive ports a node uses.
+pub const PORTS: u16 = 6;
+
+const SPREAD_OFFSET: u16 = 1;
+const INNER_OFFSET: u16 = 2;
+const CALL_OFFSET: u16 = 3;
+const ADMIN_OFFSET: u16 = 4;
+const LEDGER_OFFSET: u16 = 5;
+
+/// A host, named by its address and base port.
+///
+/// Invariant: the base port is at most `65535 - PORTS`, checked where settings are read and where
+/// a datagram is decoded; a larger one wraps and names no reachable host.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct HostId(net::SocketAddr);
+
+impl HostId {
+    /// The host whose base address is `base`.
+    pub const fn new(base: net::SocketAddr) -> Self {
+        Self(base)
+    }
+
+    /// Membership datagrams (UDP).
+    pub const fn member_addr(self) -> net::SocketAddr {
+        self.0
+    }
+
+    /// Configuration datagrams (UDP) and transfers (TCP).
+    pub fn spread_addr(self) -> net::SocketAddr {
+        self.offset(SPREAD_OFFSET)
+    }
+
+    /// Calls from other nodes (HTTP/2).
+    pub fn inner_addr(self) -> net::SocketAddr {
+        self.offset(INNER_OFFSET)
+    }
+
+    /// Calls from callers (HTTP/1.1).
+    pub fn call_addr(self) -> net::SocketAddr {
+        self.offset(CALL_OFFSET)
+    }
+
+    /// Metrics, health, status and announcements (HTTP/1.1).
+    pub fn admin_addr(self) -> net::SocketAddr {
+        self.offset(ADMIN_OFFSET)
+    }
+
+    /// Requests to the writers of claims and usage (TCP).
+    pub fn ledger_addr(self) -> net::SocketAddr {
+        self.offset(LEDGER_OFFSET)
+    }
+
+    fn offset(self, by: u16) -> net::SocketAddr {
+        net::SocketAddr::new(self.0.ip(), self.0.port().wrapping_add(by))
+    }
+}
+
+impl fmt::Display for HostId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,52 @@
+//! dandelionspool distributes configuration to the proxies of a service mesh.
+//!
+//! One process, the *node*, runs beside every upstream. It is a proxy for calls, a member of the
+//! mesh and a replica of the accepted configuration. What must be agreed or kept goes through the
+//! platform's append-only log and nowhere else.
+//!
+//! # Map of the code
+//!
+//! Decisions are pure state machines: they take an event and the current [`clock::Instant`] and
+//! return actions. Sockets, clocks and threads live in the thin shells around them.
+//!
+//! | concern | decisions | shell |
+//! |---|---|---|
+//! | configuration file | [`mesh`], [`border`] | [`cli`] |
+//! | accepted versions | [`fold`], [`delta`] | [`logs`] |
+//! | membership | [`member`] | [`node`] |
+//! | distribution | [`spread`] | [`node`] |
+//! | calls | [`pick`], [`admit`], [`retry`], [`claim`] | [`proxy`] |
+//! | charging and objectives | [`usage`], [`burn`] | [`admin`] |
+//!
+//! [`standin`] takes the platform's place in tests; [`mod@bench`] measures.
+
+#![cfg_attr(not(test), warn(clippy::expect_used, clippy::panic, clippy::unwrap_used))]
+#![warn(missing_docs)]
+
+pub mod admin;
+pub mod admit;
+pub mod bench;
+pub mod border;
+pub mod burn;
+pub mod claim;
+pub mod cli;
+pub mod clock;
+pub mod configs;
+pub mod context;
+pub mod delta;
+pub mod fold;
+pub mod host;
+pub mod logs;
+pub mod member;
+pub mod mesh;
+pub mod node;
+pub mod pick;
+pub mod proxy;
+pub mod retry;
+pub mod ring;
+pub mod spread;
+pub mod standin;
+pub mod traffic;
+pub mod usage;
+pub mod version;
+pub mod view;
--- /dev/null
+++ b/src/logs/mod.rs
@@ -0,0 +1,73 @@
+//! The platform's log service at the border.
+
+use std::error;
+use std::future;
+use std::time;
+
+use bytes::Bytes;
+
+/// Place of a record in its stream; the first record has offset 0.
+pub type Offset = u64;
+
+/// Names of the streams the system keeps.
+pub mod streams {
+    /// Published configurations and snapshots.
+    pub const CONFIG: &str = "config";
+    /// Claims of idempotency keys; a partition number follows.
+    pub const CLAIMS: &str = "claims";
+    /// Usage counts.
+    pub const USAGE: &str = "usage";
+}
+
+/// One record of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Record {
+    /// Its place.
+    pub offset: Offset,
+    /// Wall-clock time of its append by the service's clock, in milliseconds since the Unix epoch.
+    pub unix_millis: u64,
+    /// What was appended.
+    pub body: Bytes,
+}
+
+/// What a read gave.
+///
+/// Invariant: offsets of `records` rise and lie in `first..next`.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Batch {
+    /// Oldest offset still kept; records before it have expired.
+    pub first: Offset,
+    /// Offset the next append will get.
+    pub next: Offset,
+    /// Records from the requested offset on; empty when none came in time.
+    pub records: Vec<Record>,
+}
+
+/// How a failed operation stands.
+pub trait Failure: error::Error + Send + Sync + 'static {
+    /// Whether the operation may have taken effect although its answer was lost.
+    fn uncertain(&self) -> bool;
+}
+
+/// An append-only log with offsets. The service is the platform's; this is all we use of it.
+pub trait Service: Clone + Send + Sync + 'static {
+    /// What can go wrong.
+    type Error: Failure;
+
+    /// Appends `body` to `stream` and returns its offset.
+    fn append(
+        &self,
+        stream: &str,
+        body: Bytes,
+    ) -> impl future::Future<Output = Result<Offset, Self::Error>> + Send;
+
+    /// Reads up to `most` records of `stream` from `from` on; when there is none yet, waits for
+    /// one up to `wait`. Records before the oldest kept one are skipped.
+    fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        most: u32,
+        wait: time::Duration,
+    ) -> impl future::Future<Output = Result<Batch, Self::Error>> + Send;
+}
--- /dev/null
+++ b/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: who is there, and in what state.
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,26 @@
+//! The node: threads of one process and the rings that join them.
+
+use std::net;
+
+use crate::view;
+
+/// How far the process is in its life.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Stage {
+    /// Serves.
+    #[default]
+    Run,
+    /// Refuses new work and finishes what is in flight.
+    Drain,
+    /// Every duty ends.
+    End,
+}
+
+/// The upstream beside this node, while its announcement is renewed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Local {
+    /// Where it takes calls (HTTP/1.1).
+    pub address: net::SocketAddr,
+    /// What it announced, within the limits of its class.
+    pub upstream: view::Upstream,
+}
--- /dev/null
+++ b/src/pick/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the upstream that runs a call.
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,3 @@
+//! The call path: hyper and tokio around the decisions.
+
+pub mod headers;
--- /dev/null
+++ b/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retry budgets, deadlines and outcomes.
--- /dev/null
+++ b/src/spread/mod.rs
@@ -0,0 +1,1 @@
+//! Distribution of accepted configurations among the nodes.
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform: log service and upstream.
--- /dev/null
+++ b/src/usage/mod.rs
@@ -0,0 +1,1 @@
+//! Usage by team and kind.
