feat(bench): name the commands of the bench, each in a file of its own

Cause: every experiment needs a place on the command line before it is built. Ruled out: one file with all the arguments; two people would edit it at once. Conclusion: a command is one file with Args and run, plus two lines in bench::mod.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,8 +1,61 @@
-//! Experiments with real processes on loopback.
+//! Experiments with real processes on loopback: stand-ins for the platform and measurements.
+//!
+//! Each command is one file with its `Args` and `run`; a line in [`Command`] and one in `run`
+//! name it.
 
 use std::process;
 
+use bpaf::Bpaf;
+
+use crate::cli::exit;
+
+pub mod calls;
+pub mod converge;
+pub mod fault;
+pub mod load;
+pub mod log;
+pub mod upstream;
+
+/// Proves and measures dandelionspool with real processes on loopback.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Measure calls through nodes: service, latency, attempts, refusals
+    #[bpaf(command)]
+    Calls(#[bpaf(external(calls::args))] calls::Args),
+    /// Measure how fast and at what cost an accepted version reaches every node
+    #[bpaf(command)]
+    Converge(#[bpaf(external(converge::args))] converge::Args),
+    /// Run a proxy that injects faults into TCP and UDP
+    #[bpaf(command)]
+    Fault(#[bpaf(external(fault::args))] fault::Args),
+    /// Send calls at given rates and report how they ended
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::args))] load::Args),
+    /// Run the stand-in for the platform's log service
+    #[bpaf(command)]
+    Log(#[bpaf(external(log::args))] log::Args),
+    /// Run the stand-in for an upstream
+    #[bpaf(command)]
+    Upstream(#[bpaf(external(upstream::args))] upstream::Args),
+}
+
 /// Runs the command line of the bench.
 pub fn main() -> process::ExitCode {
-    process::ExitCode::from(2)
+    let command = match command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return exit::usage(failure),
+    };
+    exit::report(run(command))
+}
+
+fn run(command: Command) -> Result<(), exit::Failure> {
+    match command {
+        Command::Calls(args) => calls::run(&args),
+        Command::Converge(args) => converge::run(&args),
+        Command::Fault(args) => fault::run(&args),
+        Command::Load(args) => load::run(&args),
+        Command::Log(args) => log::run(&args),
+        Command::Upstream(args) => upstream::run(&args),
+    }
 }
