--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,43 @@
+//! Keeps the pages under docs/ true to the tree.
+
+use std::collections;
+use std::fs;
+use std::path;
+
+use rstest::rstest;
+
+fn read(name: &str) -> String {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    fs::read_to_string(root.join(name)).unwrap()
+}
+
+/// Names in the first column of every table of a page.
+fn table_names(page: &str) -> collections::BTreeSet<String> {
+    let rows = page.lines().filter_map(|l| l.strip_prefix("| "));
+    let names = rows.filter_map(|r| r.split(" |").next());
+    names.map(|n| n.trim_matches('`').to_owned()).collect()
+}
+
+/// Names declared in the dependency sections of the manifest.
+fn declared() -> collections::BTreeSet<String> {
+    let manifest = read("Cargo.toml");
+    let mut names = collections::BTreeSet::new();
+    let mut inside = false;
+    for line in manifest.lines() {
+        if line.starts_with('[') {
+            inside = line.ends_with("dependencies]");
+            continue;
+        }
+        if let Some((name, _)) = line.split_once('=').filter(|_| inside) {
+            names.insert(name.trim().to_owned());
+        }
+    }
+    names
+}
+
+#[rstest]
+fn dependencies_page_names_exactly_the_declared_crates() {
+    let mut listed = table_names(&read("docs/DEPENDENCIES.md"));
+    listed.remove("crate");
+    assert_eq!(listed, declared());
+}
