feat(node): decide the process's life cycle and run duties on threads

Cause: a planned stop must spread its news, finish what is in flight and then end; each duty needs a thread with a runtime of its own.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,12 @@
 
 use crate::view;
 
+pub mod duty;
+pub mod life;
+
+#[cfg(test)]
+mod tests;
+
 /// How far the process is in its life.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Stage {
--- /dev/null
+++ b/src/node/tests.rs
@@ -0,0 +1,42 @@
+//! Tests of the process's life cycle.
+
+use std::time;
+
+use rstest::rstest;
+
+use crate::clock;
+use crate::node;
+use crate::node::life;
+
+const LIMITS: life::Limits = life::Limits {
+    settle: time::Duration::from_millis(500),
+    drain: time::Duration::from_millis(5000),
+};
+
+fn run(steps: &[(u64, life::Event)]) -> node::Stage {
+    let mut machine = life::Machine::new(LIMITS);
+    let mut stage = node::Stage::Run;
+    for (millis, event) in steps {
+        stage = machine.handle(*event, clock::Instant::from_millis(*millis));
+    }
+    stage
+}
+
+#[rstest]
+#[case::runs(&[(9000, life::Event::Tick)], node::Stage::Run)]
+#[case::idle_alone_changes_nothing(&[(10, life::Event::Idle)], node::Stage::Run)]
+#[case::drains(&[(10, life::Event::Stop)], node::Stage::Drain)]
+#[case::news_must_spread(&[(10, life::Event::Stop), (20, life::Event::Idle)], node::Stage::Drain)]
+#[case::ends_idle(
+    &[(10, life::Event::Stop), (20, life::Event::Idle), (510, life::Event::Tick)],
+    node::Stage::End
+)]
+#[case::in_flight_is_awaited(
+    &[(10, life::Event::Stop), (5009, life::Event::Tick)],
+    node::Stage::Drain
+)]
+#[case::limit(&[(10, life::Event::Stop), (5010, life::Event::Tick)], node::Stage::End)]
+#[case::second_request(&[(10, life::Event::Stop), (11, life::Event::Stop)], node::Stage::End)]
+fn stage_after(#[case] steps: &[(u64, life::Event)], #[case] stage: node::Stage) {
+    assert_eq!(run(steps), stage);
+}
