feat(configs): settings of a planned stop, with defaults and units

Cause: the life cycle needs its settle time and its drain limit from settings. Conclusion: configs::stop, read by the node when it is wired.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -10,6 +10,7 @@
 pub mod log;
 pub mod member;
 pub mod spread;
+pub mod stop;
 pub mod usage;
 
 /// Settings of a node.
@@ -38,6 +39,8 @@
     pub member: member::Member,
     /// Distribution of configuration.
     pub spread: spread::Spread,
+    /// Planned stop.
+    pub stop: stop::Stop,
     /// Usage and burn.
     pub usage: usage::Usage,
 }
@@ -56,6 +59,7 @@
             log: log::Log::default(),
             member: member::Member::default(),
             spread: spread::Spread::default(),
+            stop: stop::Stop::default(),
             usage: usage::Usage::default(),
         }
     }
