--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod proxy;
 pub mod retry;
 pub mod ring;
+pub mod seal;
 pub mod spread;
 pub mod standin;
 pub mod traffic;
--- a/src/view.rs
+++ b/src/view.rs
@@ -69,9 +69,26 @@
     pub upstream: Option<Arc<Upstream>>,
 }
 
+/// Whether this process may act as a member of the mesh.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Standing {
+    /// Known to the others, as far as this host can tell.
+    #[default]
+    Member,
+    /// Started and has not heard from anyone yet.
+    Joining,
+    /// Was paused and has not heard since what the others made of it.
+    Paused,
+    /// Was declared suspect or dead; its new incarnation has not been answered yet.
+    Refuting,
+}
+
 /// All known hosts.
 #[derive(Clone, Debug, Default)]
 pub struct View {
+    /// Standing of this process. Unless it is [`Standing::Member`], this node neither reads nor
+    /// writes the log for others and admits no new work.
+    pub standing: Standing,
     /// Sorted by identity, without duplicates; this host is among them.
     pub hosts: Vec<Host>,
     /// Indices into `hosts` of the hosts with an upstream of the service, whatever their health.
@@ -89,7 +106,7 @@
                 services.entry(upstream.service.clone()).or_default().push(index);
             }
         }
-        Self { hosts, services }
+        Self { standing: Standing::Member, hosts, services }
     }
 
     /// The host called `id`.
