feat(standin): add an upstream in memory that records each run

Cause: what callers are told must be checked against what upstreams ran, and the platform gives no upstream to tests. Ruled out: control on the port for calls, which can't answer while the upstream plays dead; a run counted at its end, which would hide a cancelled one.

--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,1 +1,4 @@
 //! Stand-ins for the platform: log service and upstream.
+
+pub mod http;
+pub mod upstream;
--- /dev/null
+++ b/src/standin/upstream/accept.rs
@@ -0,0 +1,83 @@
+//! Connections of one port.
+
+use std::convert::Infallible;
+use std::future;
+use std::io;
+use std::time;
+
+use hyper::body;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use tokio::net;
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::standin::upstream::run;
+
+/// How long connections may take to end once the port is closed.
+const LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Accepts connections until `stop` is true, then lets each end after its current answer. A
+/// connection is taken only while `enter` gives it a guard, which lives as long as it does.
+pub async fn serve<E, G, H, F>(
+    listener: net::TcpListener,
+    stop: watch::Receiver<bool>,
+    enter: E,
+    handle: H,
+) where
+    E: Fn() -> Option<G>,
+    G: Send + 'static,
+    H: Fn(http::Request<body::Incoming>) -> F + Clone + Send + 'static,
+    F: future::Future<Output = Result<http::Response<run::Body>, Infallible>> + Send + 'static,
+{
+    let mut tasks = task::JoinSet::new();
+    let mut closed = stop.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.wait_for(|stop| *stop) => break,
+            Some(_) = tasks.join_next() => continue,
+        };
+        match (accepted, enter()) {
+            (Ok((stream, _)), Some(guard)) => {
+                tasks.spawn(connection(stream, handle.clone(), stop.clone(), guard));
+            }
+            (Ok(_), None) => {}
+            (Err(error), _) => pause_after(&error).await,
+        }
+    }
+    drop(listener);
+    let all = async { while tasks.join_next().await.is_some() {} };
+    let _ended = tokio::time::timeout(LIMIT, all).await;
+}
+
+async fn connection<G, H, F>(
+    stream: net::TcpStream,
+    handle: H,
+    mut stop: watch::Receiver<bool>,
+    guard: G,
+) where
+    H: Fn(http::Request<body::Incoming>) -> F,
+    F: future::Future<Output = Result<http::Response<run::Body>, Infallible>>,
+{
+    let _delay = stream.set_nodelay(true);
+    let io = rt::TokioIo::new(stream);
+    let served = http1::Builder::new().serve_connection(io, service::service_fn(handle));
+    tokio::pin!(served);
+    let ended = tokio::select! {
+        _ = served.as_mut() => true,
+        _ = stop.wait_for(|stop| *stop) => false,
+    };
+    if !ended {
+        served.as_mut().graceful_shutdown();
+        let _ended = served.await;
+    }
+    drop(guard);
+}
+
+/// Waits a little when the process has no more descriptors.
+async fn pause_after(error: &io::Error) {
+    log::warn!("can't accept a connection: {error}");
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+}
--- /dev/null
+++ b/src/standin/upstream/record.rs
@@ -0,0 +1,83 @@
+//! Record of what an upstream ran.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Most request ids kept; later ones are only counted in [`Record::lost`].
+const MOST: usize = 400_000;
+
+/// What was run under one request id. A run counts from the moment it starts.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Run {
+    /// Idempotency key, if the request had one.
+    pub key: Option<SmolStr>,
+    /// Path of the request.
+    pub path: SmolStr,
+    /// Runs started.
+    pub starts: u32,
+    /// Runs ended by themselves.
+    pub ends: u32,
+    /// Runs given up because the connection closed or the deadline passed.
+    pub cancels: u32,
+    /// Wall-clock time of the last start, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+/// All runs of one upstream.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// By request id.
+    pub runs: collections::BTreeMap<SmolStr, Run>,
+    /// Runs started under each idempotency key.
+    pub keys: collections::BTreeMap<SmolStr, u32>,
+    /// Runs started.
+    pub starts: u64,
+    /// Calls shed.
+    pub sheds: u64,
+    /// Connections closed at once because there were too many.
+    pub refusals: u64,
+    /// Most calls that ran at the same time.
+    pub peak: u32,
+    /// Wall-clock time of the last start, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+    /// Wall-clock time of the drain's announcement, in milliseconds since the Unix epoch.
+    pub drain_unix_ms: Option<u64>,
+    /// Starts not kept by id because there were too many ids.
+    pub lost: u64,
+}
+
+impl Record {
+    /// Notes the start of a run.
+    pub fn start(&mut self, id: &SmolStr, key: Option<&SmolStr>, path: &str, unix_ms: u64) {
+        self.starts += 1;
+        self.unix_ms = unix_ms;
+        if self.runs.len() >= MOST && !self.runs.contains_key(id) {
+            self.lost += 1;
+            return;
+        }
+        if let Some(key) = key {
+            *self.keys.entry(key.clone()).or_default() += 1;
+        }
+        let run = self.runs.entry(id.clone()).or_default();
+        run.key = key.cloned();
+        run.path = SmolStr::new(path);
+        run.starts += 1;
+        run.unix_ms = unix_ms;
+    }
+
+    /// Notes that the run of `id` ended by itself.
+    pub fn end(&mut self, id: &SmolStr) {
+        if let Some(run) = self.runs.get_mut(id) {
+            run.ends += 1;
+        }
+    }
+
+    /// Notes that the run of `id` was given up.
+    pub fn cancel(&mut self, id: &SmolStr) {
+        if let Some(run) = self.runs.get_mut(id) {
+            run.cancels += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/upstream/run.rs
@@ -0,0 +1,180 @@
+//! One call: decide, read, run, answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body;
+use smol_str::SmolStr;
+
+use crate::clock::Clock;
+use crate::proxy::headers;
+use crate::standin::upstream;
+use crate::standin::upstream::control;
+use crate::standin::upstream::state;
+
+mod reply;
+
+/// Body of every answer.
+pub type Body = Either<Full<Bytes>, reply::Reply>;
+
+/// Filler of an answer when the request names no length, in bytes.
+const FILLER: u64 = 256;
+
+/// A running call: holds a slot until it is dropped.
+struct Running {
+    shared: Arc<state::Shared>,
+    id: SmolStr,
+    ended: bool,
+}
+
+impl Running {
+    fn end(&mut self) {
+        self.ended = true;
+        self.shared.state().record.end(&self.id);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        state.running -= 1;
+        if !self.ended {
+            state.record.cancel(&self.id);
+        }
+    }
+}
+
+/// What a call asks for.
+struct Call {
+    id: SmolStr,
+    key: Option<SmolStr>,
+    path: SmolStr,
+    left: Option<time::Duration>,
+    bytes: u64,
+    time: Option<time::Duration>,
+}
+
+impl Call {
+    fn of(request: &http::Request<body::Incoming>) -> Self {
+        let text = |name| request.headers().get(name).and_then(|v| v.to_str().ok());
+        let left = text(headers::DEADLINE).and_then(|v| v.parse().ok());
+        Self {
+            id: SmolStr::new(text(headers::REQUEST_ID).unwrap_or_default()),
+            key: text(headers::IDEMPOTENCY_KEY).map(SmolStr::new),
+            path: SmolStr::new(request.uri().path()),
+            left: left.map(time::Duration::from_millis),
+            bytes: query(request.uri(), "bytes").unwrap_or(FILLER),
+            time: query(request.uri(), "ms").map(time::Duration::from_millis),
+        }
+    }
+}
+
+/// Answers one request on the port for calls.
+pub async fn serve(
+    shared: Arc<state::Shared>,
+    request: http::Request<body::Incoming>,
+) -> Result<http::Response<Body>, Infallible> {
+    match request.uri().path() {
+        "/health" => Ok(control::health(&shared)),
+        "/load" => Ok(control::load(&shared)),
+        _ => Ok(call(&shared, request).await),
+    }
+}
+
+async fn call(
+    shared: &Arc<state::Shared>,
+    request: http::Request<body::Incoming>,
+) -> http::Response<Body> {
+    let call = Call::of(&request);
+    match start(shared, &call) {
+        state::Verdict::Run(time) => run(shared, &call, time, request.into_body()).await,
+        state::Verdict::Shed => shed(),
+        state::Verdict::Hang => std::future::pending().await,
+    }
+}
+
+/// Decides, and takes the slot and writes the record in the same step.
+fn start(shared: &state::Shared, call: &Call) -> state::Verdict {
+    let now = shared.clock.now();
+    let unix_ms = shared.clock.unix_millis();
+    let mut state = shared.state();
+    let verdict = state.decide(&shared.options, &call.path, &call.id, call.left, now);
+    match verdict {
+        state::Verdict::Run(_) => {
+            state.running += 1;
+            state.record.peak = state.record.peak.max(state.running);
+            state.record.start(&call.id, call.key.as_ref(), &call.path, unix_ms);
+        }
+        state::Verdict::Shed => state.record.sheds += 1,
+        state::Verdict::Hang => {}
+    }
+    let running = state.running;
+    state.note_load(now, running);
+    verdict
+}
+
+async fn run(
+    shared: &Arc<state::Shared>,
+    call: &Call,
+    time: time::Duration,
+    body: body::Incoming,
+) -> http::Response<Body> {
+    let mut running = Running { shared: Arc::clone(shared), id: call.id.clone(), ended: false };
+    let began = shared.clock.now();
+    let Some(hash) = hash(body).await else {
+        return plain(http::StatusCode::BAD_REQUEST, "the request's body is not whole\n");
+    };
+    let end = began + call.time.unwrap_or(time);
+    let deadline = call.left.map(|left| began + left);
+    let until = deadline.map_or(end, |deadline| deadline.min(end));
+    tokio::time::sleep(until.since(shared.clock.now())).await;
+    if until < end {
+        return plain(http::StatusCode::GATEWAY_TIMEOUT, "the deadline has passed\n");
+    }
+    running.end();
+    whole(call, &hash, running)
+}
+
+fn whole(call: &Call, hash: &str, running: Running) -> http::Response<Body> {
+    let (cut, trickle) = {
+        let state = running.shared.state();
+        let cut = state.cuts(&running.shared.options, &call.id);
+        (cut, time::Duration::from_millis(state.faults.trickle_ms))
+    };
+    let reply = reply::Reply::new(&call.id, hash, call.bytes, running).trickle(trickle).cut(cut);
+    http::Response::new(Either::Right(reply))
+}
+
+/// Hash of the whole body in hexadecimal; `None` when it is cut short.
+async fn hash(mut body: body::Incoming) -> Option<String> {
+    let mut hasher = blake3::Hasher::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            hasher.update(&data);
+        }
+    }
+    Some(hasher.finalize().to_hex().to_string())
+}
+
+fn shed() -> http::Response<Body> {
+    let mut answer = plain(http::StatusCode::SERVICE_UNAVAILABLE, "shed\n");
+    let value = http::HeaderValue::from_static(upstream::SHED);
+    answer.headers_mut().insert(upstream::HEADER, value);
+    answer
+}
+
+/// A short answer of text.
+pub fn plain(status: http::StatusCode, text: &str) -> http::Response<Body> {
+    let mut answer = http::Response::new(Either::Left(Full::new(Bytes::from(text.to_owned()))));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// The number called `name` in the query of `uri`.
+fn query(uri: &http::Uri, name: &str) -> Option<u64> {
+    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/src/standin/upstream/tests.rs
@@ -0,0 +1,174 @@
+//! Tests of the upstream stand-in over real sockets and of its pure parts.
+
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use rstest::rstest;
+
+use crate::clock;
+use crate::proxy::headers;
+use crate::standin::http;
+use crate::standin::upstream;
+use crate::standin::upstream::answer;
+use crate::standin::upstream::faults;
+use crate::standin::upstream::state;
+
+const LIMIT: time::Duration = time::Duration::from_secs(10);
+
+fn options() -> upstream::Options {
+    let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+    upstream::Options::new(address, "shop")
+        .mean(time::Duration::from_millis(2))
+        .grace(time::Duration::from_millis(50))
+}
+
+async fn start(options: upstream::Options) -> upstream::Handle {
+    let server = upstream::Server::bind(options).await.unwrap();
+    let handle = server.handle();
+    tokio::spawn(server.serve(std::future::pending()));
+    handle
+}
+
+fn post(path: &str, id: &str, body: &'static [u8]) -> ::http::Request<Full<Bytes>> {
+    ::http::Request::post(path)
+        .header(headers::REQUEST_ID, id)
+        .header(headers::IDEMPOTENCY_KEY, "key-1")
+        .body(Full::new(Bytes::from_static(body)))
+        .unwrap()
+}
+
+#[rstest]
+#[case::small("/buy", 256)]
+#[case::empty("/buy?bytes=0", 0)]
+#[case::many_parts("/buy?bytes=100000", 100_000)]
+#[tokio::test]
+async fn an_answer_is_whole_and_its_run_is_recorded(#[case] path: &str, #[case] bytes: u64) {
+    let handle = start(options()).await;
+    let answer = http::send(handle.address(), post(path, "r-1", b"order"), LIMIT).await.unwrap();
+    let head = answer::check(answer.body(), "r-1", b"order").unwrap();
+    assert_eq!(head.bytes, bytes);
+    let record = handle.record();
+    let run = &record.runs["r-1"];
+    assert_eq!((run.starts, run.ends, run.cancels), (1, 1, 0));
+    assert_eq!(record.keys["key-1"], 1);
+}
+
+#[tokio::test]
+async fn a_cut_answer_is_an_error_of_the_client() {
+    let handle = start(options()).await;
+    handle.control(&faults::Change { cut: Some(1.0), ..Default::default() });
+    let answer = http::send(handle.address(), post("/buy", "r-1", b""), LIMIT).await;
+    assert!(matches!(answer, Err(http::Error::Exchange(..))), "{answer:?}");
+    assert_eq!(handle.record().runs["r-1"].starts, 1);
+}
+
+#[tokio::test]
+async fn a_shed_call_says_so_and_is_not_in_the_record() {
+    let handle = start(options().slots(0)).await;
+    let answer = http::send(handle.address(), post("/buy", "r-1", b""), LIMIT).await.unwrap();
+    assert_eq!(answer.status(), ::http::StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.headers()[upstream::HEADER], upstream::SHED);
+    assert!(handle.record().runs.is_empty());
+    assert_eq!(handle.record().sheds, 1);
+}
+
+#[tokio::test]
+async fn a_caller_who_leaves_frees_the_slot() {
+    let handle = start(options().slots(1)).await;
+    let slow = post("/buy?ms=60000", "r-1", b"");
+    let left = http::send(handle.address(), slow, time::Duration::from_millis(200)).await;
+    assert!(matches!(left, Err(http::Error::Timeout(_))));
+    for _ in 0..500 {
+        if handle.record().runs["r-1"].cancels == 1 {
+            break;
+        }
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    assert_eq!(handle.record().runs["r-1"].cancels, 1);
+    let answer = http::send(handle.address(), post("/buy", "r-2", b""), LIMIT).await.unwrap();
+    assert_eq!(answer.status(), ::http::StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_deadline_ends_a_run() {
+    let handle = start(options()).await;
+    let mut request = post("/buy?ms=60000", "r-1", b"");
+    request.headers_mut().insert(headers::DEADLINE, ::http::HeaderValue::from_static("30"));
+    let answer = http::send(handle.address(), request, LIMIT).await.unwrap();
+    assert_eq!(answer.status(), ::http::StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(handle.record().runs["r-1"].cancels, 1);
+}
+
+#[tokio::test]
+async fn control_answers_while_the_upstream_hangs() {
+    let handle = start(options()).await;
+    let body = serde_json::json!({ "dead": "hang", "slow_ms": 7 });
+    let method = ::http::Method::POST;
+    let control = handle.control_address();
+    let changed = http::json(control, method, "/control", &body, LIMIT).await.unwrap();
+    assert_eq!(changed.status(), ::http::StatusCode::OK);
+    assert_eq!(handle.faults().dead, faults::Dead::Hang);
+    let short = time::Duration::from_millis(100);
+    let hung = http::send(handle.address(), post("/buy", "r-1", b""), short).await;
+    assert!(matches!(hung, Err(http::Error::Timeout(_))));
+    let runs = http::get(control, "/runs", LIMIT).await.unwrap();
+    let record: upstream::record::Record = serde_json::from_slice(runs.body()).unwrap();
+    assert!(record.runs.is_empty());
+}
+
+#[tokio::test]
+async fn a_wrong_control_changes_nothing() {
+    let handle = start(options()).await;
+    let body = serde_json::json!({ "slow": 7 });
+    let method = ::http::Method::POST;
+    let answer = http::json(handle.control_address(), method, "/control", &body, LIMIT).await;
+    assert_eq!(answer.unwrap().status(), ::http::StatusCode::BAD_REQUEST);
+    assert_eq!(handle.faults(), faults::Faults::default());
+}
+
+#[rstest]
+#[case::not_whole(b"short" as &[u8], answer::Fault::NotWhole)]
+#[case::wrong_hash(&[b'x'; 200], answer::Fault::NotWhole)]
+fn a_broken_body_is_found(#[case] body: &[u8], #[case] fault: answer::Fault) {
+    assert_eq!(answer::check(body, "r-1", b""), Err(fault));
+}
+
+#[rstest]
+#[case::serves(None, None, 0, false)]
+#[case::in_grace(Some(100), None, 0, false)]
+#[case::gone(Some(10), None, 0, true)]
+#[case::full(None, None, 9, true)]
+#[case::late(None, Some(0), 0, true)]
+fn a_call_is_shed_when_it_can_not_run(
+    #[case] drained: Option<u64>,
+    #[case] left: Option<u64>,
+    #[case] running: u32,
+    #[case] shed: bool,
+) {
+    let drain = drained.map(clock::Instant::from_millis);
+    let state = state::State { drain, running, ..Default::default() };
+    let now = clock::Instant::from_millis(120);
+    let left = left.map(time::Duration::from_millis);
+    let verdict = state.decide(&options(), "/buy", &"r-1".into(), left, now);
+    assert_eq!(verdict == state::Verdict::Shed, shed);
+}
+
+#[rstest]
+#[case::at_start(0, 4.0)]
+#[case::half_way(500, 2.5)]
+#[case::warm(1000, 1.0)]
+fn a_cold_upstream_is_slower(#[case] now: u64, #[case] factor: f64) {
+    let cold = options().cold(time::Duration::from_secs(1));
+    let now = clock::Instant::from_millis(now);
+    let decide = |options: &upstream::Options| {
+        state::State::default().decide(options, "/buy", &"r-1".into(), None, now)
+    };
+    let (state::Verdict::Run(cold), state::Verdict::Run(warm)) =
+        (decide(&cold), decide(&options()))
+    else {
+        panic!("not run");
+    };
+    assert!((cold.as_secs_f64() / warm.as_secs_f64() - factor).abs() < 0.001);
+}
