feat(retry): decide on retries, admission and picks as pure state machines

Cause: the call path needs its decisions as types that the shell can code against: outcomes and reasons, the retry budget, the gate at an upstream's own node and the picker of an entry. Ruled out: earning retry tokens by every call that comes in, as buckets usually do. Tokens are earned by calls served whole, so an outage earns nothing. Also ruled out: a fixed number of attempts at each depth, which multiplies (3^8 at a depth of 8); a nested call of a repeated one is repeated only when it is proven that it did not run, so that the work grows by one run a level. The gate and the picker have no tests of their own yet; they follow. Conclusion: signatures to code against; the load header is added.

--- /dev/null
+++ b/src/admit/gate.rs
@@ -0,0 +1,200 @@
+//! The gate in front of one upstream.
+
+use std::time;
+
+use crate::admit;
+use crate::admit::queue;
+use crate::admit::service;
+use crate::clock;
+use crate::retry;
+
+/// Shortest wait named in a refusal.
+const LEAST_WAIT: time::Duration = time::Duration::from_millis(1);
+
+/// A call that runs.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    ticket: admit::Ticket,
+    since: clock::Instant,
+}
+
+/// The only place where calls to one upstream are admitted.
+///
+/// Invariants: at most [`admit::Limits::width`] calls run, but for those that ran before the
+/// limits were lowered; nobody waits while a slot is free; nothing is admitted after a drain.
+#[derive(Debug)]
+pub struct Gate {
+    limits: admit::Limits,
+    draining: bool,
+    running: Vec<Run>,
+    queue: queue::Queue,
+    service: service::Service,
+}
+
+impl Gate {
+    /// An empty gate.
+    pub fn new(limits: admit::Limits) -> Self {
+        Self {
+            limits,
+            draining: false,
+            running: Vec::with_capacity(limits.width()),
+            queue: queue::Queue::default(),
+            service: service::Service::default(),
+        }
+    }
+
+    /// Takes in `event` and appends what is to be done to `actions`.
+    pub fn handle(
+        &mut self,
+        event: admit::Event,
+        now: clock::Instant,
+        actions: &mut Vec<admit::Action>,
+    ) {
+        match event {
+            admit::Event::Arrive { ticket, weight, deadline } => {
+                let waiter = queue::Waiter { ticket, weight, deadline };
+                self.arrive(waiter, now, actions);
+            }
+            admit::Event::Ended { ticket } => self.end(ticket, now),
+            admit::Event::Cancelled { ticket } => self.cancel(ticket),
+            admit::Event::Limits(limits) => self.limits = limits,
+            admit::Event::Drain => self.drain(now, actions),
+            admit::Event::Tick => {}
+        }
+        self.settle(now, actions);
+    }
+
+    /// The load that travels back with answers.
+    pub fn load(&self) -> admit::Load {
+        admit::Load {
+            running: count(self.running.len()),
+            waiting: count(self.queue.len()),
+            slots: count(self.limits.width()),
+        }
+    }
+
+    /// When the gate wants a [`admit::Event::Tick`] at the latest; `None` while nobody waits.
+    pub fn wake(&self) -> Option<clock::Instant> {
+        self.queue.earliest()
+    }
+
+    /// Whether the gate drains and nothing runs any more.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.running.is_empty()
+    }
+
+    fn arrive(
+        &mut self,
+        waiter: queue::Waiter,
+        now: clock::Instant,
+        actions: &mut Vec<admit::Action>,
+    ) {
+        if self.draining {
+            return self.refuse(waiter, retry::Reason::Draining, now, actions);
+        }
+        if self.limits.width() == 0 {
+            return self.refuse(waiter, retry::Reason::NoUpstream, now, actions);
+        }
+        if waiter.deadline <= now {
+            return self.refuse(waiter, retry::Reason::TooLate, now, actions);
+        }
+        if self.has_slot() {
+            return self.run(waiter, now, actions);
+        }
+        if self.is_hopeless(self.queue.place(waiter.weight), &waiter, now) {
+            return self.refuse(waiter, retry::Reason::TooLate, now, actions);
+        }
+        self.queue.insert(waiter);
+    }
+
+    /// Refuses waiters there is no room or no time for and gives free slots to the others.
+    fn settle(&mut self, now: clock::Instant, actions: &mut Vec<admit::Action>) {
+        while self.queue.len() > usize::from(self.limits.queue) {
+            let Some(waiter) = self.queue.last() else { break };
+            self.refuse(waiter, retry::Reason::Full, now, actions);
+        }
+        while self.has_slot() {
+            let Some(waiter) = self.queue.first() else { break };
+            if self.service.misses(waiter.deadline, time::Duration::ZERO, now) {
+                self.refuse(waiter, retry::Reason::TooLate, now, actions);
+            } else {
+                self.run(waiter, now, actions);
+            }
+        }
+        while let Some(waiter) = self.lost(now) {
+            self.refuse(waiter, retry::Reason::TooLate, now, actions);
+        }
+    }
+
+    /// Takes out a waiter that can't make its deadline.
+    fn lost(&mut self, now: clock::Instant) -> Option<queue::Waiter> {
+        let (service, width, stuck) = (self.service, self.limits.width(), self.stuck(now));
+        self.queue.take(|place, waiter| {
+            service.misses(waiter.deadline, service.wait(place, width, stuck), now)
+        })
+    }
+
+    fn is_hopeless(&self, place: usize, waiter: &queue::Waiter, now: clock::Instant) -> bool {
+        let wait = self.service.wait(place, self.limits.width(), self.stuck(now));
+        self.service.misses(waiter.deadline, wait, now)
+    }
+
+    /// How long no slot has changed hands.
+    fn stuck(&self, now: clock::Instant) -> time::Duration {
+        self.running.iter().map(|r| now.since(r.since)).min().unwrap_or_default()
+    }
+
+    fn has_slot(&self) -> bool {
+        !self.draining && self.running.len() < self.limits.width()
+    }
+
+    fn run(
+        &mut self,
+        waiter: queue::Waiter,
+        now: clock::Instant,
+        actions: &mut Vec<admit::Action>,
+    ) {
+        self.running.push(Run { ticket: waiter.ticket, since: now });
+        actions.push(admit::Action::Run { ticket: waiter.ticket });
+    }
+
+    fn refuse(
+        &self,
+        waiter: queue::Waiter,
+        reason: retry::Reason,
+        now: clock::Instant,
+        actions: &mut Vec<admit::Action>,
+    ) {
+        let wait = self.service.wait(self.queue.len(), self.limits.width(), self.stuck(now));
+        let retry_after = wait.max(LEAST_WAIT);
+        actions.push(admit::Action::Refuse { ticket: waiter.ticket, reason, retry_after });
+    }
+
+    fn end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
+        if let Some(run) = self.leave(ticket) {
+            self.service.note(now.since(run.since));
+        }
+    }
+
+    fn cancel(&mut self, ticket: admit::Ticket) {
+        if self.leave(ticket).is_none() {
+            self.queue.remove(ticket);
+        }
+    }
+
+    fn leave(&mut self, ticket: admit::Ticket) -> Option<Run> {
+        let index = self.running.iter().position(|r| r.ticket == ticket)?;
+        Some(self.running.swap_remove(index))
+    }
+
+    fn drain(&mut self, now: clock::Instant, actions: &mut Vec<admit::Action>) {
+        self.draining = true;
+        while let Some(waiter) = self.queue.first() {
+            self.refuse(waiter, retry::Reason::Draining, now, actions);
+        }
+    }
+}
+
+fn count(len: usize) -> u16 {
+    u16::try_from(len).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/src/admit/queue.rs
@@ -0,0 +1,62 @@
+//! The calls that wait for a slot, heaviest first, then oldest first.
+
+use std::collections;
+
+use crate::admit;
+use crate::clock;
+
+/// A call that waits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiter {
+    pub(super) ticket: admit::Ticket,
+    pub(super) weight: u32,
+    pub(super) deadline: clock::Instant,
+}
+
+/// Waiters in the order they will run.
+///
+/// Invariant: weights never rise from front to back; equal weights stand in order of arrival.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    waiters: collections::VecDeque<Waiter>,
+}
+
+impl Queue {
+    /// Where a newcomer of `weight` would stand.
+    pub(super) fn place(&self, weight: u32) -> usize {
+        self.waiters.partition_point(|w| w.weight >= weight)
+    }
+
+    pub(super) fn insert(&mut self, waiter: Waiter) {
+        self.waiters.insert(self.place(waiter.weight), waiter);
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    pub(super) fn first(&mut self) -> Option<Waiter> {
+        self.waiters.pop_front()
+    }
+
+    /// Takes out the waiter that would run last.
+    pub(super) fn last(&mut self) -> Option<Waiter> {
+        self.waiters.pop_back()
+    }
+
+    pub(super) fn remove(&mut self, ticket: admit::Ticket) -> Option<Waiter> {
+        let index = self.waiters.iter().position(|w| w.ticket == ticket)?;
+        self.waiters.remove(index)
+    }
+
+    /// Takes out the first waiter, from the front, of which `lost(place, waiter)` holds.
+    pub(super) fn take(&mut self, lost: impl Fn(usize, &Waiter) -> bool) -> Option<Waiter> {
+        let index = self.waiters.iter().enumerate().position(|(i, w)| lost(i, w))?;
+        self.waiters.remove(index)
+    }
+
+    /// The earliest deadline of a waiter.
+    pub(super) fn earliest(&self) -> Option<clock::Instant> {
+        self.waiters.iter().map(|w| w.deadline).min()
+    }
+}
--- /dev/null
+++ b/src/admit/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of admission.
--- /dev/null
+++ b/src/pick/picker.rs
@@ -0,0 +1,143 @@
+//! The picker of one entry.
+
+use rand::SeedableRng;
+use rand::rngs;
+
+use crate::clock;
+use crate::configs;
+use crate::host;
+use crate::mesh;
+use crate::pick;
+use crate::pick::peer;
+use crate::pick::table;
+use crate::view;
+
+/// Fullness from which on a call is expected to wait.
+const WAITS: f32 = 1.0;
+
+/// Chooses upstreams for the calls of one entry.
+///
+/// Draining upstreams are never chosen. Unreachable and ejected ones are chosen only when there
+/// is nothing else, so that a mass fault never leaves a call without a candidate.
+#[derive(Debug)]
+pub struct Picker<P = pick::Cheapest> {
+    place: view::Place,
+    policy: P,
+    rules: peer::Rules,
+    rng: rngs::SmallRng,
+    table: table::Table,
+}
+
+impl Picker {
+    /// A picker for the entry at `place`, with no upstream yet.
+    pub fn new(place: view::Place, settings: &configs::call::Call, seed: u64) -> Self {
+        let policy = pick::Cheapest { candidates: settings.candidates };
+        Self::with_policy(policy, place, settings, seed)
+    }
+}
+
+impl<P: pick::Policy> Picker<P> {
+    /// A picker that chooses by `policy`.
+    pub fn with_policy(
+        policy: P,
+        place: view::Place,
+        settings: &configs::call::Call,
+        seed: u64,
+    ) -> Self {
+        Self {
+            place,
+            policy,
+            rules: peer::Rules::new(settings),
+            rng: rngs::SmallRng::seed_from_u64(seed),
+            table: table::Table::default(),
+        }
+    }
+
+    /// Takes in a new view or mesh; what is known of hosts that stay is kept.
+    pub fn rebuild(&mut self, view: &view::View, mesh: &mesh::Mesh, now: clock::Instant) {
+        self.table.rebuild(view, mesh, &self.place, now);
+    }
+
+    /// Chooses the upstream for an attempt, none of `avoid` unless there is nothing else; `None`
+    /// when every upstream drains or there is none.
+    pub fn pick(
+        &mut self,
+        target: pick::Target,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> Option<pick::Choice> {
+        let usual = self.pick_usual(target, now, avoid);
+        let (index, tier) = usual.or_else(|| self.pick_any(target, avoid))?;
+        let host = self.table.peers[index as usize].host();
+        Some(pick::Choice { host, key: self.table.key(index), near: tier == 0 })
+    }
+
+    /// Notes that an attempt at `choice` has started.
+    pub fn started(&mut self, choice: pick::Choice, now: clock::Instant) {
+        if let Some(peer) = self.table.peer_mut(choice.key) {
+            peer.started(&self.rules, now);
+        }
+    }
+
+    /// Notes that an attempt at `choice` has ended; called once for each [`Picker::started`].
+    pub fn ended(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
+        if let Some(peer) = self.table.peer_mut(choice.key) {
+            peer.ended(report, None, &self.rules, now);
+        }
+    }
+
+    /// What is known of the upstream of `choice`; `None` when it is forgotten.
+    pub fn peer(&mut self, choice: pick::Choice) -> Option<&pick::Peer> {
+        self.table.peer_mut(choice.key).map(|peer| &*peer)
+    }
+
+    /// The nearest tier's choice, unless it would wait where a farther one would not.
+    fn pick_usual(
+        &mut self,
+        target: pick::Target,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> Option<(u32, usize)> {
+        let mut best: Option<(u32, usize, f32)> = None;
+        for tier in 0..table::TIERS {
+            let Some((index, fullness)) = self.pick_tier(target, tier, now, avoid) else {
+                continue;
+            };
+            if best.is_none_or(|(_, _, least)| fullness < least) {
+                best = Some((index, tier, fullness));
+            }
+            if best.is_some_and(|(_, _, least)| least <= WAITS) {
+                break;
+            }
+        }
+        best.map(|(index, tier, _)| (index, tier))
+    }
+
+    fn pick_tier(
+        &mut self,
+        target: pick::Target,
+        tier: usize,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> Option<(u32, f32)> {
+        let list = self.table.list(target)?;
+        let members = list.tier(tier);
+        let mut turn = list.turns[tier];
+        let pool = pick::Pool { peers: &self.table.peers, members, rules: &self.rules, avoid, now };
+        let place = self.policy.choose(&pool, &mut turn, &mut self.rng)?;
+        let chosen = (members[place], pool.fullness(place));
+        self.table.list_mut(target)?.turns[tier] = turn;
+        Some(chosen)
+    }
+
+    /// The least hopeless of the upstreams that do not drain.
+    fn pick_any(&self, target: pick::Target, avoid: &[host::HostId]) -> Option<(u32, usize)> {
+        let peers = &self.table.peers;
+        let open = self.table.list(target)?.all().iter().copied();
+        let index = open.filter(|&i| peers[i as usize].is_open()).min_by_key(|&i| {
+            let peer = &peers[i as usize];
+            (avoid.contains(&peer.host()), peer.despair(), peer.outstanding())
+        })?;
+        Some((index, table::TIERS))
+    }
+}
--- /dev/null
+++ b/src/pick/table.rs
@@ -0,0 +1,176 @@
+//! Lists of the upstreams of each service and class, nearest first.
+
+use std::collections;
+
+use crate::clock;
+use crate::host;
+use crate::mesh;
+use crate::pick;
+use crate::view;
+
+/// How many distances are told apart: own availability zone, own region, elsewhere.
+pub(super) const TIERS: usize = 3;
+
+/// Place at which a policy that goes round a list stands.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Turn(u32);
+
+impl Turn {
+    /// The place whose turn it is in a list of `len`.
+    pub const fn next(&self, len: usize) -> usize {
+        if len == 0 { 0 } else { self.0 as usize % len }
+    }
+
+    /// Sets the place whose turn is next.
+    pub fn set(&mut self, place: usize) {
+        self.0 = u32::try_from(place).unwrap_or_default();
+    }
+}
+
+/// The upstreams of one service or class.
+#[derive(Clone, Debug, Default)]
+pub(super) struct List {
+    /// Indices into the arena of peers, nearest tier first.
+    members: Vec<u32>,
+    /// Where each tier ends in `members`; never falls.
+    ends: [usize; TIERS],
+    /// A turn for each tier.
+    pub(super) turns: [Turn; TIERS],
+}
+
+impl List {
+    /// The members of `tier`.
+    pub(super) fn tier(&self, tier: usize) -> &[u32] {
+        let start = if tier == 0 { 0 } else { self.ends[tier - 1] };
+        &self.members[start..self.ends[tier]]
+    }
+
+    /// Every member.
+    pub(super) fn all(&self) -> &[u32] {
+        &self.members
+    }
+
+    fn clear(&mut self) {
+        self.members.clear();
+        self.ends = [0; TIERS];
+    }
+
+    fn push(&mut self, member: u32, tier: usize) {
+        self.members.insert(self.ends[tier], member);
+        self.ends[tier..].iter_mut().for_each(|end| *end += 1);
+    }
+}
+
+/// Peers and lists, made anew from view and mesh; a peer's state outlives it.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    pub(super) peers: Vec<pick::Peer>,
+    free: Vec<u32>,
+    by_host: collections::HashMap<host::HostId, u32>,
+    services: Vec<List>,
+    classes: Vec<List>,
+}
+
+impl Table {
+    /// The list that serves `target`.
+    pub(super) fn list(&self, target: pick::Target) -> Option<&List> {
+        match target.class {
+            Some(class) => self.classes.get(usize::from(class.0)),
+            None => self.services.get(usize::from(target.service.0)),
+        }
+    }
+
+    /// The list that serves `target`, to move its turns.
+    pub(super) fn list_mut(&mut self, target: pick::Target) -> Option<&mut List> {
+        match target.class {
+            Some(class) => self.classes.get_mut(usize::from(class.0)),
+            None => self.services.get_mut(usize::from(target.service.0)),
+        }
+    }
+
+    /// The key of the peer at `index`.
+    pub(super) fn key(&self, index: u32) -> pick::PeerKey {
+        pick::PeerKey { index, generation: self.peers[index as usize].generation() }
+    }
+
+    /// The peer of `key`, unless the key is void.
+    pub(super) fn peer_mut(&mut self, key: pick::PeerKey) -> Option<&mut pick::Peer> {
+        let peer = self.peers.get_mut(key.index as usize)?;
+        (peer.generation() == key.generation).then_some(peer)
+    }
+
+    /// Takes in a new view or mesh.
+    pub(super) fn rebuild(
+        &mut self,
+        view: &view::View,
+        mesh: &mesh::Mesh,
+        place: &view::Place,
+        now: clock::Instant,
+    ) {
+        self.reset(mesh);
+        for (key, class) in mesh.classes.iter().enumerate() {
+            let service = mesh.service(class.service);
+            for host in view.upstreams(&service.name) {
+                let Some(upstream) = &host.upstream else { continue };
+                if upstream.class != class.name {
+                    continue;
+                }
+                let index = self.index(host.id);
+                let peer = &mut self.peers[index as usize];
+                peer.update(host, upstream, class.slots, class.warmup, now);
+                let tier = tier(&host.place, place);
+                self.classes[key].push(index, tier);
+                self.services[usize::from(class.service.0)].push(index, tier);
+            }
+        }
+        self.sweep();
+    }
+
+    fn reset(&mut self, mesh: &mesh::Mesh) {
+        self.services.resize_with(mesh.services.len(), List::default);
+        self.classes.resize_with(mesh.classes.len(), List::default);
+        self.services.iter_mut().chain(&mut self.classes).for_each(List::clear);
+        self.peers.iter_mut().for_each(|p| p.listed = false);
+    }
+
+    /// Frees the peers that have left and have no call any more.
+    fn sweep(&mut self) {
+        let (peers, free) = (&mut self.peers, &mut self.free);
+        self.by_host.retain(|_, index| {
+            let peer = &mut peers[*index as usize];
+            let keep = peer.listed || peer.outstanding() > 0;
+            if !keep {
+                *peer = pick::Peer::new(peer.host(), peer.generation().wrapping_add(1));
+                free.push(*index);
+            }
+            keep
+        });
+    }
+
+    fn index(&mut self, host: host::HostId) -> u32 {
+        if let Some(&index) = self.by_host.get(&host) {
+            return index;
+        }
+        let index = match self.free.pop() {
+            Some(index) => {
+                let generation = self.peers[index as usize].generation();
+                self.peers[index as usize] = pick::Peer::new(host, generation);
+                index
+            }
+            None => {
+                self.peers.push(pick::Peer::new(host, 0));
+                u32::try_from(self.peers.len() - 1).unwrap_or(u32::MAX)
+            }
+        };
+        self.by_host.insert(host, index);
+        index
+    }
+}
+
+fn tier(theirs: &view::Place, ours: &view::Place) -> usize {
+    match (theirs.region == ours.region, theirs.zone == ours.zone) {
+        (true, true) => 0,
+        (true, false) => 1,
+        (false, _) => 2,
+    }
+}
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -16,6 +16,8 @@
 pub const ATTEMPT: &str = "dandelionspool-attempt";
 /// How many calls of the mesh led to this one; passed between nodes and to upstreams.
 pub const DEPTH: &str = "dandelionspool-depth";
+/// Load of the upstream as its node counts it, an `admit::Load`; set on answers between nodes.
+pub const LOAD: &str = "dandelionspool-load";
 /// Key a caller repeats to have a non-idempotent call run at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Identity of a call, made by the entry when the caller sent none; passed to upstreams.
--- /dev/null
+++ b/src/retry/budget.rs
@@ -0,0 +1,81 @@
+//! A token bucket that bounds the extra attempts of one service at one entry.
+
+/// Parts of a token; one extra attempt costs this many.
+const TOKEN: u32 = 100;
+
+/// What fills the bucket.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Earn {
+    /// Every call that comes in.
+    Call,
+    /// Every call served whole, so that an outage earns nothing.
+    Served,
+}
+
+/// The budget of extra attempts of one service.
+///
+/// Invariant: over any span, extra attempts are at most `percent` per hundred calls that earned,
+/// plus the floor.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    /// What fills the bucket.
+    earn: Earn,
+    /// Hundredths of a token earned each time.
+    percent: u32,
+    /// Most hundredths of a token kept; the bucket starts full.
+    most: u32,
+    /// Hundredths of a token there are.
+    left: u32,
+}
+
+impl Budget {
+    /// A full bucket of `floor` extra attempts, earning `percent` per hundred calls served.
+    pub fn new(percent: u8, floor: u16) -> Self {
+        Self::earning(Earn::Served, percent, floor)
+    }
+
+    /// A full bucket of `floor` extra attempts that `earn` fills.
+    pub fn earning(earn: Earn, percent: u8, floor: u16) -> Self {
+        let most = u32::from(floor) * TOKEN;
+        Self { earn, percent: u32::from(percent), most, left: most }
+    }
+
+    /// Changes the limits and keeps what is left within them.
+    pub fn limit(&mut self, percent: u8, floor: u16) {
+        self.percent = u32::from(percent);
+        self.most = u32::from(floor) * TOKEN;
+        self.left = self.left.min(self.most);
+    }
+
+    /// Notes a call that came in.
+    pub fn arrived(&mut self) {
+        if self.earn == Earn::Call {
+            self.fill();
+        }
+    }
+
+    /// Notes a call served whole.
+    pub fn served(&mut self) {
+        if self.earn == Earn::Served {
+            self.fill();
+        }
+    }
+
+    /// Takes one extra attempt; `false` when there is none left.
+    pub fn take(&mut self) -> bool {
+        let enough = self.left >= TOKEN;
+        if enough {
+            self.left -= TOKEN;
+        }
+        enough
+    }
+
+    /// Whole extra attempts left.
+    pub const fn left(&self) -> u32 {
+        self.left / TOKEN
+    }
+
+    fn fill(&mut self) {
+        self.left = (self.left + self.percent).min(self.most);
+    }
+}
--- /dev/null
+++ b/src/retry/tests.rs
@@ -0,0 +1,148 @@
+//! Tests of the decisions on retries.
+
+use std::time;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::clock;
+use crate::retry;
+
+const DEADLINE: clock::Instant = clock::Instant::from_millis(1000);
+
+fn call(idempotent: bool) -> retry::Call {
+    retry::Call {
+        idempotent,
+        attempt: 1,
+        attempts: 3,
+        depth: 0,
+        outer: 1,
+        deadline: DEADLINE,
+        answered: 0,
+        held: true,
+        host: None,
+        retry_after: None,
+    }
+}
+
+fn again(call: &retry::Call, outcome: retry::Outcome, millis: u64) -> bool {
+    let mut budget = retry::Budget::new(10, 5);
+    let now = clock::Instant::from_millis(millis);
+    matches!(retry::next(call, outcome, &mut budget, now), retry::Decision::Again { .. })
+}
+
+#[rstest]
+#[case::idempotent_cut(true, retry::Outcome::Unknown(retry::Reason::Cut), true)]
+#[case::idempotent_full(true, retry::Outcome::NotRun(retry::Reason::Full), true)]
+#[case::order_cut(false, retry::Outcome::Unknown(retry::Reason::Cut), false)]
+#[case::order_full(false, retry::Outcome::NotRun(retry::Reason::Full), true)]
+#[case::caller_left(true, retry::Outcome::Unknown(retry::Reason::Cancelled), false)]
+#[case::log_down(false, retry::Outcome::NotRun(retry::Reason::LogDown), false)]
+#[case::ran(true, retry::Outcome::Ran, false)]
+fn another_attempt_follows_the_outcome(
+    #[case] idempotent: bool,
+    #[case] outcome: retry::Outcome,
+    #[case] expected: bool,
+) {
+    assert_eq!(again(&call(idempotent), outcome, 0), expected);
+}
+
+#[test]
+fn no_attempt_follows_the_deadline_a_byte_or_a_lost_body() {
+    let cut = retry::Outcome::Unknown(retry::Reason::Cut);
+    assert!(again(&call(true), cut, 999));
+    assert!(!again(&call(true), cut, 1000));
+    assert!(!again(&retry::Call { answered: 1, ..call(true) }, cut, 0));
+    assert!(!again(&retry::Call { held: false, ..call(true) }, cut, 0));
+}
+
+#[test]
+fn a_nested_call_of_a_repeated_one_is_not_repeated_when_it_may_have_run() {
+    let cut = retry::Outcome::Unknown(retry::Reason::Cut);
+    let nested = retry::Call { depth: 1, outer: 2, ..call(true) };
+    assert!(!again(&nested, cut, 0));
+    assert!(again(&nested, retry::Outcome::NotRun(retry::Reason::Full), 0));
+    assert!(!again(&retry::Call { depth: 1, attempt: 2, ..call(true) }, cut, 0));
+}
+
+#[test]
+fn a_refusal_names_a_wait() {
+    let mut budget = retry::Budget::new(0, 0);
+    let hint = Some(time::Duration::from_millis(40));
+    let refused = retry::Call { retry_after: hint, ..call(true) };
+    let outcome = retry::Outcome::NotRun(retry::Reason::Full);
+    let decision = retry::next(&refused, outcome, &mut budget, clock::Instant::ZERO);
+    assert_eq!(decision, retry::Decision::Final { outcome, retry_after: hint });
+}
+
+#[test]
+fn names_of_reasons_are_read_back() {
+    for reason in retry::Reason::ALL {
+        assert_eq!(reason.as_str().parse(), Ok(reason));
+    }
+}
+
+fn event() -> impl Strategy<Value = retry::Event> {
+    prop_oneof![
+        Just(retry::Event::Sending),
+        Just(retry::Event::Refused(retry::Reason::Full)),
+        Just(retry::Event::Doubtful(retry::Reason::Cut)),
+        Just(retry::Event::Head),
+        Just(retry::Event::End),
+        Just(retry::Event::Failed(retry::Reason::Unreachable)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn not_run_is_told_only_where_it_is_proven(
+        events in prop::collection::vec(event(), 0..8),
+    ) {
+        let mut attempt = retry::Attempt::new();
+        let mut sent = false;
+        let mut head = false;
+        for event in events {
+            let before = attempt.outcome();
+            attempt.handle(event);
+            if before.is_some() {
+                prop_assert_eq!(before, attempt.outcome());
+                continue;
+            }
+            if let Some(retry::Outcome::NotRun(_)) = attempt.outcome() {
+                let refused = matches!(event, retry::Event::Refused(_));
+                prop_assert!(!sent || (refused && !head));
+            }
+            if attempt.outcome() == Some(retry::Outcome::Ran) {
+                prop_assert!(head && event == retry::Event::End);
+            }
+            sent |= event == retry::Event::Sending;
+            head |= sent && event == retry::Event::Head;
+        }
+    }
+
+    #[test]
+    fn a_total_outage_costs_at_most_a_tenth_more_attempts(
+        calls in 1000_u32..20_000,
+        attempts in 1_u8..8,
+        floor in 0_u16..50,
+    ) {
+        let mut budget = retry::Budget::new(10, floor);
+        let mut made = 0_u32;
+        for _ in 0..calls {
+            budget.arrived();
+            let mut one = retry::Call { attempts, ..call(true) };
+            let outcome = retry::Outcome::NotRun(retry::Reason::Unreachable);
+            made += 1;
+            while let retry::Decision::Again { .. } =
+                retry::next(&one, outcome, &mut budget, clock::Instant::ZERO)
+            {
+                one.attempt += 1;
+                made += 1;
+                prop_assert!(one.attempt <= attempts);
+            }
+        }
+        prop_assert!(made * 10 <= calls * 11, "{made} attempts of {calls} calls");
+    }
+}
