--- /dev/null
+++ b/src/spread/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the distribution.
+
+mod tree;
--- /dev/null
+++ b/src/spread/tree.rs
@@ -0,0 +1,89 @@
+//! Who reads the log and who pushes to whom, computed alike by every node from its own view.
+//!
+//! Two nodes whose views differ may compute different readers or trees. The first costs an extra
+//! reader; the second leaves a host to the repair by pulls or sends it a version twice.
+
+use std::cmp;
+use std::net;
+
+use crate::host;
+use crate::version;
+
+const READER: u64 = 0x7265_6164;
+const TREE: u64 = 0x7472_6565;
+
+/// The hosts of `zone` in the order in which they are due to read the log.
+///
+/// Rendezvous hashing: a host that comes or goes moves nobody else's place relative to another.
+pub fn readers(zone: &[host::HostId]) -> Vec<host::HostId> {
+    sorted(zone, READER, 0)
+}
+
+/// The push tree of one version: a heap laid out in an array.
+///
+/// Invariant: `order` holds no host twice and its first host is the root.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Tree {
+    order: Vec<host::HostId>,
+    fanout: usize,
+}
+
+impl Tree {
+    /// The tree over `zone` for `version`, rooted at `root`, which need not be in `zone`.
+    pub fn new(
+        zone: &[host::HostId],
+        version: version::Version,
+        root: host::HostId,
+        fanout: u8,
+    ) -> Self {
+        let mut order = sorted(zone, TREE, version.number());
+        order.retain(|&h| h != root);
+        order.insert(0, root);
+        Self { order, fanout: usize::from(cmp::max(fanout, 1)) }
+    }
+
+    /// The hosts to which `host` pushes; none when it is not in the tree.
+    pub fn children(&self, host: host::HostId) -> &[host::HostId] {
+        let Some(place) = self.order.iter().position(|&h| h == host) else {
+            return &[];
+        };
+        let first = cmp::min(place * self.fanout + 1, self.order.len());
+        let last = cmp::min(first + self.fanout, self.order.len());
+        &self.order[first..last]
+    }
+
+    /// Steps from the root to the furthest host.
+    pub fn depth(&self) -> usize {
+        let mut depth = 0;
+        let mut place = self.order.len().saturating_sub(1);
+        while place > 0 {
+            place = (place - 1) / self.fanout;
+            depth += 1;
+        }
+        depth
+    }
+}
+
+fn sorted(zone: &[host::HostId], purpose: u64, salt: u64) -> Vec<host::HostId> {
+    let mut keyed: Vec<(u64, host::HostId)> =
+        zone.iter().map(|&h| (weight(h, purpose, salt), h)).collect();
+    keyed.sort_unstable();
+    keyed.dedup();
+    keyed.into_iter().map(|(_, h)| h).collect()
+}
+
+fn weight(host: host::HostId, purpose: u64, salt: u64) -> u64 {
+    let address = host.member_addr();
+    let mut bytes = [0; 34];
+    match address.ip() {
+        net::IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        net::IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..18].copy_from_slice(&address.port().to_le_bytes());
+    bytes[18..26].copy_from_slice(&purpose.to_le_bytes());
+    bytes[26..].copy_from_slice(&salt.to_le_bytes());
+    let hash = blake3::hash(&bytes);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
