feat(bench): start, signal and end a fleet of real processes by id

Cause: proofs under failure need real processes on addresses of their own, killed, paused and ended by process id, and none left behind. Ruled out: fixed addresses, which two test runs at once would share; kill by name, which reaches other people's processes.

--- /dev/null
+++ b/src/bench/fleet/layout.rs
@@ -0,0 +1,78 @@
+//! Where the hosts of a fleet stand and with what settings their processes start.
+
+use std::net;
+
+use smol_str::format_smolstr;
+
+use crate::bench::fleet::host;
+use crate::bench::fleet::network;
+use crate::bench::fleet::plan;
+use crate::configs;
+
+/// Hosts that nodes join through.
+const JOINS: usize = 3;
+
+/// The hosts of `plan`, without processes.
+pub fn hosts(plan: &plan::Plan, network: &network::Network) -> Vec<host::Host> {
+    let groups = plan.groups.iter().flat_map(|group| std::iter::repeat_n(group, group.count));
+    let groups = groups.map(Some).chain(std::iter::repeat_n(None, plan.plain));
+    let placed = groups.enumerate().map(|(index, group)| {
+        let mut host = place(plan, network, index);
+        host.group = group.cloned();
+        host
+    });
+    placed.collect()
+}
+
+/// The host number `index` in its zone; zones are taken in turn and shared out to the regions.
+pub fn place(plan: &plan::Plan, network: &network::Network, index: usize) -> host::Host {
+    let zone = index % plan.zones;
+    let region = zone % plan.regions;
+    let names = (format_smolstr!("region-{region}"), format_smolstr!("zone-{zone}"));
+    host::Host::new(index, network.host(index), names)
+}
+
+/// Arguments of the upstream of `host`, which announces itself when there is a `node`.
+pub fn arguments(host: &host::Host, group: &plan::Group, node: bool) -> Vec<String> {
+    let mut arguments = vec!["upstream".to_owned()];
+    let mut add = |name: &str, value: String| arguments.extend([name.to_owned(), value]);
+    add("--address", host.upstream_addr().to_string());
+    add("--service", group.service.to_string());
+    add("--class", group.class.to_string());
+    add("--slots", group.slots.to_string());
+    add("--connections", group.connections.to_string());
+    add("--cold", group.cold_ms.to_string());
+    add("--grace", group.grace_ms.to_string());
+    add("--mean", group.mean_ms.to_string());
+    add("--seed", host.index.to_string());
+    for (prefix, millis) in &group.means {
+        add("--time", format!("{prefix}={millis}"));
+    }
+    if node {
+        add("--admin", host.id.admin_addr().to_string());
+    }
+    arguments
+}
+
+/// Settings of the node of `host`, one of `hosts`.
+pub fn settings(
+    plan: &plan::Plan,
+    hosts: &[host::Host],
+    host: &host::Host,
+    log: net::SocketAddr,
+) -> configs::Node {
+    let mut settings = plan.settings.clone();
+    let joins = hosts.iter().filter(|other| other.index != host.index).take(JOINS);
+    settings.join = joins.map(|other| other.id.member_addr()).collect();
+    settings.listen = host.id.member_addr();
+    settings.region = host.region.clone();
+    settings.zone = host.zone.clone();
+    settings.log.address = log;
+    if settings.mesh.is_empty() {
+        settings.mesh = "fleet".into();
+    }
+    if settings.key.is_empty() {
+        settings.key = "a key for a fleet on loopback, of no secrecy".into();
+    }
+    settings
+}
--- /dev/null
+++ b/src/bench/fleet/plan.rs
@@ -0,0 +1,192 @@
+//! What a fleet consists of.
+
+use std::env;
+use std::path;
+
+use smol_str::SmolStr;
+
+use crate::bench::fleet;
+use crate::configs;
+
+/// Paths of the two programs.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// `dandelionspool`.
+    pub node: path::PathBuf,
+    /// `dandelionspool-bench`.
+    pub bench: path::PathBuf,
+}
+
+impl Programs {
+    /// The programs beside the one that runs, as cargo builds them.
+    pub fn beside() -> Result<Self, fleet::Error> {
+        let own = env::current_exe().map_err(|e| fleet::Error::File("/proc/self/exe".into(), e))?;
+        let dir = own.parent().unwrap_or(path::Path::new("."));
+        let dir = if dir.ends_with("deps") { dir.parent().unwrap_or(dir) } else { dir };
+        Ok(Self { node: dir.join("dandelionspool"), bench: dir.join("dandelionspool-bench") })
+    }
+}
+
+/// A group of hosts whose upstreams are alike.
+#[derive(Clone, Debug)]
+pub struct Group {
+    pub(super) service: SmolStr,
+    pub(super) class: SmolStr,
+    pub(super) count: usize,
+    pub(super) slots: u16,
+    pub(super) connections: u16,
+    pub(super) cold_ms: u64,
+    pub(super) grace_ms: u64,
+    pub(super) mean_ms: f64,
+    pub(super) means: Vec<(SmolStr, f64)>,
+}
+
+impl Group {
+    /// `count` hosts with an upstream of `service` each: 9 slots, 130 connections, 10 ms a call.
+    pub fn new(service: &str, count: usize) -> Self {
+        Self {
+            service: SmolStr::new(service),
+            class: SmolStr::new(service),
+            count,
+            slots: 9,
+            connections: 130,
+            cold_ms: 0,
+            grace_ms: 3000,
+            mean_ms: 10.0,
+            means: Vec::new(),
+        }
+    }
+
+    /// Class in the configuration; the service's name by default.
+    pub fn class(mut self, class: &str) -> Self {
+        self.class = SmolStr::new(class);
+        self
+    }
+
+    /// Calls each upstream runs at once.
+    pub fn slots(mut self, slots: u16) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Connections each upstream keeps open.
+    pub fn connections(mut self, connections: u16) -> Self {
+        self.connections = connections;
+        self
+    }
+
+    /// Time each upstream is cold after its start, in milliseconds.
+    pub fn cold_ms(mut self, millis: u64) -> Self {
+        self.cold_ms = millis;
+        self
+    }
+
+    /// Time each upstream still runs calls after it announced its drain, in milliseconds.
+    pub fn grace_ms(mut self, millis: u64) -> Self {
+        self.grace_ms = millis;
+        self
+    }
+
+    /// Mean time of a call, in milliseconds.
+    pub fn mean_ms(mut self, millis: f64) -> Self {
+        self.mean_ms = millis;
+        self
+    }
+
+    /// Mean time of calls under the path `prefix`, in milliseconds.
+    pub fn mean_of(mut self, prefix: &str, millis: f64) -> Self {
+        self.means.push((SmolStr::new(prefix), millis));
+        self
+    }
+}
+
+/// What a fleet consists of, built by chained setters.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub(super) programs: Programs,
+    pub(super) regions: usize,
+    pub(super) zones: usize,
+    pub(super) groups: Vec<Group>,
+    pub(super) plain: usize,
+    pub(super) settings: configs::Node,
+    pub(super) configuration: Option<path::PathBuf>,
+    pub(super) log_arguments: Vec<String>,
+    pub(super) nodes: bool,
+}
+
+impl Plan {
+    /// A fleet of a log stand-in only, in one region of four availability zones.
+    pub fn new(programs: Programs) -> Self {
+        Self {
+            programs,
+            regions: 1,
+            zones: 4,
+            groups: Vec::new(),
+            plain: 0,
+            settings: configs::Node::default(),
+            configuration: None,
+            log_arguments: Vec::new(),
+            nodes: true,
+        }
+    }
+
+    /// Number of regions the zones are shared out to.
+    pub fn regions(mut self, regions: usize) -> Self {
+        self.regions = regions.max(1);
+        self
+    }
+
+    /// Number of availability zones over all; hosts take them in turn.
+    pub fn zones(mut self, zones: usize) -> Self {
+        self.zones = zones.max(1);
+        self
+    }
+
+    /// Adds hosts with an upstream and a node each.
+    pub fn group(mut self, group: Group) -> Self {
+        self.groups.push(group);
+        self
+    }
+
+    /// Number of further hosts that have a node and no upstream; they come last.
+    pub fn hosts(mut self, count: usize) -> Self {
+        self.plain = count;
+        self
+    }
+
+    /// Settings of every node; addresses, place, join list and log address are filled in.
+    pub fn settings(mut self, settings: configs::Node) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Configuration file that is published before the nodes start.
+    pub fn configuration(mut self, file: impl Into<path::PathBuf>) -> Self {
+        self.configuration = Some(file.into());
+        self
+    }
+
+    /// Further arguments of the log stand-in.
+    pub fn log_arguments(mut self, arguments: &[&str]) -> Self {
+        self.log_arguments = arguments.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    /// Whether the hosts have nodes; upstreams without nodes serve to measure them alone.
+    pub fn nodes(mut self, nodes: bool) -> Self {
+        self.nodes = nodes;
+        self
+    }
+
+    /// Number of hosts.
+    pub fn host_count(&self) -> usize {
+        self.plain + self.groups.iter().map(|g| g.count).sum::<usize>()
+    }
+
+    /// Number of processes, the log stand-in among them.
+    pub fn process_count(&self) -> usize {
+        let upstreams: usize = self.groups.iter().map(|g| g.count).sum();
+        let nodes = if self.nodes { self.host_count() } else { 0 };
+        1 + upstreams + nodes
+    }
+}
--- /dev/null
+++ b/src/bench/fleet/process.rs
@@ -0,0 +1,106 @@
+//! One child process: start, signals, end.
+
+use std::fs;
+use std::io;
+use std::os::unix::process::CommandExt;
+use std::path;
+use std::process;
+
+use crate::bench::fleet;
+
+/// Bytes of output shown when a process ended by itself.
+const TAIL: usize = 2000;
+
+/// A process started by a fleet. It is killed when this value is dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    output: path::PathBuf,
+    child: process::Child,
+}
+
+impl Process {
+    /// Starts `program` with `arguments`; its output is appended to `dir/NAME.out`.
+    pub fn start(
+        name: &str,
+        program: &path::Path,
+        arguments: &[String],
+        dir: &path::Path,
+    ) -> Result<Self, fleet::Error> {
+        let output = dir.join(format!("{name}.out"));
+        let failed = |e| fleet::Error::File(output.clone(), e);
+        let file = fs::OpenOptions::new().append(true).create(true).open(&output);
+        let file = file.map_err(failed)?;
+        let other = file.try_clone().map_err(failed)?;
+        let mut command = process::Command::new(program);
+        command.args(arguments).stdin(process::Stdio::null()).stdout(file).stderr(other);
+        end_with_parent(&mut command);
+        let child = command.spawn().map_err(|e| fleet::Error::File(program.to_owned(), e))?;
+        Ok(Self { name: name.to_owned(), output, child })
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends `signal`; an error when the process has ended.
+    pub fn signal(&mut self, signal: libc::c_int) -> Result<(), fleet::Error> {
+        self.running()?;
+        let pid = libc::pid_t::try_from(self.child.id()).unwrap_or(libc::pid_t::MAX);
+        // SAFETY: kill takes two integers. The child has not been waited for (see `running`), so
+        // its id is not another process's.
+        let done = unsafe { libc::kill(pid, signal) };
+        if done == 0 {
+            return Ok(());
+        }
+        Err(fleet::Error::Process(self.name.clone(), io::Error::last_os_error()))
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) -> Result<(), fleet::Error> {
+        let done = self.child.kill().and_then(|()| self.child.wait());
+        done.map(drop).map_err(|e| fleet::Error::Process(self.name.clone(), e))
+    }
+
+    /// Its exit status once it has ended.
+    pub fn ended(&mut self) -> Result<Option<process::ExitStatus>, fleet::Error> {
+        self.child.try_wait().map_err(|e| fleet::Error::Process(self.name.clone(), e))
+    }
+
+    /// An error with the end of its output when it has ended.
+    pub fn running(&mut self) -> Result<(), fleet::Error> {
+        match self.ended()? {
+            None => Ok(()),
+            Some(status) => {
+                let what = format!("{status}: {}", self.tail());
+                Err(fleet::Error::Ended(self.name.clone(), what))
+            }
+        }
+    }
+
+    /// The end of its output.
+    pub fn tail(&self) -> String {
+        let bytes = fs::read(&self.output).unwrap_or_default();
+        let from = bytes.len().saturating_sub(TAIL);
+        String::from_utf8_lossy(&bytes[from..]).into_owned()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ended = self.kill();
+    }
+}
+
+/// Has the kernel kill the child when the thread that starts it ends without a drop, such as when
+/// its process is killed. Fleets are therefore started from a thread that outlives them.
+fn end_with_parent(command: &mut process::Command) {
+    let before = || {
+        // SAFETY: prctl with these two integers only changes an attribute of the calling process.
+        let done = unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) };
+        if done == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+    };
+    // SAFETY: the closure makes one system call and allocates nothing.
+    unsafe { command.pre_exec(before) };
+}
--- /dev/null
+++ b/src/bench/fleet/stat.rs
@@ -0,0 +1,45 @@
+//! Processor time and memory of a process, from `/proc`.
+
+use std::fs;
+use std::io;
+use std::time;
+
+/// Clock ticks a second in `/proc`, the same on every Linux that Rust supports.
+const TICKS: u64 = 100;
+/// Position of user time in `/proc/PID/stat`, counted after the name's closing bracket.
+const USER: usize = 11;
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Stat {
+    /// Processor time, user and system, to 10 ms.
+    pub cpu: time::Duration,
+    /// Resident memory, in bytes.
+    pub rss: u64,
+    /// Largest resident memory so far, in bytes.
+    pub peak: u64,
+}
+
+impl Stat {
+    /// What the process `pid` has used so far.
+    pub fn read(pid: u32) -> io::Result<Self> {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+        let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+        let ticks = ticks(&stat).ok_or(io::ErrorKind::InvalidData)?;
+        let cpu = time::Duration::from_millis(ticks * 1000 / TICKS);
+        Ok(Self { cpu, rss: kilobytes(&status, "VmRSS:"), peak: kilobytes(&status, "VmHWM:") })
+    }
+}
+
+fn ticks(stat: &str) -> Option<u64> {
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let mut times = fields.split(' ').skip(USER).map(str::parse::<u64>);
+    Some(times.next()?.ok()? + times.next()?.ok()?)
+}
+
+/// The value of the line `name` of `/proc/PID/status`, in bytes; 0 when there is none.
+fn kilobytes(status: &str, name: &str) -> u64 {
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.and_then(|n| n.parse::<u64>().ok()).unwrap_or(0) * 1024
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -12,6 +12,7 @@
 pub mod calls;
 pub mod converge;
 pub mod fault;
+pub mod fleet;
 pub mod load;
 pub mod log;
 pub mod upstream;
