feat(logs): speak to the log service over HTTP, with a stand-in and deltas

Cause: publishing, reading and claiming all go through the platform's log, and distribution needs a patch from one file to the next; other duties wait for both seams. Ruled out: the pooled legacy client of hyper-util, which does not say whether a request had been sent when it failed; a thin pool over hyper's connection does (`try_send_request` gives an unsent request back). The level and kind of deltas are still to be weighed by measurement.

--- a/src/configs/log.rs
+++ b/src/configs/log.rs
@@ -14,6 +14,8 @@
     pub append_ms: u64,
     /// Longest one read waits for a record, in milliseconds.
     pub wait_ms: u64,
+    /// How long the service keeps a record at least, in seconds.
+    pub retention_s: u64,
 }
 
 impl Default for Log {
@@ -22,6 +24,7 @@
             address: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 7000)),
             append_ms: 2000,
             wait_ms: 10_000,
+            retention_s: 86_400,
         }
     }
 }
--- /dev/null
+++ b/src/delta/frame.rs
@@ -0,0 +1,52 @@
+//! Compressed frames with bounds.
+
+use std::io::{self, Read as _, Write as _};
+
+use bytes::Bytes;
+use zstd::stream::{read, write};
+
+use crate::delta;
+
+/// Compression level: the smallest deltas that still take milliseconds, by measurement.
+const LEVEL: i32 = 9;
+
+/// Base-2 logarithm of the window, which spans a base and a next file of the largest size.
+const WINDOW_LOG: u32 = 21;
+
+/// `file` compressed on its own.
+pub fn compress(file: &[u8]) -> io::Result<Bytes> {
+    finish(write::Encoder::new(Vec::new(), LEVEL)?, file)
+}
+
+/// `next` compressed with `base` as its prefix.
+pub fn compress_against(base: &[u8], next: &[u8]) -> io::Result<Bytes> {
+    finish(write::Encoder::with_ref_prefix(Vec::new(), LEVEL, base)?, next)
+}
+
+/// The file that [`compress`] was given.
+pub fn decompress(frame: &[u8]) -> io::Result<Bytes> {
+    bounded(read::Decoder::with_buffer(frame)?)
+}
+
+/// The file that [`compress_against`] was given beside the same `base`.
+pub fn decompress_against(base: &[u8], frame: &[u8]) -> io::Result<Bytes> {
+    bounded(read::Decoder::with_ref_prefix(frame, base)?)
+}
+
+fn finish(mut encoder: write::Encoder<'_, Vec<u8>>, file: &[u8]) -> io::Result<Bytes> {
+    encoder.window_log(WINDOW_LOG)?;
+    encoder.set_pledged_src_size(Some(file.len() as u64))?;
+    encoder.write_all(file)?;
+    Ok(encoder.finish()?.into())
+}
+
+fn bounded<R: io::BufRead>(mut decoder: read::Decoder<'_, R>) -> io::Result<Bytes> {
+    decoder.window_log_max(WINDOW_LOG)?;
+    let mut file = Vec::new();
+    let limit = delta::FILE_BYTES as u64 + 1;
+    decoder.take(limit).read_to_end(&mut file)?;
+    if file.len() > delta::FILE_BYTES {
+        return Err(io::ErrorKind::FileTooLarge.into());
+    }
+    Ok(file.into())
+}
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -6,6 +6,10 @@
 
 use bytes::Bytes;
 
+pub mod connection;
+pub mod http;
+pub mod wire;
+
 /// Place of a record in its stream; the first record has offset 0.
 pub type Offset = u64;
 
--- /dev/null
+++ b/tests/delta.rs
@@ -0,0 +1,55 @@
+//! Deltas restore files to the byte, and nothing else.
+
+use bytes::Bytes;
+use dandelionspool::delta::{self, Patch};
+use dandelionspool::version::Digest;
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn a_patch_restores_the_next_file(
+        base in proptest::option::of(proptest::collection::vec(any::<u8>(), 0..2000)),
+        next in proptest::collection::vec(any::<u8>(), 0..2000),
+    ) {
+        let patch = delta::make(base.as_deref(), &next);
+        let restored = delta::restore(base.as_deref(), &patch, Digest::of(&next)).unwrap();
+        prop_assert_eq!(restored, Bytes::from(next));
+    }
+
+    #[test]
+    fn arbitrary_bytes_restore_nothing(
+        base in proptest::collection::vec(any::<u8>(), 0..200),
+        bytes in proptest::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let expect = Digest::of(b"what was meant");
+        let bytes = Bytes::from(bytes);
+        for patch in [Patch::Delta(bytes.clone()), Patch::Whole(bytes.clone()), Patch::Plain(bytes)] {
+            prop_assert!(delta::restore(Some(&base), &patch, expect).is_err());
+        }
+    }
+}
+
+#[test]
+fn a_delta_against_another_base_is_refused() {
+    let base: Vec<u8> = (0..4000u32).flat_map(|n| n.to_le_bytes()).collect();
+    let mut next = base.clone();
+    next[8000] ^= 1;
+    let patch = delta::make(Some(&base), &next);
+    assert!(matches!(patch, Patch::Delta(_)));
+    let expect = Digest::of(&next);
+    assert!(delta::restore(None, &patch, expect).is_err());
+    let mut other = base.clone();
+    other[9000] ^= 1;
+    assert!(delta::restore(Some(&other), &patch, expect).is_err());
+}
+
+#[test]
+fn a_frame_that_grows_beyond_the_limit_is_refused() {
+    let large = vec![0; delta::FILE_BYTES + 1];
+    let patch = delta::make(None, &large);
+    assert!(patch.size() < 1000);
+    let error = delta::restore(None, &patch, Digest::of(&large)).unwrap_err();
+    assert!(matches!(error, delta::Error::Frame(_)), "{error:?}");
+}
