feat(mesh): check configuration files of format 1 and find routes

Cause: every other duty needs one checked step from a published file to a Mesh, and one answer to which route a request takes.

--- /dev/null
+++ b/src/border/configuration.rs
@@ -0,0 +1,433 @@
+#![allow(clippy::redundant_closure_call)]
+#![allow(clippy::needless_lifetimes)]
+#![allow(clippy::match_single_binding)]
+#![allow(clippy::clone_on_copy)]
+
+#[doc = "A whole configuration, format 1."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    #[doc = "Number of the format, which fixes the rules of the check."]
+    pub format: ::std::num::NonZeroU32,
+    #[doc = "Routes from requests to services."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub routes: ::std::vec::Vec<Route>,
+    #[doc = "Services and their kinds of calls."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub services: ::std::vec::Vec<Service>,
+    #[doc = "Teams that are charged."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub teams: ::std::vec::Vec<Team>,
+    #[doc = "Classes of upstreams: limits for each upstream that announces itself under the name."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub upstreams: ::std::vec::Vec<Upstream>,
+}
+#[doc = "A host name in lower case, without port."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct Host(::std::string::String);
+impl ::std::ops::Deref for Host {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<Host> for ::std::string::String {
+    fn from(value: Host) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for Host {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| {
+                ::regress::Regex::new("^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$").unwrap()
+            });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Host {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Host {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for Host {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "A kind of calls of one service."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    #[doc = "Largest request body accepted, in bytes."]
+    #[serde(default = "defaults::default_u64::<u64, 65536>")]
+    pub body_bytes: u64,
+    #[doc = "Whether running a call twice does no harm."]
+    #[serde(default)]
+    pub idempotent: bool,
+    #[doc = "Name, unique within its service."]
+    pub name: Name,
+    #[doc = "Worth of one call served whole; a heavier kind is admitted first."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 1>")]
+    pub weight: ::std::num::NonZeroU32,
+}
+#[doc = "A request method."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum Method {
+    #[serde(rename = "DELETE")]
+    Delete,
+    #[serde(rename = "GET")]
+    Get,
+    #[serde(rename = "HEAD")]
+    Head,
+    #[serde(rename = "OPTIONS")]
+    Options,
+    #[serde(rename = "PATCH")]
+    Patch,
+    #[serde(rename = "POST")]
+    Post,
+    #[serde(rename = "PUT")]
+    Put,
+}
+impl ::std::fmt::Display for Method {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Delete => f.write_str("DELETE"),
+            Self::Get => f.write_str("GET"),
+            Self::Head => f.write_str("HEAD"),
+            Self::Options => f.write_str("OPTIONS"),
+            Self::Patch => f.write_str("PATCH"),
+            Self::Post => f.write_str("POST"),
+            Self::Put => f.write_str("PUT"),
+        }
+    }
+}
+impl ::std::str::FromStr for Method {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "DELETE" => Ok(Self::Delete),
+            "GET" => Ok(Self::Get),
+            "HEAD" => Ok(Self::Head),
+            "OPTIONS" => Ok(Self::Options),
+            "PATCH" => Ok(Self::Patch),
+            "POST" => Ok(Self::Post),
+            "PUT" => Ok(Self::Put),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Method {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Method {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+#[doc = "A name: lower-case letters, digits and hyphens, 63 characters at most."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct Name(::std::string::String);
+impl ::std::ops::Deref for Name {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<Name> for ::std::string::String {
+    fn from(value: Name) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for Name {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| {
+                ::regress::Regex::new("^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$").unwrap()
+            });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Name {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Name {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for Name {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "Service-level objectives of a service."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Objectives {
+    #[doc = "Share of calls to be served whole."]
+    #[serde(default = "defaults::objectives_availability")]
+    pub availability: f64,
+    #[doc = "A call slower than this counts against the latency objective, in milliseconds."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 500>")]
+    pub latency_ms: ::std::num::NonZeroU64,
+    #[doc = "Share of served calls to be no slower than `latency_ms`."]
+    #[serde(default = "defaults::objectives_latency_share")]
+    pub latency_share: f64,
+    #[doc = "Period over which the budget of failures is counted, in days."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU16, 28>")]
+    pub window_days: ::std::num::NonZeroU16,
+}
+impl ::std::default::Default for Objectives {
+    fn default() -> Self {
+        Self {
+            availability: defaults::objectives_availability(),
+            latency_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 500>(),
+            latency_share: defaults::objectives_latency_share(),
+            window_days: defaults::default_nzu64::<::std::num::NonZeroU16, 28>(),
+        }
+    }
+}
+#[doc = "A path of whole segments, without a slash at its end, percent signs, or segments of dots alone."]
+#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct Path(::std::string::String);
+impl ::std::ops::Deref for Path {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<Path> for ::std::string::String {
+    fn from(value: Path) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for Path {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 256usize {
+            return Err("longer than 256 characters".into());
+        }
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
+            ::std::sync::LazyLock::new(|| {
+                ::regress::Regex::new("^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+)$").unwrap()
+            });
+        if PATTERN.find(value).is_none() {
+            return Err(
+                "doesn't match pattern \"^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+)$\"".into(),
+            );
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Path {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Path {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for Path {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+#[doc = "A route from requests to a kind of calls of a service."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    #[doc = "Host header it matches; without it the route matches every host."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub host: ::std::option::Option<Host>,
+    #[doc = "Name of the kind, one of the service's own."]
+    pub kind: Name,
+    #[doc = "Methods it matches; none means every method."]
+    #[serde(default = "defaults::route_methods")]
+    pub methods: ::std::vec::Vec<Method>,
+    #[doc = "Name, unique among routes."]
+    pub name: Name,
+    #[doc = "Path prefix it matches, whole segments only."]
+    pub path: Path,
+    #[doc = "Name of the service that serves the calls."]
+    pub service: Name,
+    #[doc = "Name of the class of upstreams that run the calls; without it every upstream of the service does."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub upstream: ::std::option::Option<Name>,
+}
+#[doc = "A service."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    #[doc = "Kinds of calls."]
+    pub kinds: ::std::vec::Vec<Kind>,
+    #[doc = "Name, unique among services."]
+    pub name: Name,
+    #[doc = "Service-level objectives."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub objectives: ::std::option::Option<Objectives>,
+    #[doc = "Calls that may wait for a slot at the node of each upstream."]
+    #[serde(default = "defaults::default_u64::<u16, 16>")]
+    pub queue: u16,
+    #[doc = "Extra attempts allowed for each hundred calls."]
+    #[serde(default = "defaults::default_u64::<u8, 10>")]
+    pub retry_percent: u8,
+    #[doc = "Name of the team that is charged."]
+    pub team: Name,
+    #[doc = "Longest a call may take when its caller names no deadline, in milliseconds."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 2000>")]
+    pub timeout_ms: ::std::num::NonZeroU64,
+}
+#[doc = "A team that is charged for the calls its services serve."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    #[doc = "Name, unique among teams."]
+    pub name: Name,
+}
+#[doc = "A class of upstreams: limits that hold for each upstream that announces itself under its name."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Upstream {
+    #[doc = "Most connections one upstream accepts."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU16, 128>")]
+    pub connections: ::std::num::NonZeroU16,
+    #[doc = "Name, unique among upstreams."]
+    pub name: Name,
+    #[doc = "Name of the service the upstreams serve."]
+    pub service: Name,
+    #[doc = "Most calls one upstream runs at once."]
+    pub slots: ::std::num::NonZeroU16,
+    #[doc = "Time over which a new upstream's share of calls grows to its full size, in milliseconds."]
+    #[serde(default = "defaults::default_u64::<u64, 10000>")]
+    pub warmup_ms: u64,
+}
+#[doc = " Generation of default values for serde."]
+pub mod defaults {
+    pub(super) fn default_i64<T, const V: i64>() -> T
+    where
+        T: ::std::convert::TryFrom<i64>,
+        <T as ::std::convert::TryFrom<i64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(V).unwrap()
+    }
+    pub(super) fn default_u64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<u64>,
+        <T as ::std::convert::TryFrom<u64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(V).unwrap()
+    }
+    pub(super) fn default_nzu64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<::std::num::NonZeroU64>,
+        <T as ::std::convert::TryFrom<::std::num::NonZeroU64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
+    }
+    pub(super) fn objectives_availability() -> f64 {
+        0.999_f64
+    }
+    pub(super) fn objectives_latency_share() -> f64 {
+        0.99_f64
+    }
+    pub(super) fn route_methods() -> ::std::vec::Vec<super::Method> {
+        vec![]
+    }
+}
+#[doc = " Error types."]
+pub mod error {
+    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/src/mesh/check/items.rs
@@ -0,0 +1,112 @@
+//! The named items of a tree that may still have faults.
+
+use std::collections;
+
+use serde_json::Value;
+
+use crate::mesh::fault;
+
+/// The lists of a configuration file, as far as they can be read.
+pub struct Draft<'a> {
+    /// Teams.
+    pub teams: List<'a>,
+    /// Services.
+    pub services: List<'a>,
+    /// Kinds of each service, in the order of `services`.
+    pub kinds: Vec<List<'a>>,
+    /// Classes of upstreams.
+    pub upstreams: List<'a>,
+    /// Routes.
+    pub routes: List<'a>,
+}
+
+impl<'a> Draft<'a> {
+    /// The lists of `root`; names that stand twice are added to `faults`.
+    pub fn read(root: &'a Value, faults: &mut Vec<fault::Fault>) -> Self {
+        let services = List::read(root, "", "services", faults);
+        let mut kinds = Vec::with_capacity(services.items.len());
+        for item in services.iter() {
+            kinds.push(List::read(item.value, &item.pointer(), "kinds", faults));
+        }
+        Self {
+            teams: List::read(root, "", "teams", faults),
+            services,
+            kinds,
+            upstreams: List::read(root, "", "upstreams", faults),
+            routes: List::read(root, "", "routes", faults),
+        }
+    }
+}
+
+/// A list of named items.
+pub struct List<'a> {
+    /// Pointer to the list.
+    pub pointer: String,
+    /// Its items; empty when the value is not a list.
+    items: &'a [Value],
+    /// Index of the first item of each name.
+    names: collections::HashMap<&'a str, usize>,
+}
+
+impl<'a> List<'a> {
+    fn read(parent: &'a Value, pointer: &str, field: &str, faults: &mut Vec<fault::Fault>) -> Self {
+        let items = parent.get(field).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+        let names = collections::HashMap::with_capacity(items.len());
+        let mut list = Self { pointer: fault::join(pointer, field), items, names };
+        for index in 0..items.len() {
+            list.add(index, faults);
+        }
+        list
+    }
+
+    fn add(&mut self, index: usize, faults: &mut Vec<fault::Fault>) {
+        let Some(name) = self.items[index].get("name").and_then(Value::as_str) else { return };
+        let first = *self.names.entry(name).or_insert(index);
+        if first != index {
+            let problem = fault::Problem::DuplicateName {
+                name: name.into(),
+                first: format!("{}/{first}", self.pointer),
+            };
+            faults.push(fault::Fault::new(format!("{}/{index}/name", self.pointer), problem));
+        }
+    }
+
+    /// The items in order.
+    pub fn iter(&self) -> impl Iterator<Item = Item<'_, 'a>> {
+        let item = |(index, value)| Item { list: self, index, value };
+        self.items.iter().enumerate().map(item)
+    }
+
+    /// The first item called `name`.
+    pub fn named(&self, name: &str) -> Option<Item<'_, 'a>> {
+        let index = *self.names.get(name)?;
+        Some(Item { list: self, index, value: self.items.get(index)? })
+    }
+}
+
+/// An item of a list.
+#[derive(Clone, Copy)]
+pub struct Item<'l, 'a> {
+    list: &'l List<'a>,
+    /// Its index in the list.
+    pub index: usize,
+    /// The item itself.
+    pub value: &'a Value,
+}
+
+impl<'a> Item<'_, 'a> {
+    /// Pointer to the item.
+    pub fn pointer(&self) -> String {
+        format!("{}/{}", self.list.pointer, self.index)
+    }
+
+    /// Pointer to its field called `field`.
+    pub fn field(&self, field: &str) -> String {
+        fault::join(&self.pointer(), field)
+    }
+
+    /// The text of its field called `field`, if it is a text.
+    pub fn text(&self, field: &str) -> Option<&'a str> {
+        self.value.get(field)?.as_str()
+    }
+}
--- /dev/null
+++ b/src/mesh/check/links.rs
@@ -0,0 +1,67 @@
+//! References between items: each must lead to an item, a route's also within its own service.
+
+use crate::mesh::check::items;
+use crate::mesh::fault;
+
+/// Adds every reference of `draft` that leads nowhere to `faults`.
+pub fn check(draft: &items::Draft<'_>, faults: &mut Vec<fault::Fault>) {
+    for service in draft.services.iter() {
+        follow(&service, "team", &draft.teams, faults);
+    }
+    for upstream in draft.upstreams.iter() {
+        follow(&upstream, "service", &draft.services, faults);
+    }
+    for route in draft.routes.iter() {
+        check_route(draft, &route, faults);
+    }
+}
+
+fn check_route(
+    draft: &items::Draft<'_>,
+    route: &items::Item<'_, '_>,
+    faults: &mut Vec<fault::Fault>,
+) {
+    let service = follow(route, "service", &draft.services, faults);
+    if let Some(kinds) = service.and_then(|s| draft.kinds.get(s.index)) {
+        follow(route, "kind", kinds, faults);
+    }
+    let upstream = follow(route, "upstream", &draft.upstreams, faults);
+    if let (Some(service), Some(upstream)) = (service, upstream) {
+        check_owner(route, &service, &upstream, faults);
+    }
+}
+
+/// The upstream a route names must be one of the route's own service.
+fn check_owner(
+    route: &items::Item<'_, '_>,
+    service: &items::Item<'_, '_>,
+    upstream: &items::Item<'_, '_>,
+    faults: &mut Vec<fault::Fault>,
+) {
+    let Some(owner) = upstream.text("service") else { return };
+    if service.text("name") == Some(owner) {
+        return;
+    }
+    let problem = fault::Problem::ForeignUpstream {
+        upstream: upstream.text("name").unwrap_or_default().into(),
+        service: owner.into(),
+    };
+    faults.push(fault::Fault::new(route.field("upstream"), problem));
+}
+
+/// The item of `list` that `field` of `item` names; a fault when there is none.
+fn follow<'l, 'a>(
+    item: &items::Item<'_, '_>,
+    field: &str,
+    list: &'l items::List<'a>,
+    faults: &mut Vec<fault::Fault>,
+) -> Option<items::Item<'l, 'a>> {
+    let name = item.text(field)?;
+    let found = list.named(name);
+    if found.is_none() {
+        let problem =
+            fault::Problem::DanglingReference { list: list.pointer.clone(), name: name.into() };
+        faults.push(fault::Fault::new(item.field(field), problem));
+    }
+    found
+}
--- /dev/null
+++ b/src/mesh/check/tests.rs
@@ -0,0 +1,168 @@
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::mesh::check;
+use crate::mesh::fault;
+
+const CONDOR: &str = include_str!("../../../examples/configurations/condor.json");
+const CASCADIA: &str = include_str!("../../../examples/configurations/cascadia.json");
+
+/// Pointers and codes of the faults of `body`.
+fn faults(body: &[u8]) -> Vec<(String, String)> {
+    let Err(faults) = check::check(body) else { return Vec::new() };
+    faults.list().iter().map(|f| (f.pointer.clone(), code(f))).collect()
+}
+
+fn code(fault: &fault::Fault) -> String {
+    let json = serde_json::to_value(fault).expect("a fault serialises");
+    json["code"].as_str().expect("a code").to_owned()
+}
+
+/// The faults of Cóndor's file with `value` put at `pointer`.
+fn faults_with(pointer: &str, value: Value) -> Vec<(String, String)> {
+    let mut file: Value = serde_json::from_str(CONDOR).expect("an example is JSON");
+    let (parent, field) = pointer.rsplit_once('/').expect("a pointer");
+    file.pointer_mut(parent).expect("a parent")[field] = value;
+    faults(file.to_string().as_bytes())
+}
+
+fn expected(list: &[(&str, &str)]) -> Vec<(String, String)> {
+    list.iter().map(|(p, c)| ((*p).to_owned(), (*c).to_owned())).collect()
+}
+
+#[rstest]
+#[case::condor(CONDOR, 2, 5, 5)]
+#[case::cascadia(CASCADIA, 2, 6, 6)]
+fn an_example_is_accepted(
+    #[case] file: &str,
+    #[case] services: usize,
+    #[case] kinds: usize,
+    #[case] routes: usize,
+) {
+    let mesh = check::check(file.as_bytes()).expect("the example has no fault");
+    assert_eq!(
+        (mesh.services.len(), mesh.kinds.len(), mesh.routes.len()),
+        (services, kinds, routes)
+    );
+}
+
+#[rstest]
+#[case::unknown_field("/teams/0/colour", json!(1), &[("/teams/0/colour", "unknown_field")])]
+#[case::unknown_root_field("/a~1b", json!(1), &[("/a~01b", "unknown_field")])]
+#[case::wrong_type("/services/0/queue", json!("9"), &[("/services/0/queue", "wrong_type")])]
+#[case::fraction("/services/0/queue", json!(1.5), &[("/services/0/queue", "wrong_type")])]
+#[case::zero("/upstreams/0/slots", json!(0), &[("/upstreams/0/slots", "out_of_range")])]
+#[case::absurd("/services/0/timeout_ms", json!(1e12), &[("/services/0/timeout_ms", "out_of_range")])]
+#[case::whole_share(
+    "/services/0/objectives/availability",
+    json!(1.0),
+    &[("/services/0/objectives/availability", "out_of_range")]
+)]
+#[case::format("/format", json!(2), &[("/format", "wrong_format")])]
+#[case::format_of_text("/format", json!("1"), &[("/format", "wrong_type")])]
+#[case::team("/services/1/team", json!("nobody"), &[("/services/1/team", "dangling_reference")])]
+#[case::kind_of_other("/routes/0/kind", json!("isbn"), &[("/routes/0/kind", "dangling_reference")])]
+#[case::service("/routes/0/service", json!("x"), &[("/routes/0/service", "dangling_reference")])]
+#[case::upstream("/routes/0/upstream", json!("x"), &[("/routes/0/upstream", "dangling_reference")])]
+#[case::foreign(
+    "/routes/0/upstream",
+    json!("manuscript"),
+    &[("/routes/0/upstream", "foreign_upstream")]
+)]
+#[case::owner(
+    "/upstreams/0/service",
+    json!("nothing"),
+    &[("/upstreams/0/service", "dangling_reference")]
+)]
+#[case::name("/routes/1/name", json!("browse"), &[("/routes/1/name", "duplicate_name")])]
+#[case::kind_name(
+    "/services/0/kinds/1/name",
+    json!("browse"),
+    &[("/routes/1/kind", "dangling_reference"), ("/services/0/kinds/1/name", "duplicate_name")]
+)]
+#[case::overlap("/routes/3/methods", json!(["PUT"]), &[("/routes/3", "overlap")])]
+#[case::overlap_every("/routes/2/methods", json!([]), &[("/routes/3", "overlap")])]
+#[case::method("/routes/0/methods", json!(["TRACE"]), &[("/routes/0/methods/0", "wrong_choice")])]
+#[case::repeated("/routes/0/methods", json!(["GET", "GET"]), &[("/routes/0/methods", "repeated_item")])]
+#[case::text("/teams/0/name", json!("A b"), &[("/services/0/team", "dangling_reference"), ("/teams/0/name", "wrong_text")])]
+#[case::slash_at_end("/routes/0/path", json!("/titles/"), &[("/routes/0/path", "wrong_text")])]
+#[case::dots("/routes/0/path", json!("/a/../b"), &[("/routes/0/path", "wrong_text")])]
+#[case::no_kinds(
+    "/services/0/kinds",
+    json!([]),
+    &[
+        ("/routes/0/kind", "dangling_reference"),
+        ("/routes/1/kind", "dangling_reference"),
+        ("/services/0/kinds", "wrong_length")
+    ]
+)]
+fn a_fault_is_named(#[case] pointer: &str, #[case] value: Value, #[case] wanted: &[(&str, &str)]) {
+    assert_eq!(faults_with(pointer, value), expected(wanted));
+}
+
+#[test]
+fn every_fault_is_named_at_once() {
+    let file = json!({
+        "format": 1,
+        "extra": true,
+        "teams": [{}, {"name": "t"}],
+        "services": [{"name": "s", "team": "gone", "queue": -1, "kinds": [{"name": "k"}]}],
+        "upstreams": [{"name": "u", "service": "s", "slots": 0}, {"name": "u", "service": "s", "slots": 1}],
+        "routes": [
+            {"name": "r", "path": "/a", "service": "s", "kind": "k", "colour": 1, "upstream": "v"},
+            {"name": "q", "path": "/a", "service": "s", "kind": "j"},
+        ],
+    });
+    let wanted = expected(&[
+        ("/extra", "unknown_field"),
+        ("/routes/0/colour", "unknown_field"),
+        ("/routes/0/upstream", "dangling_reference"),
+        ("/routes/1", "overlap"),
+        ("/routes/1/kind", "dangling_reference"),
+        ("/services/0/queue", "out_of_range"),
+        ("/services/0/team", "dangling_reference"),
+        ("/teams/0", "missing_field"),
+        ("/upstreams/0/slots", "out_of_range"),
+        ("/upstreams/1/name", "duplicate_name"),
+    ]);
+    assert_eq!(faults(file.to_string().as_bytes()), wanted);
+}
+
+#[rstest]
+#[case::root(br#"{"format":1,"teams":[],"teams":[]}"#, "/teams")]
+#[case::nested(br#"{"format":1,"teams":[{"name":"a","name":"b"}]}"#, "/teams/0/name")]
+fn a_duplicate_key_is_named(#[case] body: &[u8], #[case] pointer: &str) {
+    assert_eq!(faults(body), expected(&[(pointer, "duplicate_key")]));
+}
+
+#[rstest]
+#[case::empty(b"", 1, 0)]
+#[case::cut(b"{\"format\":1,\n\"teams\":[", 2, 9)]
+#[case::tail(b"{\"format\":1}\n}", 2, 1)]
+#[case::huge_number(b"{\"format\":1e999}", 1, 15)]
+fn a_file_that_is_not_json_says_where(
+    #[case] body: &[u8],
+    #[case] line: usize,
+    #[case] column: usize,
+) {
+    let faults = check::check(body).expect_err("the file is not JSON");
+    match &faults.list()[0].problem {
+        fault::Problem::NotJson { line: l, column: c, .. } => assert_eq!((*l, *c), (line, column)),
+        other => panic!("another problem: {other}"),
+    }
+}
+
+#[test]
+fn a_file_above_the_limit_is_too_large() {
+    let mut body = br#"{"format":1}"#.to_vec();
+    body.resize(check::LIMIT_BYTES, b' ');
+    assert_eq!(faults(&body), expected(&[]));
+    body.push(b' ');
+    assert_eq!(faults(&body), expected(&[("", "too_large")]));
+}
+
+#[test]
+fn a_whole_float_counts_as_an_integer() {
+    assert_eq!(faults(br#"{"format":1.0}"#), expected(&[]));
+}
--- /dev/null
+++ b/src/mesh/fault.rs
@@ -0,0 +1,238 @@
+//! Faults of a configuration file, each with its place and a typed problem.
+
+use std::fmt;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// What is wrong at one place of a file.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, thiserror::Error)]
+#[serde(rename_all = "snake_case", tag = "code")]
+pub enum Problem {
+    /// The file is larger than the format allows.
+    #[error("the file has {bytes} bytes, more than the {limit} allowed")]
+    TooLarge {
+        /// Size of the file.
+        bytes: usize,
+        /// Largest size allowed.
+        limit: usize,
+    },
+    /// The file is not JSON.
+    #[error("not JSON at line {line}, column {column}: {reason}")]
+    NotJson {
+        /// Line, from 1.
+        line: usize,
+        /// Column, from 1; 0 when the line is empty.
+        column: usize,
+        /// What the parser expected.
+        reason: String,
+    },
+    /// The format number is not one this build knows.
+    #[error("format {found} is not known; this build knows format {known}")]
+    WrongFormat {
+        /// The number in the file.
+        found: String,
+        /// The number this build knows.
+        known: u32,
+    },
+    /// An object has the same key twice.
+    #[error("the key stands twice in its object")]
+    DuplicateKey,
+    /// The field is not one of its object's.
+    #[error("unknown field")]
+    UnknownField,
+    /// A required field is missing.
+    #[error("the field `{field}` is missing")]
+    MissingField {
+        /// Name of the field.
+        field: SmolStr,
+    },
+    /// The value has another JSON type.
+    #[error("the value must be of type {wanted}")]
+    WrongType {
+        /// Wanted JSON type.
+        wanted: SmolStr,
+    },
+    /// A number is zero where it must not be, or absurdly small or large.
+    #[error("{value} is out of range: it must be {bound} {limit}")]
+    OutOfRange {
+        /// The value in the file.
+        value: String,
+        /// Which side of `limit` is allowed.
+        bound: Bound,
+        /// The limit.
+        limit: String,
+    },
+    /// A list or a text is too short or too long.
+    #[error("the length must be {bound} {limit}")]
+    WrongLength {
+        /// Which side of `limit` is allowed.
+        bound: Bound,
+        /// The limit, in items or characters.
+        limit: u64,
+    },
+    /// A text does not have the form of its field.
+    #[error("`{value}` does not match {pattern}")]
+    WrongText {
+        /// The value in the file.
+        value: String,
+        /// Regular expression that it must match.
+        pattern: String,
+    },
+    /// A value is not one of those its field can take.
+    #[error("{value} is not one of {options}")]
+    WrongChoice {
+        /// The value in the file.
+        value: String,
+        /// What is allowed, as a JSON list.
+        options: String,
+    },
+    /// A list that must not repeat an item does.
+    #[error("the list repeats an item")]
+    RepeatedItem,
+    /// Two items of a list have the same name.
+    #[error("the name `{name}` was given at {first} already")]
+    DuplicateName {
+        /// The name.
+        name: SmolStr,
+        /// Pointer to the item that has the name first.
+        first: String,
+    },
+    /// A reference names an item that does not exist.
+    #[error("{list} has no item named `{name}`")]
+    DanglingReference {
+        /// Pointer to the list that was searched.
+        list: String,
+        /// The name.
+        name: SmolStr,
+    },
+    /// A route names an upstream of another service than its own.
+    #[error("the upstream `{upstream}` belongs to the service `{service}`")]
+    ForeignUpstream {
+        /// Name of the upstream.
+        upstream: SmolStr,
+        /// Name of the service it belongs to.
+        service: SmolStr,
+    },
+    /// Two routes match the same host, path and method.
+    #[error("the route matches the same host, path and method as {other}")]
+    Overlap {
+        /// Pointer to the earlier route.
+        other: String,
+    },
+    /// The file breaks the schema in another way.
+    #[error("{reason}")]
+    Shape {
+        /// What the schema's validator says.
+        reason: String,
+    },
+}
+
+/// Which side of a limit is allowed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Bound {
+    /// The limit or more.
+    AtLeast,
+    /// The limit or less.
+    AtMost,
+    /// More than the limit.
+    MoreThan,
+    /// Less than the limit.
+    LessThan,
+}
+
+impl fmt::Display for Bound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Bound::AtLeast => "at least",
+            Bound::AtMost => "at most",
+            Bound::MoreThan => "more than",
+            Bound::LessThan => "less than",
+        })
+    }
+}
+
+/// One fault.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, thiserror::Error)]
+#[error("{}: {problem}", place(.pointer))]
+pub struct Fault {
+    /// JSON pointer (RFC 6901) to the faulty value; empty for the whole file.
+    pub pointer: String,
+    /// What is wrong there.
+    #[serde(flatten)]
+    pub problem: Problem,
+}
+
+impl Fault {
+    /// A fault at `pointer`.
+    pub fn new(pointer: impl Into<String>, problem: Problem) -> Self {
+        Self { pointer: pointer.into(), problem }
+    }
+}
+
+fn place(pointer: &str) -> &str {
+    if pointer.is_empty() { "whole file" } else { pointer }
+}
+
+/// Every fault of one file, in the order of their pointers.
+///
+/// Invariant: never empty when returned as an error.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Faults(Vec<Fault>);
+
+impl Faults {
+    /// The faults of `list`, sorted by pointer with list indices as numbers.
+    pub fn new(mut list: Vec<Fault>) -> Self {
+        list.sort_by_cached_key(|f| order(&f.pointer));
+        Self(list)
+    }
+
+    /// The faults.
+    pub fn list(&self) -> &[Fault] {
+        &self.0
+    }
+}
+
+impl std::error::Error for Faults {}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, fault) in self.0.iter().enumerate() {
+            let separator = if i == 0 { "" } else { "\n" };
+            write!(f, "{separator}{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+/// A segment of a pointer: a list index, or a field's name.
+#[derive(Eq, Ord, PartialEq, PartialOrd)]
+enum Segment {
+    Index(u64),
+    Field(String),
+}
+
+fn order(pointer: &str) -> Vec<Segment> {
+    let segment = |s: &str| s.parse().map_or_else(|_| Segment::Field(s.to_owned()), Segment::Index);
+    pointer.split('/').skip(1).map(segment).collect()
+}
+
+/// Appends `key` to `pointer`, escaped by the rules of RFC 6901.
+pub fn push(pointer: &mut String, key: &str) {
+    pointer.push('/');
+    for c in key.chars() {
+        match c {
+            '~' => pointer.push_str("~0"),
+            '/' => pointer.push_str("~1"),
+            c => pointer.push(c),
+        }
+    }
+}
+
+/// `pointer` with `key` appended, escaped by the rules of RFC 6901.
+pub fn join(pointer: &str, key: &str) -> String {
+    let mut joined = pointer.to_owned();
+    push(&mut joined, key);
+    joined
+}
--- /dev/null
+++ b/src/mesh/find.rs
@@ -0,0 +1,176 @@
+//! Which route a request takes.
+//!
+//! A request to a host that has routes of its own takes one of those if the path matches any of
+//! them, else one of the routes for every host. Of several paths that match, the longest decides;
+//! if none of its routes has the method, the request has no route: falling back to a shorter path
+//! could give a call the kind of another, and with it the right to be run twice.
+//!
+//! For the same reason a path that an upstream may read as another one has no route: one with an
+//! empty segment, a segment of one or two dots, a backslash, a semicolon (which begins a parameter
+//! of a segment that some servers cut off), or a percent-encoded character that needs no encoding.
+
+use std::collections;
+
+use smol_str::SmolStr;
+
+use crate::mesh;
+
+#[cfg(test)]
+mod tests;
+
+/// A set of methods.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Methods(u8);
+
+impl Methods {
+    /// Every method.
+    pub const EVERY: Methods = Methods(u8::MAX);
+
+    /// The set of the methods of `list`; of every method when it is empty.
+    pub fn of(list: &[http::Method]) -> Self {
+        if list.is_empty() {
+            return Self::EVERY;
+        }
+        Self(list.iter().fold(0, |bits, m| bits | bit(m)))
+    }
+
+    /// Whether `method` is in the set.
+    pub fn has(self, method: &http::Method) -> bool {
+        self.0 & bit(method) != 0
+    }
+
+    /// Whether a method is in both sets.
+    pub fn meets(self, other: Methods) -> bool {
+        self.0 & other.0 != 0
+    }
+}
+
+/// The method's bit; methods a route can't name share one.
+const fn bit(method: &http::Method) -> u8 {
+    match *method {
+        http::Method::DELETE => 1,
+        http::Method::GET => 1 << 1,
+        http::Method::HEAD => 1 << 2,
+        http::Method::OPTIONS => 1 << 3,
+        http::Method::PATCH => 1 << 4,
+        http::Method::POST => 1 << 5,
+        http::Method::PUT => 1 << 6,
+        _ => 1 << 7,
+    }
+}
+
+/// Routes by host and path.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Index {
+    /// Routes of each named host, sorted by host.
+    hosts: Vec<(SmolStr, Paths)>,
+    /// Routes for every host.
+    every: Paths,
+}
+
+/// Routes of one host by path, without the slash of the root path.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Paths {
+    routes: collections::HashMap<SmolStr, Vec<(Methods, mesh::RouteKey)>>,
+    /// Length of the longest path, in bytes.
+    longest: usize,
+}
+
+impl Index {
+    /// An index of `routes`, at most as many as there are keys.
+    pub fn new(routes: &[mesh::Route]) -> Self {
+        let mut hosts: collections::BTreeMap<SmolStr, Paths> = collections::BTreeMap::new();
+        let mut every = Paths::default();
+        for (route, key) in routes.iter().zip((0..=u16::MAX).map(mesh::RouteKey)) {
+            match &route.host {
+                Some(host) => hosts.entry(host.clone()).or_default().add(route, key),
+                None => every.add(route, key),
+            }
+        }
+        Self { hosts: hosts.into_iter().collect(), every }
+    }
+
+    fn host(&self, header: &str) -> Option<&Paths> {
+        let name = strip(header);
+        let lower = || name.bytes().map(|b| b.to_ascii_lowercase());
+        let place = self.hosts.binary_search_by(|(host, _)| host.bytes().cmp(lower())).ok()?;
+        self.hosts.get(place).map(|(_, paths)| paths)
+    }
+}
+
+impl Paths {
+    fn add(&mut self, route: &mesh::Route, key: mesh::RouteKey) {
+        let path = SmolStr::new(route.path.trim_end_matches('/'));
+        self.longest = self.longest.max(path.len());
+        self.routes.entry(path).or_default().push((Methods::of(&route.methods), key));
+    }
+
+    /// The routes of the longest path that `path` begins with.
+    fn longest(&self, path: &str) -> Option<&[(Methods, mesh::RouteKey)]> {
+        let mut end = path.len();
+        loop {
+            if end <= self.longest
+                && let Some(routes) = self.routes.get(&path[..end])
+            {
+                return Some(routes);
+            }
+            end = path[..end].rfind('/')?;
+        }
+    }
+}
+
+impl mesh::Mesh {
+    /// The route of a request with this `Host` header, method and path without query.
+    ///
+    /// Allocates nothing. `None` also for a path that is not in normal form.
+    pub fn find(
+        &self,
+        host: Option<&str>,
+        method: &http::Method,
+        path: &str,
+    ) -> Option<mesh::RouteKey> {
+        if !is_normal(path) {
+            return None;
+        }
+        let own = host.and_then(|h| self.index.host(h)).and_then(|p| p.longest(path));
+        let routes = own.or_else(|| self.index.every.longest(path))?;
+        routes.iter().find(|(methods, _)| methods.has(method)).map(|(_, key)| *key)
+    }
+}
+
+/// A `Host` header without port and without the dot of a full name.
+fn strip(header: &str) -> &str {
+    let name = match header.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => header,
+    };
+    name.strip_suffix('.').unwrap_or(name)
+}
+
+/// Whether no other spelling of `path` means the same.
+fn is_normal(path: &str) -> bool {
+    let Some(rest) = path.strip_prefix('/') else { return false };
+    if rest.contains(['\\', ';']) || !is_encoded(rest.as_bytes()) {
+        return false;
+    }
+    let mut segments = rest.split('/');
+    let last = segments.next_back();
+    let dots = |s: &str| s == "." || s == "..";
+    !last.is_some_and(dots) && segments.all(|s| !s.is_empty() && !dots(s))
+}
+
+/// Whether each percent sign begins the code of a character that needs one.
+fn is_encoded(path: &[u8]) -> bool {
+    let signs = path.iter().enumerate().filter(|(_, b)| **b == b'%');
+    signs.map(|(i, _)| path.get(i + 1..i + 3)).all(|code| code.is_some_and(needs_code))
+}
+
+/// Whether the character of the two hexadecimal `digits` may stand only encoded.
+fn needs_code(digits: &[u8]) -> bool {
+    let value = |d: u8| char::from(d).to_digit(16);
+    let [Some(high), Some(low)] = [digits[0], digits[1]].map(value) else { return false };
+    match char::from_u32(high * 16 + low) {
+        Some('-' | '.' | '_' | '~' | '/' | '\\') | None => false,
+        Some(c) => !c.is_ascii_alphanumeric(),
+    }
+}
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -10,6 +10,10 @@
 
 use crate::version;
 
+pub mod check;
+pub mod fault;
+pub mod find;
+
 /// Key of a [`Team`] in its mesh.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TeamKey(pub u16);
@@ -118,7 +122,8 @@
 
 /// A whole configuration.
 ///
-/// Invariant: every key held by an item indexes the arena of its type.
+/// Made by [`check::check`] alone. Invariants: every key held by an item indexes the arena of its
+/// type; the arenas are not changed afterwards.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Mesh {
     /// Arena of teams.
@@ -131,6 +136,8 @@
     pub classes: Vec<Class>,
     /// Arena of routes.
     pub routes: Vec<Route>,
+    /// `routes` by host and path.
+    index: find::Index,
 }
 
 impl Mesh {
