feat(admit): learn the width of an upstream that sheds below its slots

Cause: an upstream may announce more slots than it has. The gate kept sending it calls that it then refused, each of which cost a hop and a retry token. Ruled out: ejecting such an upstream at the entries; every entry would learn it alone, by failing calls. The gate sees every call, so it lowers its width to what ran beside the shed call and tries one more after eight full turns. Conclusion: the load that travels back carries the learned width and the mean service time, so that entries need not guess either.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -5,6 +5,7 @@
 use crate::admit;
 use crate::admit::queue;
 use crate::admit::service;
+use crate::admit::width;
 use crate::clock;
 use crate::retry;
 
@@ -20,11 +21,12 @@
 
 /// The only place where calls to one upstream are admitted.
 ///
-/// Invariants: at most [`admit::Limits::width`] calls run, but for those that ran before the
-/// limits were lowered; nobody waits while a slot is free; nothing is admitted after a drain.
+/// Invariants: at most as many calls run as there are slots or connections, but for those that
+/// ran before the limits were lowered; nobody waits while a slot is free; nothing is admitted after a drain.
 #[derive(Debug)]
 pub struct Gate {
     limits: admit::Limits,
+    width: width::Width,
     draining: bool,
     running: Vec<Run>,
     queue: queue::Queue,
@@ -36,6 +38,7 @@
     pub fn new(limits: admit::Limits) -> Self {
         Self {
             limits,
+            width: width::Width::new(&limits),
             draining: false,
             running: Vec::with_capacity(limits.width()),
             queue: queue::Queue::default(),
@@ -57,7 +60,8 @@
             }
             admit::Event::Ended { ticket } => self.end(ticket, now),
             admit::Event::Cancelled { ticket } => self.cancel(ticket),
-            admit::Event::Limits(limits) => self.limits = limits,
+            admit::Event::Shed { ticket } => self.shed(ticket),
+            admit::Event::Limits(limits) => self.limit(limits),
             admit::Event::Drain => self.drain(now, actions),
             admit::Event::Tick => {}
         }
@@ -69,7 +73,8 @@
         admit::Load {
             running: count(self.running.len()),
             waiting: count(self.queue.len()),
-            slots: count(self.limits.width()),
+            slots: count(self.width.get()),
+            service: self.service.micros(),
         }
     }
 
@@ -96,7 +101,7 @@
         if self.draining {
             return self.refuse(waiter, retry::Reason::Draining, now, actions);
         }
-        if self.limits.width() == 0 {
+        if self.width.get() == 0 {
             return self.refuse(waiter, retry::Reason::NoUpstream, now, actions);
         }
         if waiter.deadline <= now {
@@ -113,7 +118,7 @@
 
     /// Refuses waiters there is no room or no time for and gives free slots to the others.
     fn settle(&mut self, now: clock::Instant, actions: &mut Vec<admit::Action>) {
-        while self.limits.width() == 0 {
+        while self.width.get() == 0 {
             let Some(waiter) = self.queue.first() else { break };
             self.refuse(waiter, retry::Reason::NoUpstream, now, actions);
         }
@@ -136,14 +141,14 @@
 
     /// Takes out a waiter that can't make its deadline.
     fn lost(&mut self, now: clock::Instant) -> Option<queue::Waiter> {
-        let (service, width, stuck) = (self.service, self.limits.width(), self.stuck(now));
+        let (service, width, stuck) = (self.service, self.width.get(), self.stuck(now));
         self.queue.take(|place, waiter| {
             service.misses(waiter.deadline, service.wait(place, width, stuck), now)
         })
     }
 
     fn is_hopeless(&self, place: usize, waiter: &queue::Waiter, now: clock::Instant) -> bool {
-        let wait = self.service.wait(place, self.limits.width(), self.stuck(now));
+        let wait = self.service.wait(place, self.width.get(), self.stuck(now));
         self.service.misses(waiter.deadline, wait, now)
     }
 
@@ -153,7 +158,7 @@
     }
 
     fn has_slot(&self) -> bool {
-        !self.draining && self.running.len() < self.limits.width()
+        !self.draining && self.running.len() < self.width.get()
     }
 
     fn run(
@@ -173,7 +178,7 @@
         now: clock::Instant,
         actions: &mut Vec<admit::Action>,
     ) {
-        let wait = self.service.wait(self.queue.len(), self.limits.width(), self.stuck(now));
+        let wait = self.service.wait(self.queue.len(), self.width.get(), self.stuck(now));
         let retry_after = wait.max(LEAST_WAIT);
         actions.push(admit::Action::Refuse { ticket: waiter.ticket, reason, retry_after });
     }
@@ -181,9 +186,21 @@
     fn end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
         if let Some(run) = self.leave(ticket) {
             self.service.note(now.since(run.since));
+            self.width.ended();
         }
     }
 
+    fn shed(&mut self, ticket: admit::Ticket) {
+        if self.leave(ticket).is_some() {
+            self.width.shed(self.running.len());
+        }
+    }
+
+    fn limit(&mut self, limits: admit::Limits) {
+        self.limits = limits;
+        self.width.announce(&limits);
+    }
+
     fn cancel(&mut self, ticket: admit::Ticket) {
         if self.leave(ticket).is_none() {
             self.queue.remove(ticket);
--- a/src/admit/load.rs
+++ b/src/admit/load.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str;
 
-/// Load of one upstream. Its text is `running/waiting/slots`.
+/// Load of one upstream. Its text is `running/waiting/slots/service`.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
     /// Calls that run.
@@ -12,16 +12,18 @@
     pub waiting: u16,
     /// Calls that may run at once.
     pub slots: u16,
+    /// Mean time a call ran, without its wait, in microseconds; 0 before one has ended.
+    pub service: u32,
 }
 
 /// A text that is no load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("not a load: running/waiting/slots expected")]
+#[error("not a load: running/waiting/slots/service expected")]
 pub struct Malformed;
 
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.running, self.waiting, self.slots)
+        write!(f, "{}/{}/{}/{}", self.running, self.waiting, self.slots, self.service)
     }
 }
 
@@ -29,10 +31,17 @@
     type Err = Malformed;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut parts = text.splitn(3, '/').map(|part| part.parse().map_err(|_| Malformed));
-        let running = parts.next().ok_or(Malformed)??;
-        let waiting = parts.next().ok_or(Malformed)??;
-        let slots = parts.next().ok_or(Malformed)??;
-        Ok(Self { running, waiting, slots })
+        let mut parts = text.splitn(4, '/');
+        let load = Self {
+            running: number(parts.next())?,
+            waiting: number(parts.next())?,
+            slots: number(parts.next())?,
+            service: number(parts.next())?,
+        };
+        Ok(load)
     }
 }
+
+fn number<N: str::FromStr>(part: Option<&str>) -> Result<N, Malformed> {
+    part.and_then(|p| p.parse().ok()).ok_or(Malformed)
+}
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -10,6 +10,7 @@
 mod service;
 #[cfg(test)]
 mod tests;
+mod width;
 
 use std::time;
 
@@ -59,6 +60,12 @@
         /// Its name.
         ticket: Ticket,
     },
+    /// The upstream refused a call by its documented answer although a slot was counted free: it
+    /// has fewer slots than it announced, for now at least.
+    Shed {
+        /// Its name.
+        ticket: Ticket,
+    },
     /// The caller left or its deadline passed: the call waits no more, and if it ran, it was cut
     /// off and its slot is free.
     Cancelled {
--- a/src/admit/service.rs
+++ b/src/admit/service.rs
@@ -27,6 +27,12 @@
         });
     }
 
+    /// The mean in microseconds; 0 before a call has ended.
+    pub(super) fn micros(&self) -> u32 {
+        let mean = self.mean.unwrap_or_default();
+        u32::try_from(mean.as_micros()).unwrap_or(u32::MAX)
+    }
+
     /// Time until a slot of `width` is free for the waiter at `place`, counted from 0.
     ///
     /// `stuck` is how long no slot has changed hands: a lower bound on the service time when
