feat(pick): judge upstreams by their gate's service time and test the picker

Cause: the picker compared end-to-end latency, in which waits and distance hide a slow upstream, and it had no tests. Ruled out: a smoothed latency at the entry; a full queue looks like a slow upstream there. The gate's own mean service time travels back with the load, and an upstream is ejected when it exceeds three times the lower median of its list. Sampling candidates with replacement was ruled out too: of two upstreams the cold one was compared with itself and taken for three of ten calls; two candidates are now always distinct. Figures: 12 tests, one of them 256 random runs. Conclusion: refused connections and drains eject without limit, suspicion only up to half of a list, and the last resort never leaves a call without a candidate while one is not draining.

--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -50,6 +50,8 @@
     pub key: PeerKey,
     /// Whether it stands in this node's availability zone.
     pub near: bool,
+    /// What it was picked for.
+    pub target: Target,
 }
 
 /// How an attempt ended, as the picker needs to know it.
--- a/src/pick/outlier.rs
+++ b/src/pick/outlier.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Whether it is not closed.
+    pub(super) fn is_open(&self) -> bool {
+        self.state != State::Closed
+    }
+
     /// When the next call passes.
     pub(super) fn opens(&self) -> clock::Instant {
         match self.state {
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -14,11 +14,8 @@
 /// Share of its full size that an upstream gets when it starts.
 const COLD_SHARE: f32 = 0.1;
 
-/// Weight of a new latency measurement: one in this many.
-const SMOOTHING: f32 = 8.0;
-
-/// Answers needed before an upstream's latency is compared with others'.
-const ENOUGH: u8 = 8;
+/// Service times closer than this, in microseconds, are not told apart.
+const SLACK: f32 = 500.0;
 
 /// Limits by which results are judged.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +39,15 @@
     }
 }
 
+/// What the other upstreams of the same list say.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Crowd {
+    /// Lower median of the known service times, in microseconds; `None` below two.
+    pub(super) service: Option<f32>,
+    /// Whether enough others are left for one more to be ejected on suspicion.
+    pub(super) spare: bool,
+}
+
 /// The load that the last answer told.
 #[derive(Clone, Copy, Debug)]
 struct Told {
@@ -49,6 +55,8 @@
     others: u16,
     /// Running and waiting calls of every entry.
     total: u16,
+    /// Slots as the gate counts them.
+    slots: u16,
     at: clock::Instant,
 }
 
@@ -67,9 +75,8 @@
     warming: Option<(clock::Instant, f32)>,
     outstanding: u16,
     told: Option<Told>,
-    /// Smoothed time of whole answers, in microseconds.
-    latency: f32,
-    answers: u8,
+    /// Mean service time that its gate measured, in microseconds; 0 while unknown.
+    service: u32,
     breaker: outlier::Breaker,
 }
 
@@ -86,8 +93,7 @@
             warming: None,
             outstanding: 0,
             told: None,
-            latency: 0.0,
-            answers: 0,
+            service: 0,
             breaker: outlier::Breaker::new(),
         }
     }
@@ -103,7 +109,7 @@
     ) {
         if self.incarnation != host.incarnation {
             self.told = None;
-            self.answers = 0;
+            self.service = 0;
             self.breaker = outlier::Breaker::new();
             self.warming = None;
         }
@@ -136,9 +142,9 @@
         self.slots
     }
 
-    /// Smoothed time of its answers; `None` before enough of them came.
-    pub fn latency(&self) -> Option<f32> {
-        (self.answers >= ENOUGH).then_some(self.latency)
+    /// Mean service time that its gate measured, in microseconds; `None` while unknown.
+    pub fn service(&self) -> Option<f32> {
+        (self.service > 0).then_some(self.service as f32)
     }
 
     /// Running and waiting calls that its last answer told, of every entry, however old.
@@ -155,9 +161,10 @@
         f32::from(self.outstanding) + others
     }
 
-    /// Slots it is worth now: fewer while it warms.
-    pub(super) fn worth(&self, now: clock::Instant) -> f32 {
-        let slots = f32::from(self.slots.max(1));
+    /// Slots it is worth now: fewer while it warms, and as many as its gate counted.
+    fn worth(&self, now: clock::Instant) -> f32 {
+        let counted = self.told.map_or(self.slots, |t| t.slots.min(self.slots));
+        let slots = f32::from(counted.max(1));
         let Some((since, warmup)) = self.warming else {
             return slots;
         };
@@ -194,11 +201,11 @@
         self.breaker.started(&rules.breaker, now);
     }
 
-    /// Takes in the end of a call. `peers` is the usual latency of its peers.
+    /// Takes in the end of a call.
     pub(super) fn ended(
         &mut self,
         report: &pick::Report,
-        peers: Option<f32>,
+        crowd: &Crowd,
         rules: &Rules,
         now: clock::Instant,
     ) {
@@ -206,50 +213,65 @@
         if let Some(load) = report.load {
             self.tell(load, now);
         }
-        match report.outcome {
-            retry::Outcome::Ran => self.answered(report.latency, peers, rules, now),
-            retry::Outcome::NotRun(reason) | retry::Outcome::Unknown(reason) => {
-                self.failed(reason, rules, now);
-            }
+        match verdict(report.outcome) {
+            Verdict::Good if self.is_slow(crowd, rules) => self.breaker.eject(&rules.breaker, now),
+            Verdict::Good => self.breaker.success(),
+            Verdict::Bad if crowd.spare => self.breaker.failure(&rules.breaker, now),
+            Verdict::Gone => self.breaker.eject(&rules.breaker, now),
+            Verdict::Bad | Verdict::None => {}
         }
     }
 
+    /// Whether it is ejected.
+    pub(super) fn is_ejected(&self) -> bool {
+        self.breaker.is_open()
+    }
+
+    fn is_slow(&self, crowd: &Crowd, rules: &Rules) -> bool {
+        let limit = crowd.service.map(|usual| usual * rules.slow + SLACK);
+        let slow = limit.zip(self.service()).is_some_and(|(limit, own)| own > limit);
+        slow && crowd.spare
+    }
+
     fn tell(&mut self, load: admit::Load, now: clock::Instant) {
         let total = load.running.saturating_add(load.waiting);
         let others = total.saturating_sub(self.outstanding);
-        self.told = Some(Told { others, total, at: now });
+        self.told = Some(Told { others, total, slots: load.slots, at: now });
+        self.service = load.service;
     }
+}
 
-    fn answered(
-        &mut self,
-        latency: time::Duration,
-        peers: Option<f32>,
-        rules: &Rules,
-        now: clock::Instant,
-    ) {
-        let took = latency.as_micros() as f32;
-        self.answers = self.answers.saturating_add(1);
-        let weight = f32::from(self.answers).min(SMOOTHING);
-        self.latency += (took - self.latency) / weight;
-        let slow = peers.is_some_and(|usual| self.latency > usual * rules.slow);
-        if slow && self.answers >= ENOUGH {
-            self.breaker.eject(&rules.breaker, now);
-        } else {
-            self.breaker.success();
-        }
-    }
+/// What a result says of the upstream.
+enum Verdict {
+    /// It serves.
+    Good,
+    /// Something went wrong; enough of these in a row eject it.
+    Bad,
+    /// It can't be reached or is leaving.
+    Gone,
+    /// Nothing.
+    None,
+}
 
-    fn failed(&mut self, reason: retry::Reason, rules: &Rules, now: clock::Instant) {
-        match reason {
-            retry::Reason::Draining | retry::Reason::Unreachable => {
-                self.breaker.eject(&rules.breaker, now);
-            }
-            retry::Reason::Cut
-            | retry::Reason::Malformed
-            | retry::Reason::NotReady
-            | retry::Reason::Timeout
-            | retry::Reason::UpstreamShed => self.breaker.failure(&rules.breaker, now),
-            _ => {}
-        }
+fn verdict(outcome: retry::Outcome) -> Verdict {
+    let Some(reason) = outcome.reason() else {
+        return Verdict::Good;
+    };
+    match reason {
+        retry::Reason::Draining | retry::Reason::Unreachable => Verdict::Gone,
+        retry::Reason::Cut
+        | retry::Reason::Malformed
+        | retry::Reason::NotReady
+        | retry::Reason::NoUpstream
+        | retry::Reason::Timeout => Verdict::Bad,
+        retry::Reason::Cancelled
+        | retry::Reason::Conflict
+        | retry::Reason::Full
+        | retry::Reason::LogDown
+        | retry::Reason::NoRoute
+        | retry::Reason::TooDeep
+        | retry::Reason::TooLarge
+        | retry::Reason::TooLate
+        | retry::Reason::UpstreamShed => Verdict::None,
     }
 }
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -1,5 +1,6 @@
 //! The picker of one entry.
 
+use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs;
 
@@ -10,11 +11,16 @@
 use crate::pick;
 use crate::pick::peer;
 use crate::pick::table;
+use crate::retry;
 use crate::view;
 
 /// Fullness from which on a call is expected to wait.
 const WAITS: f32 = 1.0;
 
+/// One call in this many takes no heed of the distance, so that upstreams which are not in use
+/// are known for comparison.
+const EXPLORE: u32 = 200;
+
 /// Chooses upstreams for the calls of one entry.
 ///
 /// Draining upstreams are never chosen. Unreachable and ejected ones are chosen only when there
@@ -69,7 +75,7 @@
         let usual = self.pick_usual(target, now, avoid);
         let (index, tier) = usual.or_else(|| self.pick_any(target, avoid))?;
         let host = self.table.peers[index as usize].host();
-        Some(pick::Choice { host, key: self.table.key(index), near: tier == 0 })
+        Some(pick::Choice { host, key: self.table.key(index), near: tier == 0, target })
     }
 
     /// Notes that an attempt at `choice` has started.
@@ -81,8 +87,10 @@
 
     /// Notes that an attempt at `choice` has ended; called once for each [`Picker::started`].
     pub fn ended(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
+        let good = report.outcome == retry::Outcome::Ran;
+        let crowd = self.table.crowd(choice.target, good);
         if let Some(peer) = self.table.peer_mut(choice.key) {
-            peer.ended(report, None, &self.rules, now);
+            peer.ended(report, &crowd, &self.rules, now);
         }
     }
 
@@ -99,7 +107,8 @@
         avoid: &[host::HostId],
     ) -> Option<(u32, usize)> {
         let mut best: Option<(u32, usize, f32)> = None;
-        for tier in 0..table::TIERS {
+        let first = usize::from(self.rng.random_ratio(1, EXPLORE));
+        for tier in (first..table::TIERS).chain(0..first) {
             let Some((index, fullness)) = self.pick_tier(target, tier, now, avoid) else {
                 continue;
             };
--- a/src/pick/policy.rs
+++ b/src/pick/policy.rs
@@ -105,10 +105,16 @@
         _turn: &mut table::Turn,
         rng: &mut rngs::SmallRng,
     ) -> Option<usize> {
-        let mut best = sample(pool, rng)?;
+        let len = pool.len();
+        if len == 0 {
+            return None;
+        }
+        let start = rng.random_range(0..len);
+        let stride = if len > 1 { rng.random_range(1..len) } else { 0 };
+        let mut best = walk(pool, start)?;
         let mut least = pool.fullness(best);
-        for _ in 1..self.candidates {
-            let place = sample(pool, rng)?;
+        for turn in 1..usize::from(self.candidates) {
+            let place = walk(pool, (start + turn * stride) % len)?;
             let fullness = pool.fullness(place);
             if fullness < least {
                 (best, least) = (place, fullness);
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -6,6 +6,7 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::pick::peer;
 use crate::view;
 
 /// How many distances are told apart: own availability zone, own region, elsewhere.
@@ -27,6 +28,9 @@
     }
 }
 
+/// Results after which what the crowd says is looked at again.
+const FRESH: u8 = 16;
+
 /// The upstreams of one service or class.
 #[derive(Clone, Debug, Default)]
 pub(super) struct List {
@@ -36,6 +40,11 @@
     ends: [usize; TIERS],
     /// A turn for each tier.
     pub(super) turns: [Turn; TIERS],
+    crowd: peer::Crowd,
+    /// Results until `crowd` is made anew.
+    fresh: u8,
+    /// Scratch room for the median.
+    services: Vec<f32>,
 }
 
 impl List {
@@ -50,7 +59,28 @@
         &self.members
     }
 
+    /// What the members say, looked at again after every few results and every bad one.
+    pub(super) fn crowd(&mut self, peers: &[pick::Peer], good: bool) -> peer::Crowd {
+        if !good || self.fresh == 0 {
+            self.crowd = self.survey(peers);
+            self.fresh = FRESH;
+        }
+        self.fresh -= 1;
+        self.crowd
+    }
+
+    fn survey(&mut self, peers: &[pick::Peer]) -> peer::Crowd {
+        let members = || self.members.iter().map(|&i| &peers[i as usize]);
+        let ejected = members().filter(|p| p.is_ejected()).count();
+        let spare = (ejected + 1) * 2 <= self.members.len();
+        self.services.clear();
+        let known = self.members.iter().filter_map(|&i| peers[i as usize].service());
+        self.services.extend(known);
+        peer::Crowd { service: lower_median(&mut self.services), spare }
+    }
+
     fn clear(&mut self) {
+        self.fresh = 0;
         self.members.clear();
         self.ends = [0; TIERS];
     }
@@ -88,6 +118,17 @@
         }
     }
 
+    /// What the peers that serve `target` say.
+    pub(super) fn crowd(&mut self, target: pick::Target, good: bool) -> peer::Crowd {
+        let lists = match target.class {
+            Some(_) => &mut self.classes,
+            None => &mut self.services,
+        };
+        let at = target.class.map_or(target.service.0, |c| c.0);
+        let list = lists.get_mut(usize::from(at));
+        list.map(|l| l.crowd(&self.peers, good)).unwrap_or_default()
+    }
+
     /// The key of the peer at `index`.
     pub(super) fn key(&self, index: u32) -> pick::PeerKey {
         pick::PeerKey { index, generation: self.peers[index as usize].generation() }
@@ -167,6 +208,16 @@
     }
 }
 
+/// The lower median of `values`; `None` below two.
+fn lower_median(values: &mut [f32]) -> Option<f32> {
+    if values.len() < 2 {
+        return None;
+    }
+    let middle = (values.len() - 1) / 2;
+    let (_, median, _) = values.select_nth_unstable_by(middle, f32::total_cmp);
+    Some(*median)
+}
+
 fn tier(theirs: &view::Place, ours: &view::Place) -> usize {
     match (theirs.region == ours.region, theirs.zone == ours.zone) {
         (true, true) => 0,
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -1,1 +1,327 @@
 //! Tests of the picker.
+
+use std::collections;
+use std::net;
+use std::sync::Arc;
+use std::time;
+
+use proptest::prelude::*;
+use rstest::rstest;
+use smol_str::SmolStr;
+
+use crate::admit;
+use crate::clock;
+use crate::configs;
+use crate::host;
+use crate::mesh;
+use crate::pick;
+use crate::retry;
+use crate::view;
+
+const SHOP: pick::Target = pick::Target { service: mesh::ServiceKey(0), class: None };
+const GONE: retry::Outcome = retry::Outcome::NotRun(retry::Reason::Unreachable);
+
+fn at(millis: u64) -> clock::Instant {
+    clock::Instant::from_millis(millis)
+}
+
+fn id(number: u8) -> host::HostId {
+    host::HostId::new(net::SocketAddr::from(([127, 0, 0, number], 7100)))
+}
+
+fn place(zone: &str) -> view::Place {
+    view::Place { region: SmolStr::new_static("north"), zone: SmolStr::new(zone) }
+}
+
+fn host(number: u8, zone: &str, phase: view::Phase) -> view::Host {
+    let upstream = view::Upstream {
+        service: SmolStr::new_static("shop"),
+        class: SmolStr::new_static("shop-large"),
+        phase,
+        slots: 9,
+        connections: 120,
+    };
+    view::Host {
+        id: id(number),
+        place: Arc::new(place(zone)),
+        incarnation: 1,
+        health: view::Health::Alive,
+        upstream: Some(Arc::new(upstream)),
+    }
+}
+
+fn serving(zones: &[&str]) -> Vec<view::Host> {
+    (1..).zip(zones).map(|(n, zone)| host(n, zone, view::Phase::Serving)).collect()
+}
+
+fn shop() -> mesh::Mesh {
+    let objectives = mesh::Objectives {
+        availability: 0.99,
+        latency: time::Duration::from_millis(100),
+        share: 0.99,
+        window: time::Duration::from_secs(3600),
+    };
+    let service = mesh::Service {
+        name: SmolStr::new_static("shop"),
+        team: mesh::TeamKey(0),
+        timeout: time::Duration::from_secs(1),
+        queue: 9,
+        retries: 10,
+        objectives,
+    };
+    let class = mesh::Class {
+        name: SmolStr::new_static("shop-large"),
+        service: mesh::ServiceKey(0),
+        slots: 9,
+        connections: 120,
+        warmup: time::Duration::from_secs(10),
+    };
+    mesh::Mesh { services: vec![service], classes: vec![class], ..mesh::Mesh::default() }
+}
+
+/// A picker in zone a that knows `hosts`.
+fn picker(hosts: Vec<view::Host>) -> pick::Picker {
+    let mut picker = pick::Picker::new(place("a"), &configs::call::Call::default(), 7);
+    rebuild(&mut picker, hosts, 0);
+    picker
+}
+
+fn rebuild(picker: &mut pick::Picker, hosts: Vec<view::Host>, millis: u64) {
+    picker.rebuild(&view::View::new(hosts), &shop(), at(millis));
+}
+
+fn report(outcome: retry::Outcome, service: u32) -> pick::Report {
+    let load = admit::Load { running: 0, waiting: 0, slots: 9, service };
+    let load = (outcome != GONE).then_some(load);
+    pick::Report { outcome, load, latency: time::Duration::from_millis(1) }
+}
+
+/// One call that ends at once with `outcome`; the host that was picked.
+fn call(picker: &mut pick::Picker, outcome: retry::Outcome, millis: u64) -> host::HostId {
+    let choice = picker.pick(SHOP, at(millis), &[]).expect("a choice");
+    picker.started(choice, at(millis));
+    picker.ended(choice, &report(outcome, 1000), at(millis));
+    choice.host
+}
+
+/// How often each host was picked for `calls` calls that take no time.
+fn share(picker: &mut pick::Picker, calls: u32, millis: u64) -> collections::HashMap<u8, u32> {
+    let mut share = collections::HashMap::new();
+    for _ in 0..calls {
+        let host = call(picker, retry::Outcome::Ran, millis);
+        let net::IpAddr::V4(ip) = host.member_addr().ip() else { continue };
+        *share.entry(ip.octets()[3]).or_default() += 1;
+    }
+    share
+}
+
+#[test]
+fn a_draining_upstream_is_never_picked() {
+    let mut hosts = serving(&["a", "a"]);
+    hosts[0] = host(1, "a", view::Phase::Draining);
+    let mut picker = picker(hosts);
+    assert_eq!(share(&mut picker, 100, 0).get(&1), None);
+    rebuild(&mut picker, vec![host(1, "a", view::Phase::Draining)], 1);
+    assert_eq!(picker.pick(SHOP, at(1), &[]), None);
+}
+
+#[test]
+fn an_unreachable_upstream_is_picked_only_when_there_is_nothing_else() {
+    let mut hosts = serving(&["a", "b"]);
+    hosts[0].health = view::Health::Unreachable;
+    let mut picker = picker(hosts.clone());
+    assert_eq!(share(&mut picker, 100, 0).get(&1), None);
+    hosts[1].health = view::Health::Unreachable;
+    rebuild(&mut picker, hosts, 1);
+    assert!(picker.pick(SHOP, at(1), &[]).is_some());
+}
+
+#[test]
+fn own_zone_goes_first_until_it_costs_waiting() {
+    let mut picker = picker(serving(&["a", "b", "b"]));
+    let near = share(&mut picker, 1000, 0)[&1];
+    assert!(near > 980, "{near} of 1000 calls stayed in the zone");
+    let mut started = 0;
+    while let Some(choice) = picker.pick(SHOP, at(0), &[]) {
+        picker.started(choice, at(0));
+        started += u32::from(choice.near);
+        if !choice.near && started >= 9 {
+            break;
+        }
+    }
+    assert_eq!(started, 9, "calls in the zone before one went farther");
+}
+
+#[test]
+fn a_dead_upstream_is_left_alone_and_probed_later_and_later() {
+    let mut picker = picker(serving(&["a", "a", "a"]));
+    let mut picked = Vec::new();
+    for millis in 0..20_000 {
+        let choice = picker.pick(SHOP, at(millis), &[]).expect("a choice");
+        picker.started(choice, at(millis));
+        let dead = choice.host == id(1);
+        let outcome = if dead { GONE } else { retry::Outcome::Ran };
+        picker.ended(choice, &report(outcome, 1000), at(millis));
+        picked.extend(dead.then_some(millis));
+    }
+    assert!((4..=7).contains(&picked.len()), "{picked:?}");
+    let gaps: Vec<u64> = picked.windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(gaps.windows(2).all(|w| w[1] > w[0]), "{gaps:?}");
+}
+
+#[test]
+fn a_mass_fault_never_leaves_a_call_without_a_candidate() {
+    let mut picker = picker(serving(&["a", "a", "a", "a"]));
+    for millis in 0..100 {
+        call(&mut picker, GONE, millis);
+    }
+    let after = share(&mut picker, 400, 60_000);
+    assert_eq!(after.len(), 4, "all come back once they serve: {after:?}");
+}
+
+#[test]
+fn suspicion_ejects_at_most_half() {
+    let mut picker = picker(serving(&["a", "a", "a", "a"]));
+    for _ in 0..100 {
+        call(&mut picker, retry::Outcome::Unknown(retry::Reason::Timeout), 0);
+    }
+    assert_eq!(share(&mut picker, 100, 1).len(), 2);
+}
+
+#[test]
+fn an_upstream_much_slower_than_its_peers_is_ejected() {
+    let mut picker = picker(serving(&["a", "a", "a"]));
+    let mut slow = 0;
+    for millis in 0..1000 {
+        let choice = picker.pick(SHOP, at(millis), &[]).expect("a choice");
+        picker.started(choice, at(millis));
+        let service = if choice.host == id(1) { 10_000 } else { 1000 };
+        picker.ended(choice, &report(retry::Outcome::Ran, service), at(millis));
+        slow += u32::from(choice.host == id(1));
+    }
+    assert!(slow < 20, "{slow} of 1000 calls went to the slow one");
+}
+
+#[test]
+fn a_warming_upstream_gets_a_growing_share() {
+    let mut hosts = serving(&["a", "a"]);
+    hosts[0] = host(1, "a", view::Phase::Warming);
+    let mut picker = picker(hosts);
+    let started = |picker: &mut pick::Picker, millis| {
+        let choices: Vec<pick::Choice> = (0..10)
+            .map(|_| {
+                let choice = picker.pick(SHOP, at(millis), &[]).expect("a choice");
+                picker.started(choice, at(millis));
+                choice
+            })
+            .collect();
+        for choice in &choices {
+            picker.ended(*choice, &report(retry::Outcome::Ran, 1000), at(millis));
+        }
+        choices.iter().filter(|c| c.host == id(1)).count()
+    };
+    assert!(started(&mut picker, 0) <= 2);
+    assert!(started(&mut picker, 10_000) >= 3);
+}
+
+#[test]
+fn what_is_known_of_a_host_outlives_a_rebuild_but_not_its_life() {
+    let mut hosts = serving(&["a", "a"]);
+    let mut picker = picker(hosts.clone());
+    while call(&mut picker, GONE, 0) != id(1) {}
+    rebuild(&mut picker, hosts.clone(), 1);
+    assert_eq!(share(&mut picker, 50, 1).get(&1), None);
+    hosts[0].incarnation = 2;
+    rebuild(&mut picker, hosts, 2);
+    assert!(share(&mut picker, 50, 2).contains_key(&1));
+}
+
+#[rstest]
+#[case::avoided(&[1], 2)]
+#[case::nothing_else(&[1, 2], 2)]
+fn a_host_to_avoid_is_avoided_where_there_is_another(#[case] avoid: &[u8], #[case] hosts: usize) {
+    let mut picker = picker(serving(&["a", "a"]));
+    let avoid: Vec<host::HostId> = avoid.iter().copied().map(id).collect();
+    for _ in 0..50 {
+        let choice = picker.pick(SHOP, at(0), &avoid).expect("a choice");
+        assert!(avoid.len() == hosts || !avoid.contains(&choice.host));
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Pick,
+    End(prop::sample::Index, bool),
+    /// Each host is there, drains, or is gone, by two bits.
+    Rebuild(u16),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => Just(Step::Pick),
+        4 => (any::<prop::sample::Index>(), any::<bool>()).prop_map(|(i, ok)| Step::End(i, ok)),
+        1 => any::<u16>().prop_map(Step::Rebuild),
+        1 => (1_u64..2000).prop_map(Step::Pass),
+    ]
+}
+
+fn hosts(bits: u16) -> Vec<view::Host> {
+    let zones = ["a", "a", "b", "b", "c", "c"];
+    let mut hosts = serving(&zones);
+    for (n, host) in hosts.iter_mut().enumerate() {
+        if (bits >> (2 * n)) & 3 == 1 {
+            *host = self::host(n as u8 + 1, zones[n], view::Phase::Draining);
+        }
+    }
+    let mut bits = (0..zones.len()).map(|n| (bits >> (2 * n)) & 3);
+    hosts.retain(|_| bits.next() != Some(0));
+    hosts
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    /// A choice is always listed and never drains, there is one whenever there can be, and own
+    /// calls are counted exactly across rebuilds.
+    #[test]
+    fn choices_are_sound_and_calls_are_counted(
+        steps in prop::collection::vec(step(), 1..200),
+    ) {
+        let mut known = hosts(u16::MAX);
+        let mut picker = picker(known.clone());
+        let mut live: Vec<pick::Choice> = Vec::new();
+        let mut now = 0;
+        for step in steps {
+            match step {
+                Step::Pick => {
+                    let choice = picker.pick(SHOP, at(now), &[]);
+                    let open = |h: &view::Host| {
+                        h.upstream.as_ref().is_some_and(|u| u.phase != view::Phase::Draining)
+                    };
+                    prop_assert_eq!(choice.is_some(), known.iter().any(open));
+                    let Some(choice) = choice else { continue };
+                    prop_assert!(known.iter().any(|h| h.id == choice.host && open(h)));
+                    picker.started(choice, at(now));
+                    live.push(choice);
+                }
+                Step::End(index, ok) if !live.is_empty() => {
+                    let choice = live.swap_remove(index.index(live.len()));
+                    let outcome = if ok { retry::Outcome::Ran } else { GONE };
+                    picker.ended(choice, &report(outcome, 1000), at(now));
+                }
+                Step::End(..) => {}
+                Step::Rebuild(bits) => {
+                    known = hosts(bits);
+                    rebuild(&mut picker, known.clone(), now);
+                }
+                Step::Pass(millis) => now += millis,
+            }
+            for choice in &live {
+                let mine = live.iter().filter(|c| c.host == choice.host).count();
+                let counted = picker.peer(*choice).map(|p| usize::from(p.outstanding()));
+                prop_assert_eq!(counted, Some(mine));
+            }
+        }
+    }
+}
