--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -76,7 +76,10 @@
         connections: 120,
         warmup: time::Duration::from_secs(10),
     };
-    mesh::Mesh { services: vec![service], classes: vec![class], ..mesh::Mesh::default() }
+    let mut mesh = mesh::Mesh::default();
+    mesh.services = vec![service];
+    mesh.classes = vec![class];
+    mesh
 }
 
 /// A picker in zone a that knows `hosts`.
