--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,10 +1,15 @@
 //! Tests of the fleet of real processes: it starts, signals and ends what it says.
 
 use std::path;
+use std::time;
 
 use dandelionspool::bench::fleet;
+use dandelionspool::standin::http;
+use dandelionspool::standin::upstream::answer;
 use rstest::rstest;
 
+const LIMIT: time::Duration = time::Duration::from_secs(20);
+
 fn programs() -> fleet::Programs {
     fleet::Programs {
         node: path::PathBuf::from(env!("CARGO_BIN_EXE_dandelionspool")),
@@ -18,6 +23,78 @@
     fleet::Plan::new(programs()).nodes(false).group(group)
 }
 
+async fn answers(fleet: &fleet::Fleet, index: usize, limit: time::Duration) -> bool {
+    let address = fleet.hosts()[index].upstream_addr();
+    let answer = http::get(address, "/browse", limit).await;
+    answer.is_ok_and(|answer| answer::check(answer.body(), "", b"").is_ok())
+}
+
+async fn until_answers(fleet: &fleet::Fleet, index: usize) {
+    let end = time::Instant::now() + LIMIT;
+    while !answers(fleet, index, time::Duration::from_secs(1)).await {
+        assert!(time::Instant::now() < end, "host {index} does not answer");
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
+
+fn exists(pid: u32) -> bool {
+    path::Path::new(&format!("/proc/{pid}")).exists()
+}
+
+#[tokio::test]
+async fn a_dropped_fleet_leaves_nothing_behind() {
+    let fleet = fleet::Fleet::start(plan()).await.unwrap();
+    until_answers(&fleet, 1).await;
+    let pids: Vec<u32> = fleet.hosts().iter().filter_map(|h| h.upstream_pid()).collect();
+    let dir = fleet.dir().to_owned();
+    assert_eq!(pids.len(), 2);
+    assert!(pids.iter().all(|pid| exists(*pid)) && dir.exists());
+    drop(fleet);
+    assert!(!pids.iter().any(|pid| exists(*pid)) && !dir.exists());
+}
+
+#[tokio::test]
+async fn processes_are_killed_paused_and_ended_by_id() {
+    let mut fleet = fleet::Fleet::start(plan()).await.unwrap();
+    until_answers(&fleet, 0).await;
+    until_answers(&fleet, 1).await;
+    fleet.pause(0, fleet::Part::Upstream).unwrap();
+    assert!(!answers(&fleet, 0, time::Duration::from_millis(200)).await);
+    assert!(answers(&fleet, 1, LIMIT).await);
+    fleet.resume(0, fleet::Part::Upstream).unwrap();
+    assert!(answers(&fleet, 0, LIMIT).await);
+    fleet.kill(0, fleet::Part::Upstream).unwrap();
+    assert!(!answers(&fleet, 0, LIMIT).await);
+    assert!(matches!(fleet.terminate(0, fleet::Part::Upstream), Err(fleet::Error::NoProcess(0))));
+    fleet.restart(0, fleet::Part::Upstream).unwrap();
+    until_answers(&fleet, 0).await;
+    fleet.terminate(1, fleet::Part::Upstream).unwrap();
+    assert_eq!(fleet.ended(1, fleet::Part::Upstream, LIMIT).await.unwrap(), Some(0));
+}
+
+#[tokio::test]
+async fn records_and_faults_are_reached_through_the_fleet() {
+    let fleet = fleet::Fleet::start(plan()).await.unwrap();
+    until_answers(&fleet, 0).await;
+    let before = fleet.record(0).await.unwrap().starts;
+    fleet.control(0, &serde_json::json!({ "shed": 1.0 })).await.unwrap();
+    assert!(!answers(&fleet, 0, LIMIT).await);
+    let record = fleet.record(0).await.unwrap();
+    assert_eq!((record.starts, record.sheds), (before, 1));
+    fleet.log_faults(&serde_json::json!({ "outage": "refuse" })).await.unwrap();
+    fleet.log_faults(&serde_json::json!({})).await.unwrap();
+    assert!(fleet.stat(0, fleet::Part::Upstream).unwrap().rss > 0);
+}
+
+#[tokio::test]
+async fn a_process_that_ends_by_itself_is_named_with_its_words() {
+    let plan = plan().log_arguments(&["--no-such-option"]);
+    let error = fleet::Fleet::start(plan).await.unwrap_err();
+    let fleet::Error::Ended(name, words) = error else { panic!("{error}") };
+    assert_eq!(name, "log");
+    assert!(words.contains("--no-such-option"), "{words}");
+}
+
 #[rstest]
 #[case::most(209, true)]
 #[case::one_more(210, false)]
