feat(configs): let a node bind other addresses than it is reached at

Cause: a fault-injecting proxy between nodes has to hold the addresses the others use, so the node must bind elsewhere. Ruled out: firewall rules (not ours to set), a list of replaced addresses in each node (a second truth about hosts).

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::host;
+
 pub mod call;
 pub mod claim;
 pub mod log;
@@ -23,6 +25,9 @@
     pub key: SmolStr,
     /// Address and base port of this host; six consecutive ports are used.
     pub listen: net::SocketAddr,
+    /// Address and base port to bind instead of `listen`, which others still use: for a host
+    /// that is reached through a forwarder of all six ports.
+    pub bind: Option<net::SocketAddr>,
     /// Region of this host.
     pub region: SmolStr,
     /// Availability zone of this host.
@@ -45,12 +50,25 @@
     pub usage: usage::Usage,
 }
 
+impl Node {
+    /// This host as the others know it.
+    pub const fn host(&self) -> host::HostId {
+        host::HostId::new(self.listen)
+    }
+
+    /// The addresses this process binds.
+    pub fn bound(&self) -> host::HostId {
+        host::HostId::new(self.bind.unwrap_or(self.listen))
+    }
+}
+
 impl Default for Node {
     fn default() -> Self {
         Self {
             mesh: SmolStr::default(),
             key: SmolStr::default(),
             listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 7100)),
+            bind: None,
             region: SmolStr::new_static("region"),
             zone: SmolStr::new_static("zone"),
             join: Vec::new(),
