feat(configs): read settings with presets and name every fault in them

Cause: a node must refuse a broken settings file and say where it is broken, and the two deployments need settings of their own and an example to run. Ruled out: serde alone, which stops at the first fault, so each value is read once alone with the rest at its default; checks in each section, as one table of ranges can be held against the serialised defaults by a test. Conclusion: `configs::load`, `Node::check` and `configs::local` stand. Each number among the settings needs a row in src/configs/limits.rs; a test says so.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,14 +1,22 @@
 //! Settings of a node: one twin file for each feature, every field with a default and a unit.
+//!
+//! A settings file names only what differs from the defaults. With `"preset"` it starts from one
+//! of the files under `presets/` instead.
 
 use std::net;
+use std::path;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::host;
+use crate::mesh::fault;
 
 pub mod call;
 pub mod claim;
+pub mod limits;
+pub mod load;
+pub mod local;
 pub mod log;
 pub mod member;
 pub mod spread;
@@ -60,6 +68,15 @@
     pub fn bound(&self) -> host::HostId {
         host::HostId::new(self.bind.unwrap_or(self.listen))
     }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Every value that is out of range or at odds with another, with its JSON pointer.
+    pub fn check(&self) -> Result<(), fault::Faults> {
+        load::check(self)
+    }
 }
 
 impl Default for Node {
@@ -82,3 +99,12 @@
         }
     }
 }
+
+/// Reads and checks the settings of a node.
+///
+/// # Errors
+///
+/// The file can't be read, or has faults.
+pub fn load(path: &path::Path) -> Result<Node, load::SettingsError> {
+    load::load(path)
+}
