--- a/src/mesh/check.rs
+++ b/src/mesh/check.rs
@@ -17,7 +17,7 @@
 mod links;
 mod overlap;
 mod shape;
-pub(crate) mod text;
+mod text;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/proxy/entry.rs
@@ -0,0 +1,133 @@
+//! The caller's side: accept a request, match its route, check its deadline, claim it, run it,
+//! answer and count it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time;
+
+use http::header;
+use hyper::body::Incoming;
+use tokio::task;
+
+use crate::claim;
+use crate::clock;
+use crate::mesh;
+use crate::proxy::ask;
+use crate::proxy::body;
+use crate::proxy::count;
+use crate::proxy::guard;
+use crate::proxy::headers;
+use crate::proxy::job;
+use crate::proxy::keyed;
+use crate::proxy::refuse;
+use crate::proxy::state;
+use crate::proxy::upload;
+use crate::proxy::wire;
+use crate::retry;
+use crate::version;
+
+/// Most calls of the mesh that may lead to one another.
+const MOST_DEPTH: u8 = 16;
+
+/// Answers a caller's request.
+pub async fn call<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    request: http::Request<Incoming>,
+) -> http::Response<body::Reply> {
+    let (parts, incoming) = request.into_parts();
+    let ask = ask::Ask::read(parts, state.settings.proxy.path_bytes, || state.id());
+    let (id, result) = match ask {
+        Ok(ask) => (Some(ask.id.clone()), serve(&state, ask, incoming).await),
+        Err(refusal) => (None, Err(refusal)),
+    };
+    let mut answer = result.map_or_else(|refusal| refusal.answer(), ran);
+    if let Some(id) = id {
+        answer.headers_mut().insert(headers::REQUEST_ID, id);
+    }
+    if state.draining() {
+        let close = header::HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+fn ran(mut answer: http::Response<body::Reply>) -> http::Response<body::Reply> {
+    let ran = header::HeaderValue::from_static(headers::RAN);
+    answer.headers_mut().insert(headers::OUTCOME, ran);
+    answer
+}
+
+async fn serve<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    ask: ask::Ask,
+    incoming: Incoming,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    let flight = Some(state.flights.enter());
+    let started = state.ctx.now();
+    if state.draining() {
+        return Err(refuse::Refusal::not_run(retry::Reason::Draining).again(state.pause()));
+    }
+    let applied = state.applied();
+    let route = find(state, &applied, &ask)?;
+    let kind = applied.mesh.route(route).kind;
+    let count = count::Pending::new(
+        state.ctx,
+        Rc::clone(&state.tally),
+        Arc::clone(&applied.mesh),
+        kind,
+        started,
+    );
+    let mut hold = guard::Hold { flight, count: Some(count), ..guard::Hold::default() };
+    let timeout = applied.mesh.service(applied.mesh.route(route).service).timeout;
+    let deadline = started + ask.left.unwrap_or(timeout);
+    let limit = applied.mesh.kind(kind).body;
+    let intake = match intake(state, incoming, limit, deadline).await {
+        Ok(intake) => intake,
+        Err(refusal) => {
+            if let Some(count) = hold.count.take() {
+                count.ended(refusal.outcome);
+            }
+            return Err(refusal);
+        }
+    };
+    let job = job::Job { ask, intake, applied, route, deadline };
+    let key = job.ask.key.clone().filter(|_| !job.kind().idempotent);
+    let Some(key) = key else { return job::run(state, &job, hold).await };
+    // A keyed call goes on when its caller leaves: the caller may come back for its answer.
+    let call = task::spawn_local(keyed::run(Rc::clone(state), job, hold, key));
+    call.await.unwrap_or(Err(refuse::Refusal::unknown(retry::Reason::Cancelled)))
+}
+
+fn find<C: claim::Claims>(
+    state: &state::State<C>,
+    applied: &mesh::Applied,
+    ask: &ask::Ask,
+) -> Result<mesh::RouteKey, refuse::Refusal> {
+    if applied.stamp.version == version::Version::NONE {
+        return Err(refuse::Refusal::not_run(retry::Reason::NotReady).again(state.pause()));
+    }
+    if ask.depth >= MOST_DEPTH {
+        return Err(refuse::Refusal::not_run(retry::Reason::TooDeep));
+    }
+    let host = ask.host.to_str().ok().filter(|h| !h.is_empty());
+    let route = applied.mesh.find(host, &ask.method, ask.path.path());
+    route.ok_or(refuse::Refusal::not_run(retry::Reason::NoRoute))
+}
+
+/// Reads a small body whole, until the deadline at most.
+async fn intake<C: claim::Claims>(
+    state: &state::State<C>,
+    incoming: Incoming,
+    limit: u64,
+    deadline: clock::Instant,
+) -> Result<upload::Intake, refuse::Refusal> {
+    if deadline.since(state.ctx.now()) == time::Duration::ZERO {
+        return Err(refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause()));
+    }
+    let wire = wire::Wire::new(incoming, wire::Carrier::Plain);
+    let read = upload::Intake::read(wire, state.settings.proxy.keep_bytes, limit);
+    match tokio::time::timeout_at(state.timer(deadline), read).await {
+        Ok(intake) => intake.map_err(refuse::Refusal::not_run),
+        Err(_) => Err(refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause())),
+    }
+}
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -1,5 +1,7 @@
 //! Header names of the call path and the outcomes they carry.
 
+/// Prefix of every header the mesh gives a meaning; stripped from what strangers send.
+pub const PREFIX: &str = "dandelionspool-";
 /// Set on every answer: one of [`RAN`], [`NOT_RUN`], [`UNKNOWN`].
 pub const OUTCOME: &str = "dandelionspool-outcome";
 /// Typed reason of a refusal or failure, see `proxy::refuse`.
@@ -20,5 +22,25 @@
 pub const LOAD: &str = "dandelionspool-load";
 /// Key a caller repeats to have a non-idempotent call run at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-/// Identity of a call, made by the entry when the caller sent none; passed to upstreams.
+/// Identity of a call, made by the entry when the caller sent none; passed to upstreams. An
+/// upstream that repeats it in its answer has the answer checked against its call.
 pub const REQUEST_ID: &str = "x-request-id";
+/// Set to [`SHED`] by an upstream on a 503 that says that it did not run the call.
+pub const UPSTREAM: &str = "dandelionspool-upstream";
+/// Value of [`UPSTREAM`]: the call was shed before it ran.
+pub const SHED: &str = "shed";
+/// Set to [`HELD`] on the first call's answer when it is given to a duplicate.
+pub const ANSWER: &str = "dandelionspool-answer";
+/// Value of [`ANSWER`]: the answer was held from the call that ran.
+pub const HELD: &str = "held";
+
+/// Between nodes: service of the call. A request without it is no call.
+pub const SERVICE: &str = "dandelionspool-service";
+/// Between nodes: weight of the call's kind.
+pub const WEIGHT: &str = "dandelionspool-weight";
+/// Between nodes: class of upstreams that may run the call.
+pub const CLASS: &str = "dandelionspool-class";
+/// Between nodes: tag of the first request of a connection.
+pub const TAG: &str = "dandelionspool-tag";
+/// Between nodes: milliseconds after which a refused call may be tried again.
+pub const RETRY: &str = "dandelionspool-retry-ms";
--- /dev/null
+++ b/src/proxy/inner.rs
@@ -0,0 +1,171 @@
+//! Calls between nodes: how they are written to HTTP/2 and read from it.
+
+use http::header;
+use tokio::time;
+
+use crate::admit;
+use crate::claim;
+use crate::clock;
+use crate::host;
+use crate::proxy::ask;
+use crate::proxy::headers;
+use crate::proxy::held;
+use crate::proxy::links;
+use crate::proxy::owner;
+use crate::proxy::refuse;
+use crate::proxy::upload;
+use crate::retry;
+
+/// Authority of a call whose caller named no host.
+const NO_HOST: &str = "none.invalid";
+
+/// Connections tried when they close before anything is sent.
+const TRIES: u8 = 3;
+
+/// An answer of another node.
+#[derive(Debug)]
+pub struct Answer {
+    /// Load of its upstream.
+    pub load: Option<admit::Load>,
+    /// The upstream's answer, or why there is none.
+    pub result: Result<http::Response<hyper::body::Incoming>, refuse::Refusal>,
+}
+
+impl From<refuse::Refusal> for Answer {
+    fn from(refusal: refuse::Refusal) -> Self {
+        Self { load: None, result: Err(refusal) }
+    }
+}
+
+/// Turns the request of an attempt into one for another node.
+pub fn address(
+    request: &mut http::Request<upload::Upload>,
+    order: &owner::Order<'_>,
+    now: clock::Instant,
+) -> Result<(), refuse::Refusal> {
+    const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
+    let host = request.headers_mut().remove(header::HOST);
+    let host = host.as_ref().and_then(|h| h.to_str().ok()).filter(|h| !h.is_empty());
+    let mut uri = std::mem::take(request.uri_mut()).into_parts();
+    uri.scheme = Some(http::uri::Scheme::HTTP);
+    uri.authority = host.unwrap_or(NO_HOST).parse().ok();
+    *request.uri_mut() = http::Uri::from_parts(uri).map_err(|_| MALFORMED)?;
+    *request.version_mut() = http::Version::HTTP_2;
+    let map = request.headers_mut();
+    let text = |t: &str| header::HeaderValue::from_str(t).map_err(|_| MALFORMED);
+    map.insert(headers::SERVICE, text(order.service)?);
+    if let Some(class) = order.class {
+        map.insert(headers::CLASS, text(class)?);
+    }
+    map.insert(headers::WEIGHT, header::HeaderValue::from(order.weight));
+    let left = u64::try_from(order.deadline.since(now).as_millis()).unwrap_or(u64::MAX);
+    map.insert(headers::DEADLINE, header::HeaderValue::from(left));
+    Ok(())
+}
+
+/// The request for the upstream in a call of another node.
+pub fn unwrap(
+    mut parts: http::request::Parts,
+    upload: upload::Upload,
+) -> Result<http::Request<upload::Upload>, refuse::Refusal> {
+    const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
+    let authority = parts.uri.authority().filter(|a| a.as_str() != NO_HOST);
+    let host = authority.map_or("", |a| a.as_str());
+    let host = header::HeaderValue::from_str(host).map_err(|_| MALFORMED)?;
+    parts.headers.insert(header::HOST, host);
+    for name in [headers::SERVICE, headers::CLASS, headers::WEIGHT, header::CONTENT_LENGTH.as_str()]
+    {
+        parts.headers.remove(name);
+    }
+    let path = parts.uri.path_and_query().cloned().ok_or(MALFORMED)?;
+    parts.uri = http::Uri::from(path);
+    parts.version = http::Version::HTTP_11;
+    Ok(http::Request::from_parts(parts, upload))
+}
+
+/// Sends a call to the node of `host` and reads the head of its answer.
+pub async fn call(
+    links: &links::Links,
+    host: host::HostId,
+    mut request: http::Request<upload::Upload>,
+    end: time::Instant,
+) -> Answer {
+    for _ in 0..TRIES {
+        let link = time::timeout_at(end, links.get(host)).await;
+        let mut link = match link {
+            Err(_) => return refuse::Refusal::not_run(retry::Reason::TooLate).into(),
+            Ok(Err(error)) => {
+                log::debug!("no connection to {host}: {error}");
+                return refuse::Refusal::not_run(retry::Reason::Unreachable).into();
+            }
+            Ok(Ok(link)) => link,
+        };
+        let answer = time::timeout_at(end, link.try_send_request(request)).await;
+        match answer {
+            Err(_) => return refuse::Refusal::unknown(retry::Reason::Timeout).into(),
+            Ok(Ok(answer)) => return read(answer),
+            Ok(Err(mut failed)) => match failed.take_message() {
+                // Nothing was sent: the connection closed in between.
+                Some(unsent) => request = unsent,
+                None => return lost(host, failed.error()).into(),
+            },
+        }
+    }
+    refuse::Refusal::not_run(retry::Reason::Unreachable).into()
+}
+
+/// What is known of a call whose connection or stream failed.
+fn lost(host: host::HostId, error: &hyper::Error) -> refuse::Refusal {
+    log::debug!("call lost on the way to {host}: {error}");
+    refuse::Refusal::unknown(retry::Reason::Cut)
+}
+
+fn read(mut answer: http::Response<hyper::body::Incoming>) -> Answer {
+    let map = answer.headers_mut();
+    let load = map.remove(headers::LOAD).and_then(|v| v.to_str().ok()?.parse().ok());
+    let outcome = map.remove(headers::OUTCOME);
+    let result = match outcome.as_ref().map(header::HeaderValue::as_bytes) {
+        Some(o) if o == headers::RAN.as_bytes() => Ok(answer),
+        Some(o) if o == headers::NOT_RUN.as_bytes() => Err(refusal(&answer, true)),
+        _ => Err(refusal(&answer, false)),
+    };
+    Answer { load, result }
+}
+
+fn refusal<B>(answer: &http::Response<B>, proven: bool) -> refuse::Refusal {
+    let map = answer.headers();
+    let reason = map.get(headers::REASON).and_then(|v| v.to_str().ok()?.parse().ok());
+    let reason = reason.unwrap_or(retry::Reason::Malformed);
+    let refusal =
+        if proven { refuse::Refusal::not_run(reason) } else { refuse::Refusal::unknown(reason) };
+    match ask::number(map, headers::RETRY) {
+        Ok(Some(millis)) => refusal.again(time::Duration::from_millis(millis)),
+        Ok(None) | Err(_) => refusal,
+    }
+}
+
+/// Path of requests for a held answer.
+const HELD: &str = "/held/";
+
+/// The request for the answer of the call `name`.
+pub fn ask(
+    name: held::Name,
+    print: held::Print,
+    deadline: clock::Instant,
+    now: clock::Instant,
+) -> Option<http::Request<upload::Upload>> {
+    let key = u128::from_le_bytes(name.key.0);
+    let uri = format!("http://{NO_HOST}{HELD}{key:032x}/{:016x}/{print}", name.number);
+    let left = u64::try_from(deadline.since(now).as_millis()).unwrap_or(u64::MAX);
+    let request = http::Request::builder().uri(uri).header(headers::DEADLINE, left);
+    request.body(upload::Upload::Kept(None)).ok()
+}
+
+/// The call that a request made by [`ask`] is about.
+pub fn asked(path: &str) -> Option<(held::Name, held::Print)> {
+    let mut parts = path.strip_prefix(HELD)?.splitn(3, '/');
+    let key = u128::from_str_radix(parts.next()?, 16).ok()?;
+    let number = u64::from_str_radix(parts.next()?, 16).ok()?;
+    let print = held::Print::from_hex(parts.next()?).ok()?;
+    Some((held::Name { key: claim::Key(key.to_le_bytes()), number }, print))
+}
--- /dev/null
+++ b/src/proxy/job.rs
@@ -0,0 +1,231 @@
+//! A caller's call at its entry, and its attempts.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time;
+
+use http::header;
+
+use crate::claim;
+use crate::clock;
+use crate::host;
+use crate::mesh;
+use crate::pick;
+use crate::proxy::ask;
+use crate::proxy::body;
+use crate::proxy::guard;
+use crate::proxy::headers;
+use crate::proxy::inner;
+use crate::proxy::owner;
+use crate::proxy::refuse;
+use crate::proxy::state;
+use crate::proxy::upload;
+use crate::proxy::wire;
+use crate::retry;
+
+/// Time an owner's last word may come after the deadline: it knows whether the call ran.
+const LAST_WORD: time::Duration = time::Duration::from_millis(5);
+
+/// A call at its entry.
+#[derive(Debug)]
+pub struct Job {
+    /// What the caller asked.
+    pub ask: ask::Ask,
+    /// Its body.
+    pub intake: upload::Intake,
+    /// Configuration in force when it came.
+    pub applied: Arc<mesh::Applied>,
+    /// Its route in that configuration.
+    pub route: mesh::RouteKey,
+    /// When the caller gives up.
+    pub deadline: clock::Instant,
+}
+
+/// An attempt that failed.
+struct Failed {
+    refusal: refuse::Refusal,
+    /// `None` when no host was picked.
+    host: Option<host::HostId>,
+}
+
+impl Job {
+    fn route(&self) -> &mesh::Route {
+        self.applied.mesh.route(self.route)
+    }
+
+    /// Kind of the call.
+    pub fn kind(&self) -> &mesh::Kind {
+        self.applied.mesh.kind(self.route().kind)
+    }
+
+    /// Service of the call.
+    pub fn service(&self) -> &mesh::Service {
+        self.applied.mesh.service(self.route().service)
+    }
+
+    fn class(&self) -> Option<&mesh::Class> {
+        self.route().class.map(|c| self.applied.mesh.class(c))
+    }
+
+    /// What to pick, in the keys of the configuration that the picker's table was built from.
+    /// `None` when a newer configuration no longer has it.
+    fn target(&self, current: &Arc<mesh::Applied>) -> Option<pick::Target> {
+        let route = self.route();
+        if Arc::ptr_eq(&self.applied, current) {
+            return Some(pick::Target { service: route.service, class: route.class });
+        }
+        let mesh = &current.mesh;
+        let service = mesh.services.iter().position(|s| s.name == self.service().name)?;
+        let class = match self.class() {
+            None => None,
+            Some(class) => Some(mesh.classes.iter().position(|c| c.name == class.name)?),
+        };
+        let key = |index: usize| u16::try_from(index).ok();
+        Some(pick::Target {
+            service: mesh::ServiceKey(key(service)?),
+            class: class.and_then(key).map(mesh::ClassKey),
+        })
+    }
+
+    fn order(&self) -> owner::Order<'_> {
+        owner::Order {
+            service: &self.service().name,
+            class: self.class().map(|c| c.name.as_str()),
+            weight: self.kind().weight,
+            deadline: self.deadline,
+        }
+    }
+
+    /// The request of attempt number `attempt`.
+    fn request(&self, attempt: u8) -> http::Request<upload::Upload> {
+        let mut request = http::Request::new(self.intake.attempt());
+        *request.method_mut() = self.ask.method.clone();
+        *request.uri_mut() = http::Uri::from(self.ask.path.clone());
+        let mut map = self.ask.headers.clone();
+        map.insert(header::HOST, self.ask.host.clone());
+        let attempt = u16::from(attempt.max(self.ask.outer));
+        map.insert(headers::ATTEMPT, header::HeaderValue::from(attempt));
+        let depth = u16::from(self.ask.depth.saturating_add(1));
+        map.insert(headers::DEPTH, header::HeaderValue::from(depth));
+        *request.headers_mut() = map;
+        request
+    }
+}
+
+/// Makes attempts until one is answered or nothing else may be tried.
+///
+/// # Errors
+///
+/// The last attempt's refusal.
+pub async fn run<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    job: &Job,
+    mut hold: guard::Hold,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    let mut avoid = Vec::new();
+    let mut attempt = 1;
+    let mut before = None;
+    loop {
+        let mut failed = match once(state, job, attempt, &avoid, &mut hold).await {
+            Ok(answer) => {
+                state.budget(job.service(), retry::Budget::served);
+                return Ok(answer);
+            }
+            Err(failed) => failed,
+        };
+        if failed.host.is_none() {
+            // That nobody else is left tells less than why the attempt before failed.
+            failed.refusal = before.unwrap_or(failed.refusal);
+        }
+        match decide(state, job, attempt, &failed) {
+            retry::Decision::Again { avoid: host } => avoid.extend(host),
+            retry::Decision::Final { outcome, retry_after } => {
+                if let Some(count) = hold.count.take() {
+                    count.ended(outcome);
+                }
+                return Err(refuse::Refusal::new(outcome, retry_after));
+            }
+        }
+        before = Some(failed.refusal);
+        attempt += 1;
+    }
+}
+
+fn decide<C: claim::Claims>(
+    state: &state::State<C>,
+    job: &Job,
+    attempt: u8,
+    failed: &Failed,
+) -> retry::Decision {
+    let call = retry::Call {
+        idempotent: job.kind().idempotent,
+        attempt,
+        attempts: state.settings.call.attempts,
+        depth: job.ask.depth,
+        outer: job.ask.outer,
+        deadline: job.deadline,
+        answered: 0,
+        held: job.intake.repeats(),
+        host: failed.host,
+        retry_after: failed.refusal.retry_after,
+    };
+    let now = state.ctx.now();
+    state.budget(job.service(), |budget| retry::next(&call, failed.refusal.outcome, budget, now))
+}
+
+/// Makes one attempt.
+async fn once<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    job: &Job,
+    attempt: u8,
+    avoid: &[host::HostId],
+    hold: &mut guard::Hold,
+) -> Result<http::Response<body::Reply>, Failed> {
+    let now = state.ctx.now();
+    let target = job.target(&state.applied.borrow());
+    let choice = target.and_then(|t| state.picker.borrow_mut().pick(t, now, avoid));
+    let Some(choice) = choice else {
+        let refusal = refuse::Refusal::not_run(retry::Reason::NoUpstream);
+        return Err(Failed { refusal, host: None });
+    };
+    hold.start(state.ctx, &state.picker, choice);
+    let request = job.request(attempt);
+    let result = if choice.host == state.me {
+        owner::run(state, &job.order(), request, hold).await
+    } else {
+        remote(state, job, choice.host, request, hold).await
+    };
+    result.map_err(|mut refusal| {
+        refusal.outcome = truth(hold.failed(refusal.outcome), job.intake.fault());
+        Failed { refusal, host: Some(choice.host) }
+    })
+}
+
+/// A body that ended early is the reason for whatever followed from it.
+fn truth(outcome: retry::Outcome, fault: Option<retry::Reason>) -> retry::Outcome {
+    match (outcome, fault) {
+        (retry::Outcome::Unknown(_), Some(fault)) => retry::Outcome::Unknown(fault),
+        _ => outcome,
+    }
+}
+
+/// Makes an attempt at the upstream of another node.
+async fn remote<C: claim::Claims>(
+    state: &state::State<C>,
+    job: &Job,
+    host: host::HostId,
+    mut request: http::Request<upload::Upload>,
+    hold: &mut guard::Hold,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    inner::address(&mut request, &job.order(), state.ctx.now())?;
+    let end = state.timer(job.deadline) + LAST_WORD;
+    let answer = inner::call(&state.links, host, request, end).await;
+    if let Some(trip) = hold.trip.as_mut() {
+        trip.load(answer.load);
+    }
+    let (parts, incoming) = answer.result?.into_parts();
+    hold.head(parts.status, answer.load);
+    let wire = wire::Wire::new(incoming, wire::Carrier::Inner);
+    let reply = body::Reply::read(wire, state.settings.proxy.whole_bytes, end, hold).await?;
+    Ok(http::Response::from_parts(parts, reply))
+}
--- /dev/null
+++ b/src/proxy/links.rs
@@ -0,0 +1,186 @@
+//! Connections to other nodes (HTTP/2): one for each, opened when first needed and shared by all
+//! calls to that node.
+
+use std::cell::{Cell, RefCell};
+use std::collections;
+use std::fmt::Write as _;
+use std::future;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time;
+
+use http::header;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync;
+use tokio::task;
+
+use crate::configs;
+use crate::host;
+use crate::proxy::headers;
+use crate::proxy::upload;
+use crate::seal;
+
+/// Path of the first request on each connection.
+const HELLO: &str = "/hello";
+
+/// Time after which an unused connection is closed.
+const IDLE: time::Duration = time::Duration::from_secs(60);
+
+/// Spawns the library's tasks on the thread of the call path.
+#[derive(Clone, Copy, Debug)]
+pub struct Here;
+
+impl<F> hyper::rt::Executor<F> for Here
+where
+    F: future::Future + 'static,
+    F::Output: 'static,
+{
+    fn execute(&self, fut: F) {
+        task::spawn_local(fut);
+    }
+}
+
+/// Sends calls on one connection.
+pub type Sender = http2::SendRequest<upload::Upload>;
+
+/// Why there is no connection to a node.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection can be made.
+    #[error("can't connect")]
+    Connect(#[from] io::Error),
+    /// The library gave up.
+    #[error("the connection failed")]
+    Lost(#[from] hyper::Error),
+    /// It took too long.
+    #[error("no connection in time")]
+    Late(#[from] tokio::time::error::Elapsed),
+    /// The node did not take this one for a node of its mesh.
+    #[error("the node answered the greeting with {0}")]
+    Stranger(http::StatusCode),
+    /// The greeting could not be written.
+    #[error("the greeting is no request")]
+    Greeting(#[from] http::Error),
+}
+
+/// The connections.
+pub struct Links {
+    me: host::HostId,
+    seal: seal::Seal,
+    settings: Arc<configs::Node>,
+    open: RefCell<collections::HashMap<host::HostId, Link>>,
+    /// Held while a connection is opened, so that only one is.
+    opening: RefCell<collections::HashMap<host::HostId, Rc<sync::Mutex<()>>>>,
+}
+
+struct Link {
+    send: Sender,
+    used: Cell<time::Instant>,
+}
+
+impl Links {
+    /// No connections yet, from `me` to others.
+    pub fn new(me: host::HostId, seal: seal::Seal, settings: Arc<configs::Node>) -> Self {
+        Self { me, seal, settings, open: RefCell::default(), opening: RefCell::default() }
+    }
+
+    /// The connection to `host`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none within the settings' limit; no call has been sent then.
+    pub async fn get(&self, host: host::HostId) -> Result<Sender, Error> {
+        if let Some(send) = self.known(host) {
+            return Ok(send);
+        }
+        let lock = Rc::clone(self.opening.borrow_mut().entry(host).or_default());
+        let _opening = lock.lock().await;
+        if let Some(send) = self.known(host) {
+            return Ok(send);
+        }
+        let limit = time::Duration::from_millis(self.settings.proxy.connect_ms);
+        let send = tokio::time::timeout(limit, self.connect(host)).await??;
+        let link = Link { send: send.clone(), used: Cell::new(time::Instant::now()) };
+        self.open.borrow_mut().insert(host, link);
+        Ok(send)
+    }
+
+    /// Closes connections that are closed at the other end or have not been used for long.
+    pub fn tidy(&self) {
+        self.open
+            .borrow_mut()
+            .retain(|_, link| !link.send.is_closed() && link.used.get().elapsed() < IDLE);
+        let open = self.open.borrow();
+        self.opening
+            .borrow_mut()
+            .retain(|host, lock| open.contains_key(host) || Rc::strong_count(lock) > 1);
+    }
+
+    fn known(&self, host: host::HostId) -> Option<Sender> {
+        let open = self.open.borrow();
+        let link = open.get(&host).filter(|l| !l.send.is_closed())?;
+        link.used.set(time::Instant::now());
+        Some(link.send.clone())
+    }
+
+    async fn connect(&self, host: host::HostId) -> Result<Sender, Error> {
+        let stream = TcpStream::connect(host.inner_addr()).await?;
+        stream.set_nodelay(true)?;
+        let proxy = &self.settings.proxy;
+        let (mut send, conn) = http2::Builder::new(Here)
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(proxy.stream_bytes)
+            .initial_connection_window_size(proxy.link_bytes)
+            .keep_alive_interval(time::Duration::from_millis(proxy.ping_ms))
+            .keep_alive_timeout(time::Duration::from_millis(proxy.pong_ms))
+            .handshake(TokioIo::new(stream))
+            .await?;
+        task::spawn_local(async move {
+            if let Err(error) = conn.await {
+                log::debug!("connection to {host} ended: {error}");
+            }
+        });
+        let answer = send.send_request(self.greeting(host)?).await?;
+        if answer.status() != http::StatusCode::OK {
+            return Err(Error::Stranger(answer.status()));
+        }
+        Ok(send)
+    }
+
+    fn greeting(&self, host: host::HostId) -> Result<http::Request<upload::Upload>, Error> {
+        let path = format!("{HELLO}/{}/{host}", self.me);
+        let tag = tag(&self.seal, path.as_bytes());
+        let uri = http::Uri::builder()
+            .scheme(http::uri::Scheme::HTTP)
+            .authority(host.to_string())
+            .path_and_query(path)
+            .build()?;
+        let request = http::Request::builder().uri(uri).header(headers::TAG, tag);
+        Ok(request.body(upload::Upload::Kept(None))?)
+    }
+}
+
+/// Whether `request` is a greeting from a node of the mesh to `me`.
+///
+/// The tag covers both ends, so that a greeting seen at one node opens no other.
+pub fn is_greeting<B>(seal: &seal::Seal, me: host::HostId, request: &http::Request<B>) -> bool {
+    let path = request.uri().path();
+    let addressed = path.starts_with(HELLO) && path.ends_with(&format!("/{me}"));
+    let wanted = header::HeaderValue::from_str(&tag(seal, path.as_bytes()));
+    // A tag is 64 bits of a keyed hash and the connection closes after one try: comparing in
+    // constant time would protect nothing.
+    addressed && wanted.is_ok_and(|w| request.headers().get(headers::TAG) == Some(&w))
+}
+
+/// The tag of `message` as text.
+fn tag(seal: &seal::Seal, message: &[u8]) -> String {
+    let sealed = seal.seal(message);
+    sealed.iter().take(seal::TAG_BYTES).fold(String::new(), |mut text, byte| {
+        // Writing to a string does not fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,3 +1,33 @@
 //! The call path: hyper and tokio around the decisions.
+//!
+//! A call goes through a pipe of steps on one thread. At its entry, any node: accept, match route,
+//! check deadline ([`entry`]), claim ([`keyed`]), pick and forward ([`job`], [`inner`]). At the
+//! upstream's own node ([`peer`]): admit ([`slots`]), run ([`pool`]), check the answer ([`owner`]).
+//! Back at the entry: answer and count ([`guard`]). When the entry is the upstream's own node the
+//! hop between nodes is skipped.
 
+pub mod ask;
+pub mod body;
+pub mod count;
+pub mod entry;
+pub mod error;
+pub mod guard;
 pub mod headers;
+pub mod held;
+pub mod inner;
+pub mod job;
+pub mod keyed;
+pub mod links;
+pub mod owner;
+pub mod peer;
+pub mod pool;
+pub mod refuse;
+pub mod serve;
+pub mod shell;
+pub mod slots;
+pub mod state;
+pub mod trip;
+pub mod upload;
+pub mod wire;
+
+pub use error::Error;
--- /dev/null
+++ b/src/proxy/owner.rs
@@ -0,0 +1,183 @@
+//! The upstream's own node: admit a call, run it at the upstream, check its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header;
+use hyper::body::Body as _;
+use tokio::time;
+
+use crate::claim;
+use crate::clock;
+use crate::node;
+use crate::proxy::ask;
+use crate::proxy::body;
+use crate::proxy::guard;
+use crate::proxy::headers;
+use crate::proxy::pool;
+use crate::proxy::refuse;
+use crate::proxy::state;
+use crate::proxy::upload;
+use crate::proxy::wire;
+use crate::retry;
+use crate::view;
+
+/// Connections tried when they close before anything is sent.
+const TRIES: u8 = 3;
+
+/// Largest shed answer that is read to keep its connection, in bytes.
+const SHED_BYTES: u64 = 4096;
+
+/// The last of a call's time in which it is no longer admitted: one in this many.
+const MARGIN_SHARE: u32 = 20;
+
+/// Least of that time.
+const LEAST_MARGIN: Duration = Duration::from_millis(2);
+
+/// Most of that time.
+const MOST_MARGIN: Duration = Duration::from_millis(50);
+
+/// What a call needs at the upstream's node.
+#[derive(Clone, Copy, Debug)]
+pub struct Order<'a> {
+    /// Service that the upstream must serve.
+    pub service: &'a str,
+    /// Class that the upstream must have; `None` allows every one.
+    pub class: Option<&'a str>,
+    /// Weight of the call's kind.
+    pub weight: u32,
+    /// When the caller gives up.
+    pub deadline: clock::Instant,
+}
+
+/// Runs a call at the upstream beside this node.
+///
+/// `hold` gets the slot and the connection while the answer streams.
+///
+/// # Errors
+///
+/// The refusal says whether the call may have run.
+pub async fn run<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    order: &Order<'_>,
+    mut request: http::Request<upload::Upload>,
+    hold: &mut guard::Hold,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    let local = find(state, order)?;
+    let slot = state.slots.enter(order.weight, latest(state.ctx.now(), order.deadline)).await;
+    hold.slot = Some(slot.map_err(|r| refuse::Refusal::not_run(r.reason).again(r.retry_after))?);
+    let end = state.timer(order.deadline);
+    let method = request.method().clone();
+    let id = request.headers().get(headers::REQUEST_ID).cloned();
+    let left = order.deadline.since(state.ctx.now()).as_millis();
+    let left = u64::try_from(left).unwrap_or(u64::MAX);
+    request.headers_mut().insert(headers::DEADLINE, header::HeaderValue::from(left));
+    let (lease, answer) = send(state, &local, request, end).await?;
+    if is_shed(&answer) {
+        drain(answer, lease, end).await;
+        return Err(refuse::Refusal::not_run(retry::Reason::UpstreamShed));
+    }
+    check(&method, id.as_ref(), &answer)?;
+    let (mut parts, incoming) = answer.into_parts();
+    ask::strip(&mut parts.headers);
+    if method != http::Method::HEAD && parts.status != http::StatusCode::NOT_MODIFIED {
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
+    hold.lease = Some(lease);
+    hold.head(parts.status, Some(state.slots.load()));
+    let wire = wire::Wire::new(incoming, wire::Carrier::Plain);
+    let reply = body::Reply::read(wire, state.settings.proxy.whole_bytes, end, hold).await?;
+    Ok(http::Response::from_parts(parts, reply))
+}
+
+/// Until when a call that came at `now` may wait for its slot: a little before its deadline, so
+/// that the word that it did not run comes back in time.
+fn latest(now: clock::Instant, deadline: clock::Instant) -> clock::Instant {
+    let left = deadline.since(now);
+    let margin = (left / MARGIN_SHARE).clamp(LEAST_MARGIN, MOST_MARGIN);
+    now + left.saturating_sub(margin)
+}
+
+/// The upstream beside this node, if it is the one that `order` wants and takes calls.
+fn find<C: claim::Claims>(
+    state: &state::State<C>,
+    order: &Order<'_>,
+) -> Result<node::Local, refuse::Refusal> {
+    // Another host may serve it: to the entry, an upstream that went or changed is a leaving one.
+    const GONE: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Draining);
+    let local = state.local.borrow();
+    let local = local.as_ref().ok_or(GONE)?;
+    let upstream = &local.upstream;
+    let wanted = upstream.service == order.service
+        && order.class.is_none_or(|class| upstream.class == class)
+        && upstream.phase != view::Phase::Draining
+        && !state.draining();
+    if wanted { Ok((**local).clone()) } else { Err(GONE) }
+}
+
+/// Sends a call on a connection from the pool. One that turns out to be closed before anything
+/// was sent is replaced by another.
+async fn send<C: claim::Claims>(
+    state: &state::State<C>,
+    local: &node::Local,
+    mut request: http::Request<upload::Upload>,
+    end: time::Instant,
+) -> Result<(pool::Lease, http::Response<hyper::body::Incoming>), refuse::Refusal> {
+    for _ in 0..TRIES {
+        let lease = time::timeout_at(end, state.pool.take(local.address)).await;
+        let lease = lease.map_err(|_| refuse::Refusal::not_run(retry::Reason::TooLate))?;
+        let mut lease = lease.map_err(|_| refuse::Refusal::not_run(retry::Reason::Unreachable))?;
+        let answer = time::timeout_at(end, lease.send(request)).await;
+        let answer = answer.map_err(|_| refuse::Refusal::unknown(retry::Reason::Timeout))?;
+        match answer {
+            Ok(answer) => return Ok((lease, answer)),
+            Err(pool::Failed { unsent: Some(unsent), .. }) => request = *unsent,
+            Err(pool::Failed { error, .. }) => {
+                log::debug!("call lost at the upstream: {error:?}");
+                return Err(refuse::Refusal::unknown(retry::Reason::Cut));
+            }
+        }
+    }
+    Err(refuse::Refusal::not_run(retry::Reason::Unreachable))
+}
+
+/// Whether the upstream says, in its documented way, that it did not run the call.
+fn is_shed<B>(answer: &http::Response<B>) -> bool {
+    answer.status() == http::StatusCode::SERVICE_UNAVAILABLE
+        && answer.headers().get(headers::UPSTREAM).is_some_and(|v| v == headers::SHED)
+}
+
+/// Reads a shed answer to its end, so that the connection can be used again.
+async fn drain(
+    answer: http::Response<hyper::body::Incoming>,
+    lease: pool::Lease,
+    end: time::Instant,
+) {
+    let mut hold = guard::Hold { lease: Some(lease), ..guard::Hold::default() };
+    let wire = wire::Wire::new(answer.into_body(), wire::Carrier::Plain);
+    // A body that is long or cut drops the connection, which is all that is wanted.
+    let _ = body::Reply::read(wire, SHED_BYTES, end, &mut hold).await;
+}
+
+/// Whether `answer` belongs to this call and tells where it ends.
+fn check(
+    method: &http::Method,
+    id: Option<&header::HeaderValue>,
+    answer: &http::Response<hyper::body::Incoming>,
+) -> Result<(), refuse::Refusal> {
+    let echo = answer.headers().get(headers::REQUEST_ID);
+    let crossed = echo.is_some() && echo != id;
+    let upgraded = answer.status().is_informational();
+    if crossed || upgraded || !is_framed(method, answer) {
+        return Err(refuse::Refusal::unknown(retry::Reason::Malformed));
+    }
+    Ok(())
+}
+
+/// Whether the answer's end is marked: by its length, by chunks, or because it has no body.
+fn is_framed(method: &http::Method, answer: &http::Response<hyper::body::Incoming>) -> bool {
+    method == http::Method::HEAD
+        || answer.body().is_end_stream()
+        || answer.body().size_hint().exact().is_some()
+        || answer.headers().contains_key(header::TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/src/proxy/peer.rs
@@ -0,0 +1,123 @@
+//! Requests of other nodes: calls for the upstream beside this one, and for held answers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time;
+
+use bytes::Bytes;
+use http::header;
+use hyper::body::Incoming;
+
+use crate::claim;
+use crate::proxy::ask;
+use crate::proxy::body;
+use crate::proxy::guard;
+use crate::proxy::headers;
+use crate::proxy::held;
+use crate::proxy::inner;
+use crate::proxy::links;
+use crate::proxy::owner;
+use crate::proxy::refuse;
+use crate::proxy::state;
+use crate::proxy::upload;
+use crate::proxy::wire;
+use crate::retry;
+
+/// A connection without a greeting of this mesh: it gets nothing and is closed.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the connection is not a node's of this mesh")]
+pub struct Stranger;
+
+/// Answers a request on a connection that `known` says was greeted on.
+///
+/// # Errors
+///
+/// The first request is no greeting.
+pub async fn serve<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    known: Rc<Cell<bool>>,
+    request: http::Request<Incoming>,
+) -> Result<http::Response<body::Reply>, Stranger> {
+    if !known.get() {
+        known.set(links::is_greeting(&state.seal, state.me, &request));
+        let empty = http::Response::new(body::Reply::whole(Bytes::new()));
+        return if known.get() { Ok(empty) } else { Err(Stranger) };
+    }
+    if request.headers().contains_key(headers::SERVICE) {
+        return Ok(call(&state, request).await);
+    }
+    Ok(held(&state, &request).await)
+}
+
+async fn call<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    request: http::Request<Incoming>,
+) -> http::Response<body::Reply> {
+    let flight = Some(state.flights.enter());
+    let hold = guard::Hold { flight, ..guard::Hold::default() };
+    let result = run(state, request, hold).await;
+    let mut answer = match result {
+        Ok(answer) => ran(answer),
+        Err(refusal) => refused(&refusal),
+    };
+    let load = state.slots.load().to_string();
+    if let Ok(load) = header::HeaderValue::from_str(&load) {
+        answer.headers_mut().insert(headers::LOAD, load);
+    }
+    answer
+}
+
+async fn run<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    request: http::Request<Incoming>,
+    mut hold: guard::Hold,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
+    let (parts, incoming) = request.into_parts();
+    let text = |name| parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let service = text(headers::SERVICE).ok_or(MALFORMED)?;
+    let class = text(headers::CLASS);
+    let weight = ask::number(&parts.headers, headers::WEIGHT)?.ok_or(MALFORMED)?;
+    let left = ask::number(&parts.headers, headers::DEADLINE)?.ok_or(MALFORMED)?;
+    let order = owner::Order {
+        service: &service,
+        class: class.as_deref(),
+        weight: u32::try_from(weight).map_err(|_| MALFORMED)?,
+        deadline: state.ctx.now() + time::Duration::from_millis(left),
+    };
+    // The entry has checked the size against the kind.
+    let intake = upload::Intake::stream(wire::Wire::new(incoming, wire::Carrier::Inner), u64::MAX);
+    let request = inner::unwrap(parts, intake.attempt())?;
+    owner::run(state, &order, request, &mut hold).await
+}
+
+/// The held answer of a call that came in here.
+async fn held<C: claim::Claims>(
+    state: &state::State<C>,
+    request: &http::Request<Incoming>,
+) -> http::Response<body::Reply> {
+    let gone = refuse::Refusal::unknown(retry::Reason::Conflict);
+    let left = ask::number(request.headers(), headers::DEADLINE).ok().flatten().unwrap_or(0);
+    let Some((name, print)) = inner::asked(request.uri().path()) else { return refused(&gone) };
+    let find = state.held.find(name, print);
+    match tokio::time::timeout(time::Duration::from_millis(left), find).await {
+        Ok(held::Found::Answer(answer)) => ran(answer.replay()),
+        Ok(held::Found::Released) => refused(&refuse::Refusal::not_run(retry::Reason::Conflict)),
+        Ok(held::Found::Gone) | Err(_) => refused(&gone),
+    }
+}
+
+fn ran(mut answer: http::Response<body::Reply>) -> http::Response<body::Reply> {
+    let ran = header::HeaderValue::from_static(headers::RAN);
+    answer.headers_mut().insert(headers::OUTCOME, ran);
+    answer
+}
+
+fn refused(refusal: &refuse::Refusal) -> http::Response<body::Reply> {
+    let mut answer = refusal.answer();
+    if let Some(after) = refusal.retry_after {
+        let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+        answer.headers_mut().insert(headers::RETRY, header::HeaderValue::from(millis));
+    }
+    answer
+}
--- /dev/null
+++ b/src/proxy/refuse.rs
@@ -0,0 +1,104 @@
+//! The answer of a call that has none of its upstream.
+
+use std::time;
+
+use bytes::Bytes;
+use http::header;
+
+use crate::proxy::body;
+use crate::proxy::headers;
+use crate::retry;
+
+/// A call without an answer of its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Never [`retry::Outcome::Ran`].
+    pub outcome: retry::Outcome,
+    /// When another try may be worth it; `None` when it never is.
+    pub retry_after: Option<time::Duration>,
+    /// Status of the answer.
+    pub status: http::StatusCode,
+}
+
+impl Refusal {
+    /// A call proven not to have run.
+    pub const fn not_run(reason: retry::Reason) -> Self {
+        Self::new(retry::Outcome::NotRun(reason), None)
+    }
+
+    /// A call that may have run.
+    pub const fn unknown(reason: retry::Reason) -> Self {
+        Self::new(retry::Outcome::Unknown(reason), None)
+    }
+
+    /// The refusal of a call that ended with `outcome`.
+    pub const fn new(outcome: retry::Outcome, retry_after: Option<time::Duration>) -> Self {
+        Self { outcome, retry_after, status: status(outcome) }
+    }
+
+    /// The same with a time after which another try may be worth it.
+    pub const fn again(mut self, after: time::Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// The answer, with the reason's name as its body.
+    pub fn answer(&self) -> http::Response<body::Reply> {
+        let reason = self.outcome.reason().map_or("", retry::Reason::as_str);
+        let mut answer =
+            http::Response::new(body::Reply::whole(Bytes::from_static(reason.as_bytes())));
+        *answer.status_mut() = self.status;
+        let map = answer.headers_mut();
+        map.insert(headers::OUTCOME, header::HeaderValue::from_static(name(self.outcome)));
+        map.insert(headers::REASON, header::HeaderValue::from_static(reason));
+        map.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/plain"));
+        if let Some(after) = self.retry_after {
+            map.insert(header::RETRY_AFTER, header::HeaderValue::from(seconds(after)));
+        }
+        answer
+    }
+}
+
+/// The value of [`headers::OUTCOME`] for `outcome`.
+pub const fn name(outcome: retry::Outcome) -> &'static str {
+    match outcome {
+        retry::Outcome::Ran => headers::RAN,
+        retry::Outcome::NotRun(_) => headers::NOT_RUN,
+        retry::Outcome::Unknown(_) => headers::UNKNOWN,
+    }
+}
+
+const fn status(outcome: retry::Outcome) -> http::StatusCode {
+    match outcome {
+        retry::Outcome::NotRun(reason) => refused(reason),
+        retry::Outcome::Unknown(reason) => failed(reason),
+        retry::Outcome::Ran => http::StatusCode::OK,
+    }
+}
+
+/// Status of the answer to a call that was not run.
+const fn refused(reason: retry::Reason) -> http::StatusCode {
+    match reason {
+        retry::Reason::Malformed | retry::Reason::Cut => http::StatusCode::BAD_REQUEST,
+        retry::Reason::TooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
+        retry::Reason::NoRoute => http::StatusCode::NOT_FOUND,
+        retry::Reason::Conflict => http::StatusCode::CONFLICT,
+        retry::Reason::TooDeep => http::StatusCode::LOOP_DETECTED,
+        _ => http::StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Status of the answer to a call that may have run.
+const fn failed(reason: retry::Reason) -> http::StatusCode {
+    match reason {
+        retry::Reason::TooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
+        retry::Reason::Conflict => http::StatusCode::CONFLICT,
+        retry::Reason::Timeout => http::StatusCode::GATEWAY_TIMEOUT,
+        _ => http::StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Whole seconds, rounded up, at least one: the unit of `Retry-After`.
+fn seconds(after: time::Duration) -> u64 {
+    (after.as_secs() + u64::from(after.subsec_nanos() > 0)).max(1)
+}
--- /dev/null
+++ b/src/proxy/serve.rs
@@ -0,0 +1,157 @@
+//! Listeners and the connections they accept.
+
+use std::cell::Cell;
+use std::convert;
+use std::net;
+use std::rc::Rc;
+use std::time;
+
+use hyper::server::conn::{http1, http2};
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::claim;
+use crate::proxy::entry;
+use crate::proxy::error;
+use crate::proxy::links;
+use crate::proxy::peer;
+use crate::proxy::state;
+
+/// Pause after a failed accept: the process is out of descriptors.
+const PAUSE: time::Duration = time::Duration::from_millis(10);
+
+/// Becomes true when connections shall end as soon as they carry no call.
+pub type Closing = watch::Receiver<bool>;
+
+/// Opens a listener.
+///
+/// # Errors
+///
+/// The address is taken or not this host's.
+pub async fn listen(address: net::SocketAddr) -> Result<TcpListener, error::Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| error::Error::Listen { address, source })
+}
+
+/// Serves callers until `closing`, then until the last connection has ended.
+pub async fn callers<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    listener: TcpListener,
+    mut closing: Closing,
+) {
+    let mut open = task::JoinSet::new();
+    while let Some(stream) = accept(&listener, &mut closing, &mut open).await {
+        open.spawn_local(caller(Rc::clone(&state), stream, closing.clone()));
+    }
+    while open.join_next().await.is_some() {}
+}
+
+/// Serves other nodes until `closing`, then until the last connection has ended.
+pub async fn nodes<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    listener: TcpListener,
+    mut closing: Closing,
+) {
+    let mut open = task::JoinSet::new();
+    while let Some(stream) = accept(&listener, &mut closing, &mut open).await {
+        open.spawn_local(node(Rc::clone(&state), stream, closing.clone()));
+    }
+    while open.join_next().await.is_some() {}
+}
+
+/// The next connection; `None` when the listener is to close.
+async fn accept(
+    listener: &TcpListener,
+    closing: &mut Closing,
+    open: &mut task::JoinSet<()>,
+) -> Option<TcpStream> {
+    loop {
+        tokio::select! {
+            // A closed channel means the same as `true`.
+            _ = closing.wait_for(|c| *c) => return None,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => return Some(stream),
+                Err(error) => {
+                    log::warn!("can't accept a connection: {error}");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            },
+            Some(_) = open.join_next() => {}
+        }
+    }
+}
+
+async fn caller<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    stream: TcpStream,
+    mut closing: Closing,
+) {
+    let proxy = &state.settings.proxy;
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let answers = service::service_fn(|request| {
+        let answer = entry::call(Rc::clone(&state), request);
+        async { Ok::<_, convert::Infallible>(answer.await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(time::Duration::from_millis(proxy.head_ms))
+        .max_buf_size(proxy.head_bytes)
+        .max_headers(proxy.head_count)
+        .serve_connection(TokioIo::new(stream), answers);
+    let mut conn = std::pin::pin!(conn);
+    let result = tokio::select! {
+        result = conn.as_mut() => result,
+        _ = closing.wait_for(|c| *c) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("connection of a caller ended: {error}");
+    }
+}
+
+async fn node<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    stream: TcpStream,
+    mut closing: Closing,
+) {
+    let proxy = &state.settings.proxy;
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let known = Rc::new(Cell::new(false));
+    let (stranger, mut strange) = watch::channel(false);
+    let answers = service::service_fn(|request| {
+        let answer = peer::serve(Rc::clone(&state), Rc::clone(&known), request);
+        let stranger = stranger.clone();
+        async move { answer.await.inspect_err(|_| stranger.send_modify(|s| *s = true)) }
+    });
+    let conn = http2::Builder::new(links::Here)
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(proxy.stream_bytes)
+        .initial_connection_window_size(proxy.link_bytes)
+        .max_concurrent_streams(proxy.link_calls)
+        .max_header_list_size(u32::try_from(proxy.head_bytes).unwrap_or(u32::MAX))
+        .serve_connection(TokioIo::new(stream), answers);
+    let mut conn = std::pin::pin!(conn);
+    let result = tokio::select! {
+        result = conn.as_mut() => result,
+        _ = strange.wait_for(|s| *s) => {
+            log::warn!("a stranger tried to connect as a node");
+            return;
+        }
+        _ = closing.wait_for(|c| *c) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("connection of a node ended: {error}");
+    }
+}
--- /dev/null
+++ b/src/proxy/shell.rs
@@ -0,0 +1,168 @@
+//! The duty of calls: starts the listeners, follows what the other duties find out, and ends when
+//! nothing is in flight.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time;
+
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::claim;
+use crate::configs;
+use crate::context;
+use crate::mesh;
+use crate::node;
+use crate::proxy::error;
+use crate::proxy::serve;
+use crate::proxy::state;
+use crate::ring;
+use crate::usage;
+use crate::view;
+
+/// Longest the last connections may take to close once nothing is in flight.
+const CLOSE: time::Duration = time::Duration::from_secs(2);
+
+/// Time between two rounds of closing what is no longer used.
+const TIDY: time::Duration = time::Duration::from_secs(1);
+
+/// Least time between two rebuilds of the table of upstreams, so that churn doesn't take up the
+/// thread.
+const REBUILD: time::Duration = time::Duration::from_millis(20);
+
+/// What joins the call path to the other duties.
+#[derive(Clone, Debug)]
+pub struct Wiring<C> {
+    /// The configuration in force.
+    pub applied: watch::Receiver<Arc<mesh::Applied>>,
+    /// The mesh's hosts.
+    pub view: watch::Receiver<Arc<view::View>>,
+    /// The upstream beside this node.
+    pub local: watch::Receiver<Option<Arc<node::Local>>>,
+    /// How far the process is in its life.
+    pub stage: watch::Receiver<node::Stage>,
+    /// Takes usage counts; a full ring leaves them here for the next time.
+    pub tallies: ring::Sender<usage::Delta>,
+    /// Claims of idempotency keys.
+    pub claims: C,
+}
+
+/// Ends a task when dropped.
+struct Task(task::JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Serves calls until the process drains and nothing is in flight, or until it ends.
+///
+/// Runs on a [`task::LocalSet`].
+///
+/// # Errors
+///
+/// An address to listen on is taken.
+pub async fn run<C: claim::Claims>(
+    ctx: context::Context,
+    settings: Arc<configs::Node>,
+    wiring: Wiring<C>,
+) -> Result<(), error::Error> {
+    let state = Rc::new(state::State::new(ctx, settings, &wiring));
+    let callers = serve::listen(state.me.call_addr()).await?;
+    let nodes = serve::listen(state.me.inner_addr()).await?;
+    let (close, closing) = watch::channel(false);
+    state.rebuild(Arc::clone(&wiring.applied.borrow()), &wiring.view.borrow());
+    let followers = [
+        spawn(follow_tables(Rc::clone(&state), wiring.applied.clone(), wiring.view.clone())),
+        spawn(follow_local(Rc::clone(&state))),
+        spawn(keep_house(Rc::clone(&state), wiring.tallies.clone())),
+    ];
+    let mut callers = spawn(serve::callers(Rc::clone(&state), callers, closing.clone()));
+    let mut nodes = spawn(serve::nodes(Rc::clone(&state), nodes, closing));
+    let mut stage = wiring.stage;
+    let mut over = stage.clone();
+    tokio::select! {
+        () = until(&mut over, node::Stage::End) => {}
+        () = drained(&state, &mut stage) => {
+            close.send_replace(true);
+            let both = async { tokio::join!(&mut callers.0, &mut nodes.0) };
+            // Connections still open then carry no call.
+            let _ = tokio::time::timeout(CLOSE, both).await;
+        }
+    }
+    drop(followers);
+    state.tally.borrow_mut().hand(&wiring.tallies);
+    Ok(())
+}
+
+fn spawn(task: impl Future<Output = ()> + 'static) -> Task {
+    Task(task::spawn_local(task))
+}
+
+/// Waits until the process is at least as far as `least`. An ended sender means its end.
+async fn until(stage: &mut watch::Receiver<node::Stage>, least: node::Stage) {
+    let _ = stage.wait_for(|s| *s >= least).await;
+}
+
+/// Waits until the process drains, callers had time to learn it, and nothing is in flight.
+async fn drained<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    stage: &mut watch::Receiver<node::Stage>,
+) {
+    until(stage, node::Stage::Drain).await;
+    state.slots.drain();
+    tokio::time::sleep(time::Duration::from_millis(state.settings.proxy.linger_ms)).await;
+    state.flights.idle().await;
+}
+
+/// Takes each new configuration and view into use.
+async fn follow_tables<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    mut applied: watch::Receiver<Arc<mesh::Applied>>,
+    mut view: watch::Receiver<Arc<view::View>>,
+) {
+    loop {
+        let changed = tokio::select! {
+            changed = applied.changed() => changed,
+            changed = view.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+        let mesh = Arc::clone(&applied.borrow_and_update());
+        let hosts = Arc::clone(&view.borrow_and_update());
+        state.rebuild(mesh, &hosts);
+        tokio::time::sleep(REBUILD).await;
+    }
+}
+
+/// Takes each change of the upstream beside this node into use.
+async fn follow_local<C: claim::Claims>(state: Rc<state::State<C>>) {
+    let mut local = state.local.clone();
+    while local.changed().await.is_ok() {
+        local.borrow_and_update();
+        state.limit();
+    }
+}
+
+/// Hands over usage counts and closes what is no longer used.
+async fn keep_house<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    tallies: ring::Sender<usage::Delta>,
+) {
+    let period = time::Duration::from_millis(state.settings.proxy.tally_ms.max(1));
+    let mut hand = tokio::time::interval(period);
+    let mut tidy = tokio::time::interval(TIDY);
+    loop {
+        tokio::select! {
+            _ = hand.tick() => state.tally.borrow_mut().hand(&tallies),
+            _ = tidy.tick() => {
+                let address = state.local.borrow().as_ref().map(|l| l.address);
+                state.pool.tidy(address);
+                state.links.tidy();
+                state.held.tidy();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/slots.rs
@@ -0,0 +1,143 @@
+//! The gate in front of the upstream beside this node, for tasks that wait for a slot.
+
+use std::cell::{Cell, RefCell};
+use std::collections;
+use std::rc::Rc;
+use std::time;
+
+use tokio::sync::oneshot;
+
+use crate::admit;
+use crate::clock;
+use crate::context;
+use crate::proxy::guard;
+use crate::retry;
+
+/// What the gate said to a call.
+type Verdict = Result<(), Refused>;
+
+/// The gate turned the call away; it has not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// Why.
+    pub reason: retry::Reason,
+    /// When a place may be free.
+    pub retry_after: time::Duration,
+}
+
+/// The gate and the calls that wait at it.
+#[derive(Debug)]
+pub struct Slots {
+    ctx: context::Context,
+    gate: RefCell<admit::Gate>,
+    waiters: RefCell<collections::HashMap<admit::Ticket, oneshot::Sender<Verdict>>>,
+    next: Cell<u64>,
+    /// Kept to save an allocation for each event.
+    actions: RefCell<Vec<admit::Action>>,
+}
+
+/// A slot held by a call that runs; dropped without [`Slot::end`], the call was cancelled.
+#[derive(Debug)]
+pub struct Slot {
+    slots: Rc<Slots>,
+    ticket: admit::Ticket,
+    ended: bool,
+}
+
+impl Slots {
+    /// A gate that admits nothing yet.
+    pub fn new(ctx: context::Context) -> Self {
+        let limits = admit::Limits { slots: 0, connections: 0, queue: 0 };
+        Self {
+            ctx,
+            gate: RefCell::new(admit::Gate::new(limits)),
+            waiters: RefCell::default(),
+            next: Cell::new(0),
+            actions: RefCell::default(),
+        }
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// The gate's refusal.
+    pub async fn enter(
+        self: &Rc<Self>,
+        weight: u32,
+        deadline: clock::Instant,
+    ) -> Result<Slot, Refused> {
+        let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
+        let (sender, mut receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, sender);
+        // From here on, leaving early takes the call off the gate.
+        let slot = Slot { slots: Rc::clone(self), ticket, ended: false };
+        self.handle(admit::Event::Arrive { ticket, weight, deadline });
+        if let Ok(verdict) = receiver.try_recv() {
+            return verdict.map(|()| slot);
+        }
+        let left = deadline.since(self.ctx.now()) + guard::TIMER_SLACK;
+        let mut verdict = tokio::time::timeout(left, &mut receiver).await;
+        if verdict.is_err() {
+            self.handle(admit::Event::Tick);
+            verdict = Ok(receiver.await);
+        }
+        match verdict {
+            Ok(Ok(verdict)) => verdict.map(|()| slot),
+            Ok(Err(_)) | Err(_) => {
+                Err(Refused { reason: retry::Reason::TooLate, retry_after: time::Duration::ZERO })
+            }
+        }
+    }
+
+    /// Takes in a change of the limits.
+    pub fn limit(&self, limits: admit::Limits) {
+        self.handle(admit::Event::Limits(limits));
+    }
+
+    /// Admits nothing any more.
+    pub fn drain(&self) {
+        self.handle(admit::Event::Drain);
+    }
+
+    /// The upstream's load.
+    pub fn load(&self) -> admit::Load {
+        self.gate.borrow().load()
+    }
+
+    fn handle(&self, event: admit::Event) {
+        let mut actions = self.actions.take();
+        self.gate.borrow_mut().handle(event, self.ctx.now(), &mut actions);
+        for action in actions.drain(..) {
+            let (ticket, verdict) = match action {
+                admit::Action::Run { ticket } => (ticket, Ok(())),
+                admit::Action::Refuse { ticket, reason, retry_after } => {
+                    (ticket, Err(Refused { reason, retry_after }))
+                }
+            };
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) {
+                // A waiter that has left gives its slot back when its `Slot` is dropped.
+                let _ = waiter.send(verdict);
+            }
+        }
+        self.actions.replace(actions);
+    }
+}
+
+impl Slot {
+    /// The call has ended by itself.
+    pub fn end(mut self) {
+        self.ended = true;
+        self.slots.handle(admit::Event::Ended { ticket: self.ticket });
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.slots.waiters.borrow_mut().remove(&self.ticket);
+        self.slots.handle(admit::Event::Cancelled { ticket: self.ticket });
+    }
+}
--- /dev/null
+++ b/src/proxy/state.rs
@@ -0,0 +1,199 @@
+//! What the calls of one node share. Everything here lives on the thread of the call path.
+
+use std::cell::{Cell, RefCell};
+use std::collections;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time;
+
+use http::header;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use crate::claim;
+use crate::clock;
+use crate::configs;
+use crate::context;
+use crate::host;
+use crate::mesh;
+use crate::node;
+use crate::pick;
+use crate::proxy::guard;
+use crate::proxy::held;
+use crate::proxy::links;
+use crate::proxy::pool;
+use crate::proxy::shell;
+use crate::proxy::slots;
+use crate::retry;
+use crate::seal;
+use crate::usage;
+use crate::view;
+
+/// What the calls of one node share.
+pub struct State<C> {
+    /// Time and randomness.
+    pub ctx: context::Context,
+    /// Settings.
+    pub settings: Arc<configs::Node>,
+    /// This host.
+    pub me: host::HostId,
+    /// Claims of idempotency keys.
+    pub claims: C,
+    /// The upstream beside this node.
+    pub local: watch::Receiver<Option<Arc<node::Local>>>,
+    /// The mesh's hosts.
+    pub view: watch::Receiver<Arc<view::View>>,
+    /// How far the process is in its life.
+    pub stage: watch::Receiver<node::Stage>,
+    /// The configuration in force. Swapped together with the picker's table.
+    pub applied: RefCell<Arc<mesh::Applied>>,
+    /// Picks upstreams.
+    pub picker: Rc<RefCell<pick::Picker>>,
+    /// Budgets of extra attempts by service.
+    pub budgets: RefCell<collections::HashMap<SmolStr, retry::Budget>>,
+    /// The gate in front of the upstream beside this node.
+    pub slots: Rc<slots::Slots>,
+    /// Connections to that upstream.
+    pub pool: Rc<pool::Pool>,
+    /// Connections to other nodes.
+    pub links: links::Links,
+    /// Answers held for duplicates.
+    pub held: Rc<held::Held>,
+    /// Calls in flight.
+    pub flights: Rc<guard::Flights>,
+    /// Calls counted.
+    pub tally: Rc<RefCell<usage::Tally>>,
+    /// Tags of the mesh.
+    pub seal: seal::Seal,
+    /// Start of the identities of calls made here.
+    prefix: u64,
+    /// Number of the next call that needs one.
+    next: Cell<u64>,
+}
+
+impl<C: claim::Claims> State<C> {
+    /// The state of a node that has served nothing yet.
+    pub fn new(
+        ctx: context::Context,
+        settings: Arc<configs::Node>,
+        wiring: &shell::Wiring<C>,
+    ) -> Self {
+        let me = host::HostId::new(settings.listen);
+        let place = view::Place { region: settings.region.clone(), zone: settings.zone.clone() };
+        let picker = pick::Picker::new(place, &settings.call, ctx.seed_for("pick"));
+        let seal = seal::Seal::new(&settings.mesh, &settings.key);
+        let proxy = &settings.proxy;
+        let limits = held::Limits {
+            time: time::Duration::from_millis(proxy.held_ms),
+            count: proxy.held_count,
+            bytes: proxy.held_bytes,
+        };
+        let idle = time::Duration::from_millis(proxy.idle_ms);
+        Self {
+            ctx,
+            me,
+            claims: wiring.claims.clone(),
+            local: wiring.local.clone(),
+            view: wiring.view.clone(),
+            stage: wiring.stage.clone(),
+            applied: RefCell::default(),
+            picker: Rc::new(RefCell::new(picker)),
+            budgets: RefCell::default(),
+            slots: Rc::new(slots::Slots::new(ctx)),
+            pool: Rc::new(pool::Pool::new(idle)),
+            links: links::Links::new(me, seal.clone(), Arc::clone(&settings)),
+            held: Rc::new(held::Held::new(limits)),
+            flights: Rc::default(),
+            tally: Rc::default(),
+            seal,
+            prefix: ctx.seed_for("call"),
+            next: Cell::new(0),
+            settings,
+        }
+    }
+
+    /// Whether new calls are refused.
+    pub fn draining(&self) -> bool {
+        *self.stage.borrow() >= node::Stage::Drain
+    }
+
+    /// The configuration in force.
+    pub fn applied(&self) -> Arc<mesh::Applied> {
+        Arc::clone(&self.applied.borrow())
+    }
+
+    /// The runtime's instant of `deadline`.
+    pub fn timer(&self, deadline: clock::Instant) -> tokio::time::Instant {
+        tokio::time::Instant::now() + deadline.since(self.ctx.now())
+    }
+
+    /// Wait suggested to a refused caller.
+    pub fn pause(&self) -> time::Duration {
+        time::Duration::from_millis(self.settings.proxy.retry_ms)
+    }
+
+    /// A number that no other call of this process has. Its start is random, so that a process
+    /// whose incarnation is not known yet doesn't repeat the numbers of the one before.
+    pub fn number(&self) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.prefix.wrapping_add(number)
+    }
+
+    /// A new identity of a call.
+    pub fn id(&self) -> header::HeaderValue {
+        let text = format!("{:016x}", self.number());
+        header::HeaderValue::from_str(&text)
+            .unwrap_or_else(|_| header::HeaderValue::from_static("0"))
+    }
+
+    /// Runs `with` on the budget of extra attempts of `service`.
+    pub fn budget<T>(
+        &self,
+        service: &mesh::Service,
+        with: impl FnOnce(&mut retry::Budget) -> T,
+    ) -> T {
+        let burst = self.settings.call.retry_burst;
+        let mut budgets = self.budgets.borrow_mut();
+        if !budgets.contains_key(&service.name) {
+            budgets.insert(service.name.clone(), retry::Budget::new(service.retries, burst));
+        }
+        match budgets.get_mut(&service.name) {
+            Some(budget) => {
+                budget.limit(service.retries, burst);
+                with(budget)
+            }
+            None => with(&mut retry::Budget::new(0, 0)),
+        }
+    }
+
+    /// Takes a configuration and a view into use, both at once.
+    pub fn rebuild(&self, applied: Arc<mesh::Applied>, view: &view::View) {
+        self.picker.borrow_mut().rebuild(view, &applied.mesh, self.ctx.now());
+        let names = |name: &SmolStr| applied.mesh.services.iter().any(|s| s.name == *name);
+        self.budgets.borrow_mut().retain(|name, _| names(name));
+        self.applied.replace(applied);
+        self.limit();
+    }
+
+    /// Takes the limits of the upstream beside this node into use.
+    pub fn limit(&self) {
+        let local = self.local.borrow().clone();
+        let address = local.as_ref().map(|l| l.address);
+        self.pool.tidy(address);
+        self.slots.limit(local.map_or_else(
+            || crate::admit::Limits { slots: 0, connections: 0, queue: 0 },
+            |local| self.limits(&local.upstream),
+        ));
+    }
+
+    fn limits(&self, upstream: &view::Upstream) -> crate::admit::Limits {
+        let applied = self.applied.borrow();
+        let service = applied.mesh.services.iter().find(|s| s.name == upstream.service);
+        crate::admit::Limits {
+            slots: upstream.slots,
+            connections: upstream.connections,
+            queue: service.map_or(0, |s| s.queue),
+        }
+    }
+}
