test(proxy): drive the call path with upstreams that misbehave on purpose

Cause: what the call path promises has to be seen against answers that are late, crossed, cut, doubled, trickled and oversized, against callers who leave, and against stops of nodes and upstreams.

Ruled out as faults: a request with both length and chunks is read by its chunks and reaches the upstream with one framing, so it is checked for that instead of for a refusal.

--- /dev/null
+++ b/tests/calls/answers.rs
@@ -0,0 +1,224 @@
+//! Answers that are late, crossed, cut short, doubled, trickled or oversized.
+
+use std::cell::Cell;
+use std::time;
+
+use rstest::rstest;
+
+use crate::fake;
+use crate::fake::Step;
+use crate::rig;
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\n";
+
+/// An order is not idempotent: it may not be tried again after any of these.
+#[rstest]
+#[case::cut_by_length(b"content-length: 20\r\n\r\nhalf", "cut")]
+#[case::cut_in_a_chunk(b"transfer-encoding: chunked\r\n\r\n14\r\nhalf", "cut")]
+#[case::cut_after_a_chunk(b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n", "cut")]
+#[case::cut_in_the_head(b"content-length: 20\r\nx-ha", "cut")]
+#[case::without_a_marked_end(b"\r\nwhole or half, who knows", "malformed")]
+#[case::for_another_call(b"x-request-id: r0\r\ncontent-length: 4\r\n\r\nr0!!", "malformed")]
+#[case::two_lengths(b"content-length: 4\r\ncontent-length: 2\r\n\r\nhalf", "cut")]
+fn a_broken_answer_is_never_taken_as_whole(#[case] rest: &'static [u8], #[case] reason: &str) {
+    rig::run(async {
+        let script = move |_: &fake::Seen| vec![Step::Write([HEAD, rest].concat()), Step::Close];
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for entry in &nodes {
+            let answer = rig::call(entry, rig::request("POST", "/orders", "r1"), b"x").await;
+            assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
+            assert_eq!(answer.header("dandelionspool-reason"), reason);
+            assert_eq!(answer.text(), reason);
+        }
+        assert_eq!(fake.runs("r1"), 2, "once for each call");
+    });
+}
+
+#[test]
+fn an_idempotent_call_survives_a_cut_answer() {
+    rig::run(async {
+        let broken = Cell::new(false);
+        let script = move |seen: &fake::Seen| {
+            if broken.replace(true) { fake::echo(seen) } else { vec![Step::Close] }
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let answer = rig::call(&nodes[0], rig::request("GET", "/browse", "r1"), b"").await;
+        assert_eq!((answer.outcome(), answer.text()), ("ran", "answer to r1"));
+        assert_eq!(fake.seen()[1].header("dandelionspool-attempt"), "2");
+    });
+}
+
+#[test]
+fn a_long_answer_that_is_cut_ends_in_an_error_the_caller_sees() {
+    for head in ["content-length: 1000000\r\n\r\n", "transfer-encoding: chunked\r\n\r\nf4240\r\n"] {
+        rig::run(async {
+            let script = move |_: &fake::Seen| {
+                let mut bytes = [HEAD, head.as_bytes()].concat();
+                bytes.extend_from_slice(&[b'x'; 500_000]);
+                vec![Step::Write(bytes), Step::Close]
+            };
+            let fake = fake::Fake::start(script).await;
+            let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+            for entry in &nodes {
+                let answer = rig::call(entry, rig::request("GET", "/browse", "r1"), b"").await;
+                assert_eq!(answer.status, 200);
+                assert!(answer.body.is_none(), "the caller took half an answer for a whole one");
+            }
+        });
+    }
+}
+
+#[test]
+fn a_long_answer_streams_whole() {
+    rig::run(async {
+        let text = "0123456789".repeat(300_000);
+        let whole = fake::answer(&text);
+        let fake = fake::Fake::start(move |_| vec![Step::Write(whole.clone())]).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for entry in &nodes {
+            let answer = rig::call(entry, rig::request("GET", "/browse", "r1"), b"").await;
+            assert_eq!((answer.outcome(), answer.header("content-length")), ("ran", "3000000"));
+            assert!(answer.text() == text);
+        }
+    });
+}
+
+#[test]
+fn a_trickled_answer_comes_whole() {
+    rig::run(async {
+        let script = |_: &fake::Seen| {
+            let bytes = fake::answer("drop by drop");
+            let step = |b: &u8| [Step::Write(vec![*b]), Step::Wait(time::Duration::from_millis(1))];
+            bytes.iter().flat_map(step).collect()
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let answer = rig::call(&nodes[0], rig::request("GET", "/browse", "r1"), b"").await;
+        assert_eq!(answer.text(), "drop by drop");
+    });
+}
+
+#[test]
+fn a_late_answer_is_unknown_and_its_connection_is_not_used_again() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| match seen.header("x-request-id").as_str() {
+            "late0" | "late1" => vec![
+                Step::Wait(time::Duration::from_millis(400)),
+                Step::Write(fake::answer("too late")),
+            ],
+            _ => fake::echo(seen),
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for (number, entry) in nodes.iter().enumerate() {
+            let late = rig::request("POST", "/orders", &format!("late{number}"));
+            let late = late.header("dandelionspool-deadline-ms", "100");
+            let answer = rig::call(entry, late, b"").await;
+            assert_eq!((answer.status, answer.outcome()), (504, "unknown"));
+            assert_eq!(answer.header("dandelionspool-reason"), "timeout");
+            let answer = rig::call(entry, rig::request("POST", "/orders", "next"), b"").await;
+            assert_eq!(answer.text(), "answer to next");
+            let seen = fake.seen();
+            let [.., late, next] = seen.as_slice() else { panic!("{seen:?}") };
+            assert_ne!(late.conn, next.conn);
+        }
+    });
+}
+
+#[test]
+fn a_doubled_answer_reaches_no_other_call() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| {
+            let one = fake::answer(&format!("answer to {}", seen.header("x-request-id")));
+            vec![Step::Write([one.clone(), one].concat())]
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for number in 0..20 {
+            let id = format!("r{number}");
+            let answer = rig::call(&nodes[0], rig::request("GET", "/browse", &id), b"").await;
+            assert_eq!(answer.text(), format!("answer to {id}"));
+        }
+    });
+}
+
+#[test]
+fn an_answer_that_comes_unasked_later_reaches_no_other_call() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| {
+            let one = fake::answer(&format!("answer to {}", seen.header("x-request-id")));
+            let pause = Step::Wait(time::Duration::from_millis(5));
+            vec![Step::Write(one.clone()), pause, Step::Write(one)]
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for number in 0..20 {
+            let id = format!("r{number}");
+            // The thread is kept busy over the time at which the second answer comes, so that
+            // the runtime has not seen it when the next call takes a connection.
+            std::thread::sleep(time::Duration::from_millis(10));
+            let answer = rig::call(&nodes[0], rig::request("GET", "/browse", &id), b"").await;
+            assert_eq!(answer.text(), format!("answer to {id}"));
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    });
+}
+
+#[test]
+fn a_connection_the_upstream_has_closed_is_not_used_for_a_call() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| [fake::echo(seen), vec![Step::Close]].concat();
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for number in 0..50 {
+            let id = format!("r{number}");
+            let answer = rig::call(&nodes[0], rig::request("POST", "/orders", &id), b"").await;
+            assert_eq!((answer.outcome(), fake.runs(&id)), ("ran", 1));
+        }
+    });
+}
+
+#[test]
+fn what_the_upstream_shed_is_not_run_and_tried_again() {
+    rig::run(async {
+        let sheds = Cell::new(0);
+        let script = move |seen: &fake::Seen| {
+            let shed = "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\n\
+                        content-length: 0\r\n\r\n";
+            match seen.header("x-request-id").as_str() {
+                "always" => vec![Step::Write(shed.into())],
+                _ if sheds.replace(sheds.get() + 1) == 0 => vec![Step::Write(shed.into())],
+                _ => fake::echo(seen),
+            }
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let answer = rig::call(&nodes[0], rig::request("POST", "/orders", "once"), b"").await;
+        assert_eq!((answer.outcome(), answer.text()), ("ran", "answer to once"));
+        let answer = rig::call(&nodes[0], rig::request("POST", "/orders", "always"), b"").await;
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert_eq!(answer.header("dandelionspool-reason"), "upstream-shed");
+        assert!(!answer.header("retry-after").is_empty());
+        assert_eq!(fake.conns(), 1, "a shed answer costs no connection");
+    });
+}
+
+#[test]
+fn an_upstream_can_not_speak_for_the_mesh() {
+    rig::run(async {
+        let script = |_: &fake::Seen| {
+            let text = "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-outcome: not-run\r\n\
+                        connection: x-hop\r\nx-hop: 1\r\nx-kept: 1\r\ncontent-length: 4\r\n\r\nbusy";
+            vec![Step::Write(text.into())]
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for entry in &nodes {
+            let answer = rig::call(entry, rig::request("POST", "/orders", "r1"), b"").await;
+            assert_eq!((answer.status, answer.outcome(), answer.text()), (503, "ran", "busy"));
+            assert_eq!((answer.header("x-hop"), answer.header("x-kept")), ("", "1"));
+        }
+    });
+}
--- /dev/null
+++ b/tests/calls/drain.rs
@@ -0,0 +1,179 @@
+//! Planned stops of nodes and upstreams, and changes of configuration under calls.
+
+use std::sync::Arc;
+use std::time;
+
+use dandelionspool::mesh;
+use dandelionspool::node;
+use dandelionspool::usage;
+use dandelionspool::view;
+
+use crate::fake;
+use crate::fake::Step;
+use crate::rig;
+
+fn slowly(seen: &fake::Seen) -> Vec<Step> {
+    match seen.header("x-request-id").as_str() {
+        "quick" => fake::echo(seen),
+        _ => [vec![Step::Wait(time::Duration::from_millis(300))], fake::echo(seen)].concat(),
+    }
+}
+
+/// Sets how far all nodes are in their life.
+fn stop(nodes: &[rig::Node], stage: node::Stage) {
+    for node in nodes {
+        node.stage.send_replace(stage);
+    }
+}
+
+#[test]
+fn a_planned_stop_cuts_no_call_and_answers_the_others() {
+    rig::run(async {
+        let fake = fake::Fake::start(slowly).await;
+        let mut nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        // The entry and the upstream's node both stop while a call is in flight.
+        let call = rig::call(&nodes[0], rig::request("POST", "/orders", "r1"), b"");
+        let halt = async {
+            rig::until(|| fake.runs("r1") == 1).await;
+            stop(&nodes, node::Stage::Drain);
+            let late = rig::call(&nodes[0], rig::request("POST", "/orders", "r2"), b"").await;
+            assert_eq!((late.status, late.outcome()), (503, "not-run"));
+            assert_eq!(late.header("dandelionspool-reason"), "draining");
+            assert_eq!(late.header("connection"), "close");
+            assert_eq!(late.header("retry-after"), "1");
+        };
+        let (answer, ()) = tokio::join!(call, halt);
+        assert_eq!((answer.outcome(), answer.text()), ("ran", "answer to r1"));
+        for node in &mut nodes {
+            let ended = tokio::time::timeout(rig::PATIENCE, &mut node.task).await;
+            ended.unwrap().unwrap().unwrap();
+        }
+        assert_eq!(fake.seen().len(), 1);
+    });
+}
+
+#[test]
+fn a_draining_owner_refuses_new_work_while_other_nodes_still_pick_it() {
+    rig::run(async {
+        let leaving = fake::Fake::start(fake::echo).await;
+        let staying = fake::Fake::start(fake::echo).await;
+        let claims = rig::Claims::default();
+        let upstreams = [None, Some(leaving.address), Some(staying.address)];
+        let nodes = rig::nodes(&upstreams, &claims).await;
+        rig::call(&nodes[0], rig::request("POST", "/orders", "r"), b"").await;
+        let before = leaving.seen().len();
+        // Only the owner knows: the upstream said so to its own node.
+        let mut upstream = rig::shop(4);
+        upstream.phase = view::Phase::Draining;
+        let local = node::Local { address: leaving.address, upstream };
+        nodes[1].local.send_replace(Some(Arc::new(local)));
+        for number in 0..40 {
+            let id = format!("r{number}");
+            let answer = rig::call(&nodes[0], rig::request("POST", "/orders", &id), b"").await;
+            assert_eq!((answer.outcome(), staying.runs(&id)), ("ran", 1));
+        }
+        assert_eq!(leaving.seen().len(), before);
+    });
+}
+
+#[test]
+fn an_upstream_that_is_gone_is_refused_at_its_node() {
+    rig::run(async {
+        let fake = fake::Fake::start(fake::echo).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        nodes[1].local.send_replace(None);
+        let answer = rig::call(&nodes[0], rig::request("POST", "/orders", "r1"), b"").await;
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert_eq!(answer.header("dandelionspool-reason"), "draining");
+    });
+}
+
+#[test]
+fn a_long_answer_under_way_is_finished_before_the_stop() {
+    rig::run(async {
+        let script = |_: &fake::Seen| {
+            let mut steps =
+                vec![Step::Write(b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n".into())];
+            for _ in 0..10 {
+                steps.push(Step::Write(vec![b'x'; 100_000]));
+                steps.push(Step::Wait(time::Duration::from_millis(30)));
+            }
+            steps
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let call = rig::call(&nodes[0], rig::request("GET", "/browse", "r1"), b"");
+        let halt = async {
+            rig::until(|| fake.seen().len() == 1).await;
+            tokio::time::sleep(time::Duration::from_millis(60)).await;
+            stop(&nodes, node::Stage::Drain);
+        };
+        let (answer, ()) = tokio::join!(call, halt);
+        assert_eq!(answer.text().len(), 1_000_000);
+    });
+}
+
+#[test]
+fn calls_are_whole_while_configurations_change() {
+    rig::run(async {
+        let fake = fake::Fake::start(slowly).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let calls = (0..4).map(|number| {
+            rig::call(&nodes[0], rig::request("POST", "/orders", &format!("r{number}")), b"")
+        });
+        let change = async {
+            for number in 2..20 {
+                nodes.iter().for_each(|n| drop(n.applied.send_replace(rig::applied(number))));
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+                let quick = rig::request("GET", "/browse", "quick");
+                let answer = rig::call(&nodes[0], quick, b"").await;
+                assert!(matches!(answer.outcome(), "ran" | "not-run"), "{answer:?}");
+            }
+        };
+        let (answers, ()) = tokio::join!(futures_util::future::join_all(calls), change);
+        assert!(answers.iter().all(|a| a.outcome() == "ran"), "{answers:?}");
+    });
+}
+
+#[test]
+fn a_node_without_a_configuration_says_so() {
+    rig::run(async {
+        let nodes = rig::nodes(&[None], &rig::Claims::default()).await;
+        nodes[0].applied.send_replace(Arc::<mesh::Applied>::default());
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
+        let answer = rig::call(&nodes[0], rig::request("GET", "/browse", "r1"), b"").await;
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert_eq!(answer.header("dandelionspool-reason"), "not-ready");
+    });
+}
+
+#[test]
+fn each_call_is_counted_once_at_its_entry() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| match seen.header("x-request-id").as_str() {
+            "cut" => vec![Step::Close],
+            "broken" => vec![Step::Write(b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n".into())],
+            _ => fake::echo(seen),
+        };
+        let fake = fake::Fake::start(script).await;
+        let mut nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for id in ["r1", "r2", "cut", "broken"] {
+            rig::call(&nodes[0], rig::request("POST", "/orders", id), b"").await;
+        }
+        let late =
+            rig::request("POST", "/orders", "late").header("dandelionspool-deadline-ms", "0");
+        rig::call(&nodes[0], late, b"").await;
+        rig::call(&nodes[0], rig::request("GET", "/nowhere", "lost"), b"").await;
+        let mut totals = usage::Totals::default();
+        stop(&nodes, node::Stage::End);
+        while let Some(delta) = nodes[0].tallies.recv().await {
+            for (label, counts) in &delta.rows {
+                assert_eq!((label.team.as_str(), label.kind.as_str()), ("sellers", "order"));
+                assert_eq!(label.weight, 20);
+                totals.add(counts);
+            }
+        }
+        assert_eq!(totals.calls, [2, 1, 1, 1, 0], "served, failed, refused, unknown, left");
+        assert!(nodes[1].tallies.recv().await.is_none(), "only the entry counts");
+    });
+}
--- /dev/null
+++ b/tests/calls/main.rs
@@ -0,0 +1,10 @@
+//! Calls through nodes' call paths in one process, with raw upstreams that misbehave.
+
+mod answers;
+mod drain;
+mod fake;
+mod keyed;
+mod path;
+mod requests;
+mod rig;
+mod slots;
--- /dev/null
+++ b/tests/calls/rig.rs
@@ -0,0 +1,276 @@
+//! Nodes' call paths in one process, joined by hand-made views, and callers of them.
+
+use std::cell::RefCell;
+use std::collections;
+use std::future;
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use bytes::Bytes;
+use dandelionspool::claim;
+use dandelionspool::clock;
+use dandelionspool::configs;
+use dandelionspool::context;
+use dandelionspool::host;
+use dandelionspool::mesh;
+use dandelionspool::node;
+use dandelionspool::proxy;
+use dandelionspool::proxy::shell;
+use dandelionspool::ring;
+use dandelionspool::usage;
+use dandelionspool::version;
+use dandelionspool::view;
+use http_body_util::{BodyExt as _, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task;
+
+const PORT: u16 = 7100;
+const CONFIG: &str = include_str!("mesh.json");
+
+/// Longest a test waits for something to come about.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+static NEXT: atomic::AtomicU16 = atomic::AtomicU16::new(1);
+
+/// A host address that no other test of this process or of another checkout uses.
+pub fn address() -> net::SocketAddr {
+    let pid = std::process::id();
+    let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+    let [_, _, c, d] = pid.to_be_bytes();
+    let low = u8::try_from(number % 200).unwrap() + 1;
+    net::SocketAddr::from(([127, 16 + c % 64, d, low], PORT))
+}
+
+/// What the claims of a test do.
+#[derive(Clone, Debug, Default)]
+pub struct Claims {
+    /// First claims.
+    pub first: Rc<RefCell<collections::HashMap<claim::Key, claim::Attempt>>>,
+    /// Releases, in order.
+    pub released: Rc<RefCell<Vec<claim::Attempt>>>,
+    /// When set, every claim fails with it.
+    pub error: Rc<RefCell<Option<claim::Error>>>,
+}
+
+impl claim::Claims for Claims {
+    async fn claim(
+        &self,
+        key: claim::Key,
+        attempt: claim::Attempt,
+        _deadline: clock::Instant,
+    ) -> Result<claim::Verdict, claim::Error> {
+        tokio::task::yield_now().await;
+        if let Some(error) = *self.error.borrow() {
+            return Err(error);
+        }
+        let mut first = self.first.borrow_mut();
+        let won = *first.entry(key).or_insert(attempt);
+        Ok(if won == attempt { claim::Verdict::First } else { claim::Verdict::Taken(won) })
+    }
+
+    fn release(&self, key: claim::Key, attempt: claim::Attempt) {
+        self.released.borrow_mut().push(attempt);
+        let mut first = self.first.borrow_mut();
+        if first.get(&key) == Some(&attempt) {
+            first.remove(&key);
+        }
+    }
+}
+
+/// A node's call path under test.
+pub struct Node {
+    /// Where it is.
+    pub id: host::HostId,
+    /// How far it is in its life.
+    pub stage: watch::Sender<node::Stage>,
+    /// The upstream beside it.
+    pub local: watch::Sender<Option<Arc<node::Local>>>,
+    /// Usage that it counted.
+    pub tallies: ring::Receiver<usage::Delta>,
+    view: watch::Sender<Arc<view::View>>,
+    /// Its configuration.
+    pub applied: watch::Sender<Arc<mesh::Applied>>,
+    /// The duty; ends after a drain.
+    pub task: task::JoinHandle<Result<(), proxy::Error>>,
+    upstream: Option<view::Upstream>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// An upstream of the service "shop".
+pub fn shop(slots: u16) -> view::Upstream {
+    view::Upstream {
+        service: "shop".into(),
+        class: "shop".into(),
+        phase: view::Phase::Serving,
+        slots,
+        connections: 20,
+    }
+}
+
+/// The configuration of the tests.
+pub fn applied(number: u64) -> Arc<mesh::Applied> {
+    let mesh = mesh::check::check(CONFIG.as_bytes()).unwrap();
+    let digest = version::Digest::of(CONFIG.as_bytes());
+    let stamp = version::Stamp { version: version::Version::new(number), digest };
+    Arc::new(mesh::Applied { stamp, mesh: Arc::new(mesh) })
+}
+
+/// Settings of a node at `listen`.
+pub fn settings(listen: net::SocketAddr) -> configs::Node {
+    let proxy = configs::proxy::Proxy { linger_ms: 50, ..configs::proxy::Proxy::default() };
+    configs::Node {
+        mesh: "calls".into(),
+        key: "secret".into(),
+        listen,
+        proxy,
+        ..configs::Node::default()
+    }
+}
+
+/// Nodes that know each other, each with an upstream at the given address or none.
+pub async fn nodes(upstreams: &[Option<net::SocketAddr>], claims: &Claims) -> Vec<Node> {
+    nodes_with(upstreams, 4, claims, |settings| settings).await
+}
+
+/// The same, with `slots` at each upstream and changed settings.
+pub async fn nodes_with(
+    upstreams: &[Option<net::SocketAddr>],
+    slots: u16,
+    claims: &Claims,
+    change: impl Fn(configs::Node) -> configs::Node,
+) -> Vec<Node> {
+    let nodes: Vec<Node> = upstreams
+        .iter()
+        .map(|upstream| start(change(settings(address())), *upstream, slots, claims))
+        .collect();
+    join(&nodes).await;
+    for node in &nodes {
+        until(|| std::net::TcpStream::connect(node.id.inner_addr()).is_ok()).await;
+    }
+    nodes
+}
+
+/// Tells each node of all, and waits until it has taken that into use.
+pub async fn join(nodes: &[Node]) {
+    let place = Arc::new(view::Place { region: "region".into(), zone: "zone".into() });
+    let hosts = nodes.iter().map(|node| view::Host {
+        id: node.id,
+        place: Arc::clone(&place),
+        incarnation: 1,
+        health: view::Health::Alive,
+        upstream: node.upstream.clone().map(Arc::new),
+    });
+    let view = Arc::new(view::View::new(hosts.collect()));
+    for node in nodes {
+        node.view.send_replace(Arc::clone(&view));
+    }
+    tokio::time::sleep(time::Duration::from_millis(60)).await;
+}
+
+fn start(
+    settings: configs::Node,
+    upstream: Option<net::SocketAddr>,
+    slots: u16,
+    claims: &Claims,
+) -> Node {
+    let id = host::HostId::new(settings.listen);
+    let described = upstream.map(|_| shop(slots));
+    let beside = upstream.map(|address| Arc::new(node::Local { address, upstream: shop(slots) }));
+    let (stage, stages) = watch::channel(node::Stage::Run);
+    let (local, locals) = watch::channel(beside);
+    let (view, views) = watch::channel(Arc::default());
+    let (applied, versions) = watch::channel(applied(1));
+    let (sender, tallies) = ring::bounded(64);
+    let wiring = shell::Wiring {
+        applied: versions,
+        view: views,
+        local: locals,
+        stage: stages,
+        tallies: sender,
+        claims: claims.clone(),
+    };
+    let ctx =
+        context::Context { clock: clock::System::new(), seed: u64::from(id.member_addr().port()) };
+    let task = task::spawn_local(shell::run(ctx, Arc::new(settings), wiring));
+    Node { id, stage, local, tallies, view, applied, task, upstream: described }
+}
+
+/// Runs a test on one thread.
+pub fn run(test: impl future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// Waits until `done`.
+pub async fn until(done: impl Fn() -> bool) {
+    let limit = time::Instant::now() + PATIENCE;
+    while !done() {
+        assert!(time::Instant::now() < limit, "not within {PATIENCE:?}");
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: http::HeaderMap,
+    /// `None` when the body did not come to its marked end.
+    pub body: Option<Bytes>,
+}
+
+impl Answer {
+    /// The value of a header, empty when it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |v| v.to_str().unwrap())
+    }
+
+    /// What the caller is told.
+    pub fn outcome(&self) -> &str {
+        self.header("dandelionspool-outcome")
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> &str {
+        self.body.as_ref().map_or("cut", |b| std::str::from_utf8(b).unwrap())
+    }
+}
+
+/// A request for the tests' service.
+pub fn request(method: &str, path: &str, id: &str) -> http::request::Builder {
+    let builder = http::Request::builder().method(method).uri(path).header("host", "shop.test");
+    builder.header("x-request-id", id)
+}
+
+/// Calls a node on a connection of its own.
+pub async fn call(node: &Node, request: http::request::Builder, body: &[u8]) -> Answer {
+    let request = request.body(Full::new(Bytes::copy_from_slice(body))).unwrap();
+    send(node, request).await.unwrap()
+}
+
+/// The same with any body; fails when the connection ends without an answer.
+pub async fn send<B>(node: &Node, request: http::Request<B>) -> hyper::Result<Answer>
+where
+    B: hyper::body::Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let stream = TcpStream::connect(node.id.call_addr()).await.unwrap();
+    let (mut send, conn) = http1::handshake(TokioIo::new(stream)).await?;
+    let conn = task::spawn_local(conn);
+    let answer = send.send_request(request).await?;
+    let (parts, body) = answer.into_parts();
+    let body = body.collect().await.ok().map(|b| b.to_bytes());
+    conn.abort();
+    Ok(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
+}
--- /dev/null
+++ b/tests/calls/slots.rs
@@ -0,0 +1,169 @@
+//! Slots, cancellation and deadlines.
+
+use std::time;
+
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::fake;
+use crate::fake::Step;
+use crate::rig;
+
+const LONG: time::Duration = time::Duration::from_secs(60);
+
+/// Never answers what has an identity that starts with "hang".
+fn hang(seen: &fake::Seen) -> Vec<Step> {
+    if seen.header("x-request-id").starts_with("hang") {
+        vec![Step::Gone]
+    } else {
+        fake::echo(seen)
+    }
+}
+
+#[test]
+fn a_caller_who_leaves_frees_the_slot_at_the_upstream() {
+    rig::run(async {
+        let fake = fake::Fake::start(hang).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes_with(&[None, Some(fake.address)], 1, &claims, |s| s).await;
+        for (round, entry) in nodes.iter().enumerate() {
+            let id = format!("hang{round}");
+            let stream = TcpStream::connect(entry.id.call_addr()).await.unwrap();
+            let (mut send, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+            let conn = tokio::task::spawn_local(conn);
+            let body = http_body_util::Empty::<bytes::Bytes>::new();
+            let request = rig::request("POST", "/orders", &id).body(body).unwrap();
+            let pending = tokio::task::spawn_local(send.send_request(request));
+            rig::until(|| fake.runs(&id) == 1).await;
+            conn.abort();
+            pending.abort();
+            rig::until(|| fake.seen().last().is_some_and(|s| s.gone)).await;
+            let next = rig::request("POST", "/orders", "next");
+            let next = next.header("dandelionspool-deadline-ms", "2000");
+            let answer = rig::call(entry, next, b"").await;
+            assert_eq!((answer.outcome(), answer.text()), ("ran", "answer to next"));
+        }
+    });
+}
+
+#[test]
+fn a_deadline_frees_the_slot_and_is_told_from_a_call_that_waited() {
+    rig::run(async {
+        let fake = fake::Fake::start(hang).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes_with(&[None, Some(fake.address)], 1, &claims, |s| s).await;
+        let order = |id: &str, millis: &str| {
+            rig::request("POST", "/orders", id).header("dandelionspool-deadline-ms", millis)
+        };
+        let (ran, waited) = tokio::join!(rig::call(&nodes[0], order("hang", "400"), b""), async {
+            rig::until(|| fake.runs("hang") == 1).await;
+            rig::call(&nodes[0], order("waits", "100"), b"").await
+        });
+        assert_eq!((ran.status, ran.outcome()), (504, "unknown"));
+        assert_eq!((waited.status, waited.outcome()), (503, "not-run"));
+        assert_eq!(waited.header("dandelionspool-reason"), "too-late");
+        assert_eq!(fake.runs("waits"), 0);
+        let answer = rig::call(&nodes[0], order("next", "1000"), b"").await;
+        assert_eq!(answer.outcome(), "ran");
+    });
+}
+
+#[test]
+fn no_more_calls_run_than_there_are_slots_and_the_rest_is_refused_at_once() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| {
+            [vec![Step::Wait(time::Duration::from_millis(300))], fake::echo(seen)].concat()
+        };
+        let fake = fake::Fake::start(script).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes_with(&[None, Some(fake.address)], 2, &claims, |s| s).await;
+        // Two run, four wait, as the service's queue allows, and the others are refused.
+        let calls = (0..10).map(|number| {
+            let request = rig::request("POST", "/orders", &format!("r{number}"));
+            rig::call(&nodes[0], request, b"")
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        let count = |outcome: &str| answers.iter().filter(|a| a.outcome() == outcome).count();
+        assert_eq!((count("ran"), count("not-run")), (6, 4));
+        for answer in answers.iter().filter(|a| a.outcome() == "not-run") {
+            assert_eq!((answer.status, answer.header("dandelionspool-reason")), (503, "full"));
+            assert!(!answer.header("retry-after").is_empty());
+        }
+        assert_eq!((fake.seen().len(), fake.conns()), (6, 2));
+    });
+}
+
+#[test]
+fn a_heavier_kind_goes_first() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| {
+            [vec![Step::Wait(time::Duration::from_millis(50))], fake::echo(seen)].concat()
+        };
+        let fake = fake::Fake::start(script).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes_with(&[None, Some(fake.address)], 1, &claims, |s| s).await;
+        let browse =
+            |id: &'static str| rig::call(&nodes[0], rig::request("GET", "/browse", id), b"");
+        let order = async {
+            rig::until(|| fake.seen().len() == 1).await;
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+            rig::call(&nodes[0], rig::request("POST", "/orders", "order"), b"").await
+        };
+        tokio::join!(browse("a"), browse("b"), browse("c"), order);
+        assert_eq!(fake.seen()[1].header("x-request-id"), "order");
+    });
+}
+
+#[test]
+fn an_upstream_that_is_not_there_is_proven_not_to_have_run() {
+    rig::run(async {
+        let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let nodes = rig::nodes(&[None, Some(dead)], &rig::Claims::default()).await;
+        let answer = rig::call(&nodes[0], rig::request("POST", "/orders", "r1"), b"").await;
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert_eq!(answer.header("dandelionspool-reason"), "unreachable");
+    });
+}
+
+#[test]
+fn a_dead_upstream_costs_idempotent_callers_no_error() {
+    rig::run(async {
+        let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let fake = fake::Fake::start(fake::echo).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes(&[None, Some(dead), Some(fake.address)], &claims).await;
+        for number in 0..50 {
+            let id = format!("r{number}");
+            let answer = rig::call(&nodes[0], rig::request("GET", "/browse", &id), b"").await;
+            assert_eq!((answer.outcome(), fake.runs(&id)), ("ran", 1));
+        }
+    });
+}
+
+#[test]
+fn a_dead_node_costs_idempotent_callers_no_error() {
+    rig::run(async {
+        let fake = fake::Fake::start(hang).await;
+        let other = fake::Fake::start(fake::echo).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes(&[None, Some(fake.address), Some(other.address)], &claims).await;
+        // Each is used once, so that there is a connection to both.
+        for number in 0..8 {
+            rig::call(&nodes[0], rig::request("GET", "/browse", &format!("r{number}")), b"").await;
+        }
+        let calls = (0..4).map(|number| {
+            rig::call(&nodes[0], rig::request("GET", "/browse", &format!("hang{number}")), b"")
+        });
+        let kill = async {
+            rig::until(|| fake.seen().iter().any(|s| s.head.contains("hang"))).await;
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+            nodes[1].stage.send_replace(dandelionspool::node::Stage::End);
+        };
+        let answers = futures_util::future::join_all(calls);
+        let (answers, ()) = tokio::join!(tokio::time::timeout(LONG, answers), kill);
+        for answer in answers.unwrap() {
+            assert_eq!((answer.status, answer.outcome()), (200, "ran"));
+        }
+    });
+}
