--- /dev/null
+++ b/src/configs/limits.rs
@@ -0,0 +1,219 @@
+//! Ranges of the settings of a node.
+
+use std::net;
+
+use serde_json::Value;
+
+use crate::configs;
+use crate::configs::load;
+use crate::host;
+use crate::mesh::fault;
+
+#[cfg(test)]
+mod tests;
+
+/// Shortest key, in bytes.
+const KEY_BYTES: usize = 16;
+
+const HOUR_MS: u64 = 3_600_000;
+const GIGABYTE: u64 = 1_073_741_824;
+const WEEK_S: u64 = 604_800;
+const MONTH_S: u64 = 31 * 86_400;
+
+/// Range of one number, its bounds included.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limit {
+    /// Pointer to the number.
+    pub pointer: &'static str,
+    /// Smallest value allowed.
+    pub least: u64,
+    /// Largest value allowed.
+    pub most: u64,
+}
+
+const fn limit(pointer: &'static str, least: u64, most: u64) -> Limit {
+    Limit { pointer, least, most }
+}
+
+/// Range of each number among the settings of a node.
+pub const NODE: &[Limit] = &[
+    limit("/call/attempts", 1, 10),
+    limit("/call/retry_burst", 0, 10_000),
+    limit("/call/candidates", 2, 16),
+    limit("/call/eject_after", 1, 100),
+    limit("/call/eject_ms", 1, HOUR_MS),
+    limit("/call/eject_most_ms", 1, HOUR_MS),
+    limit("/call/slow_factor", 2, 100),
+    limit("/call/load_half_ms", 1, 60_000),
+    limit("/claim/group_ms", 0, 1000),
+    limit("/log/append_ms", 1, 60_000),
+    limit("/log/wait_ms", 1, 300_000),
+    limit("/log/retention_s", 10, 10 * 366 * 86_400),
+    limit("/member/probe_ms", 10, 60_000),
+    limit("/member/answer_ms", 1, 20_000),
+    limit("/member/helpers", 0, 16),
+    limit("/member/suspicion", 1, 100),
+    limit("/member/retransmit", 1, 32),
+    limit("/member/urgent", 0, 64),
+    limit("/member/repair_ms", 10, HOUR_MS),
+    limit("/member/knock_ms", 10, HOUR_MS),
+    limit("/member/pages", 1, 10_000),
+    limit("/member/join_ms", 1, 60_000),
+    limit("/member/join_most_ms", 1, HOUR_MS),
+    limit("/member/pause_ms", 10, HOUR_MS),
+    limit("/member/forget_s", 1, WEEK_S),
+    limit("/member/dark_s", 1, MONTH_S),
+    limit("/proxy/connect_ms", 1, 60_000),
+    limit("/proxy/head_ms", 1, HOUR_MS),
+    limit("/proxy/head_bytes", 8192, 16_777_216),
+    limit("/proxy/head_count", 1, 10_000),
+    limit("/proxy/path_bytes", 1, 16_777_216),
+    limit("/proxy/keep_bytes", 0, GIGABYTE),
+    limit("/proxy/whole_bytes", 0, GIGABYTE),
+    limit("/proxy/idle_ms", 1, HOUR_MS),
+    limit("/proxy/stream_bytes", 65_535, GIGABYTE),
+    limit("/proxy/link_bytes", 65_535, GIGABYTE),
+    limit("/proxy/link_calls", 1, 1_000_000),
+    limit("/proxy/ping_ms", 1, HOUR_MS),
+    limit("/proxy/pong_ms", 1, HOUR_MS),
+    limit("/proxy/held_ms", 0, HOUR_MS),
+    limit("/proxy/held_count", 0, 10_000_000),
+    limit("/proxy/held_bytes", 0, GIGABYTE),
+    limit("/proxy/linger_ms", 0, 60_000),
+    limit("/proxy/retry_ms", 1, HOUR_MS),
+    limit("/proxy/tally_ms", 1, HOUR_MS),
+    limit("/spread/readers", 1, 16),
+    limit("/spread/standby_ms", 10, 60_000),
+    limit("/spread/fanout", 1, 64),
+    limit("/spread/ack_ms", 0, 60_000),
+    limit("/spread/pushes", 1, 16),
+    limit("/spread/pull_ms", 0, 60_000),
+    limit("/spread/retry_ms", 1, 60_000),
+    limit("/spread/transfers", 1, 1000),
+    limit("/spread/transfer_ms", 10, 600_000),
+    limit("/spread/ask", 0, 64),
+    limit("/spread/settle_ms", 0, 60_000),
+    limit("/spread/confirm_ms", 0, 60_000),
+    limit("/spread/witness_ms", 0, 60_000),
+    limit("/spread/keep", 0, 64),
+    limit("/spread/datagram_bytes", 512, 65_000),
+    limit("/stop/settle_ms", 0, 60_000),
+    limit("/stop/drain_ms", 0, HOUR_MS),
+    limit("/usage/flush_ms", 10, HOUR_MS),
+];
+
+/// A number that must fit some times into another one.
+struct Proportion {
+    pointer: &'static str,
+    times: u64,
+    other: &'static str,
+}
+
+const PROPORTIONS: &[Proportion] = &[
+    Proportion { pointer: "/call/eject_ms", times: 1, other: "/call/eject_most_ms" },
+    Proportion { pointer: "/member/answer_ms", times: 3, other: "/member/probe_ms" },
+    Proportion { pointer: "/member/join_ms", times: 1, other: "/member/join_most_ms" },
+];
+
+impl load::Settings for configs::Node {
+    fn place(preset: Value) -> Value {
+        preset
+    }
+
+    fn inspect(tree: &Value, faults: &mut Vec<fault::Fault>) {
+        inspect(tree, faults);
+        check_length(tree, "/mesh", 1, faults);
+        check_length(tree, "/key", KEY_BYTES, faults);
+        check_length(tree, "/region", 1, faults);
+        check_length(tree, "/zone", 1, faults);
+        check_address(tree, "/listen", faults);
+        check_base(tree, "/bind", faults);
+        check_joins(tree, faults);
+    }
+}
+
+/// Adds the numbers of the node settings `tree` that are out of range or proportion to `faults`.
+pub fn inspect(tree: &Value, faults: &mut Vec<fault::Fault>) {
+    NODE.iter().for_each(|limit| check_limit(tree, *limit, faults));
+    PROPORTIONS.iter().for_each(|proportion| check_proportion(tree, proportion, faults));
+}
+
+/// Adds a fault if the number that `limit` is about is out of its range.
+pub fn check_limit(tree: &Value, limit: Limit, faults: &mut Vec<fault::Fault>) {
+    let Some(Value::Number(number)) = tree.pointer(limit.pointer) else { return };
+    let Some(value) = number.as_f64() else { return };
+    let (bound, limit_value) = if value < limit.least as f64 {
+        (fault::Bound::AtLeast, limit.least)
+    } else if value > limit.most as f64 {
+        (fault::Bound::AtMost, limit.most)
+    } else {
+        return;
+    };
+    let problem = fault::Problem::OutOfRange {
+        value: number.to_string(),
+        bound,
+        limit: limit_value.to_string(),
+    };
+    faults.push(fault::Fault::new(limit.pointer, problem));
+}
+
+fn check_proportion(tree: &Value, proportion: &Proportion, faults: &mut Vec<fault::Fault>) {
+    let number = |pointer| tree.pointer(pointer).and_then(Value::as_u64);
+    let Some(value) = number(proportion.pointer) else { return };
+    let Some(limit) = number(proportion.other) else { return };
+    if value.saturating_mul(proportion.times) <= limit {
+        return;
+    }
+    let other = proportion.other.to_owned();
+    let problem = fault::Problem::OutOfProportion { times: proportion.times, other, limit };
+    faults.push(fault::Fault::new(proportion.pointer, problem));
+}
+
+/// Adds a fault if the text at `pointer` has fewer than `least` bytes.
+pub fn check_length(tree: &Value, pointer: &str, least: usize, faults: &mut Vec<fault::Fault>) {
+    let Some(text) = tree.pointer(pointer).and_then(Value::as_str) else { return };
+    if text.len() >= least {
+        return;
+    }
+    let problem = fault::Problem::WrongLength { bound: fault::Bound::AtLeast, limit: least as u64 };
+    faults.push(fault::Fault::new(pointer, problem));
+}
+
+/// Adds a fault if the address at `pointer` can't be the one by which others reach a host.
+pub fn check_address(tree: &Value, pointer: &str, faults: &mut Vec<fault::Fault>) {
+    check_base(tree, pointer, faults);
+    let Some(address) = address(tree, pointer) else { return };
+    if address.ip().is_unspecified() {
+        let problem = fault::Problem::UnspecifiedAddress { address: address.to_string() };
+        faults.push(fault::Fault::new(pointer, problem));
+    }
+}
+
+/// Adds a fault if the port of the address at `pointer` can't be the base port of a host.
+fn check_base(tree: &Value, pointer: &str, faults: &mut Vec<fault::Fault>) {
+    if let Some(address) = address(tree, pointer) {
+        check_port(address.port(), pointer, faults);
+    }
+}
+
+fn address(tree: &Value, pointer: &str) -> Option<net::SocketAddr> {
+    tree.pointer(pointer)?.as_str()?.parse().ok()
+}
+
+/// Adds a fault if `port`, which stands at `pointer`, can't be the base port of a host.
+fn check_port(port: u16, pointer: &str, faults: &mut Vec<fault::Fault>) {
+    let most = u16::MAX - host::PORTS;
+    let (bound, limit) = match port {
+        0 => (fault::Bound::AtLeast, 1),
+        port if port > most => (fault::Bound::AtMost, most),
+        _ => return,
+    };
+    let problem =
+        fault::Problem::OutOfRange { value: port.to_string(), bound, limit: limit.to_string() };
+    faults.push(fault::Fault::new(pointer, problem));
+}
+
+fn check_joins(tree: &Value, faults: &mut Vec<fault::Fault>) {
+    let count = tree.pointer("/join").and_then(Value::as_array).map_or(0, Vec::len);
+    (0..count).for_each(|index| check_address(tree, &format!("/join/{index}"), faults));
+}
--- /dev/null
+++ b/src/configs/load.rs
@@ -0,0 +1,201 @@
+//! Settings files: defaults, then the preset, then what the file gives.
+
+use std::fs;
+use std::io;
+use std::path;
+
+use serde::Serialize;
+use serde::de;
+use serde_json::Value;
+
+use crate::mesh::check::text;
+use crate::mesh::fault;
+
+#[cfg(test)]
+mod tests;
+
+/// Largest settings file, in bytes.
+pub const LIMIT_BYTES: usize = 64 * 1024;
+
+/// Field that names the preset.
+const PRESET: &str = "preset";
+
+/// Presets by name.
+const PRESETS: [(&str, &str); 2] = [
+    ("cascadia", include_str!("../../presets/cascadia.json")),
+    ("condor", include_str!("../../presets/condor.json")),
+];
+
+/// Why settings can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: path::PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The file has faults.
+    #[error("{}:\n{faults}", path.display())]
+    Faults {
+        /// The file.
+        path: path::PathBuf,
+        /// Every one of them.
+        faults: fault::Faults,
+    },
+}
+
+/// Settings that are kept in a file of their own.
+///
+/// Every field has a default, nested ones too: [`read`] relies on it.
+pub trait Settings: Default + Serialize + de::DeserializeOwned {
+    /// Puts a preset, which holds settings of a node, where these settings keep such.
+    fn place(preset: Value) -> Value;
+
+    /// Adds what is out of range or at odds in the whole settings `tree` to `faults`. Values of
+    /// a wrong type are left alone.
+    fn inspect(tree: &Value, faults: &mut Vec<fault::Fault>);
+}
+
+/// Reads and checks the settings file at `path`.
+///
+/// # Errors
+///
+/// The file can't be read, or has faults.
+pub fn load<T: Settings>(path: &path::Path) -> Result<T, SettingsError> {
+    let body =
+        fs::read(path).map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
+    read(&body).map_err(|faults| SettingsError::Faults { path: path.to_owned(), faults })
+}
+
+/// Reads and checks the settings file `body`.
+///
+/// # Errors
+///
+/// Every fault at once, each with its JSON pointer.
+pub fn read<T: Settings>(body: &[u8]) -> Result<T, fault::Faults> {
+    let mut faults = Vec::new();
+    let mut given = parse(body, &mut faults).map_err(single)?;
+    let preset = take_preset(&mut given, &mut faults);
+    let mut tree = tree(&T::default())?;
+    if let Some(preset) = preset {
+        merge(&mut tree, T::place(preset));
+    }
+    merge(&mut tree, given.clone());
+    let mut judged = Vec::new();
+    T::inspect(&tree, &mut judged);
+    add_unreadable::<T>(&given, &mut judged);
+    faults.append(&mut judged);
+    if !faults.is_empty() {
+        return Err(fault::Faults::new(faults));
+    }
+    T::deserialize(tree).map_err(|e| single(unreadable(&e)))
+}
+
+/// Checks settings that were made in the program.
+pub fn check<T: Settings>(settings: &T) -> Result<(), fault::Faults> {
+    let mut faults = Vec::new();
+    T::inspect(&tree(settings)?, &mut faults);
+    if faults.is_empty() { Ok(()) } else { Err(fault::Faults::new(faults)) }
+}
+
+fn parse(body: &[u8], faults: &mut Vec<fault::Fault>) -> Result<Value, fault::Problem> {
+    if body.len() > LIMIT_BYTES {
+        return Err(fault::Problem::TooLarge { bytes: body.len(), limit: LIMIT_BYTES });
+    }
+    let given = text::read(body, faults)?;
+    if given.is_object() {
+        return Ok(given);
+    }
+    Err(fault::Problem::WrongType { wanted: "object".into() })
+}
+
+/// Takes the name of the preset out of `given` and returns the preset.
+fn take_preset(given: &mut Value, faults: &mut Vec<fault::Fault>) -> Option<Value> {
+    let name = given.as_object_mut()?.remove(PRESET)?;
+    let file = PRESETS.iter().find(|(known, _)| name == *known);
+    let preset = file.and_then(|(_, file)| serde_json::from_str(file).ok());
+    if preset.is_none() {
+        let options: Vec<&str> = PRESETS.iter().map(|(known, _)| *known).collect();
+        let problem = fault::Problem::WrongChoice {
+            value: name.to_string(),
+            options: Value::from(options).to_string(),
+        };
+        faults.push(fault::Fault::new(fault::join("", PRESET), problem));
+    }
+    preset
+}
+
+/// Reads each value of `given` alone, with every other setting at its default, and adds those
+/// that can't be read to `faults`: serde by itself would stop at the first. A value that has a
+/// fault there already gets no second one.
+fn add_unreadable<T: Settings>(given: &Value, faults: &mut Vec<fault::Fault>) {
+    let known = faults.len();
+    let mut leaves = Vec::new();
+    split(given, &mut String::new(), &mut leaves);
+    for (pointer, alone) in leaves {
+        if faults[..known].iter().any(|f| f.pointer == pointer) {
+            continue;
+        }
+        if let Err(error) = T::deserialize(alone) {
+            faults.push(fault::Fault::new(pointer, unreadable(&error)));
+        }
+    }
+}
+
+fn unreadable(error: &serde_json::Error) -> fault::Problem {
+    let reason = error.to_string();
+    if reason.starts_with("unknown field") {
+        return fault::Problem::UnknownField;
+    }
+    fault::Problem::WrongValue { reason }
+}
+
+/// Adds a tree for each leaf of `value`, in which that leaf stands alone, with its pointer.
+fn split(value: &Value, pointer: &mut String, leaves: &mut Vec<(String, Value)>) {
+    let length = pointer.len();
+    let mut inner = |key: &str, child: &Value, wrap: &dyn Fn(Value) -> Value| {
+        fault::push(pointer, key);
+        let first = leaves.len();
+        split(child, pointer, leaves);
+        for (_, alone) in &mut leaves[first..] {
+            *alone = wrap(alone.take());
+        }
+        pointer.truncate(length);
+    };
+    match value {
+        Value::Object(fields) if !fields.is_empty() => {
+            for (key, child) in fields {
+                inner(key, child, &|v| Value::Object([(key.clone(), v)].into_iter().collect()));
+            }
+        }
+        Value::Array(items) if !items.is_empty() => {
+            for (index, child) in items.iter().enumerate() {
+                inner(&index.to_string(), child, &|v| Value::Array(vec![v]));
+            }
+        }
+        leaf => leaves.push((pointer.clone(), leaf.clone())),
+    }
+}
+
+/// Puts the fields of `over` into `tree`; objects are merged, other values replaced.
+fn merge(tree: &mut Value, over: Value) {
+    match (tree, over) {
+        (Value::Object(tree), Value::Object(over)) => {
+            for (key, value) in over {
+                merge(tree.entry(key).or_insert(Value::Null), value);
+            }
+        }
+        (tree, over) => *tree = over,
+    }
+}
+
+fn tree<T: Serialize>(settings: &T) -> Result<Value, fault::Faults> {
+    serde_json::to_value(settings).map_err(|e| single(unreadable(&e)))
+}
+
+fn single(problem: fault::Problem) -> fault::Faults {
+    fault::Faults::new(vec![fault::Fault::new("", problem)])
+}
--- /dev/null
+++ b/src/configs/local.rs
@@ -0,0 +1,247 @@
+//! Settings of a whole small mesh in one process.
+
+use std::collections;
+use std::net;
+use std::path;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::configs;
+use crate::configs::limits;
+use crate::configs::load;
+use crate::mesh;
+use crate::mesh::fault;
+
+#[cfg(test)]
+mod tests;
+
+/// Most hosts of a small mesh.
+pub const HOSTS: u64 = 250;
+
+/// Longest time given to a stand-in, in milliseconds.
+const MOST_MS: u64 = 600_000;
+
+/// Settings of a whole small mesh in one process, on loopback.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Local {
+    /// Configuration file that is published at the start, relative to the settings file.
+    pub configuration: path::PathBuf,
+    /// Base address of the first host; each further host has the next address.
+    pub listen: net::SocketAddr,
+    /// Port of each upstream, at the address of its host; its control port follows.
+    pub upstream_port: u16,
+    /// Region of every host.
+    pub region: SmolStr,
+    /// The stand-in for the platform's log service.
+    pub log: Log,
+    /// Upstreams by the name of their class in the configuration.
+    pub upstreams: collections::BTreeMap<SmolStr, Group>,
+    /// Settings of every node; addresses, place, mesh and key are filled in.
+    pub node: configs::Node,
+}
+
+impl Default for Local {
+    fn default() -> Self {
+        Self {
+            configuration: path::PathBuf::new(),
+            listen: net::SocketAddr::from((net::Ipv4Addr::new(127, 7, 0, 1), 7100)),
+            upstream_port: 7200,
+            region: SmolStr::new_static("region"),
+            log: Log::default(),
+            upstreams: collections::BTreeMap::new(),
+            node: configs::Node::default(),
+        }
+    }
+}
+
+/// Settings of the stand-in for the platform's log service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Address it listens on.
+    pub address: net::SocketAddr,
+    /// Appends allowed a second.
+    pub appends: u32,
+    /// Time a record is kept, in seconds.
+    pub retention_s: u64,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            address: net::SocketAddr::from((net::Ipv4Addr::new(127, 7, 0, 1), 7000)),
+            appends: 500,
+            retention_s: 86_400,
+        }
+    }
+}
+
+/// Upstreams of one class.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Group {
+    /// Number of upstreams in each availability zone.
+    pub zones: collections::BTreeMap<SmolStr, u16>,
+    /// Mean time of a call, in milliseconds.
+    pub mean_ms: u64,
+    /// Mean time of calls under a path, in milliseconds; the first path that fits counts.
+    pub means_ms: collections::BTreeMap<SmolStr, u64>,
+    /// Time after the start in which calls take longer, in milliseconds.
+    pub cold_ms: u64,
+    /// Time in which calls are still run after a drain was announced, in milliseconds.
+    pub grace_ms: u64,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        Self {
+            zones: collections::BTreeMap::new(),
+            mean_ms: 10,
+            means_ms: collections::BTreeMap::new(),
+            cold_ms: 0,
+            grace_ms: 3000,
+        }
+    }
+}
+
+/// One host of a small mesh.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Host {
+    /// Base address of its node.
+    pub listen: net::SocketAddr,
+    /// Address of its upstream.
+    pub upstream: net::SocketAddr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Class of its upstream, a key of [`Local::upstreams`].
+    pub class: SmolStr,
+    /// Key of the class in the mesh the hosts were made for.
+    pub key: mesh::ClassKey,
+}
+
+impl Local {
+    /// The hosts, one for each upstream, zone by zone in each class.
+    ///
+    /// # Errors
+    ///
+    /// A class that `mesh` does not have.
+    pub fn hosts(&self, mesh: &mesh::Mesh) -> Result<Vec<Host>, fault::Faults> {
+        let mut hosts = Vec::new();
+        let mut faults = Vec::new();
+        for (class, group) in &self.upstreams {
+            match key(mesh, class) {
+                Some(key) => self.add_hosts(class, key, group, &mut hosts),
+                None => faults.push(missing(class)),
+            }
+        }
+        if faults.is_empty() { Ok(hosts) } else { Err(fault::Faults::new(faults)) }
+    }
+
+    fn add_hosts(
+        &self,
+        class: &SmolStr,
+        key: mesh::ClassKey,
+        group: &Group,
+        hosts: &mut Vec<Host>,
+    ) {
+        let zones = group.zones.iter();
+        for zone in zones.flat_map(|(zone, count)| std::iter::repeat_n(zone, usize::from(*count))) {
+            let address = nth(self.listen.ip(), hosts.len());
+            hosts.push(Host {
+                listen: net::SocketAddr::new(address, self.listen.port()),
+                upstream: net::SocketAddr::new(address, self.upstream_port),
+                zone: zone.clone(),
+                class: class.clone(),
+                key,
+            });
+        }
+    }
+}
+
+impl load::Settings for Local {
+    fn place(preset: Value) -> Value {
+        serde_json::json!({ "node": preset })
+    }
+
+    fn inspect(tree: &Value, faults: &mut Vec<fault::Fault>) {
+        let node = faults.len();
+        limits::inspect(tree.get("node").unwrap_or(&Value::Null), faults);
+        for fault in &mut faults[node..] {
+            fault.pointer.insert_str(0, "/node");
+        }
+        limits::check_length(tree, "/configuration", 1, faults);
+        limits::check_length(tree, "/region", 1, faults);
+        limits::check_address(tree, "/listen", faults);
+        LIMITS.iter().for_each(|limit| limits::check_limit(tree, *limit, faults));
+        check_groups(tree, faults);
+    }
+}
+
+const LIMITS: &[limits::Limit] = &[
+    limits::Limit { pointer: "/upstream_port", least: 1, most: u16::MAX as u64 - 1 },
+    limits::Limit { pointer: "/log/appends", least: 1, most: 1_000_000 },
+    limits::Limit { pointer: "/log/retention_s", least: 1, most: 10 * 366 * 86_400 },
+];
+
+fn check_groups(tree: &Value, faults: &mut Vec<fault::Fault>) {
+    let Some(groups) = tree.get("upstreams").and_then(Value::as_object) else { return };
+    let mut hosts = 0;
+    for (class, group) in groups {
+        let pointer = fault::join("/upstreams", class);
+        let zones = group.get("zones").and_then(Value::as_object);
+        hosts += zones.map_or(0, |z| z.values().filter_map(Value::as_u64).sum());
+        for field in ["mean_ms", "cold_ms", "grace_ms"] {
+            check_millis(group.get(field), &fault::join(&pointer, field), faults);
+        }
+        let means = group.get("means_ms").and_then(Value::as_object);
+        for (path, millis) in means.into_iter().flatten() {
+            check_millis(Some(millis), &fault::join(&format!("{pointer}/means_ms"), path), faults);
+        }
+    }
+    let limit = match hosts {
+        0 => (fault::Bound::AtLeast, 1),
+        hosts if hosts > HOSTS => (fault::Bound::AtMost, HOSTS),
+        _ => return,
+    };
+    faults.push(out_of_range("/upstreams", hosts, limit));
+}
+
+fn check_millis(value: Option<&Value>, pointer: &str, faults: &mut Vec<fault::Fault>) {
+    match value.and_then(Value::as_u64) {
+        Some(value) if value > MOST_MS => {
+            faults.push(out_of_range(pointer, value, (fault::Bound::AtMost, MOST_MS)));
+        }
+        _ => {}
+    }
+}
+
+fn out_of_range(pointer: &str, value: u64, limit: (fault::Bound, u64)) -> fault::Fault {
+    let (bound, limit) = limit;
+    let problem =
+        fault::Problem::OutOfRange { value: value.to_string(), bound, limit: limit.to_string() };
+    fault::Fault::new(pointer, problem)
+}
+
+fn key(mesh: &mesh::Mesh, class: &SmolStr) -> Option<mesh::ClassKey> {
+    let place = mesh.classes.iter().position(|c| c.name == *class)?;
+    u16::try_from(place).ok().map(mesh::ClassKey)
+}
+
+fn missing(class: &SmolStr) -> fault::Fault {
+    let problem = fault::Problem::DanglingReference {
+        list: "the configuration's /upstreams".to_owned(),
+        name: class.clone(),
+    };
+    fault::Fault::new(fault::join("/upstreams", class), problem)
+}
+
+/// The address `n` after `first`.
+fn nth(first: net::IpAddr, n: usize) -> net::IpAddr {
+    match first {
+        net::IpAddr::V4(ip) => net::Ipv4Addr::from(u32::from(ip).wrapping_add(n as u32)).into(),
+        net::IpAddr::V6(ip) => net::Ipv6Addr::from(u128::from(ip).wrapping_add(n as u128)).into(),
+    }
+}
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,12 +1,22 @@
 //! Settings of a node: one twin file for each feature, every field with a default and a unit.
+//!
+//! A settings file names only what differs from the defaults. With `"preset"` it starts from one
+//! of the files under `presets/` instead.
 
 use std::net;
+use std::path;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::host;
+use crate::mesh::fault;
+
 pub mod call;
 pub mod claim;
+pub mod limits;
+pub mod load;
+pub mod local;
 pub mod log;
 pub mod member;
 pub mod proxy;
@@ -24,6 +34,9 @@
     pub key: SmolStr,
     /// Address and base port of this host; six consecutive ports are used.
     pub listen: net::SocketAddr,
+    /// Address and base port to bind instead of `listen`, which others still use: for a host
+    /// that is reached through a forwarder of all six ports.
+    pub bind: Option<net::SocketAddr>,
     /// Region of this host.
     pub region: SmolStr,
     /// Availability zone of this host.
@@ -48,12 +61,34 @@
     pub usage: usage::Usage,
 }
 
+impl Node {
+    /// This host as the others know it.
+    pub const fn host(&self) -> host::HostId {
+        host::HostId::new(self.listen)
+    }
+
+    /// The addresses this process binds.
+    pub fn bound(&self) -> host::HostId {
+        host::HostId::new(self.bind.unwrap_or(self.listen))
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Every value that is out of range or at odds with another, with its JSON pointer.
+    pub fn check(&self) -> Result<(), fault::Faults> {
+        load::check(self)
+    }
+}
+
 impl Default for Node {
     fn default() -> Self {
         Self {
             mesh: SmolStr::default(),
             key: SmolStr::default(),
             listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 7100)),
+            bind: None,
             region: SmolStr::new_static("region"),
             zone: SmolStr::new_static("zone"),
             join: Vec::new(),
@@ -68,3 +103,12 @@
         }
     }
 }
+
+/// Reads and checks the settings of a node.
+///
+/// # Errors
+///
+/// The file can't be read, or has faults.
+pub fn load(path: &path::Path) -> Result<Node, load::SettingsError> {
+    load::load(path)
+}
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -7,7 +7,6 @@
 
 use crate::configs;
 use crate::context;
-use crate::host;
 use crate::member;
 use crate::mesh;
 use crate::node;
@@ -55,7 +54,7 @@
     settings: Arc<configs::Node>,
     mut wiring: Wiring,
 ) -> Result<(), member::Error> {
-    let address = host::HostId::new(settings.listen).member_addr();
+    let address = settings.bound().member_addr();
     let bound = net::UdpSocket::bind(address).await;
     let _socket = bound.map_err(|source| member::Error::Bind { address, source })?;
     // A dropped sender means that the process ends, too.
--- a/src/mesh/check.rs
+++ b/src/mesh/check.rs
@@ -17,7 +17,7 @@
 mod links;
 mod overlap;
 mod shape;
-mod text;
+pub(crate) mod text;
 
 #[cfg(test)]
 mod tests;
--- a/src/mesh/fault.rs
+++ b/src/mesh/fault.rs
@@ -1,4 +1,4 @@
-//! Faults of a configuration file, each with its place and a typed problem.
+//! Faults of a configuration or settings file, each with its place and a typed problem.
 
 use std::fmt;
 
@@ -120,6 +120,28 @@
         /// Pointer to the earlier route.
         other: String,
     },
+    /// A setting's value can't be read.
+    #[error("{reason}")]
+    WrongValue {
+        /// What the reader expected.
+        reason: String,
+    },
+    /// An address that names no host, such as 0.0.0.0.
+    #[error("{address} names no host")]
+    UnspecifiedAddress {
+        /// The address in the file.
+        address: String,
+    },
+    /// A setting is too large beside another one.
+    #[error("{times} times this must be at most {other}, which is {limit}")]
+    OutOfProportion {
+        /// How many times the value must fit.
+        times: u64,
+        /// Pointer to the other setting.
+        other: String,
+        /// Value of the other setting.
+        limit: u64,
+    },
     /// The file breaks the schema in another way.
     #[error("{reason}")]
     Shape {
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -69,8 +69,8 @@
     wiring: Wiring<C>,
 ) -> Result<(), error::Error> {
     let state = Rc::new(state::State::new(ctx, settings, &wiring));
-    let callers = serve::listen(state.me.call_addr()).await?;
-    let nodes = serve::listen(state.me.inner_addr()).await?;
+    let callers = serve::listen(state.settings.bound().call_addr()).await?;
+    let nodes = serve::listen(state.settings.bound().inner_addr()).await?;
     let (close, closing) = watch::channel(false);
     state.rebuild(Arc::clone(&wiring.applied.borrow()), &wiring.view.borrow());
     let followers = [
--- a/src/spread/shell.rs
+++ b/src/spread/shell.rs
@@ -7,7 +7,6 @@
 
 use crate::configs;
 use crate::context;
-use crate::host;
 use crate::logs;
 use crate::member;
 use crate::mesh;
@@ -45,7 +44,7 @@
     settings: Arc<configs::Node>,
     mut wiring: Wiring<L>,
 ) -> Result<(), spread::Error> {
-    let address = host::HostId::new(settings.listen).spread_addr();
+    let address = settings.bound().spread_addr();
     let bound = net::UdpSocket::bind(address).await;
     let _socket = bound.map_err(|source| spread::Error::Bind { address, source })?;
     // A dropped sender means that the process ends, too.
