--- a/src/configs/member.rs
+++ b/src/configs/member.rs
@@ -28,6 +28,8 @@
     pub join_ms: u64,
     /// Longest wait between two attempts to join, in milliseconds.
     pub join_most_ms: u64,
+    /// Time without any answer after which this host goes on by itself, in milliseconds.
+    pub alone_ms: u64,
     /// A silence of this process longer than this counts as a pause, in milliseconds.
     pub pause_ms: u64,
     /// Time after which a dead host is forgotten, in seconds.
@@ -50,6 +52,7 @@
             pages: 64,
             join_ms: 200,
             join_most_ms: 5000,
+            alone_ms: 2000,
             pause_ms: 2000,
             forget_s: 3600,
             dark_s: 86_400,
--- /dev/null
+++ b/src/member/detect.rs
@@ -0,0 +1,362 @@
+//! Which hosts, and which availability zones, don't answer.
+
+use std::collections;
+use std::time;
+
+use rand::RngExt as _;
+use rand::seq::IndexedRandom as _;
+use smol_str::SmolStr;
+
+use crate::clock;
+use crate::host;
+use crate::member;
+use crate::member::gossip;
+use crate::member::probe;
+use crate::member::rumors;
+use crate::member::standing;
+use crate::member::table;
+use crate::member::wire;
+use crate::member::zones;
+
+/// Hosts of a silent zone that are probed at once.
+const CHECKED: usize = 3;
+
+/// Hosts pinged to find out what became of this one.
+const PROOFS: usize = 3;
+
+/// Every so many knocks a configured address is tried even while other hosts answer.
+const KNOCKS: u32 = 8;
+
+/// Timers of detection.
+#[derive(Clone, Debug, Default)]
+pub struct Timers {
+    /// When each suspect is declared dead.
+    suspects: collections::BTreeMap<host::HostId, clock::Instant>,
+    knock: clock::Instant,
+    knocks: u32,
+    forget: clock::Instant,
+    /// When this host last asked what the others hold against it.
+    proved: Option<clock::Instant>,
+    /// When doubt of the own standing ends although nobody answered.
+    alone: Option<clock::Instant>,
+}
+
+impl Timers {
+    /// Gives `id` until `deadline` to refute.
+    pub fn suspect(&mut self, id: host::HostId, deadline: clock::Instant) {
+        self.suspects.entry(id).or_insert(deadline);
+    }
+
+    /// Ends the suspicion of `id`.
+    pub fn clear(&mut self, id: host::HostId) {
+        self.suspects.remove(&id);
+    }
+
+    /// When a timer is due next.
+    pub fn wake(&self) -> clock::Instant {
+        let timers = [self.knock, self.forget].into_iter().chain(self.alone);
+        let due = timers.chain(self.suspects.values().copied()).min();
+        due.unwrap_or(self.forget)
+    }
+}
+
+impl member::Member {
+    /// Sets the first timers, each at a random part of its period.
+    pub(super) fn start(&mut self) {
+        let part = self.rng.random_range(0.0..1.0);
+        self.prober.forgive(self.now + millis(self.settings.probe_ms).mul_f64(part));
+        self.detect.knock = self.now + millis(self.settings.knock_ms).mul_f64(part);
+        self.detect.forget = self.now + member::FORGET.mul_f64(part);
+        // A herd that starts at once must not ask at once.
+        self.join.delay(millis(self.settings.join_ms).mul_f64(part));
+    }
+
+    /// Sends the probe that is due.
+    pub(super) fn run_probes(&mut self) {
+        let period = self.jittered(millis(self.settings.probe_ms));
+        while let Some(step) = self.prober.step(period, self.now) {
+            match step {
+                probe::Step::Ask(target) => {
+                    let sequence = self.probe(target, false);
+                    for helper in self.sample(usize::from(self.settings.helpers), target) {
+                        self.send(helper, wire::Body::Ask { sequence, target });
+                    }
+                }
+                probe::Step::Failed { target, began } => {
+                    self.fail(target, began);
+                    self.probe_next();
+                }
+                probe::Step::Next => self.probe_next(),
+                probe::Step::Retry(target) => {
+                    self.probe(target, true);
+                }
+            }
+        }
+    }
+
+    fn probe_next(&mut self) {
+        let (table, zones) = (&self.table, &self.zones);
+        let wanted = |id| {
+            let entry = table.get(id).filter(|e| e.is_present());
+            entry.is_some_and(|e| !zones.is_dark(&e.record.place.zone))
+        };
+        if let Some(target) = self.prober.choose(&self.peers, &mut self.rng, wanted) {
+            self.probe(target, true);
+        }
+    }
+
+    /// Pings the host under probe; helpers are asked later if `ask` says so.
+    fn probe(&mut self, target: host::HostId, ask: bool) -> u32 {
+        let sequence = self.ping(target);
+        if ask {
+            let late = self.now + millis(self.settings.answer_ms);
+            self.prober.sent(target, sequence, late, self.now);
+        }
+        sequence
+    }
+
+    /// Pings `target`; gives the number of the ping.
+    pub(super) fn ping(&mut self, target: host::HostId) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        let running = self.running_here();
+        self.send(target, wire::Body::Ping { sequence: self.sequence, running });
+        self.sequence
+    }
+
+    /// `from` answered a ping.
+    pub(super) fn acknowledged(&mut self, from: host::HostId, sequence: u32) {
+        self.prober.answered(from, sequence);
+        self.change_standing(standing::Event::Answered(sequence));
+        if let Some(relay) = self.prober.relayed(from, sequence) {
+            let answered = wire::Body::Answered { sequence: relay.sequence, target: from };
+            self.send(relay.asker, answered);
+        }
+    }
+
+    /// A helper says that `target` answered it.
+    pub(super) fn vouched(&mut self, target: host::HostId, sequence: u32) {
+        self.prober.answered(target, sequence);
+        self.hear(target);
+    }
+
+    /// Pings `target` for `asker`.
+    pub(super) fn help(&mut self, asker: host::HostId, sequence: u32, target: host::HostId) {
+        if target != self.id {
+            let own = self.ping(target);
+            self.prober.relay(own, probe::Relay { asker, sequence, target });
+        }
+    }
+
+    /// Notes a sign of life of the zone of `id`.
+    pub(super) fn hear(&mut self, id: host::HostId) {
+        let Some(zone) = self.zone(id) else { return };
+        let lift = self.zones.hear(&zone, self.now);
+        if lift.dark {
+            log::info!(zone = zone.as_str(); "availability zone answers again");
+            self.dirty = true;
+            self.rumors.remove(&rumors::Topic::Dark(zone));
+        }
+        for id in lift.suspects {
+            self.suspect(id);
+        }
+    }
+
+    /// `target` did not answer since `began`: suspects it, or first checks its zone.
+    fn fail(&mut self, target: host::HostId, began: clock::Instant) {
+        let Some(zone) = self.zone(target) else { return };
+        if self.zones.heard_since(&zone, began) || !self.check_zone(&zone, Some(target)) {
+            self.suspect(target);
+        }
+    }
+
+    /// Probes some hosts of a silent zone; `false` when it has no other host to ask.
+    fn check_zone(&mut self, zone: &SmolStr, suspect: Option<host::HostId>) -> bool {
+        if self.zones.is_dark(zone) {
+            return true;
+        }
+        let targets = self.witnesses(zone, suspect);
+        if targets.is_empty() {
+            return false;
+        }
+        if self.zones.check(zone, suspect, self.now + self.round()) {
+            targets.into_iter().for_each(|id| {
+                self.ping(id);
+            });
+        }
+        true
+    }
+
+    /// Others say that they can't reach `zone`.
+    pub(super) fn doubt_zone(&mut self, zone: &SmolStr) {
+        let period = millis(self.settings.probe_ms);
+        let lately = clock::Instant::from_micros(
+            self.now.as_micros().saturating_sub(2 * period.as_micros() as u64),
+        );
+        if !self.zones.heard_since(zone, lately) {
+            self.check_zone(zone, None);
+        }
+    }
+
+    /// A few random present hosts of `zone` without `but`.
+    fn witnesses(&mut self, zone: &SmolStr, but: Option<host::HostId>) -> Vec<host::HostId> {
+        let table = &self.table;
+        let present = self.peers.iter().copied().filter(|&id| Some(id) != but);
+        let inside = |id: &host::HostId| {
+            table.get(*id).is_some_and(|e| e.claim.is_none() && e.record.place.zone == *zone)
+        };
+        let inside: Vec<_> = present.filter(inside).collect();
+        inside.sample(&mut self.rng, CHECKED).copied().collect()
+    }
+
+    fn suspect(&mut self, id: host::HostId) {
+        let Some(incarnation) = self.table.get(id).map(|e| e.record.incarnation) else { return };
+        let change = self.table.claim(id, incarnation, wire::Claim::Suspect, self.now);
+        self.follow(id, change, rumors::Rank::Soon, gossip::Way::Rumor);
+    }
+
+    /// Runs what is due of checks, suspicions, knocks and forgetting.
+    pub(super) fn run_detection(&mut self) {
+        self.run_checks();
+        self.run_suspicions();
+        if self.detect.knock <= self.now {
+            self.detect.knock = self.now + self.jittered(millis(self.settings.knock_ms));
+            self.knock();
+        }
+        if self.detect.forget <= self.now {
+            self.detect.forget = self.now + self.jittered(member::FORGET);
+            self.forget();
+        }
+        if self.detect.alone.take_if(|at| *at <= self.now).is_some() {
+            self.change_standing(standing::Event::Alone);
+        }
+    }
+
+    fn run_checks(&mut self) {
+        for (zone, verdict) in self.zones.expire(self.round(), self.now) {
+            match verdict {
+                zones::Verdict::Again => {
+                    for id in self.witnesses(&zone, None) {
+                        self.ping(id);
+                    }
+                }
+                zones::Verdict::Dark => {
+                    log::warn!(zone = zone.as_str(); "availability zone can't be reached");
+                    self.dirty = true;
+                    self.spread(rumors::Topic::Dark(zone), rumors::Rank::Soon, 0);
+                }
+            }
+        }
+    }
+
+    fn run_suspicions(&mut self) {
+        let due = |at: &clock::Instant| *at <= self.now;
+        let suspects = self.detect.suspects.iter().filter(|(_, at)| due(at));
+        for id in suspects.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.end_suspicion(id);
+        }
+    }
+
+    /// Declares `id` dead, unless nothing was heard from its zone in the meantime.
+    fn end_suspicion(&mut self, id: host::HostId) {
+        self.detect.clear(id);
+        let Some(entry) = self.table.get(id) else { return };
+        let (zone, incarnation) = (entry.record.place.zone.clone(), entry.record.incarnation);
+        if !self.zones.heard_since(&zone, entry.since) && self.check_zone(&zone, Some(id)) {
+            self.detect.suspect(id, self.now + self.patience());
+            return;
+        }
+        log::warn!(host:% = id; "host declared dead");
+        let change = self.table.claim(id, incarnation, wire::Claim::Dead, self.now);
+        self.follow(id, change, rumors::Rank::Urgent, gossip::Way::Rumor);
+    }
+
+    /// Pings a host that is not among the probed ones: of a dark zone, dead, or configured.
+    fn knock(&mut self) {
+        self.detect.knocks = self.detect.knocks.wrapping_add(1);
+        let lost = |id: host::HostId, e: &table::Entry| {
+            let dark = e.is_present() && self.zones.is_dark(&e.record.place.zone);
+            id != self.id && (dark || e.claim == Some(wire::Claim::Dead))
+        };
+        let lost: Vec<_> = self.table.iter().filter(|(id, e)| lost(*id, e)).collect();
+        let mut target = lost.choose(&mut self.rng).map(|(id, _)| *id);
+        if self.peers.is_empty() || self.detect.knocks.is_multiple_of(KNOCKS) {
+            let strangers = self.join.addresses().filter(|&id| self.table.get(id).is_none());
+            let strangers: Vec<_> = strangers.collect();
+            target = strangers.choose(&mut self.rng).copied().or(target);
+        }
+        if let Some(target) = target {
+            self.ping(target);
+        }
+    }
+
+    fn forget(&mut self) {
+        let dark_limit = time::Duration::from_secs(self.settings.dark_s);
+        let old = self.zones.dark().filter(|(_, since)| self.now.since(*since) > dark_limit);
+        let zones: Vec<SmolStr> = old.map(|(zone, _)| zone.clone()).collect();
+        for zone in zones {
+            self.bury(&zone);
+        }
+        self.table.forget(time::Duration::from_secs(self.settings.forget_s), self.now);
+    }
+
+    /// Counts the hosts of a zone that was dark for too long as dead, without telling anyone.
+    fn bury(&mut self, zone: &SmolStr) {
+        let inside = |e: &table::Entry| e.is_present() && e.record.place.zone == *zone;
+        let hosts = self.table.iter().filter(|(id, e)| *id != self.id && inside(e));
+        let hosts: Vec<_> = hosts.map(|(id, e)| (id, e.record.incarnation)).collect();
+        for (id, incarnation) in hosts {
+            self.table.claim(id, incarnation, wire::Claim::Dead, self.now);
+            self.detect.clear(id);
+            self.peers.retain(|&p| p != id);
+            self.dirty = true;
+        }
+    }
+
+    /// Pings a few hosts so that they say what they hold against this one; at most once a period,
+    /// so that claims that can't be refuted make no storm.
+    pub(super) fn prove(&mut self) {
+        let period = millis(self.settings.probe_ms);
+        if self.detect.proved.is_some_and(|at| self.now.since(at) < period) {
+            return;
+        }
+        self.detect.proved = Some(self.now);
+        self.detect.alone = Some(self.now + millis(self.settings.alone_ms));
+        for id in self.sample(PROOFS, self.id) {
+            self.ping(id);
+        }
+    }
+
+    /// Gives everyone the time that this process did not run.
+    pub(super) fn forgive(&mut self, gap: time::Duration) {
+        log::warn!(gap_ms = gap.as_millis() as u64; "process was paused");
+        self.prober.forgive(self.now);
+        self.zones.forgive();
+        self.detect.suspects.values_mut().for_each(|at| *at = *at + gap);
+    }
+
+    /// Time a suspect has to refute.
+    pub(super) fn patience(&self) -> time::Duration {
+        let tenfolds = (self.table.present() as f64).log10().max(1.0);
+        let period = millis(self.settings.probe_ms);
+        (period * u32::from(self.settings.suspicion)).mul_f64(tenfolds)
+    }
+
+    /// Whether `id` is known and not in a dark zone.
+    pub(super) fn is_reachable(&self, id: host::HostId) -> bool {
+        self.zone(id).is_some_and(|zone| !self.zones.is_dark(&zone))
+    }
+
+    fn zone(&self, id: host::HostId) -> Option<SmolStr> {
+        self.table.get(id).map(|e| e.record.place.zone.clone())
+    }
+
+    /// Time for one round of probes of a zone.
+    fn round(&self) -> time::Duration {
+        millis(2 * self.settings.answer_ms)
+    }
+}
+
+/// `count` milliseconds.
+pub fn millis(count: u64) -> time::Duration {
+    time::Duration::from_millis(count)
+}
--- /dev/null
+++ b/src/member/gossip.rs
@@ -0,0 +1,334 @@
+//! How news arrive and are passed on.
+
+use std::time;
+
+use rand::RngExt as _;
+
+use crate::clock;
+use crate::host;
+use crate::member;
+use crate::member::rumors;
+use crate::member::standing;
+use crate::member::table;
+use crate::member::wire;
+use crate::view;
+
+/// Hosts that get one wave of urgent news.
+const WAVE: usize = 3;
+
+/// Time between two waves.
+const WAVE_GAP: time::Duration = time::Duration::from_millis(100);
+
+/// Extra datagrams for urgent news.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Burst {
+    left: u32,
+    next: Option<clock::Instant>,
+}
+
+/// By which way news came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// Passed on by a host that has them new.
+    Rumor,
+    /// Found missing by a comparison of digests.
+    Repair,
+    /// Taken over while joining.
+    Page,
+}
+
+impl Burst {
+    /// When the next wave is due.
+    pub fn wake(&self) -> Option<clock::Instant> {
+        self.next
+    }
+}
+
+/// How pressing a change from one announcement to the next is.
+pub fn rank(old: Option<&view::Upstream>, new: Option<&view::Upstream>) -> rumors::Rank {
+    let takes = |u: Option<&view::Upstream>| u.is_some_and(|u| u.phase != view::Phase::Draining);
+    if takes(old) && !takes(new) { rumors::Rank::Urgent } else { rumors::Rank::Plain }
+}
+
+impl member::Member {
+    /// Handles a datagram of this mesh.
+    pub(super) fn receive(&mut self, datagram: &wire::Datagram) {
+        if datagram.from == self.id {
+            return;
+        }
+        self.hear(datagram.from);
+        let way = match datagram.body {
+            wire::Body::Bucket { .. } => Way::Repair,
+            wire::Body::Page { .. } => Way::Page,
+            _ => Way::Rumor,
+        };
+        let stale = self.absorb(datagram, way);
+        self.dispatch(datagram, stale);
+    }
+
+    fn dispatch(&mut self, datagram: &wire::Datagram, stale: Vec<host::HostId>) {
+        let from = datagram.from;
+        match datagram.body {
+            wire::Body::Ack { sequence, running } => {
+                self.acknowledged(from, sequence);
+                self.compare(from, running);
+            }
+            wire::Body::Answered { sequence, target } => self.vouched(target, sequence),
+            wire::Body::Ask { sequence, target } => self.help(from, sequence, target),
+            wire::Body::Bucket { prefix, reply } => {
+                self.answer_bucket(datagram, prefix, reply, &stale);
+            }
+            wire::Body::Busy { instead } => self.refused(from, instead),
+            wire::Body::Digest { prefix, children } => self.descend(from, prefix, &children),
+            wire::Body::Gossip => {}
+            wire::Body::Page { next, settled } => self.turn_page(from, next, settled),
+            wire::Body::Ping { sequence, running } => {
+                let running_here = self.running_here();
+                self.send(from, wire::Body::Ack { sequence, running: running_here });
+                self.compare(from, running);
+            }
+            wire::Body::Pull { cursor } => self.give_page(from, cursor),
+        }
+    }
+
+    /// Merges the items of a datagram; gives the hosts whose record was older than a death
+    /// known here.
+    fn absorb(&mut self, datagram: &wire::Datagram, way: Way) -> Vec<host::HostId> {
+        let mut stale = Vec::new();
+        for item in &datagram.items {
+            match *item {
+                wire::Item::Claim { host, incarnation, claim } => {
+                    self.absorb_claim(host, incarnation, claim, way);
+                }
+                wire::Item::Dark { zone } => self.doubt_zone(&datagram.name(zone)),
+                wire::Item::Record(record) => {
+                    if !self.absorb_record(datagram, &record, way) {
+                        stale.push(record.host);
+                    }
+                }
+            }
+        }
+        stale
+    }
+
+    fn absorb_claim(&mut self, id: host::HostId, incarnation: u64, claim: wire::Claim, way: Way) {
+        if id == self.id {
+            self.accused(incarnation, claim);
+            return;
+        }
+        let zone = self.table.get(id).map(|e| e.record.place.zone.clone());
+        let dark = zone.is_some_and(|z| self.zones.is_dark(&z));
+        if dark && claim == wire::Claim::Suspect {
+            return;
+        }
+        let change = self.table.claim(id, incarnation, claim, self.now);
+        self.follow(id, change, rumors::Rank::Plain, way);
+    }
+
+    /// Merges a record; `false` when the host is known to be gone in that incarnation.
+    fn absorb_record(&mut self, datagram: &wire::Datagram, found: &wire::Record, way: Way) -> bool {
+        let account = (found.incarnation, found.serial);
+        if found.host == self.id {
+            if account > self.own() {
+                self.outlive(found.incarnation);
+            }
+            return true;
+        }
+        let known = self.table.get(found.host);
+        if known.is_some_and(|e| !e.is_present() && e.record.incarnation >= found.incarnation) {
+            return false;
+        }
+        let record = read(datagram, found);
+        let old = known.and_then(|e| e.record.upstream.clone());
+        let rank = rank(old.as_deref(), record.upstream.as_deref());
+        let change = self.table.merge(found.host, record, self.now);
+        self.follow(found.host, change, rank, way);
+        true
+    }
+
+    /// Others hold a claim against this host.
+    fn accused(&mut self, incarnation: u64, claim: wire::Claim) {
+        if incarnation < self.own().0 {
+            return;
+        }
+        log::warn!(claim:?, incarnation; "claimed by others, taking a new incarnation");
+        self.outlive(incarnation);
+        if claim != wire::Claim::Suspect {
+            self.change_standing(standing::Event::Declared { proof: self.sequence + 1 });
+            self.prove();
+        }
+    }
+
+    /// Does what a change of the table asks for.
+    pub(super) fn follow(
+        &mut self,
+        id: host::HostId,
+        change: table::Change,
+        rank: rumors::Rank,
+        way: Way,
+    ) {
+        if change == table::Change::Same {
+            return;
+        }
+        self.changed = self.now;
+        self.dirty = true;
+        match change {
+            table::Change::Claimed(claim) => self.follow_claim(id, claim, way),
+            table::Change::Renewed(Some(_)) => self.follow_record(id, rumors::Rank::Urgent, way),
+            _ => self.follow_record(id, rank, way),
+        }
+    }
+
+    fn follow_record(&mut self, id: host::HostId, rank: rumors::Rank, way: Way) {
+        let present = self.table.get(id).is_some_and(table::Entry::is_present);
+        if present && !self.peers.contains(&id) {
+            self.peers.push(id);
+        }
+        if self.table.get(id).is_some_and(|e| e.claim.is_none()) {
+            self.detect.clear(id);
+            self.rumors.remove(&rumors::Topic::Claim(id));
+        }
+        match way {
+            Way::Rumor => self.spread(rumors::Topic::Record(id), rank, 0),
+            Way::Repair => {
+                let half = self.limits().plain / 2;
+                self.spread(rumors::Topic::Record(id), rumors::Rank::Plain, half);
+            }
+            Way::Page => {}
+        }
+    }
+
+    fn follow_claim(&mut self, id: host::HostId, claim: wire::Claim, way: Way) {
+        let topic = rumors::Topic::Claim(id);
+        if claim == wire::Claim::Suspect {
+            self.detect.suspect(id, self.now + self.patience());
+            self.spread(topic, rumors::Rank::Soon, 0);
+            return;
+        }
+        self.detect.clear(id);
+        self.peers.retain(|&p| p != id);
+        self.rumors.remove(&rumors::Topic::Record(id));
+        let rank = if way == Way::Rumor { rumors::Rank::Urgent } else { rumors::Rank::Plain };
+        self.spread(topic, rank, 0);
+    }
+
+    /// Queues news that were sent `sent` times already.
+    pub(super) fn spread(&mut self, topic: rumors::Topic, rank: rumors::Rank, sent: u32) {
+        self.rumors.add(topic, rank, sent);
+        if rank == rumors::Rank::Urgent {
+            self.burst.left = self.fan();
+            self.burst.next = Some(self.burst.next.unwrap_or(self.now));
+        }
+    }
+
+    /// Sends the wave of urgent news that is due.
+    pub(super) fn run_burst(&mut self) {
+        if self.burst.next.is_none_or(|next| next > self.now) {
+            return;
+        }
+        for to in self.sample(WAVE.min(self.burst.left as usize), self.id) {
+            let mut packer = wire::Packer::new(self.id, wire::Body::Gossip);
+            self.pack(&mut packer, rumors::Rank::Urgent);
+            if !packer.is_empty() {
+                self.out.push(member::Action::Send { to, datagram: packer.finish() });
+            }
+        }
+        self.burst.left = self.burst.left.saturating_sub(WAVE as u32);
+        let more = self.burst.left > 0 && self.rumors.has_urgent();
+        let gap = self.jittered(WAVE_GAP);
+        self.burst.next = more.then(|| self.now + gap);
+    }
+
+    /// Sends `body` with as much news as fits.
+    pub(super) fn send(&mut self, to: host::HostId, body: wire::Body) {
+        let mut packer = wire::Packer::new(self.id, body);
+        if let Some((entry, claim)) = self.table.get(to).and_then(|e| Some((e, e.claim?))) {
+            // A host must learn at once what is held against it.
+            packer.claim(to, entry.record.incarnation, claim);
+        }
+        self.pack(&mut packer, rumors::Rank::Plain);
+        self.out.push(member::Action::Send { to, datagram: packer.finish() });
+    }
+
+    fn pack(&mut self, packer: &mut wire::Packer, rank: rumors::Rank) {
+        let limits = self.limits();
+        let (table, zones) = (&self.table, &self.zones);
+        self.rumors.take(rank, limits, |topic| {
+            let fitted = match topic {
+                rumors::Topic::Claim(id) => put_claim(packer, table, *id),
+                rumors::Topic::Dark(zone) => zones.is_dark(zone).then(|| packer.dark(zone)),
+                rumors::Topic::Record(id) => put_record(packer, table, *id),
+            };
+            match fitted {
+                Some(true) => rumors::Fit::Packed,
+                Some(false) => rumors::Fit::Full,
+                None => rumors::Fit::Gone,
+            }
+        });
+    }
+
+    /// Times each piece of news is sent from here.
+    pub(super) fn limits(&self) -> rumors::Limits {
+        let doublings = usize::BITS - self.table.present().leading_zeros();
+        let plain = u32::from(self.settings.retransmit) * doublings.max(1);
+        rumors::Limits { urgent: plain + self.fan(), plain }
+    }
+
+    /// Extra datagrams for urgent news: enough that hardly any host is missed.
+    pub(super) fn fan(&self) -> u32 {
+        let hosts = self.table.present() as f64;
+        hosts.ln().ceil() as u32 + u32::from(self.settings.urgent)
+    }
+
+    /// Up to `count` random peers that can be reached, without `but`.
+    pub(super) fn sample(&mut self, count: usize, but: host::HostId) -> Vec<host::HostId> {
+        let mut chosen: Vec<host::HostId> = Vec::with_capacity(count);
+        if self.peers.is_empty() {
+            return chosen;
+        }
+        for _ in 0..count * 4 {
+            let id = self.peers[self.rng.random_range(0..self.peers.len())];
+            let wanted = id != but && !chosen.contains(&id) && self.is_reachable(id);
+            if wanted && chosen.len() < count {
+                chosen.push(id);
+            }
+        }
+        chosen
+    }
+
+    /// `span` shortened or lengthened by up to a tenth, so that no two hosts keep step.
+    pub(super) fn jittered(&mut self, span: time::Duration) -> time::Duration {
+        span.mul_f64(self.rng.random_range(0.9..1.1))
+    }
+}
+
+/// The record that `found` stands for in its datagram.
+fn read(datagram: &wire::Datagram, found: &wire::Record) -> table::Record {
+    let region = datagram.name(found.region);
+    let place = view::Place { region, zone: datagram.name(found.zone) };
+    let upstream = found.upstream.map(|u| view::Upstream {
+        service: datagram.name(u.service),
+        class: datagram.name(u.class),
+        phase: u.phase,
+        slots: u.slots,
+        connections: u.connections,
+    });
+    table::Record {
+        incarnation: found.incarnation,
+        serial: found.serial,
+        place: place.into(),
+        upstream: upstream.map(Into::into),
+    }
+}
+
+/// Packs what is claimed of `id`; `None` when nothing is.
+fn put_claim(packer: &mut wire::Packer, table: &table::Table, id: host::HostId) -> Option<bool> {
+    let entry = table.get(id)?;
+    Some(packer.claim(id, entry.record.incarnation, entry.claim?))
+}
+
+/// Packs the record of `id`; `None` when the host is gone.
+fn put_record(packer: &mut wire::Packer, table: &table::Table, id: host::HostId) -> Option<bool> {
+    let entry = table.get(id).filter(|e| e.is_present())?;
+    Some(entry.record.pack(id, packer))
+}
--- /dev/null
+++ b/src/member/join.rs
@@ -0,0 +1,198 @@
+//! Taking over the table from another host, page by page, and giving it to others.
+
+use std::net;
+use std::time;
+
+use rand::RngExt as _;
+use rand::seq::IndexedRandom as _;
+
+use crate::clock;
+use crate::host;
+use crate::member;
+use crate::member::detect;
+use crate::member::rumors;
+use crate::member::standing;
+use crate::member::wire;
+
+/// A page that was asked for.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    peer: host::HostId,
+    deadline: clock::Instant,
+}
+
+/// How far this host has joined, and what it can give to others that join.
+#[derive(Clone, Debug)]
+pub struct Join {
+    /// Configured hosts but this one.
+    seeds: Vec<host::HostId>,
+    done: bool,
+    asked: Option<Asked>,
+    /// Hash from which the table is still missing.
+    cursor: u32,
+    attempt: u32,
+    next: clock::Instant,
+    /// Host to ask next; a random seed when there is none.
+    instead: Option<host::HostId>,
+    /// When a host that has joined answered last, or this one was started.
+    progress: clock::Instant,
+    /// Pages that may be given now.
+    tokens: f64,
+    refilled: clock::Instant,
+}
+
+impl Join {
+    /// A host called `id` that has not joined yet and knows `addresses`.
+    pub fn new(id: host::HostId, addresses: &[net::SocketAddr], now: clock::Instant) -> Self {
+        let seeds = addresses.iter().copied().map(host::HostId::new).filter(|&h| h != id);
+        Self {
+            seeds: seeds.collect(),
+            done: false,
+            asked: None,
+            cursor: 0,
+            attempt: 0,
+            next: now,
+            instead: None,
+            progress: now,
+            tokens: f64::INFINITY,
+            refilled: now,
+        }
+    }
+
+    /// When something is due next.
+    pub fn wake(&self) -> Option<clock::Instant> {
+        let due = self.asked.map_or(self.next, |a| a.deadline);
+        (!self.done).then_some(due)
+    }
+
+    /// Whether the table was taken over.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// The configured hosts but this one.
+    pub fn addresses(&self) -> impl Iterator<Item = host::HostId> {
+        self.seeds.iter().copied()
+    }
+
+    /// Puts the first attempt off by `wait`.
+    pub fn delay(&mut self, wait: time::Duration) {
+        self.next = self.next + wait;
+    }
+
+    /// Takes a token for one page, of which there are `rate` in a second.
+    fn draw(&mut self, rate: f64, now: clock::Instant) -> bool {
+        let grown = now.since(self.refilled).as_secs_f64() * rate;
+        self.tokens = (self.tokens + grown).min(rate);
+        self.refilled = now;
+        let granted = self.tokens >= 1.0;
+        if granted {
+            self.tokens -= 1.0;
+        }
+        granted
+    }
+}
+
+impl member::Member {
+    /// Asks for the next page when it is time to.
+    pub(super) fn run_join(&mut self) {
+        if self.join.done {
+            return;
+        }
+        let alone = self.now.since(self.join.progress) >= detect::millis(self.settings.alone_ms);
+        if self.join.seeds.is_empty() || alone {
+            self.finish_join(standing::Event::Alone);
+            return;
+        }
+        if self.join.asked.take_if(|a| a.deadline <= self.now).is_some() {
+            self.back_off(None);
+        }
+        if self.join.asked.is_none() && self.join.next <= self.now {
+            self.ask_page();
+        }
+    }
+
+    fn ask_page(&mut self) {
+        let seed = self.join.seeds.choose(&mut self.rng).copied();
+        if let Some(peer) = self.join.instead.take().or(seed) {
+            self.pull(peer);
+        }
+    }
+
+    fn pull(&mut self, peer: host::HostId) {
+        let deadline = self.now + 2 * detect::millis(self.settings.answer_ms);
+        self.join.asked = Some(Asked { peer, deadline });
+        self.send(peer, wire::Body::Pull { cursor: self.join.cursor });
+    }
+
+    /// Waits a random time, up to a limit that doubles with each attempt, before asking again.
+    fn back_off(&mut self, instead: Option<host::HostId>) {
+        let doubled = self.settings.join_ms << self.join.attempt.min(10);
+        let most = detect::millis(doubled.min(self.settings.join_most_ms));
+        self.join.attempt += 1;
+        self.join.instead = instead;
+        self.join.next = self.now + most.mul_f64(self.rng.random_range(0.0..1.0));
+    }
+
+    /// `from` has no page to give now.
+    pub(super) fn refused(&mut self, from: host::HostId, instead: Option<host::HostId>) {
+        if self.join.asked.take_if(|a| a.peer == from).is_some() {
+            self.join.progress = self.now;
+            self.back_off(instead.filter(|&id| id != self.id));
+        }
+    }
+
+    /// A page came from `from`.
+    pub(super) fn turn_page(&mut self, from: host::HostId, next: Option<u32>, settled: bool) {
+        if self.join.done || self.join.asked.take_if(|a| a.peer == from).is_none() {
+            return;
+        }
+        if settled {
+            // Hosts that all join at once must not wait for each other for ever.
+            self.join.progress = self.now;
+            self.join.attempt = 0;
+        }
+        match next {
+            Some(cursor) => {
+                self.join.cursor = cursor;
+                self.pull(from);
+            }
+            None if settled => self.finish_join(standing::Event::Joined),
+            None => {
+                self.join.cursor = 0;
+                self.back_off(None);
+            }
+        }
+    }
+
+    fn finish_join(&mut self, event: standing::Event) {
+        self.join.done = true;
+        self.join.asked = None;
+        log::info!(hosts = self.table.present(), how:? = event; "joined the mesh");
+        self.change_standing(event);
+        // What was sent so far went to the hosts asked for pages.
+        self.spread(rumors::Topic::Record(self.id), rumors::Rank::Plain, 0);
+    }
+
+    /// Gives `to` the page of the table from `cursor` on, or says who else may.
+    pub(super) fn give_page(&mut self, to: host::HostId, cursor: u32) {
+        if !self.join.draw(f64::from(self.settings.pages), self.now) {
+            let instead = self.sample(1, to).pop();
+            self.send(to, wire::Body::Busy { instead });
+            return;
+        }
+        let settled = self.join.done;
+        let room = wire::Body::Page { next: Some(u32::MAX), settled };
+        let mut packer = wire::Packer::new(self.id, room);
+        let mut next = None;
+        for (hash, id, entry) in self.table.from(cursor) {
+            if !entry.record.pack(id, &mut packer) {
+                next = Some(hash);
+                break;
+            }
+        }
+        let mut datagram = packer.finish();
+        datagram.body = wire::Body::Page { next, settled };
+        self.out.push(member::Action::Send { to, datagram });
+    }
+}
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,16 +1,45 @@
 //! Membership: who is there, and in what state.
+//!
+//! [`Member`] is the pure decision; [`shell`] is its thread. Hosts probe each other in the manner
+//! of SWIM, pass records and claims on a bounded number of times, and mend what was lost by
+//! comparing digests of ranges of the table. `docs/design/membership.md` gives reasons and figures.
 
 use std::io;
 use std::net;
+use std::sync::Arc;
+use std::time;
 
+use rand::SeedableRng as _;
+use rand::rngs;
+
+use crate::clock;
+use crate::configs;
 use crate::host;
+use crate::node;
 use crate::version;
+use crate::view;
 
+mod detect;
+mod gossip;
+mod join;
+mod probe;
+mod repair;
+mod rumors;
 pub mod shell;
+mod standing;
+mod table;
+pub mod wire;
+mod zones;
+
+#[cfg(test)]
+mod tests;
 
 /// Bytes of a configuration's digest that a probe carries.
 pub const HASH_BYTES: usize = 4;
 
+/// Time between two looks for hosts to forget.
+const FORGET: time::Duration = time::Duration::from_secs(10);
+
 /// A peer runs a configuration that differs from ours: newer, older or another.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Heard {
@@ -37,3 +66,261 @@
     #[error("can't start the runtime of the membership duty")]
     Runtime(#[source] io::Error),
 }
+
+/// What happens to a member.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// This node runs another configuration.
+    Applied(version::Stamp),
+    /// A datagram of this mesh arrived.
+    Datagram(Box<wire::Datagram>),
+    /// The upstream beside this node announced itself, changed or is gone.
+    Local(Option<Arc<view::Upstream>>),
+    /// The process is in another stage.
+    Stage(node::Stage),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a member wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Tell the distribution duty of a peer that runs something else.
+    Heard(Heard),
+    /// Send a datagram.
+    Send {
+        /// Receiver.
+        to: host::HostId,
+        /// Content.
+        datagram: wire::Datagram,
+    },
+}
+
+/// The membership decision of one host.
+pub struct Member {
+    id: host::HostId,
+    place: Arc<view::Place>,
+    settings: configs::member::Member,
+    rng: rngs::Xoshiro256PlusPlus,
+    now: clock::Instant,
+    /// Configuration this node runs.
+    running: version::Stamp,
+    /// The upstream as it announced itself.
+    local: Option<Arc<view::Upstream>>,
+    stage: node::Stage,
+    /// Invariant: this host's own entry is always in it.
+    table: table::Table,
+    /// When the table last changed.
+    changed: clock::Instant,
+    /// Present hosts but this one, in no order.
+    peers: Vec<host::HostId>,
+    rumors: rumors::Rumors,
+    burst: gossip::Burst,
+    prober: probe::Prober,
+    zones: zones::Zones,
+    detect: detect::Timers,
+    repair: repair::Repair,
+    join: join::Join,
+    standing: standing::Standing,
+    /// Number of the last ping or question.
+    sequence: u32,
+    /// Whether the view differs from the last one taken.
+    dirty: bool,
+    out: Vec<Action>,
+}
+
+impl Member {
+    /// A host that joins the mesh at `now`, in an incarnation higher than each before it on the
+    /// same address, as `unix_millis` is.
+    pub fn new(settings: &configs::Node, seed: u64, incarnation: u64, now: clock::Instant) -> Self {
+        let id = host::HostId::new(settings.listen);
+        let place = view::Place { region: settings.region.clone(), zone: settings.zone.clone() };
+        let mut member = Self {
+            id,
+            place: Arc::new(place),
+            settings: settings.member.clone(),
+            rng: rngs::Xoshiro256PlusPlus::seed_from_u64(seed),
+            now,
+            running: version::Stamp::default(),
+            local: None,
+            stage: node::Stage::Run,
+            table: table::Table::default(),
+            changed: now,
+            peers: Vec::new(),
+            rumors: rumors::Rumors::default(),
+            burst: gossip::Burst::default(),
+            prober: probe::Prober::default(),
+            zones: zones::Zones::default(),
+            detect: detect::Timers::default(),
+            repair: repair::Repair::default(),
+            join: join::Join::new(id, &settings.join, now),
+            standing: standing::Standing::default(),
+            sequence: 0,
+            dirty: true,
+            out: Vec::new(),
+        };
+        member.announce((incarnation, 1), rumors::Rank::Plain);
+        member.start();
+        member
+    }
+
+    /// Takes an event at `now` and gives what is to be done.
+    pub fn handle(&mut self, event: Event, now: clock::Instant) -> Vec<Action> {
+        self.advance(now);
+        if self.stage != node::Stage::End {
+            self.take(event);
+            self.run_timers();
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the member wants a [`Event::Tick`] at the latest.
+    pub fn wake(&self) -> clock::Instant {
+        let mut wake = self.prober.wake().min(self.detect.wake());
+        for other in [self.zones.wake(), self.burst.wake(), self.join.wake()] {
+            wake = other.map_or(wake, |w| w.min(wake));
+        }
+        wake
+    }
+
+    /// Whether [`Member::view`] would give another view than last time.
+    pub fn has_changed(&self) -> bool {
+        self.dirty
+    }
+
+    /// The hosts as seen from here.
+    pub fn view(&mut self) -> view::View {
+        self.dirty = false;
+        let left = |e: &table::Entry| e.claim == Some(wire::Claim::Left);
+        let known = self.table.iter().filter(|(_, e)| !left(e));
+        let hosts = known.map(|(id, entry)| self.host(id, entry)).collect();
+        view::View { standing: self.standing.get(), ..view::View::new(hosts) }
+    }
+
+    /// This host's standing.
+    pub fn standing(&self) -> view::Standing {
+        self.standing.get()
+    }
+
+    /// How many hosts count as present, this one included.
+    pub fn present(&self) -> usize {
+        self.table.present()
+    }
+
+    fn host(&self, id: host::HostId, entry: &table::Entry) -> view::Host {
+        let dark = self.zones.is_dark(&entry.record.place.zone) && id != self.id;
+        let health = match entry.claim {
+            _ if dark => view::Health::Unreachable,
+            None => view::Health::Alive,
+            Some(wire::Claim::Suspect) => view::Health::Suspect,
+            Some(wire::Claim::Dead | wire::Claim::Left) => view::Health::Unreachable,
+        };
+        view::Host {
+            id,
+            place: Arc::clone(&entry.record.place),
+            incarnation: entry.record.incarnation,
+            health,
+            upstream: entry.record.upstream.clone(),
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Applied(stamp) => self.running = stamp,
+            Event::Datagram(datagram) => self.receive(&datagram),
+            Event::Local(upstream) => {
+                self.local = upstream;
+                self.update();
+            }
+            Event::Stage(node::Stage::End) => self.leave(),
+            Event::Stage(stage) => {
+                self.stage = stage;
+                self.update();
+            }
+            Event::Tick => {}
+        }
+    }
+
+    fn run_timers(&mut self) {
+        self.run_join();
+        self.run_probes();
+        self.run_detection();
+        self.run_burst();
+    }
+
+    /// Moves time on, and finds out when the process did not run for a while.
+    fn advance(&mut self, now: clock::Instant) {
+        let gap = now.since(self.now);
+        self.now = now.max(self.now);
+        let probe = time::Duration::from_millis(self.settings.probe_ms);
+        if gap > time::Duration::from_millis(self.settings.pause_ms).max(2 * probe) {
+            self.forgive(gap);
+            self.change_standing(standing::Event::Paused { proof: self.sequence + 1 });
+            self.prove();
+        }
+    }
+
+    fn change_standing(&mut self, event: standing::Event) {
+        if self.standing.handle(event) {
+            self.dirty = true;
+            log::info!(standing:? = self.standing.get(), cause:? = event; "standing changed");
+        }
+    }
+
+    /// Incarnation and serial of this host's own record.
+    fn own(&self) -> (u64, u32) {
+        let own = self.table.get(self.id);
+        own.map(|e| (e.record.incarnation, e.record.serial)).unwrap_or_default()
+    }
+
+    /// What this host says of its upstream.
+    fn upstream(&self) -> Option<Arc<view::Upstream>> {
+        let local = self.local.as_ref()?;
+        if self.stage == node::Stage::Run || local.phase == view::Phase::Draining {
+            return Some(Arc::clone(local));
+        }
+        Some(Arc::new(view::Upstream {
+            phase: view::Phase::Draining,
+            ..view::Upstream::clone(local)
+        }))
+    }
+
+    /// Replaces this host's own record and spreads it.
+    fn announce(&mut self, (incarnation, serial): (u64, u32), rank: rumors::Rank) {
+        let place = Arc::clone(&self.place);
+        let record = table::Record { incarnation, serial, place, upstream: self.upstream() };
+        if self.table.merge(self.id, record, self.now) == table::Change::Same {
+            // The highest incarnation can't be outlived.
+            return;
+        }
+        self.changed = self.now;
+        self.dirty = true;
+        self.spread(rumors::Topic::Record(self.id), rank, 0);
+    }
+
+    /// Spreads this host's own record if its upstream is another than it says.
+    fn update(&mut self) {
+        let old = self.table.get(self.id).and_then(|e| e.record.upstream.clone());
+        let new = self.upstream();
+        if old != new {
+            let (incarnation, serial) = self.own();
+            self.announce((incarnation, serial + 1), gossip::rank(old.as_deref(), new.as_deref()));
+        }
+    }
+
+    /// Begins a life above `incarnation`, which others hold against this host.
+    fn outlive(&mut self, incarnation: u64) {
+        self.announce((incarnation.saturating_add(1), 1), rumors::Rank::Urgent);
+    }
+
+    /// Tells a few hosts that this one is gone for good.
+    fn leave(&mut self) {
+        self.stage = node::Stage::End;
+        let (incarnation, _) = self.own();
+        for to in self.sample(self.fan() as usize, self.id) {
+            let mut packer = wire::Packer::new(self.id, wire::Body::Gossip);
+            packer.claim(self.id, incarnation, wire::Claim::Left);
+            self.out.push(Action::Send { to, datagram: packer.finish() });
+        }
+    }
+}
--- /dev/null
+++ b/src/member/rumors.rs
@@ -0,0 +1,108 @@
+//! News waiting to be passed on: each a bounded number of times, the least sent first.
+
+use std::collections;
+
+use smol_str::SmolStr;
+
+use crate::host;
+
+/// What a piece of news is about. Its content is read from the table when it is sent.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Topic {
+    /// What is claimed of a host.
+    Claim(host::HostId),
+    /// An availability zone that can't be reached.
+    Dark(SmolStr),
+    /// A host's record.
+    Record(host::HostId),
+}
+
+/// How pressing a piece of news is; the first goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Rank {
+    /// Stops work from going to a host that can't run it.
+    Urgent,
+    /// Suspicions and dark zones.
+    Soon,
+    /// Everything else.
+    Plain,
+}
+
+/// Times one host sends a piece of news.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// For urgent news.
+    pub urgent: u32,
+    /// For other news.
+    pub plain: u32,
+}
+
+/// What became of a topic that was offered to a datagram.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fit {
+    /// It is in the datagram.
+    Packed,
+    /// There was no room for it.
+    Full,
+    /// There is nothing to say of it any more.
+    Gone,
+}
+
+/// The queue of news.
+///
+/// Invariant: `order` holds exactly the pairs of `states`.
+#[derive(Clone, Debug, Default)]
+pub struct Rumors {
+    states: collections::BTreeMap<Topic, (Rank, u32)>,
+    order: collections::BTreeSet<(Rank, u32, Topic)>,
+}
+
+impl Rumors {
+    /// Adds news that were sent `sent` times already; news of the same topic are replaced.
+    pub fn add(&mut self, topic: Topic, rank: Rank, sent: u32) {
+        self.remove(&topic);
+        self.states.insert(topic.clone(), (rank, sent));
+        self.order.insert((rank, sent, topic));
+    }
+
+    /// Drops the news of `topic`.
+    pub fn remove(&mut self, topic: &Topic) {
+        if let Some((rank, sent)) = self.states.remove(topic) {
+            self.order.remove(&(rank, sent, topic.clone()));
+        }
+    }
+
+    /// Whether urgent news wait.
+    pub fn has_urgent(&self) -> bool {
+        self.order.first().is_some_and(|(rank, ..)| *rank == Rank::Urgent)
+    }
+
+    /// Offers the topics of `rank` or more pressing ones to `pack` until one does not fit, and
+    /// drops those that were then sent as often as `limits` allows their rank.
+    pub fn take(&mut self, rank: Rank, limits: Limits, mut pack: impl FnMut(&Topic) -> Fit) {
+        let mut taken = Vec::new();
+        for (found, _, topic) in &self.order {
+            if *found > rank {
+                break;
+            }
+            match pack(topic) {
+                Fit::Packed => taken.push((topic.clone(), false)),
+                Fit::Gone => taken.push((topic.clone(), true)),
+                Fit::Full => break,
+            }
+        }
+        for (topic, gone) in taken {
+            self.count(topic, gone, limits);
+        }
+    }
+
+    fn count(&mut self, topic: Topic, gone: bool, limits: Limits) {
+        let Some(&(rank, sent)) = self.states.get(&topic) else { return };
+        let limit = if rank == Rank::Urgent { limits.urgent } else { limits.plain };
+        if gone || sent + 1 >= limit {
+            self.remove(&topic);
+        } else {
+            self.add(topic, rank, sent + 1);
+        }
+    }
+}
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -1,19 +1,31 @@
 //! The thread of the membership duty: sockets, time and rings around the decisions.
 
+use std::future;
+use std::io;
 use std::sync::Arc;
 
 use tokio::net;
 use tokio::sync::watch;
+use tokio::time;
 
+use crate::clock;
+use crate::clock::Clock as _;
 use crate::configs;
 use crate::context;
 use crate::member;
+use crate::member::wire;
 use crate::mesh;
 use crate::node;
 use crate::ring;
+use crate::seal;
 use crate::traffic;
+use crate::version;
 use crate::view;
 
+/// Least time between two views; changes in between are published together. A change of this
+/// host's standing is published at once.
+const PUBLISH: std::time::Duration = std::time::Duration::from_millis(20);
+
 /// What joins the membership duty to the others.
 #[derive(Debug)]
 pub struct Wiring {
@@ -50,14 +62,148 @@
 }
 
 async fn serve(
-    _ctx: context::Context,
+    ctx: context::Context,
     settings: Arc<configs::Node>,
-    mut wiring: Wiring,
+    wiring: Wiring,
 ) -> Result<(), member::Error> {
     let address = settings.bound().member_addr();
     let bound = net::UdpSocket::bind(address).await;
-    let _socket = bound.map_err(|source| member::Error::Bind { address, source })?;
-    // A dropped sender means that the process ends, too.
-    let _ = wiring.stage.wait_for(|&stage| stage == node::Stage::End).await;
+    let socket = bound.map_err(|source| member::Error::Bind { address, source })?;
+    let incarnation = ctx.clock.unix_millis();
+    let seed = ctx.seed_for("member");
+    let duty = Duty {
+        seal: seal::Seal::new(&settings.mesh, &settings.key),
+        member: member::Member::new(&settings, seed, incarnation, ctx.now()),
+        published: clock::Instant::ZERO,
+        buffer: vec![0; wire::MOST_BYTES + 1],
+        ctx,
+        socket,
+        wiring,
+    };
+    duty.run().await;
     Ok(())
 }
+
+/// The duty while it runs.
+struct Duty {
+    ctx: context::Context,
+    seal: seal::Seal,
+    socket: net::UdpSocket,
+    wiring: Wiring,
+    member: member::Member,
+    /// When the view was last published.
+    published: clock::Instant,
+    buffer: Vec<u8>,
+}
+
+impl Duty {
+    async fn run(mut self) {
+        self.publish();
+        let (stamp, upstream) = (self.stamp(), self.upstream());
+        self.handle(member::Event::Applied(stamp)).await;
+        self.handle(member::Event::Local(upstream)).await;
+        while *self.wiring.stage.borrow() != node::Stage::End {
+            let event = self.next().await;
+            self.handle(event).await;
+        }
+        self.handle(member::Event::Stage(node::Stage::End)).await;
+    }
+
+    /// Waits for the next event.
+    async fn next(&mut self) -> member::Event {
+        let rest = time::sleep(self.wake().since(self.ctx.now()));
+        let wiring = &mut self.wiring;
+        tokio::select! {
+            stage = wiring.stage.changed() => member::Event::Stage(match stage {
+                Ok(()) => *wiring.stage.borrow_and_update(),
+                // Whoever leads the process has ended.
+                Err(_) => node::Stage::End,
+            }),
+            () = changed(&mut wiring.applied) => member::Event::Applied(self.stamp()),
+            () = changed(&mut wiring.local) => member::Event::Local(self.upstream()),
+            received = self.socket.recv_from(&mut self.buffer) => self.read(received),
+            () = rest => member::Event::Tick,
+        }
+    }
+
+    /// When to wake at the latest.
+    fn wake(&self) -> clock::Instant {
+        let wake = self.member.wake();
+        let due = self.published + PUBLISH;
+        if self.member.has_changed() { wake.min(due) } else { wake }
+    }
+
+    fn read(&self, received: io::Result<(usize, std::net::SocketAddr)>) -> member::Event {
+        let counts = self.wiring.traffic.of(traffic::Purpose::Member);
+        let message = match &received {
+            Ok((bytes, _)) => self.buffer.get(..*bytes).unwrap_or_default(),
+            Err(e) => {
+                log::warn!(error:% = e; "can't receive a membership datagram");
+                return member::Event::Tick;
+            }
+        };
+        counts.received(message.len());
+        match open(&self.seal, message) {
+            Some(datagram) => member::Event::Datagram(Box::new(datagram)),
+            None => {
+                counts.dropped();
+                member::Event::Tick
+            }
+        }
+    }
+
+    async fn handle(&mut self, event: member::Event) {
+        let standing = self.member.standing();
+        for action in self.member.handle(event, self.ctx.now()) {
+            match action {
+                // A full ring is counted by the ring; the next probe says the same again.
+                member::Action::Heard(heard) => drop(self.wiring.heard.offer(heard)),
+                member::Action::Send { to, datagram } => self.send(to, &datagram).await,
+            }
+        }
+        let due = self.ctx.now().since(self.published) >= PUBLISH;
+        let turned = self.member.standing() != standing;
+        if turned || (due && self.member.has_changed()) {
+            self.publish();
+        }
+    }
+
+    async fn send(&self, to: host::HostId, datagram: &wire::Datagram) {
+        let counts = self.wiring.traffic.of(traffic::Purpose::Member);
+        let Ok(body) = wire::encode(datagram) else { return };
+        let message = self.seal.seal(&body);
+        match self.socket.send_to(&message, to.member_addr()).await {
+            Ok(bytes) => counts.sent(bytes),
+            Err(e) => log::debug!(host:% = to, error:% = e; "can't send a membership datagram"),
+        }
+    }
+
+    fn publish(&mut self) {
+        self.published = self.ctx.now();
+        self.wiring.view.send_replace(Arc::new(self.member.view()));
+    }
+
+    fn stamp(&mut self) -> version::Stamp {
+        self.wiring.applied.borrow_and_update().stamp
+    }
+
+    fn upstream(&mut self) -> Option<Arc<view::Upstream>> {
+        let local = self.wiring.local.borrow_and_update();
+        local.as_ref().map(|local| Arc::new(local.upstream.clone()))
+    }
+}
+
+/// The datagram in `message`, if it is one of this mesh.
+fn open(seal: &seal::Seal, message: &[u8]) -> Option<wire::Datagram> {
+    if message.len() > wire::MOST_BYTES {
+        return None;
+    }
+    wire::decode(seal.open(message).ok()?).ok()
+}
+
+/// Waits for a new value; for ever when there will be none.
+async fn changed<T>(receiver: &mut watch::Receiver<T>) {
+    if receiver.changed().await.is_err() {
+        future::pending().await
+    }
+}
--- /dev/null
+++ b/src/member/table.rs
@@ -0,0 +1,252 @@
+//! What is known of each host, and how two accounts of it are merged.
+//!
+//! Two accounts are compared by incarnation first. Within an incarnation the higher serial has the
+//! newer record and the stronger claim holds, so that merging is commutative, associative and
+//! idempotent: accounts may arrive late, twice and in any order.
+
+use std::collections;
+use std::net;
+use std::ops;
+use std::sync::Arc;
+use std::time;
+
+use crate::clock;
+use crate::host;
+use crate::member::wire;
+use crate::view;
+
+/// Place of a host in the order of the table: spread evenly by a hash of its address.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Key {
+    hash: u32,
+    id: host::HostId,
+}
+
+/// What a host says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Record {
+    /// Number of its life.
+    pub incarnation: u64,
+    /// Number of the record within the incarnation; zero while only a claim is known of it.
+    pub serial: u32,
+    /// Where it stands.
+    pub place: Arc<view::Place>,
+    /// The upstream beside it.
+    pub upstream: Option<Arc<view::Upstream>>,
+}
+
+/// What is known of one host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Its own record.
+    ///
+    /// Invariant: the pair of incarnation and serial never gets lower.
+    pub record: Record,
+    /// What is claimed of this incarnation.
+    pub claim: Option<wire::Claim>,
+    /// When `claim` was last set, or the host became known.
+    pub since: clock::Instant,
+}
+
+/// What a merge changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing: the account was not newer.
+    Same,
+    /// A host that was not known.
+    Joined,
+    /// A new incarnation; the claim was this one before.
+    Renewed(Option<wire::Claim>),
+    /// A newer record of the same incarnation.
+    Updated,
+    /// A stronger claim.
+    Claimed(wire::Claim),
+}
+
+/// All known hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    entries: collections::BTreeMap<Key, Entry>,
+    places: collections::BTreeSet<Arc<view::Place>>,
+    root: u32,
+    gone: usize,
+}
+
+impl Key {
+    /// The key of `id`; the same in every process.
+    pub fn of(id: host::HostId) -> Self {
+        let address = id.member_addr();
+        let ip = match address.ip() {
+            net::IpAddr::V4(ip) => ip.to_ipv6_mapped().to_bits(),
+            net::IpAddr::V6(ip) => ip.to_bits(),
+        };
+        let low = mix(ip as u64 ^ u64::from(address.port()).rotate_left(48));
+        Self { hash: (mix(low ^ (ip >> 64) as u64) >> 32) as u32, id }
+    }
+}
+
+impl Record {
+    /// Adds the record, which is that of `id`, to a datagram; says whether it fitted.
+    pub fn pack(&self, id: host::HostId, packer: &mut wire::Packer) -> bool {
+        let account = (self.incarnation, self.serial);
+        packer.record(id, account, &self.place, self.upstream.as_ref())
+    }
+}
+
+impl Entry {
+    /// Whether the host counts as present.
+    pub fn is_present(&self) -> bool {
+        !matches!(self.claim, Some(wire::Claim::Dead | wire::Claim::Left))
+    }
+}
+
+impl Table {
+    /// What is known of `id`.
+    pub fn get(&self, id: host::HostId) -> Option<&Entry> {
+        self.entries.get(&Key::of(id))
+    }
+
+    /// All hosts, dead ones included, in the order of their hashes.
+    pub fn iter(&self) -> impl Iterator<Item = (host::HostId, &Entry)> {
+        self.entries.iter().map(|(k, e)| (k.id, e))
+    }
+
+    /// The present hosts whose hash is at least `cursor`, in the order of their hashes.
+    pub fn from(&self, cursor: u32) -> impl Iterator<Item = (u32, host::HostId, &Entry)> {
+        let range = (ops::Bound::Included(lowest(cursor)), ops::Bound::Unbounded);
+        let entries = self.entries.range(range);
+        entries.filter(|(_, e)| e.is_present()).map(|(k, e)| (k.hash, k.id, e))
+    }
+
+    /// The present hosts of a range.
+    pub fn within(&self, prefix: wire::Prefix) -> impl Iterator<Item = (host::HostId, &Entry)> {
+        let (low, high) = bounds(prefix);
+        self.from(low).take_while(move |(hash, ..)| *hash <= high).map(|(_, id, e)| (id, e))
+    }
+
+    /// Digest of all present hosts' records.
+    pub fn root(&self) -> [u8; 4] {
+        self.root.to_le_bytes()
+    }
+
+    /// Digest of each part of a range, and the number of hosts in it.
+    pub fn digests(&self, prefix: wire::Prefix) -> [([u8; 4], usize); wire::FANOUT] {
+        let mut parts = [(0u32, 0usize); wire::FANOUT];
+        let (low, high) = bounds(prefix);
+        let shift = 28 - u32::from(prefix.bits);
+        for (hash, id, entry) in self.from(low).take_while(|(hash, ..)| *hash <= high) {
+            let part = &mut parts[(hash >> shift) as usize % wire::FANOUT];
+            part.0 ^= digest(Key { hash, id }, entry);
+            part.1 += 1;
+        }
+        parts.map(|(digest, count)| (digest.to_le_bytes(), count))
+    }
+
+    /// How many hosts are present, this one included.
+    pub fn present(&self) -> usize {
+        self.entries.len() - self.gone
+    }
+
+    /// Merges a host's record.
+    pub fn merge(&mut self, id: host::HostId, mut record: Record, now: clock::Instant) -> Change {
+        record.place = self.intern(record.place);
+        let key = Key::of(id);
+        let Some(entry) = self.entries.get(&key) else {
+            self.put(key, Entry { record, claim: None, since: now });
+            return Change::Joined;
+        };
+        let (old, mut next) = (&entry.record, entry.clone());
+        let change = if record.incarnation > old.incarnation {
+            let change = Change::Renewed(next.claim);
+            next = Entry { record, claim: None, since: now };
+            change
+        } else if record.incarnation == old.incarnation && record.serial > old.serial {
+            next.record = record;
+            Change::Updated
+        } else {
+            return Change::Same;
+        };
+        self.put(key, next);
+        change
+    }
+
+    /// Merges a claim; one of a host that is not known changes nothing.
+    pub fn claim(
+        &mut self,
+        id: host::HostId,
+        incarnation: u64,
+        claim: wire::Claim,
+        now: clock::Instant,
+    ) -> Change {
+        let key = Key::of(id);
+        let Some(entry) = self.entries.get(&key) else { return Change::Same };
+        let mut next = entry.clone();
+        if incarnation > next.record.incarnation {
+            next.record.incarnation = incarnation;
+            next.record.serial = 0;
+        } else if incarnation < next.record.incarnation || next.claim >= Some(claim) {
+            return Change::Same;
+        }
+        next.claim = Some(claim);
+        next.since = now;
+        self.put(key, next);
+        Change::Claimed(claim)
+    }
+
+    /// Drops the hosts that were claimed dead or to have left more than `age` ago.
+    pub fn forget(&mut self, age: time::Duration, now: clock::Instant) {
+        self.entries.retain(|_, e| e.is_present() || now.since(e.since) <= age);
+        self.gone = self.entries.values().filter(|e| !e.is_present()).count();
+    }
+
+    fn put(&mut self, key: Key, entry: Entry) {
+        if let Some(old) = self.entries.get(&key) {
+            if old.is_present() {
+                self.root ^= digest(key, old);
+            } else {
+                self.gone -= 1;
+            }
+        }
+        if entry.is_present() {
+            self.root ^= digest(key, &entry);
+        } else {
+            self.gone += 1;
+        }
+        self.entries.insert(key, entry);
+    }
+
+    fn intern(&mut self, place: Arc<view::Place>) -> Arc<view::Place> {
+        if let Some(known) = self.places.get(&place) {
+            return Arc::clone(known);
+        }
+        self.places.insert(Arc::clone(&place));
+        place
+    }
+}
+
+/// Lowest and highest hash of a range.
+fn bounds(prefix: wire::Prefix) -> (u32, u32) {
+    let free = 32 - u32::from(prefix.bits);
+    let low = u32::try_from(u64::from(prefix.index) << free).unwrap_or(u32::MAX);
+    let span = u32::try_from((1u64 << free) - 1).unwrap_or(u32::MAX);
+    (low, low | span)
+}
+
+fn lowest(hash: u32) -> Key {
+    let first = net::SocketAddr::from((net::Ipv4Addr::UNSPECIFIED, 0));
+    Key { hash, id: host::HostId::new(first) }
+}
+
+fn digest(key: Key, entry: &Entry) -> u32 {
+    let record = &entry.record;
+    let life = mix(u64::from(key.hash) ^ mix(record.incarnation));
+    (mix(life ^ u64::from(record.serial)) >> 32) as u32
+}
+
+/// Finaliser of splitmix64: spreads every bit over the word.
+fn mix(word: u64) -> u64 {
+    let word = word.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
--- /dev/null
+++ b/tests/member/faults.rs
@@ -0,0 +1,250 @@
+//! Lost, late, doubled and forged datagrams; zones and regions that can't be reached.
+
+use std::collections;
+use std::time::Duration;
+
+use dandelionspool::host;
+use dandelionspool::member;
+use dandelionspool::member::wire;
+use dandelionspool::node;
+use dandelionspool::seal;
+use dandelionspool::view;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::net;
+
+const N: usize = 100;
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn loss_kills_nobody(#[case] seed: u64) {
+    let mut net = net::Net::settled(N, seed);
+    net.faults = net::Faults { loss: 0.2, duplicate: 0.05, delay: (300, 40_000), mute: false };
+    for second in 0..180 {
+        net.run(Duration::from_secs(1));
+        assert_eq!(net.unreachable(), 0, "somebody was taken for dead after {second} s");
+    }
+    assert!((0..N).all(|i| net.standing(i) == Some(view::Standing::Member)));
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn dark_zone_is_one_fact(#[case] seed: u64) {
+    let (dark, silent) = zone_goes_dark(seed, |_| {});
+    // The same hosts without zones: each is a zone of its own, so that each dies by itself.
+    let (deaths, _) = zone_goes_dark(seed, |settings| {
+        settings.zone = smol_str::format_smolstr!("{}", settings.listen);
+    });
+    assert!(silent, "some host of the zone was not unreachable after 30 s, or declared dead");
+    assert!(dark * 3 < deaths, "{dark} bytes against {deaths}");
+}
+
+/// Cuts off a quarter of the hosts, which share a zone, for a minute. Gives the bytes sent beyond
+/// idle, and whether exactly the zone's hosts were unreachable half-way and alive afterwards.
+fn zone_goes_dark(seed: u64, change: impl Fn(&mut dandelionspool::configs::Node)) -> (u64, bool) {
+    let mut net = net::Net::with(N, seed, change);
+    net.run(Duration::from_secs(60));
+    let start = net.sent();
+    net.run(Duration::from_secs(60));
+    let idle = net.sent() - start;
+
+    let inside = |s: &dandelionspool::configs::Node| {
+        let index = (0..N).find(|&i| net::id(i).member_addr() == s.listen);
+        index.is_some_and(|i| i % net::ZONES.len() == 1)
+    };
+    net.cut(inside);
+    let start = net.sent();
+    net.run(Duration::from_secs(30));
+    let quarter = N / 4;
+    let silent = net.unreachable() == 2 * quarter * (N - quarter);
+    net.run(Duration::from_secs(30));
+    let extra = (net.sent() - start).saturating_sub(idle);
+
+    net.cut(|_| false);
+    let incarnations = |net: &mut net::Net| -> Vec<u64> {
+        net.views()[0].1.hosts.iter().map(|h| h.incarnation).collect()
+    };
+    let before = incarnations(&mut net);
+    let back = net.until(Duration::from_secs(30), net::Net::agrees).is_some();
+    (extra, silent && back && before == incarnations(&mut net))
+}
+
+#[rstest]
+fn region_apart_for_an_hour_comes_back_without_a_storm() {
+    let hosts = 40;
+    let mut net = net::Net::settled(hosts, 1);
+    net.cut(|s| s.region == "south");
+    net.run(Duration::from_secs(3600));
+    assert_eq!(net.seen(0).iter().flatten().count(), hosts - 1, "somebody was forgotten");
+
+    // Each side changed in the meantime.
+    for index in 0..8 {
+        let warming = net::upstream(index, view::Phase::Warming);
+        net.handle(index, member::Event::Local(Some(warming.into())));
+    }
+    net.run(Duration::from_secs(60));
+    net.cut(|_| false);
+    let start = net.sent();
+    let took = net.until(Duration::from_secs(60), |net| {
+        let warming = |v: &view::View| {
+            let upstreams = v.hosts.iter().filter_map(|h| h.upstream.as_ref());
+            upstreams.filter(|u| u.phase == view::Phase::Warming).count()
+        };
+        net.agrees() && net.views().iter().all(|(_, v)| warming(v) == 8)
+    });
+    assert!(took.is_some(), "not one again after 60 s");
+    net.run(Duration::from_secs(60) - took.unwrap());
+    let rate = (net.sent() - start) / 60 / hosts as u64;
+    assert!(rate < 300, "{rate} bytes a host a second in the minute of the return");
+}
+
+#[rstest]
+fn halves_that_declared_each_other_dead_find_back() {
+    let mut net = net::Net::settled(40, 1);
+    // Across zones, so that no zone is dark as a whole.
+    net.cut(|s| s.listen.ip().to_string().ends_with(['0', '1', '2', '3', '4']));
+    net.run(Duration::from_secs(600));
+    assert!(net.unreachable() > 0);
+    net.cut(|_| false);
+    let took = net.until(Duration::from_secs(60), net::Net::agrees);
+    assert!(took.is_some(), "not one again after 60 s");
+}
+
+#[rstest]
+#[case::other_key("mesh", "yek")]
+#[case::other_mesh("hsem", "key")]
+fn stranger_changes_nothing(#[case] mesh: &str, #[case] key: &str) {
+    let mut net = net::Net::settled(10, 1);
+    let items = (1..10).map(|i| wire::Item::Claim {
+        host: net::id(i),
+        incarnation: u64::MAX / 2,
+        claim: wire::Claim::Dead,
+    });
+    let datagram = wire::Datagram {
+        from: net::id(3),
+        body: wire::Body::Gossip,
+        names: Vec::new(),
+        items: items.collect(),
+    };
+    let body = wire::encode(&datagram).unwrap();
+    let before = net.sent();
+    net.deliver(0, &seal::Seal::new(mesh, key).seal(&body));
+    assert_eq!(net.sent(), before, "a stranger was answered");
+    assert!(net.agrees(), "a stranger changed a view");
+    net.deliver(0, &seal::Seal::new("mesh", "key").seal(&body));
+    assert!(!net.agrees(), "the same datagram of the mesh must have an effect");
+}
+
+#[rstest]
+fn claim_that_cannot_be_refuted_makes_no_storm() {
+    let mut net = net::Net::settled(10, 1);
+    let claim =
+        wire::Item::Claim { host: net::id(3), incarnation: u64::MAX, claim: wire::Claim::Dead };
+    let (from, body) = (net::id(1), wire::Body::Gossip);
+    let datagram = wire::Datagram { from, body, names: Vec::new(), items: vec![claim] };
+    let message = seal::Seal::new("mesh", "key").seal(&wire::encode(&datagram).unwrap());
+    (0..10).filter(|i| *i != 1).for_each(|i| net.deliver(i, &message));
+    let before = net.slots[3].datagrams;
+    net.run(Duration::from_secs(10));
+    let sent = net.slots[3].datagrams - before;
+    assert!(sent < 200, "{sent} datagrams in 10 s");
+}
+
+/// One thing that happens to a small mesh.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Kill(usize),
+    Start(usize),
+    Pause(usize),
+    Resume(usize),
+    Cut(usize),
+    Join,
+    Drain(usize),
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    let host = 0..SMALL;
+    prop_oneof![
+        host.clone().prop_map(Fate::Kill),
+        host.clone().prop_map(Fate::Start),
+        host.clone().prop_map(Fate::Pause),
+        host.clone().prop_map(Fate::Resume),
+        host.clone().prop_map(Fate::Cut),
+        Just(Fate::Join),
+        host.prop_map(Fate::Drain),
+    ]
+}
+
+const SMALL: usize = 8;
+
+fn befall(net: &mut net::Net, fate: Fate) {
+    match fate {
+        Fate::Kill(i) => net.kill(i),
+        Fate::Start(i) if net.slots[i].member.is_none() => net.start(i),
+        Fate::Pause(i) => net.slots[i].paused = true,
+        Fate::Resume(i) if net.slots[i].paused => net.resume(i),
+        Fate::Start(_) | Fate::Resume(_) => {}
+        Fate::Cut(i) => net.slots[i].side ^= 1,
+        Fate::Join => net.slots.iter_mut().for_each(|s| s.side = 0),
+        Fate::Drain(i) => net.handle(i, member::Event::Stage(node::Stage::Drain)),
+    }
+}
+
+/// Accounts held by each process of each other host: they never go back.
+#[derive(Default)]
+struct Accounts(collections::HashMap<(usize, u64, host::HostId), u64>);
+
+impl Accounts {
+    fn check(&mut self, net: &mut net::Net) -> Result<(), TestCaseError> {
+        for (index, view) in net.views() {
+            for host in &view.hosts {
+                let key = (index, net.slots[index].life, host.id);
+                let last = self.0.insert(key, host.incarnation).unwrap_or(0);
+                prop_assert!(last <= host.incarnation, "host {index} went back on {}", host.id);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn config() -> ProptestConfig {
+    let rng_seed = proptest::test_runner::RngSeed::Fixed(4);
+    ProptestConfig { rng_seed, ..ProptestConfig::with_cases(32) }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn views_converge_and_never_go_back(
+        seed in any::<u64>(),
+        loss in 0.0..0.4f64,
+        fates in proptest::collection::vec((fate(), 0u64..12_000), 0..24),
+    ) {
+        let mut net = net::Net::new(SMALL, seed);
+        net.faults = net::Faults { loss, duplicate: 0.1, delay: (200, 150_000), mute: false };
+        let mut accounts = Accounts::default();
+        for (fate, millis) in fates {
+            befall(&mut net, fate);
+            for _ in 0..millis / 500 {
+                net.run(Duration::from_millis(500));
+                accounts.check(&mut net)?;
+            }
+        }
+        net.faults = net::Faults::default();
+        befall(&mut net, Fate::Join);
+        (0..SMALL).for_each(|i| befall(&mut net, Fate::Resume(i)));
+        (0..SMALL).for_each(|i| befall(&mut net, Fate::Start(i)));
+        for _ in 0..120 {
+            net.run(Duration::from_secs(1));
+            accounts.check(&mut net)?;
+        }
+        prop_assert!(net.agrees(), "no agreement after 120 s without faults");
+        for i in 0..SMALL {
+            prop_assert_eq!(net.standing(i), Some(view::Standing::Member));
+        }
+    }
+}
