--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -12,6 +12,7 @@
 use crate::clock::Clock as _;
 use crate::configs;
 use crate::context;
+use crate::host;
 use crate::member;
 use crate::member::wire;
 use crate::mesh;
