--- a/src/configs/limits.rs
+++ b/src/configs/limits.rs
@@ -60,6 +60,7 @@
     limit("/member/pages", 1, 10_000),
     limit("/member/join_ms", 1, 60_000),
     limit("/member/join_most_ms", 1, HOUR_MS),
+    limit("/member/alone_ms", 10, HOUR_MS),
     limit("/member/pause_ms", 10, HOUR_MS),
     limit("/member/forget_s", 1, WEEK_S),
     limit("/member/dark_s", 1, MONTH_S),
