feat(admin): serve metrics, health, status and announcements to operators

Cause: the node needs the upstream beside it to announce itself, and operators need to see one node or, from any one node, the whole mesh, also while the log is down. Ruled out: waiting for every host (a report has a limit and names who was not heard from); asking all hosts at once; refusing an announcement for good while the configuration lacks its class (it is kept); a counter of reachability in each user of the log (`logs::reach::Watched` wraps the service instead).

--- /dev/null
+++ b/src/admin/metrics.rs
@@ -0,0 +1,120 @@
+//! The registry of metrics that every duty adds its own to.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use prometheus_client::collector;
+use prometheus_client::encoding;
+use prometheus_client::encoding::EncodeMetric as _;
+use prometheus_client::metrics::counter;
+use prometheus_client::registry;
+
+use crate::admin::status;
+use crate::ring;
+use crate::traffic;
+
+/// Prefix of the name of every metric.
+const PREFIX: &str = "dandelionspool";
+
+/// A handle on the registry of this process. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Arc<Mutex<registry::Registry>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// An empty registry.
+    pub fn new() -> Self {
+        let registry = registry::Registry::with_prefix(PREFIX);
+        Self { registry: Arc::new(Mutex::new(registry)) }
+    }
+
+    /// Adds `metric` under `name` and returns a handle that updates it. `help` has no full stop.
+    pub fn register<M: registry::Metric + Clone>(&self, name: &str, help: &str, metric: M) -> M {
+        self.lock().register(name, help, metric.clone());
+        metric
+    }
+
+    /// Adds a collector, asked on each scrape.
+    pub fn collect(&self, collector: impl collector::Collector) {
+        self.lock().register_collector(Box::new(collector));
+    }
+
+    /// Adds the count of items that `ring` refused because it was full.
+    pub fn ring<T: Send + 'static>(&self, name: &'static str, ring: &ring::Sender<T>) {
+        self.collect(Ring { name, sender: ring.clone() });
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encoding::text::encode(&mut text, &self.lock()) {
+            log::error!(error:% = error; "the metrics can't be encoded");
+        }
+        text
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, registry::Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Refusals of one ring.
+struct Ring<T> {
+    name: &'static str,
+    sender: ring::Sender<T>,
+}
+
+impl<T> fmt::Debug for Ring<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Ring").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+impl<T: Send + 'static> collector::Collector for Ring<T> {
+    fn encode(&self, mut encoder: encoding::DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let counter = counter::ConstCounter::new(self.sender.refused());
+        let help = "Items that a full ring between two threads refused";
+        let name = format!("ring_{}_refused", self.name);
+        let metric = encoder.encode_descriptor(&name, help, None, counter.metric_type())?;
+        counter.encode(metric)
+    }
+}
+
+/// Control traffic by purpose.
+#[derive(Debug)]
+pub struct Traffic(pub Arc<traffic::Traffic>);
+
+/// Name, help and value of one counter of a purpose.
+type Column = (&'static str, &'static str, fn(&status::Counts) -> u64);
+
+const COLUMNS: [Column; 4] = [
+    ("control_sent_bytes", "Payload bytes sent by purpose", |c| c.sent),
+    ("control_received_bytes", "Payload bytes received by purpose", |c| c.received),
+    ("control_messages", "Datagrams or frames sent by purpose", |c| c.messages),
+    ("control_dropped", "Datagrams or frames dropped as not valid by purpose", |c| c.dropped),
+];
+
+impl collector::Collector for Traffic {
+    fn encode(&self, mut encoder: encoding::DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let counts = status::traffic(&self.0);
+        for (name, help, column) in COLUMNS {
+            let kind = counter::ConstCounter::new(0u64).metric_type();
+            let mut metric = encoder.encode_descriptor(name, help, None, kind)?;
+            for (purpose, counts) in &counts {
+                let labels = [("purpose", *purpose)];
+                let counter = counter::ConstCounter::new(column(counts));
+                counter.encode(metric.encode_family(&labels)?)?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,1 +1,32 @@
-//! Metrics, health, status and announcements over HTTP.
+//! Metrics, health, status and announcements over HTTP, for operators and for the upstream beside
+//! this node.
+
+use std::io;
+use std::net;
+
+pub mod announce;
+pub mod ask;
+pub mod calls;
+pub mod metrics;
+pub mod reply;
+pub mod scatter;
+pub mod server;
+pub mod shell;
+pub mod status;
+pub mod whole;
+
+#[cfg(test)]
+mod tests;
+
+/// Why the operators' port can't be served.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address can't be listened on.
+    #[error("can't listen on {address} for operators")]
+    Bind {
+        /// The address.
+        address: net::SocketAddr,
+        /// The operating system's answer.
+        source: io::Error,
+    },
+}
--- /dev/null
+++ b/src/admin/server.rs
@@ -0,0 +1,131 @@
+//! Requests to the operators' port.
+
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task;
+
+use crate::admin::announce;
+use crate::admin::reply::{self, Refusal, Reply};
+use crate::admin::shell;
+
+/// Largest announcement accepted, in bytes.
+const BODY_BYTES: usize = 4096;
+
+/// Longest a client may take to send the head of a request.
+const HEAD_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// How long the listener rests after a failed accept.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Accepts connections for ever, as many at once as `connections`.
+pub async fn accept(listener: TcpListener, state: Rc<shell::State>, connections: usize) {
+    let places = Arc::new(Semaphore::new(connections.max(1)));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let state = Rc::clone(&state);
+                task::spawn_local(async move {
+                    connection(stream, peer, state).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "can't accept a connection for operators");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, peer: net::SocketAddr, state: Rc<shell::State>) {
+    let handler = service::service_fn(move |request| {
+        let state = Rc::clone(&state);
+        async move { Ok::<_, std::convert::Infallible>(handle(&state, peer.ip(), request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(rt::TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
+    let served = builder.serve_connection(rt::TokioIo::new(stream), handler).await;
+    if let Err(error) = served {
+        log::debug!(error:% = error; "a connection for operators ended");
+    }
+}
+
+async fn handle(
+    state: &shell::State,
+    peer: net::IpAddr,
+    request: http::Request<body::Incoming>,
+) -> Reply {
+    let whole = request.uri().query() == Some("mesh=1");
+    match (request.method(), request.uri().path()) {
+        (&http::Method::GET, "/live") => reply::empty(),
+        (&http::Method::GET, "/ready") => ready(state),
+        (&http::Method::GET, "/metrics") => reply::text(reply::OPENMETRICS, state.metrics()),
+        (&http::Method::GET, "/status") if whole => mesh_status(state).await,
+        (&http::Method::GET, "/status") => reply::json(http::StatusCode::OK, &state.status()),
+        (&http::Method::PUT | &http::Method::DELETE, "/upstream") => {
+            upstream(state, peer, request).await
+        }
+        (_, "/live" | "/ready" | "/metrics" | "/status" | "/upstream") => {
+            reply::refuse(Refusal::Method)
+        }
+        _ => reply::refuse(Refusal::Path),
+    }
+}
+
+fn ready(state: &shell::State) -> Reply {
+    let readiness = state.readiness();
+    let status = if readiness.ready() {
+        http::StatusCode::OK
+    } else {
+        http::StatusCode::SERVICE_UNAVAILABLE
+    };
+    reply::json(status, &readiness)
+}
+
+async fn mesh_status(state: &shell::State) -> Reply {
+    match state.mesh_status().await {
+        Some(status) => reply::json(http::StatusCode::OK, &status),
+        None => reply::refuse(Refusal::Busy),
+    }
+}
+
+async fn upstream(
+    state: &shell::State,
+    peer: net::IpAddr,
+    request: http::Request<body::Incoming>,
+) -> Reply {
+    if !state.admits(peer) {
+        return reply::refuse(Refusal::Peer);
+    }
+    if request.method() == http::Method::DELETE {
+        state.withdraw();
+        return reply::empty();
+    }
+    let Some(body) = read(request.into_body()).await else {
+        return reply::refuse(Refusal::Body);
+    };
+    let Ok(announcement) = serde_json::from_slice::<announce::Announcement>(&body) else {
+        return reply::refuse(Refusal::Body);
+    };
+    match state.announce(announcement) {
+        Ok(()) => reply::empty(),
+        Err(fault) => reply::problem(http::StatusCode::UNPROCESSABLE_ENTITY, fault),
+    }
+}
+
+async fn read(body: body::Incoming) -> Option<Bytes> {
+    let collected = Limited::new(body, BODY_BYTES).collect().await.ok()?;
+    Some(collected.to_bytes())
+}
--- /dev/null
+++ b/src/admin/status.rs
@@ -0,0 +1,214 @@
+//! What one node says of itself and of what it sees.
+
+use std::collections;
+use std::sync::atomic;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::host;
+use crate::logs::reach;
+use crate::node;
+use crate::traffic;
+use crate::version;
+use crate::view;
+
+/// Counts of one purpose of control traffic, see [`traffic::Counts`].
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+    /// Datagrams or frames sent.
+    pub messages: u64,
+    /// Datagrams or frames dropped.
+    pub dropped: u64,
+}
+
+/// Hosts by health.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Members {
+    /// Hosts that answer.
+    pub alive: u32,
+    /// Hosts that did not answer a probe and may still refute.
+    pub suspect: u32,
+    /// Hosts declared dead or cut off.
+    pub unreachable: u32,
+}
+
+/// Upstreams of one service by phase. Those whose node is unreachable count only as such.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Upstreams {
+    /// Started a moment ago.
+    pub warming: u32,
+    /// Serve.
+    pub serving: u32,
+    /// Get no new calls.
+    pub draining: u32,
+    /// Their node does not answer.
+    pub unreachable: u32,
+}
+
+/// The upstream beside the node.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Local {
+    /// Name of its service.
+    pub service: SmolStr,
+    /// Name of its class.
+    pub class: SmolStr,
+    /// Life cycle: `warming`, `serving` or `draining`.
+    pub phase: SmolStr,
+    /// Calls it runs at once, within the limit of its class.
+    pub slots: u16,
+    /// Connections it accepts, within the limit of its class.
+    pub connections: u16,
+}
+
+/// One node.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// Base address of the node.
+    pub host: SmolStr,
+    /// Its region.
+    pub region: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Life of its process.
+    pub incarnation: u64,
+    /// Whether it takes calls: see [`crate::admin::shell::Readiness`].
+    pub ready: bool,
+    /// Number of the version it runs; 0 while it runs none.
+    pub version: u64,
+    /// Digest of that version's file, in hexadecimal.
+    pub digest: String,
+    /// When it applied that version, in milliseconds since the Unix epoch.
+    pub applied_unix_ms: Option<u64>,
+    /// Whether the log answers it, and since when.
+    pub log: reach::Reach,
+    /// The upstream beside it.
+    pub local: Option<Local>,
+    /// Hosts it knows, by health.
+    pub members: Members,
+    /// Upstreams it knows, by service and phase.
+    pub upstreams: collections::BTreeMap<SmolStr, Upstreams>,
+    /// Its control traffic by purpose.
+    pub traffic: collections::BTreeMap<SmolStr, Counts>,
+}
+
+/// What a status is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Source<'a> {
+    /// This host.
+    pub host: host::HostId,
+    /// Where it stands.
+    pub place: &'a view::Place,
+    /// What it runs.
+    pub stamp: version::Stamp,
+    /// When it was applied.
+    pub applied_unix_ms: Option<u64>,
+    /// The known hosts.
+    pub view: &'a view::View,
+    /// The upstream beside it.
+    pub local: Option<&'a node::Local>,
+    /// Whether the log answers.
+    pub log: reach::Reach,
+    /// Whether it may take calls.
+    pub ready: bool,
+    /// Its control traffic.
+    pub traffic: &'a traffic::Traffic,
+}
+
+impl Source<'_> {
+    /// The status.
+    pub fn status(&self) -> Status {
+        let counts = traffic(self.traffic).into_iter();
+        Status {
+            host: smol_str::format_smolstr!("{}", self.host),
+            region: self.place.region.clone(),
+            zone: self.place.zone.clone(),
+            incarnation: self.view.host(self.host).map_or(0, |h| h.incarnation),
+            ready: self.ready,
+            version: self.stamp.version.number(),
+            digest: self.stamp.digest.to_string(),
+            applied_unix_ms: self.applied_unix_ms,
+            log: self.log,
+            local: self.local.map(local),
+            members: members(self.view),
+            upstreams: upstreams(self.view),
+            traffic: counts.map(|(name, counts)| (SmolStr::new_static(name), counts)).collect(),
+        }
+    }
+}
+
+/// Counts of control traffic, each with the name of its purpose.
+pub fn traffic(traffic: &traffic::Traffic) -> [(&'static str, Counts); traffic::PURPOSES.len()] {
+    traffic::PURPOSES.map(|purpose| {
+        let counts = traffic.of(purpose);
+        let read = |counter: &atomic::AtomicU64| counter.load(atomic::Ordering::Relaxed);
+        let counts = Counts {
+            sent: read(&counts.sent),
+            received: read(&counts.received),
+            messages: read(&counts.messages),
+            dropped: read(&counts.dropped),
+        };
+        (purpose_name(purpose), counts)
+    })
+}
+
+const fn purpose_name(purpose: traffic::Purpose) -> &'static str {
+    match purpose {
+        traffic::Purpose::Ledger => "ledger",
+        traffic::Purpose::Log => "log",
+        traffic::Purpose::Member => "member",
+        traffic::Purpose::Spread => "spread",
+    }
+}
+
+const fn phase_name(phase: view::Phase) -> &'static str {
+    match phase {
+        view::Phase::Warming => "warming",
+        view::Phase::Serving => "serving",
+        view::Phase::Draining => "draining",
+    }
+}
+
+fn local(local: &node::Local) -> Local {
+    let upstream = &local.upstream;
+    Local {
+        service: upstream.service.clone(),
+        class: upstream.class.clone(),
+        phase: SmolStr::new_static(phase_name(upstream.phase)),
+        slots: upstream.slots,
+        connections: upstream.connections,
+    }
+}
+
+fn members(view: &view::View) -> Members {
+    let mut members = Members::default();
+    for host in &view.hosts {
+        let count = match host.health {
+            view::Health::Alive => &mut members.alive,
+            view::Health::Suspect => &mut members.suspect,
+            view::Health::Unreachable => &mut members.unreachable,
+        };
+        *count += 1;
+    }
+    members
+}
+
+fn upstreams(view: &view::View) -> collections::BTreeMap<SmolStr, Upstreams> {
+    let mut services = collections::BTreeMap::<SmolStr, Upstreams>::new();
+    for host in &view.hosts {
+        let Some(upstream) = &host.upstream else { continue };
+        let counts = services.entry(upstream.service.clone()).or_default();
+        let count = match (host.health, upstream.phase) {
+            (view::Health::Unreachable, _) => &mut counts.unreachable,
+            (_, view::Phase::Warming) => &mut counts.warming,
+            (_, view::Phase::Serving) => &mut counts.serving,
+            (_, view::Phase::Draining) => &mut counts.draining,
+        };
+        *count += 1;
+    }
+    services
+}
--- /dev/null
+++ b/src/admin/tests.rs
@@ -0,0 +1,38 @@
+//! Tests of the operators' port.
+
+mod announce;
+mod report;
+mod served;
+
+use crate::mesh;
+
+/// A configuration with the service `shop` and its class `shop-host` of 9 slots.
+fn shop() -> mesh::Mesh {
+    let teams = vec![mesh::Team { name: "guests".into() }];
+    let objectives = mesh::Objectives {
+        availability: 0.999,
+        latency: std::time::Duration::from_millis(200),
+        share: 0.99,
+        window: std::time::Duration::from_secs(86_400),
+    };
+    let service = |name: &str| mesh::Service {
+        name: name.into(),
+        team: mesh::TeamKey(0),
+        timeout: std::time::Duration::from_secs(2),
+        queue: 8,
+        retries: 10,
+        objectives,
+    };
+    let class = mesh::Class {
+        name: "shop-host".into(),
+        service: mesh::ServiceKey(0),
+        slots: 9,
+        connections: 120,
+        warmup: std::time::Duration::from_secs(10),
+    };
+    let mut mesh = mesh::Mesh::default();
+    mesh.teams = teams;
+    mesh.services = vec![service("shop"), service("desk")];
+    mesh.classes = vec![class];
+    mesh
+}
--- /dev/null
+++ b/src/admin/tests/report.rs
@@ -0,0 +1,98 @@
+//! Tests of reports on the whole mesh.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use smol_str::SmolStr;
+
+use crate::admin::{scatter, status, whole};
+use crate::host;
+use crate::logs::reach;
+
+fn host(n: u8) -> host::HostId {
+    host::HostId::new(net::SocketAddr::from(([10, 0, 0, n], 7100)))
+}
+
+fn answer(n: u8, zone: &str, version: u64, applied: u64) -> status::Status {
+    status::Status {
+        host: SmolStr::from(host(n).to_string()),
+        region: "north".into(),
+        zone: zone.into(),
+        incarnation: 1,
+        ready: true,
+        version,
+        digest: format!("{version:032x}"),
+        applied_unix_ms: Some(applied),
+        log: reach::Reach::Unasked,
+        local: None,
+        members: status::Members::default(),
+        upstreams: collections::BTreeMap::new(),
+        traffic: collections::BTreeMap::new(),
+    }
+}
+
+#[test]
+fn versions_are_counted_by_zone_and_nodes_behind_named() {
+    let answers = [answer(1, "a", 7, 1500), answer(2, "a", 5, 900), answer(3, "b", 7, 1400)];
+    let mesh = whole::mesh(&answers, Vec::new(), 2000);
+    assert!(mesh.coverage.whole);
+    assert_eq!((mesh.newest, mesh.newest_unix_ms, mesh.behind), (7, Some(1400), 1));
+    assert_eq!(mesh.behind_hosts[0].host, "10.0.0.2:7100");
+    assert_eq!(mesh.behind_hosts[0].behind_ms, 600);
+    let running: Vec<_> = mesh.running.iter().map(|r| (&*r.zone, r.version, r.nodes)).collect();
+    assert_eq!(running, [("a", 5, 1), ("a", 7, 1), ("b", 7, 1)]);
+}
+
+#[test]
+fn a_partial_report_says_so() {
+    let answers = [answer(1, "a", 7, 1500)];
+    let mesh = whole::mesh(&answers, vec!["10.0.0.2:7100".into()], 2000);
+    assert_eq!((mesh.coverage.heard, mesh.coverage.hosts, mesh.coverage.whole), (1, 2, false));
+    assert_eq!(mesh.coverage.missing, ["10.0.0.2:7100"]);
+}
+
+#[test]
+fn the_longest_outage_of_the_log_is_told() {
+    let mut answers = [answer(1, "a", 7, 0), answer(2, "a", 7, 0), answer(3, "a", 7, 0)];
+    answers[0].log = reach::Reach::Fails { since_unix_ms: 800 };
+    answers[1].log = reach::Reach::Fails { since_unix_ms: 700 };
+    let log = whole::mesh(&answers, Vec::new(), 2000).log;
+    assert_eq!((log.answers, log.fails, log.unasked), (0, 2, 1));
+    assert_eq!(log.fails_since_unix_ms, Some(700));
+}
+
+#[tokio::test(start_paused = true)]
+async fn hosts_that_fail_or_hang_are_missing_and_bounded() {
+    let hosts: Vec<_> = (0..100).map(host).collect();
+    let limits = scatter::Limits { width: 10, whole: time::Duration::from_secs(5) };
+    let running = std::cell::Cell::new(0usize);
+    let most = std::cell::Cell::new(0usize);
+    let gathered = scatter::gather(&hosts, limits, |host| {
+        let (running, most) = (&running, &most);
+        async move {
+            running.set(running.get() + 1);
+            most.set(most.get().max(running.get()));
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+            let last = host.member_addr().to_string();
+            if last.starts_with("10.0.0.7:") {
+                tokio::time::sleep(time::Duration::from_secs(60)).await;
+            }
+            running.set(running.get() - 1);
+            if last.starts_with("10.0.0.8:") { Err(()) } else { Ok(host) }
+        }
+    })
+    .await;
+    assert_eq!(gathered.missing, [host(7), host(8)]);
+    assert_eq!(gathered.answers.len(), 98);
+    assert_eq!(most.get(), 10);
+}
+
+#[test]
+fn reach_keeps_the_first_moment() {
+    let mut reach = reach::Reach::Unasked;
+    for (success, at) in [(true, 1), (true, 2), (false, 3), (false, 4)] {
+        reach = reach.after(success, at);
+    }
+    assert_eq!(reach, reach::Reach::Fails { since_unix_ms: 3 });
+}
--- /dev/null
+++ b/src/admin/tests/served.rs
@@ -0,0 +1,208 @@
+//! Tests of the port itself, on loopback.
+
+use std::net;
+use std::sync::Arc;
+use std::time;
+
+use tokio::sync::watch;
+use tokio::task;
+
+use super::shop;
+use crate::admin::{ask, metrics, shell, status, whole};
+use crate::configs;
+use crate::context;
+use crate::host;
+use crate::logs::reach;
+use crate::mesh;
+use crate::node;
+use crate::ring;
+use crate::standin::http as client;
+use crate::traffic;
+use crate::usage;
+use crate::version;
+use crate::view;
+
+const LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// The other ends of what joins the duty.
+struct Ends {
+    host: host::HostId,
+    applied: watch::Sender<Arc<mesh::Applied>>,
+    view: watch::Sender<Arc<view::View>>,
+    local: watch::Receiver<Option<Arc<node::Local>>>,
+    tallies: ring::Sender<usage::Delta>,
+    stage: watch::Sender<node::Stage>,
+    _reach: watch::Sender<reach::Reach>,
+}
+
+/// An address that no other test of this process or of another checkout uses.
+fn address(n: u8) -> net::SocketAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    net::SocketAddr::from(([127, 160 + (high & 15), low, n], 7100))
+}
+
+/// Starts the duty on the current `LocalSet`.
+fn start(n: u8) -> Ends {
+    let listen = address(n);
+    let settings = configs::Node { listen, ..configs::Node::default() };
+    let (applied, applied_end) = watch::channel(Arc::default());
+    let (view, view_end) = watch::channel(Arc::default());
+    let (local_end, local) = watch::channel(None);
+    let (reach, reach_end) = watch::channel(reach::Reach::Unasked);
+    let (tallies, tallies_end) = ring::bounded(4);
+    let (stage, stage_end) = watch::channel(node::Stage::Run);
+    let wiring = shell::Wiring {
+        applied: applied_end,
+        view: view_end,
+        local: local_end,
+        reach: reach_end,
+        tallies: tallies_end,
+        metrics: metrics::Metrics::new(),
+        stage: stage_end,
+        traffic: Arc::new(traffic::Traffic::default()),
+    };
+    task::spawn_local(async move {
+        shell::run(context::Context::system(), Arc::new(settings), wiring).await.expect("serves");
+    });
+    let host = host::HostId::new(listen);
+    Ends { host, applied, view, local, tallies, stage, _reach: reach }
+}
+
+impl Ends {
+    fn apply(&self) {
+        let stamp = version::Stamp {
+            version: version::Version::new(3),
+            digest: version::Digest::of(b"shop"),
+        };
+        self.applied.send_replace(Arc::new(mesh::Applied { stamp, mesh: Arc::new(shop()) }));
+    }
+
+    async fn get(&self, path: &str) -> (u16, String) {
+        let to = self.host.admin_addr();
+        for _ in 0..1000 {
+            match client::get(to, path, LIMIT).await {
+                Ok(answer) => {
+                    let body = String::from_utf8_lossy(answer.body()).into_owned();
+                    return (answer.status().as_u16(), body);
+                }
+                Err(client::Error::Connect(..)) => {
+                    tokio::time::sleep(time::Duration::from_millis(10)).await;
+                }
+                Err(error) => panic!("{error}"),
+            }
+        }
+        panic!("the port does not open");
+    }
+
+    async fn put(&self, class: &str) -> u16 {
+        let body = serde_json::json!({
+            "service": "shop", "class": class, "address": "127.0.0.1:8080",
+            "slots": 9, "connections": 100, "phase": "serving",
+        });
+        let to = self.host.admin_addr();
+        let put = client::json(to, http::Method::PUT, "/upstream", &body, LIMIT).await;
+        put.expect("answered").status().as_u16()
+    }
+}
+
+async fn locally(test: impl std::future::Future<Output = ()>) {
+    task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn readiness_follows_configuration_and_stage() {
+    locally(async {
+        let ends = start(1);
+        assert_eq!(ends.get("/live").await.0, 204);
+        assert_eq!(ends.get("/ready").await.0, 503);
+        ends.apply();
+        assert_eq!(ends.get("/ready").await.0, 200);
+        ends.stage.send_replace(node::Stage::Drain);
+        assert_eq!(ends.get("/ready").await.0, 503);
+        assert_eq!(ends.get("/live").await.0, 204);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_upstream_announces_and_withdraws() {
+    locally(async {
+        let mut ends = start(2);
+        assert_eq!(ends.get("/live").await.0, 204);
+        assert_eq!(ends.put("shop-host").await, 422);
+        ends.apply();
+        let kept = tokio::time::timeout(LIMIT, ends.local.wait_for(Option::is_some));
+        let kept = kept.await.is_ok();
+        assert!(kept, "a pending announcement holds with the configuration");
+        assert_eq!(ends.put("toys").await, 422);
+        assert_eq!(ends.put("shop-host").await, 204);
+        let to = ends.host.admin_addr();
+        let null = serde_json::Value::Null;
+        let gone = client::json(to, http::Method::DELETE, "/upstream", &null, LIMIT).await;
+        assert_eq!(gone.expect("answered").status(), 204);
+        assert!(ends.local.borrow().is_none());
+        let bad = client::json(to, http::Method::PUT, "/upstream", &null, LIMIT).await;
+        assert_eq!(bad.expect("answered").status(), 400);
+        assert_eq!(ends.get("/nowhere").await.0, 404);
+        assert_eq!(ends.get("/upstream").await.0, 405);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn metrics_show_the_calls() {
+    locally(async {
+        let ends = start(3);
+        let label = usage::Label {
+            team: "guests".into(),
+            service: "shop".into(),
+            kind: "buy".into(),
+            weight: 5,
+        };
+        let mut totals = usage::Totals::default();
+        totals.calls[usage::Outcome::Served as usize] = 4;
+        ends.tallies.offer(usage::Delta { rows: vec![(label, totals)] }).expect("room");
+        let wanted =
+            "dandelionspool_calls_total{service=\"shop\",kind=\"buy\",outcome=\"served\"} 4";
+        let mut text = ends.get("/metrics").await.1;
+        for _ in 0..1000 {
+            if text.contains(wanted) {
+                break;
+            }
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+            text = ends.get("/metrics").await.1;
+        }
+        assert!(text.contains(wanted), "{text}");
+        assert!(text.contains("dandelionspool_control_messages_total{purpose=\"member\"} 0"));
+        assert!(text.ends_with("# EOF\n"));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn the_mesh_is_asked_and_a_silent_host_named() {
+    locally(async {
+        let (one, two) = (start(4), start(5));
+        let absent = host::HostId::new(address(6));
+        let place = Arc::new(view::Place { region: "region".into(), zone: "zone".into() });
+        let known = [one.host, two.host, absent].map(|id| view::Host {
+            id,
+            place: Arc::clone(&place),
+            incarnation: 1,
+            health: view::Health::Alive,
+            upstream: None,
+        });
+        one.view.send_replace(Arc::new(view::View::new(known.to_vec())));
+        one.apply();
+        assert_eq!(two.get("/live").await.0, 204);
+        let (code, text) = one.get("/status").await;
+        let own: status::Status = serde_json::from_str(&text).expect("a status");
+        assert_eq!((code, own.version, own.members.alive), (200, 3, 3));
+        let to = one.host.admin_addr();
+        let mesh: whole::Mesh = ask::json(to, "/status?mesh=1", LIMIT).await.expect("a report");
+        assert_eq!((mesh.coverage.heard, mesh.coverage.hosts, mesh.coverage.whole), (2, 3, false));
+        assert_eq!(mesh.coverage.missing, [absent.to_string()]);
+        assert_eq!((mesh.newest, mesh.behind, mesh.unready), (3, 1, 1));
+    })
+    .await;
+}
--- /dev/null
+++ b/src/admin/whole.rs
@@ -0,0 +1,174 @@
+//! The status of the mesh, put together from the answers of its nodes.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::admin::status;
+use crate::logs::reach;
+
+/// Most hosts that are named in one list of a report; the counts are always complete.
+pub const NAMED: usize = 50;
+
+/// How much of the mesh a report covers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Coverage {
+    /// Nodes that answered.
+    pub heard: u32,
+    /// Nodes that the asked node knows, itself included.
+    pub hosts: u32,
+    /// Whether all of them answered. A report that is not whole counts only those that did.
+    pub whole: bool,
+    /// Some of the hosts that did not answer, at most [`NAMED`].
+    pub missing: Vec<SmolStr>,
+}
+
+impl Coverage {
+    /// The coverage when `heard` nodes answered and those of `missing` did not.
+    pub fn new(heard: usize, mut missing: Vec<SmolStr>) -> Self {
+        let hosts = heard + missing.len();
+        let whole = missing.is_empty();
+        missing.truncate(NAMED);
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        Self { heard: count(heard), hosts: count(hosts), whole, missing }
+    }
+}
+
+/// Nodes of one availability zone that run one version.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Running {
+    /// The availability zone.
+    pub zone: SmolStr,
+    /// Number of the version.
+    pub version: u64,
+    /// How many nodes run it.
+    pub nodes: u32,
+}
+
+/// A node that runs something older than the newest version heard of.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Behind {
+    /// Its base address.
+    pub host: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Number of the version it runs.
+    pub version: u64,
+    /// Time since the newest version was first applied anywhere, in milliseconds.
+    pub behind_ms: u64,
+}
+
+/// How the log answers the nodes that use it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Log {
+    /// Nodes whose last request succeeded.
+    pub answers: u32,
+    /// Nodes whose last request failed.
+    pub fails: u32,
+    /// Nodes that have not asked it.
+    pub unasked: u32,
+    /// Since when it has failed for the node that noticed first, in milliseconds since the Unix
+    /// epoch.
+    pub fails_since_unix_ms: Option<u64>,
+}
+
+/// The mesh as heard.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Mesh {
+    /// How much of the mesh this covers.
+    pub coverage: Coverage,
+    /// Number of the newest version that any node runs.
+    pub newest: u64,
+    /// Digest of that version's file.
+    pub digest: String,
+    /// When a node first applied it, in milliseconds since the Unix epoch.
+    pub newest_unix_ms: Option<u64>,
+    /// Nodes by availability zone and version, sorted.
+    pub running: Vec<Running>,
+    /// How many nodes are behind.
+    pub behind: u32,
+    /// Some of them, at most [`NAMED`], oldest version first.
+    pub behind_hosts: Vec<Behind>,
+    /// Nodes that are not ready.
+    pub unready: u32,
+    /// The log.
+    pub log: Log,
+    /// Upstreams by service and phase, each as its own node says.
+    pub upstreams: collections::BTreeMap<SmolStr, status::Upstreams>,
+}
+
+/// Puts `answers` together at wall-clock time `unix_ms`; the hosts of `missing` did not answer.
+pub fn mesh(answers: &[status::Status], missing: Vec<SmolStr>, unix_ms: u64) -> Mesh {
+    let newest = answers.iter().map(|a| a.version).max().unwrap_or(0);
+    let runs_newest = || answers.iter().filter(|a| a.version == newest);
+    let newest_unix_ms = runs_newest().filter_map(|a| a.applied_unix_ms).min();
+    let age = newest_unix_ms.map_or(0, |first| unix_ms.saturating_sub(first));
+    let mut behind = behind(answers, newest, age);
+    let count = u32::try_from(behind.len()).unwrap_or(u32::MAX);
+    behind.truncate(NAMED);
+    Mesh {
+        coverage: Coverage::new(answers.len(), missing),
+        newest,
+        digest: runs_newest().next().map(|a| a.digest.clone()).unwrap_or_default(),
+        newest_unix_ms,
+        running: running(answers),
+        behind: count,
+        behind_hosts: behind,
+        unready: answers.iter().map(|a| u32::from(!a.ready)).sum(),
+        log: log(answers),
+        upstreams: upstreams(answers),
+    }
+}
+
+fn running(answers: &[status::Status]) -> Vec<Running> {
+    let mut counts = collections::BTreeMap::<(SmolStr, u64), u32>::new();
+    for answer in answers {
+        *counts.entry((answer.zone.clone(), answer.version)).or_default() += 1;
+    }
+    let rows = counts.into_iter();
+    rows.map(|((zone, version), nodes)| Running { zone, version, nodes }).collect()
+}
+
+fn behind(answers: &[status::Status], newest: u64, age: u64) -> Vec<Behind> {
+    let older = answers.iter().filter(|a| a.version < newest);
+    let row = |a: &status::Status| Behind {
+        host: a.host.clone(),
+        zone: a.zone.clone(),
+        version: a.version,
+        behind_ms: age,
+    };
+    let mut rows: Vec<Behind> = older.map(row).collect();
+    rows.sort_by(|a, b| (a.version, &a.host).cmp(&(b.version, &b.host)));
+    rows
+}
+
+fn log(answers: &[status::Status]) -> Log {
+    let mut log = Log::default();
+    for answer in answers {
+        match answer.log {
+            reach::Reach::Unasked => log.unasked += 1,
+            reach::Reach::Answers { .. } => log.answers += 1,
+            reach::Reach::Fails { since_unix_ms } => {
+                log.fails += 1;
+                let first = log.fails_since_unix_ms.unwrap_or(since_unix_ms);
+                log.fails_since_unix_ms = Some(first.min(since_unix_ms));
+            }
+        }
+    }
+    log
+}
+
+fn upstreams(answers: &[status::Status]) -> collections::BTreeMap<SmolStr, status::Upstreams> {
+    let mut services = collections::BTreeMap::<SmolStr, status::Upstreams>::new();
+    for local in answers.iter().filter_map(|a| a.local.as_ref()) {
+        let counts = services.entry(local.service.clone()).or_default();
+        let count = match local.phase.as_str() {
+            "warming" => &mut counts.warming,
+            "draining" => &mut counts.draining,
+            _ => &mut counts.serving,
+        };
+        *count += 1;
+    }
+    services
+}
--- a/src/configs/limits.rs
+++ b/src/configs/limits.rs
@@ -37,6 +37,11 @@
 
 /// Range of each number among the settings of a node.
 pub const NODE: &[Limit] = &[
+    limit("/admin/lease_ms", 100, HOUR_MS),
+    limit("/admin/connections", 1, 10_000),
+    limit("/admin/scatter", 1, 1000),
+    limit("/admin/answer_ms", 1, 60_000),
+    limit("/admin/report_ms", 1, HOUR_MS),
     limit("/call/attempts", 1, 10),
     limit("/call/retry_burst", 0, 10_000),
     limit("/call/candidates", 2, 16),
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -12,6 +12,7 @@
 use crate::host;
 use crate::mesh::fault;
 
+pub mod admin;
 pub mod call;
 pub mod claim;
 pub mod limits;
@@ -43,6 +44,8 @@
     pub zone: SmolStr,
     /// Base addresses of a few hosts to join through.
     pub join: Vec<net::SocketAddr>,
+    /// The operators' port.
+    pub admin: admin::Admin,
     /// Calls.
     pub call: call::Call,
     /// Claims of idempotency keys.
@@ -92,6 +95,7 @@
             region: SmolStr::new_static("region"),
             zone: SmolStr::new_static("zone"),
             join: Vec::new(),
+            admin: admin::Admin::default(),
             call: call::Call::default(),
             claim: claim::Claim::default(),
             log: log::Log::default(),
--- a/src/usage/mod.rs
+++ b/src/usage/mod.rs
@@ -114,7 +114,9 @@
     /// Served calls that took longer than the service's latency objective.
     pub slow: u64,
     /// Served calls by latency: below 2^n times [`tally::FINEST`], the last one unbounded.
-    pub latencies: [u32; tally::BUCKETS],
+    pub latencies: [u64; tally::BUCKETS],
+    /// Sum of the latencies of served calls, in microseconds.
+    pub micros: u64,
 }
 
 impl Totals {
@@ -129,6 +131,7 @@
             *mine = mine.saturating_add(*theirs);
         }
         self.slow = self.slow.saturating_add(other.slow);
+        self.micros = self.micros.saturating_add(other.micros);
         for (mine, theirs) in self.latencies.iter_mut().zip(&other.latencies) {
             *mine = mine.saturating_add(*theirs);
         }
--- a/src/usage/tally.rs
+++ b/src/usage/tally.rs
@@ -40,6 +40,8 @@
         *calls = calls.saturating_add(1);
         if count.outcome == usage::Outcome::Served {
             totals.slow = totals.slow.saturating_add(u64::from(count.latency > count.limit));
+            let micros = u64::try_from(count.latency.as_micros()).unwrap_or(u64::MAX);
+            totals.micros = totals.micros.saturating_add(micros);
             let bucket = &mut totals.latencies[bucket(count.latency)];
             *bucket = bucket.saturating_add(1);
         }
