feat(fold): accept versions by a pure fold and publish through lost answers

Cause: every node must come to the same verdict on each record of the log without a leader; an operator must learn what became of a publish although the answer of its append was lost.

--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -1,11 +1,26 @@
 //! `dandelionspool publish` publishes a configuration file.
 
+use std::fs;
+use std::io;
 use std::net;
 use std::path;
+use std::sync::Arc;
+use std::time;
 
 use bpaf::Bpaf;
+use bytes::Bytes;
+use serde::Serialize;
 
 use crate::cli::exit;
+use crate::configs;
+use crate::context;
+use crate::fold::{memory, record, rules, submit};
+use crate::logs::http;
+use crate::mesh;
+use crate::version;
+
+/// Longest one request may take, in milliseconds.
+const REQUEST_MS: u64 = 2000;
 
 /// Arguments of `dandelionspool publish`.
 #[derive(Bpaf, Clone, Debug)]
@@ -16,12 +31,143 @@
     /// Version the file was made from; 0 when there is none
     #[bpaf(argument("VERSION"))]
     pub base: u64,
+    /// Name of this publish, 32 hexadecimal digits; made from base and file when left out, so that
+    /// the same command run again changes nothing
+    #[bpaf(argument("HEX"), optional)]
+    pub publish_id: Option<record::PublishId>,
+    /// Milliseconds to keep trying while the log service fails
+    #[bpaf(argument("MILLISECONDS"), fallback(10_000), display_fallback)]
+    pub wait_ms: u64,
+    /// Print the verdict as JSON
+    pub json: bool,
     /// Configuration file
     #[bpaf(positional("FILE"))]
     pub file: path::PathBuf,
 }
 
+/// What became of the file, as printed with `--json`.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case", tag = "verdict")]
+enum Verdict {
+    /// It is a version.
+    Accepted { version: u64, digest: String, publish_id: String, repeated: bool },
+    /// Another version is current.
+    Conflict { base: u64, current: u64, publish_id: String },
+    /// It breaks the rules.
+    Invalid { faults: mesh::fault::Faults },
+    /// The content of the log does not tell this build.
+    Unknown { uncertain: bool, publish_id: String },
+    /// The log service did not tell in time.
+    Unreachable { uncertain: bool, publish_id: String },
+}
+
+/// Why the file is not published.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// The file can't be read.
+    #[error("can't read {0}")]
+    Read(path::PathBuf, #[source] io::Error),
+    /// The file breaks the rules.
+    #[error("{file} is not valid:\n{faults}")]
+    Invalid { file: path::PathBuf, faults: mesh::fault::Faults },
+    /// Somebody published in between, or the base never was current.
+    #[error("conflict: the current version is {current}, and the file was made from {base}")]
+    Conflict { base: u64, current: version::Version },
+    /// The nodes' rules differ from this build's.
+    #[error("the file was refused by the rules of its format when it was first published")]
+    Refused,
+}
+
+type Answer = Result<submit::Answer, submit::Error<http::Error>>;
+
 /// Runs the command.
 pub fn run(args: &Args) -> Result<(), exit::Failure> {
-    Err(exit::Failure::Refused(eyre::eyre!("not built yet: {args:?}")))
+    let file = read(args)?;
+    let base = version::Version::new(args.base);
+    let id = args.publish_id.unwrap_or_else(|| record::PublishId::derive(base, &file));
+    let publish = record::Publish { format: rules::NEWEST, base, id, body: file };
+    let answer = send(args, publish)?;
+    conclude(args, id, answer)
+}
+
+/// The file's bytes, checked by the rules of this build.
+fn read(args: &Args) -> Result<Bytes, exit::Failure> {
+    let bytes = fs::read(&args.file)
+        .map_err(|e| exit::Failure::Input(Error::Read(args.file.clone(), e).into()))?;
+    if let Err(faults) = mesh::check::check(&bytes) {
+        print(args, &Verdict::Invalid { faults: faults.clone() });
+        let file = args.file.clone();
+        return Err(exit::Failure::Input(Error::Invalid { file, faults }.into()));
+    }
+    Ok(bytes.into())
+}
+
+fn send(args: &Args, publish: record::Publish) -> Result<Answer, exit::Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| exit::Failure::Unreachable(e.into()))?;
+    let append_ms = args.wait_ms.clamp(1, REQUEST_MS);
+    let log = configs::log::Log { address: args.log, append_ms, ..configs::log::Log::default() };
+    let limit = time::Duration::from_millis(args.wait_ms);
+    let seed = context::Context::system().seed_for("publish");
+    Ok(runtime.block_on(async {
+        let client = http::Client::new(&log, Arc::default());
+        submit::Submitter::new(client, rules::Builtin, limit, seed).submit(publish).await
+    }))
+}
+
+fn conclude(args: &Args, id: record::PublishId, answer: Answer) -> Result<(), exit::Failure> {
+    let publish_id = id.to_string();
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => return Err(untold(args, error, publish_id)),
+    };
+    match answer.outcome {
+        memory::Outcome::Accepted(stamp) => {
+            accepted(args, stamp, answer.repeated, publish_id);
+            Ok(())
+        }
+        memory::Outcome::Conflict { current } => {
+            let base = args.base;
+            print(args, &Verdict::Conflict { base, current: current.number(), publish_id });
+            Err(exit::Failure::Refused(Error::Conflict { base, current }.into()))
+        }
+        memory::Outcome::Invalid => {
+            print(args, &Verdict::Invalid { faults: mesh::fault::Faults::default() });
+            Err(exit::Failure::Refused(Error::Refused.into()))
+        }
+    }
+}
+
+fn untold(args: &Args, error: submit::Error<http::Error>, publish_id: String) -> exit::Failure {
+    match &error {
+        submit::Error::Unreachable { uncertain, .. } => {
+            print(args, &Verdict::Unreachable { uncertain: *uncertain, publish_id });
+            exit::Failure::Unreachable(error.into())
+        }
+        submit::Error::Unknown { uncertain } => {
+            print(args, &Verdict::Unknown { uncertain: *uncertain, publish_id });
+            exit::Failure::Refused(error.into())
+        }
+        submit::Error::Encode(_) => exit::Failure::Input(error.into()),
+    }
+}
+
+fn accepted(args: &Args, stamp: version::Stamp, repeated: bool, publish_id: String) {
+    let version = stamp.version.number();
+    let digest = stamp.digest.to_string();
+    print(args, &Verdict::Accepted { version, digest, publish_id, repeated });
+    if !args.json {
+        let earlier = if repeated { " (published before)" } else { "" };
+        println!("accepted as version {version}{earlier}");
+    }
+}
+
+fn print(args: &Args, verdict: &Verdict) {
+    if !args.json {
+        return;
+    }
+    match serde_json::to_string(verdict) {
+        Ok(line) => println!("{line}"),
+        Err(error) => log::error!(error:% = error; "the verdict can't be printed"),
+    }
 }
--- a/src/delta/mod.rs
+++ b/src/delta/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::version;
 
-mod frame;
+pub mod frame;
 
 /// Largest file restored, in bytes.
 pub const FILE_BYTES: usize = 1 << 20;
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -1,1 +1,306 @@
 //! Acceptance of configurations: a pure fold over the log.
+//!
+//! Every node that reads the `config` stream comes to the same verdict on every record, without a
+//! leader, a lease or a quorum, because the log gives the order and the verdict depends on nothing
+//! else. `docs/design/configuration-log.md` has the reasons.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::logs;
+use crate::mesh;
+use crate::version;
+
+pub mod follow;
+pub mod memory;
+pub mod record;
+pub mod rules;
+pub mod snapshot;
+pub mod submit;
+
+/// The accepted configuration.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// Its version and digest.
+    pub stamp: version::Stamp,
+    /// Format of its file, whose rules it obeys.
+    pub format: u16,
+    /// Its file as published; `stamp.digest` is its digest.
+    pub body: Bytes,
+    /// What the file says.
+    pub mesh: Arc<mesh::Mesh>,
+}
+
+/// What the fold makes of one record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict<F> {
+    /// A publish that is now the current version.
+    Accepted(version::Stamp),
+    /// A publish made from another version than the current one; no effect.
+    Conflict {
+        /// The current version.
+        current: version::Version,
+    },
+    /// A publish whose file breaks the rules of its format; no effect.
+    Invalid {
+        /// What is wrong with it.
+        faults: F,
+    },
+    /// A publish whose id was seen before; no effect.
+    Repeated {
+        /// What became of the first one.
+        first: memory::Outcome,
+    },
+    /// A snapshot that gave the state; read on from [`Fold::next`], which has moved back.
+    Adopted(version::Stamp),
+    /// A snapshot of a state that is known already; no effect.
+    Known(version::Stamp),
+    /// A snapshot that contradicts itself or the known state; no effect.
+    Disputed(version::Stamp),
+    /// A publish seen while the state before it is not known; a snapshot will tell.
+    Unjudged,
+    /// A record of a format this build does not know; the state after it is not known.
+    Newer {
+        /// The record's format.
+        format: u16,
+    },
+    /// Not a record of the system; every build of every format ignores it.
+    Undecodable,
+    /// Judged before.
+    Stale,
+}
+
+/// A record's offset and verdict.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Judged<F> {
+    /// Its place.
+    pub offset: logs::Offset,
+    /// What the fold makes of it.
+    pub verdict: Verdict<F>,
+}
+
+/// The latest place in the log that a joiner can start from: its beginning or a snapshot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Anchor {
+    /// A joiner that starts here or earlier comes to know the state.
+    pub through: logs::Offset,
+    /// When its record was appended, in milliseconds since the Unix epoch.
+    pub unix_millis: u64,
+}
+
+/// The state of acceptance after the records before [`Fold::next`].
+#[derive(Clone, Debug)]
+pub struct Fold<R> {
+    rules: R,
+    /// Never replaced by an older version.
+    current: Option<Accepted>,
+    memory: memory::Memory,
+    /// Offset of the record to judge next.
+    next: logs::Offset,
+    /// While set, the state is not known, and only a snapshot that covers all records before this
+    /// offset can tell it.
+    gap: Option<logs::Offset>,
+    anchor: Option<Anchor>,
+}
+
+impl<R: rules::Rules> Fold<R> {
+    /// A fold that starts at `offset`. Its state is known at once if `offset` is 0, otherwise
+    /// after a snapshot.
+    pub fn starting_at(rules: R, offset: logs::Offset) -> Self {
+        Self {
+            rules,
+            current: None,
+            memory: memory::Memory::default(),
+            next: offset,
+            gap: (offset > 0).then_some(offset),
+            anchor: None,
+        }
+    }
+
+    /// The accepted configuration; while [`Fold::settled`] is false there may be a later one.
+    pub const fn current(&self) -> Option<&Accepted> {
+        self.current.as_ref()
+    }
+
+    /// The accepted version, [`version::Version::NONE`] when there is none.
+    pub fn version(&self) -> version::Version {
+        self.current.as_ref().map_or(version::Version::NONE, |c| c.stamp.version)
+    }
+
+    /// Offset to read from.
+    pub const fn next(&self) -> logs::Offset {
+        self.next
+    }
+
+    /// Whether the state after every record before [`Fold::next`] is known.
+    pub const fn settled(&self) -> bool {
+        self.gap.is_none()
+    }
+
+    /// The latest place seen that a joiner can start from.
+    pub const fn anchor(&self) -> Option<Anchor> {
+        self.anchor
+    }
+
+    /// What became of the publish called `id`, while it is remembered.
+    pub fn outcome(&self, id: record::PublishId) -> Option<memory::Outcome> {
+        self.memory.get(id)
+    }
+
+    /// Judges the records of `batch`, read from [`Fold::next`] on. Ends early after a snapshot
+    /// that was adopted, because the next read starts elsewhere.
+    pub fn take(&mut self, batch: &logs::Batch) -> Vec<Judged<R::Faults>> {
+        self.expired(batch.first);
+        let mut judged = Vec::with_capacity(batch.records.len());
+        for record in &batch.records {
+            let verdict = self.apply(record.offset, record.unix_millis, &record.body);
+            let adopted = matches!(verdict, Verdict::Adopted(_));
+            judged.push(Judged { offset: record.offset, verdict });
+            if adopted {
+                break;
+            }
+        }
+        judged
+    }
+
+    /// Learns that records before `first` have expired.
+    pub fn expired(&mut self, first: logs::Offset) {
+        if first > self.next {
+            self.next = first;
+            self.gap = Some(first);
+        }
+    }
+
+    /// Judges the record at `offset`, appended at `unix_millis`.
+    pub fn apply(
+        &mut self,
+        offset: logs::Offset,
+        unix_millis: u64,
+        body: &[u8],
+    ) -> Verdict<R::Faults> {
+        if offset < self.next {
+            return Verdict::Stale;
+        }
+        if self.anchor.is_none() && self.settled() {
+            self.anchor = Some(Anchor { through: self.next, unix_millis });
+        }
+        self.next = offset + 1;
+        match record::decode(body, self.rules.newest()) {
+            Ok(record::Record::Publish(publish)) => self.publish(publish),
+            Ok(record::Record::Snapshot(snapshot)) => self.snapshot(offset, unix_millis, snapshot),
+            Err(record::Error::Format(format)) => {
+                self.gap = Some(self.next);
+                Verdict::Newer { format }
+            }
+            Err(_) => Verdict::Undecodable,
+        }
+    }
+
+    /// The record of a snapshot of this state, if there is something to keep and it is known.
+    pub fn encode(&self) -> Result<Option<Bytes>, record::Error> {
+        let Some(accepted) = self.current.as_ref().filter(|_| self.settled()) else {
+            return Ok(None);
+        };
+        let snapshot = record::Snapshot {
+            format: accepted.format,
+            stamp: accepted.stamp,
+            through: self.next,
+            memory: self.memory.clone(),
+            body: accepted.body.clone(),
+        };
+        record::encode(&record::Record::Snapshot(snapshot)).map(Some)
+    }
+
+    fn publish(&mut self, publish: record::Publish) -> Verdict<R::Faults> {
+        if !self.settled() {
+            return Verdict::Unjudged;
+        }
+        if let Some(first) = self.memory.get(publish.id) {
+            return Verdict::Repeated { first };
+        }
+        let current = self.version();
+        if publish.base != current {
+            self.memory.put(publish.id, memory::Outcome::Conflict { current });
+            return Verdict::Conflict { current };
+        }
+        match self.rules.check(publish.format, &publish.body) {
+            Ok(mesh) => self.accept(publish, mesh),
+            Err(faults) => {
+                self.memory.put(publish.id, memory::Outcome::Invalid);
+                Verdict::Invalid { faults }
+            }
+        }
+    }
+
+    fn accept(&mut self, publish: record::Publish, mesh: mesh::Mesh) -> Verdict<R::Faults> {
+        let version = version::Version::new(self.next);
+        let stamp = version::Stamp { version, digest: version::Digest::of(&publish.body) };
+        self.memory.put(publish.id, memory::Outcome::Accepted(stamp));
+        self.current = Some(Accepted {
+            stamp,
+            format: publish.format,
+            body: publish.body,
+            mesh: Arc::new(mesh),
+        });
+        Verdict::Accepted(stamp)
+    }
+
+    fn snapshot(
+        &mut self,
+        offset: logs::Offset,
+        unix_millis: u64,
+        snapshot: record::Snapshot,
+    ) -> Verdict<R::Faults> {
+        let stamp = snapshot.stamp;
+        if self.gap.is_some_and(|from| snapshot.through < from) {
+            return Verdict::Unjudged;
+        }
+        if !snapshot.consistent(offset) || self.contradicts(&snapshot) {
+            return Verdict::Disputed(stamp);
+        }
+        let anchor = Anchor { through: snapshot.through, unix_millis };
+        if !self.settled() {
+            return self.adopt(snapshot, anchor);
+        }
+        self.anchor_at(anchor, stamp);
+        Verdict::Known(stamp)
+    }
+
+    /// Moves the anchor forward to `anchor`, a snapshot of `stamp`. One that a publish has overtaken
+    /// is left out, since its stamp can't be compared any more.
+    fn anchor_at(&mut self, anchor: Anchor, stamp: version::Stamp) {
+        let later = self.anchor.is_none_or(|a| a.through <= anchor.through);
+        if later && self.current.as_ref().is_some_and(|c| c.stamp == stamp) {
+            self.anchor = Some(anchor);
+        }
+    }
+
+    /// Whether the snapshot, which covers all that this fold has missed, can't be of the log that
+    /// this fold has read.
+    fn contradicts(&self, snapshot: &record::Snapshot) -> bool {
+        let Some(current) = &self.current else {
+            return false;
+        };
+        let ours = current.stamp;
+        if self.settled() {
+            return ours.version.number() <= snapshot.through && snapshot.stamp != ours;
+        }
+        let older = snapshot.stamp.version < ours.version;
+        older || snapshot.stamp.version == ours.version && snapshot.stamp != ours
+    }
+
+    fn adopt(&mut self, snapshot: record::Snapshot, anchor: Anchor) -> Verdict<R::Faults> {
+        let stamp = snapshot.stamp;
+        let Ok(mesh) = self.rules.check(snapshot.format, &snapshot.body) else {
+            return Verdict::Disputed(stamp);
+        };
+        let mesh = Arc::new(mesh);
+        self.current = Some(Accepted { stamp, format: snapshot.format, body: snapshot.body, mesh });
+        self.memory = snapshot.memory;
+        self.next = snapshot.through;
+        self.gap = None;
+        self.anchor = Some(anchor);
+        Verdict::Adopted(stamp)
+    }
+}
--- /dev/null
+++ b/src/fold/record.rs
@@ -0,0 +1,196 @@
+//! Records of the `config` stream.
+//!
+//! A record is a mark of 4 bytes, the format (2 bytes, little-endian) and the content as postcard.
+//! Bytes without the mark are not ours. The format numbers the layout of the content and the rules
+//! for files alike, so that a build knows from the first 6 bytes whether it can judge the rest.
+
+use std::fmt;
+use std::io;
+use std::str;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::delta::{self, frame};
+use crate::fold::memory;
+use crate::logs;
+use crate::version;
+
+/// First bytes of every record.
+const MARK: [u8; 4] = *b"dspc";
+
+/// Bytes before the content.
+const HEAD_BYTES: usize = MARK.len() + 2;
+
+/// Bytes of a publish id.
+const ID_BYTES: usize = 16;
+
+/// Names one publish, whose record may stand in the log more than once.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct PublishId([u8; ID_BYTES]);
+
+/// A file that is to become the next version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Publish {
+    /// Format of the file.
+    pub format: u16,
+    /// Version it was made from.
+    pub base: version::Version,
+    /// Its name.
+    pub id: PublishId,
+    /// The file.
+    pub body: Bytes,
+}
+
+/// The state after the records before `through`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Snapshot {
+    /// Format of the file.
+    pub format: u16,
+    /// The current version.
+    pub stamp: version::Stamp,
+    /// Offset of the first record that is not part of the state.
+    pub through: logs::Offset,
+    /// Recent publishes.
+    pub memory: memory::Memory,
+    /// The current version's file.
+    pub body: Bytes,
+}
+
+/// A decoded record; bodies are not compressed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Record {
+    /// A file to be judged.
+    Publish(Publish),
+    /// State kept for those who can't read the records it came from.
+    Snapshot(Snapshot),
+}
+
+/// Why bytes are not a record that this build can judge, or a record can't be encoded.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The mark is missing.
+    #[error("not a record of the system")]
+    Foreign,
+    /// The format is newer than this build.
+    #[error("format {0} is not known")]
+    Format(u16),
+    /// The content is not what its format says.
+    #[error("the content of the record is malformed")]
+    Content(#[from] postcard::Error),
+    /// The body does not decompress within its limit.
+    #[error("the body of the record does not decompress")]
+    Body(#[from] io::Error),
+}
+
+/// Content of formats from 1 on, with compressed bodies.
+#[derive(Deserialize, Serialize)]
+enum Content {
+    Publish { base: version::Version, id: PublishId, frame: Bytes },
+    Snapshot { stamp: version::Stamp, through: logs::Offset, memory: memory::Memory, frame: Bytes },
+}
+
+/// Encodes `record`, whose body has at most [`delta::FILE_BYTES`].
+pub fn encode(record: &Record) -> Result<Bytes, Error> {
+    if record.body().len() > delta::FILE_BYTES {
+        return Err(Error::Body(io::ErrorKind::FileTooLarge.into()));
+    }
+    let (format, content) = match record {
+        Record::Publish(p) => {
+            let frame = frame::compress(&p.body)?;
+            (p.format, Content::Publish { base: p.base, id: p.id, frame })
+        }
+        Record::Snapshot(s) => {
+            let (memory, frame) = (s.memory.clone(), frame::compress(&s.body)?);
+            let (stamp, through) = (s.stamp, s.through);
+            (s.format, Content::Snapshot { stamp, through, memory, frame })
+        }
+    };
+    let mut out = Vec::from(MARK);
+    out.extend_from_slice(&format.to_le_bytes());
+    Ok(postcard::to_extend(&content, out)?.into())
+}
+
+/// Decodes a record of a format up to `newest`.
+pub fn decode(bytes: &[u8], newest: u16) -> Result<Record, Error> {
+    let (head, rest) = bytes.split_at_checked(HEAD_BYTES).ok_or(Error::Foreign)?;
+    let Some(&[low, high]) = head.strip_prefix(&MARK) else {
+        return Err(Error::Foreign);
+    };
+    let format = u16::from_le_bytes([low, high]);
+    match format {
+        0 => return Err(Error::Foreign),
+        format if format > newest => return Err(Error::Format(format)),
+        _ => {}
+    }
+    Ok(match postcard::from_bytes(rest)? {
+        Content::Publish { base, id, frame } => {
+            Record::Publish(Publish { format, base, id, body: frame::decompress(&frame)? })
+        }
+        Content::Snapshot { stamp, through, memory, frame } => {
+            let body = frame::decompress(&frame)?;
+            Record::Snapshot(Snapshot { format, stamp, through, memory, body })
+        }
+    })
+}
+
+impl Record {
+    const fn body(&self) -> &Bytes {
+        match self {
+            Record::Publish(publish) => &publish.body,
+            Record::Snapshot(snapshot) => &snapshot.body,
+        }
+    }
+}
+
+impl Snapshot {
+    /// Whether the snapshot, found at `offset`, can be true: it covers no record after itself, its
+    /// version is one that it covers, and its file is the version's.
+    pub fn consistent(&self, offset: logs::Offset) -> bool {
+        self.through <= offset
+            && self.stamp.version.number() <= self.through
+            && self.stamp.version > version::Version::NONE
+            && self.stamp.digest == version::Digest::of(&self.body)
+    }
+}
+
+impl PublishId {
+    /// The id of that name.
+    pub const fn new(bytes: [u8; ID_BYTES]) -> Self {
+        Self(bytes)
+    }
+
+    /// The id of publishing `file` as the successor of `base`: the same each time, so that a
+    /// command run twice is one publish.
+    pub fn derive(base: version::Version, file: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key("dandelionspool publish id 1");
+        hasher.update(&base.number().to_le_bytes());
+        hasher.update(file);
+        let mut bytes = [0; ID_BYTES];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..ID_BYTES]);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for PublishId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+/// The text is not 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a publish id has 32 hexadecimal digits")]
+pub struct ParseError;
+
+impl str::FromStr for PublishId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let digits = text.len() == 2 * ID_BYTES && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits);
+        number.map(|n| Self(n.to_be_bytes())).ok_or(ParseError)
+    }
+}
