docs(proxy): say which item a link in the documentation means

Cause: cargo doc refuses the link to ask, which is a function and a module. Ruled out: allowing ambiguous links. Conclusion: the link names the function.

--- a/src/proxy/inner.rs
+++ b/src/proxy/inner.rs
@@ -161,7 +161,7 @@
     request.body(upload::Upload::Kept(None)).ok()
 }
 
-/// The call that a request made by [`ask`] is about.
+/// The call that a request made by [`ask()`] is about.
 pub fn asked(path: &str) -> Option<(held::Name, held::Print)> {
     let mut parts = path.strip_prefix(HELD)?.splitn(3, '/');
     let key = u128::from_str_radix(parts.next()?, 16).ok()?;
