feat(cli): run the check command and write logs as JSON lines

Cause: operators need the verdict on a file before they publish it, with every fault and an exit code that programs can rely on; logs are to be JSON lines. Ruled out: a clock of our own for the lines, as env_logger brings one (its `humantime` feature links jiff); nesting key-values in an object, which makes each query longer. Conclusion: `check FILE [--json]` ends with 0 or 1; `cli::logging::init` is ready for the commands that run on.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,22 +1,115 @@
 //! `dandelionspool check` checks a configuration file.
 
+use std::fs;
+use std::io;
 use std::path;
 
 use bpaf::Bpaf;
+use serde::Serialize;
 
 use crate::cli::exit;
+use crate::mesh;
+use crate::mesh::check;
+use crate::mesh::fault;
+use crate::version;
 
 /// Arguments of `dandelionspool check`.
 #[derive(Bpaf, Clone, Debug)]
 pub struct Args {
-    /// Print faults as JSON
+    /// Print the verdict as JSON
     pub json: bool,
     /// Configuration file
     #[bpaf(positional("FILE"))]
     pub file: path::PathBuf,
 }
 
+/// Why a file was not accepted.
+#[derive(Debug, thiserror::Error)]
+enum Rejected {
+    /// The file can't be read.
+    #[error("{}: {source}", file.display())]
+    Read {
+        /// The file.
+        file: path::PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The file has faults, which are listed here.
+    #[error("{}: {} in the file\n{faults}", file.display(), count(faults))]
+    Faults {
+        /// The file.
+        file: path::PathBuf,
+        /// Every one of them.
+        faults: fault::Faults,
+    },
+    /// The file has faults, which were printed as JSON.
+    #[error("{}: {count} in the file", file.display())]
+    Printed {
+        /// The file.
+        file: path::PathBuf,
+        /// How many there are.
+        count: String,
+    },
+}
+
+/// What `--json` prints.
+#[derive(Serialize)]
+struct Verdict<'a> {
+    accepted: bool,
+    digest: String,
+    faults: &'a [fault::Fault],
+    format: u32,
+}
+
 /// Runs the command.
 pub fn run(args: &Args) -> Result<(), exit::Failure> {
-    Err(exit::Failure::Refused(eyre::eyre!("not built yet: {args:?}")))
+    check(args).map_err(|e| exit::Failure::Input(e.into()))
+}
+
+fn check(args: &Args) -> Result<(), Rejected> {
+    let file = args.file.clone();
+    let body = fs::read(&file).map_err(|source| Rejected::Read { file, source })?;
+    let digest = version::Digest::of(&body);
+    let checked = check::check(&body);
+    if args.json {
+        print_verdict(digest, &checked);
+    }
+    match checked {
+        Ok(mesh) => {
+            if !args.json {
+                println!("{}: {}", args.file.display(), summary(&mesh, digest));
+            }
+            Ok(())
+        }
+        Err(faults) if args.json => {
+            Err(Rejected::Printed { file: args.file.clone(), count: count(&faults) })
+        }
+        Err(faults) => Err(Rejected::Faults { file: args.file.clone(), faults }),
+    }
+}
+
+fn print_verdict(digest: version::Digest, checked: &Result<mesh::Mesh, fault::Faults>) {
+    let faults = checked.as_ref().err().map_or(&[][..], fault::Faults::list);
+    let digest = digest.to_string();
+    let verdict = Verdict { accepted: checked.is_ok(), digest, faults, format: check::FORMAT };
+    println!("{}", serde_json::json!(verdict));
+}
+
+fn summary(mesh: &mesh::Mesh, digest: version::Digest) -> String {
+    format!(
+        "accepted by format {}: {} teams, {} services, {} kinds, {} upstreams, {} routes; digest {digest}",
+        check::FORMAT,
+        mesh.teams.len(),
+        mesh.services.len(),
+        mesh.kinds.len(),
+        mesh.classes.len(),
+        mesh.routes.len(),
+    )
+}
+
+fn count(faults: &fault::Faults) -> String {
+    match faults.list().len() {
+        1 => "1 fault".to_owned(),
+        n => format!("{n} faults"),
+    }
 }
--- /dev/null
+++ b/src/cli/logging.rs
@@ -0,0 +1,77 @@
+//! Logs as JSON lines on standard error.
+//!
+//! Each line is one object: `ts` (UTC, RFC 3339 with milliseconds), `level`, `target`, `msg`, and
+//! the record's key-values beside them. A key that has one of these four names gets an underscore
+//! at its end. `RUST_LOG` sets the levels; the default is `info`.
+
+use std::io::Write;
+use std::panic;
+
+use log::kv;
+use serde_json::Value;
+
+#[cfg(test)]
+mod tests;
+
+const TS: &str = "ts";
+const LEVEL: &str = "level";
+const TARGET: &str = "target";
+const MSG: &str = "msg";
+
+/// Starts the logger of this process; panics of any thread are logged too. A later call changes
+/// nothing.
+pub fn init() {
+    let filter = env_logger::Env::default().default_filter_or("info");
+    let mut builder = env_logger::Builder::from_env(filter);
+    builder.format(|out, record| {
+        let ts = out.timestamp_millis().to_string();
+        writeln!(out, "{}", line(&ts, record))
+    });
+    if builder.try_init().is_ok() {
+        panic::set_hook(Box::new(|info| log::error!("{info}")));
+    }
+}
+
+/// The JSON object of `record`, made at `ts`.
+fn line(ts: &str, record: &log::Record<'_>) -> Value {
+    let mut fields = Fields(serde_json::Map::new());
+    // A visitor that never fails makes this succeed.
+    let _ = record.key_values().visit(&mut fields);
+    let Fields(mut map) = fields;
+    map.insert(TS.to_owned(), ts.into());
+    map.insert(LEVEL.to_owned(), record.level().as_str().into());
+    map.insert(TARGET.to_owned(), record.target().into());
+    map.insert(MSG.to_owned(), record.args().to_string().into());
+    Value::Object(map)
+}
+
+/// The key-values seen so far.
+struct Fields(serde_json::Map<String, Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let mut key = key.as_str().to_owned();
+        if [TS, LEVEL, TARGET, MSG].contains(&key.as_str()) {
+            key.push('_');
+        }
+        self.0.insert(key, json(&value));
+        Ok(())
+    }
+}
+
+/// A value as the JSON type next to it; text for whatever is no number or truth value.
+fn json(value: &kv::Value<'_>) -> Value {
+    if let Some(truth) = value.to_bool() {
+        return truth.into();
+    }
+    if let Some(number) = value.to_u64() {
+        return number.into();
+    }
+    if let Some(number) = value.to_i64() {
+        return number.into();
+    }
+    match value.to_f64() {
+        Some(number) => number.into(),
+        None => value.to_string().into(),
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod exit;
 pub mod local;
+pub mod logging;
 pub mod node;
 pub mod publish;
 pub mod report;
