--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -62,9 +62,6 @@
         /// What the operating system said.
         source: io::Error,
     },
-    /// The runtime of the thread can't be made.
-    #[error("can't start the runtime of the membership duty")]
-    Runtime(#[source] io::Error),
 }
 
 /// What happens to a member.
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -45,24 +45,12 @@
     pub traffic: Arc<traffic::Traffic>,
 }
 
-/// Runs the duty on the calling thread until the stage is [`node::Stage::End`].
+/// Runs the duty until the stage is [`node::Stage::End`].
 ///
 /// # Errors
 ///
-/// Fails when the runtime or the socket can't be made.
-pub fn run(
-    ctx: context::Context,
-    settings: Arc<configs::Node>,
-    wiring: Wiring,
-) -> Result<(), member::Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(member::Error::Runtime)?;
-    runtime.block_on(serve(ctx, settings, wiring))
-}
-
-async fn serve(
+/// Fails when the socket can't be made.
+pub async fn run(
     ctx: context::Context,
     settings: Arc<configs::Node>,
     wiring: Wiring,
--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -18,6 +18,7 @@
 use dandelionspool::version;
 use dandelionspool::view;
 use rstest::rstest;
+use tokio::runtime;
 use tokio::sync::watch;
 
 /// A duty on a thread of its own.
@@ -68,7 +69,11 @@
         stage: stage_rx,
         traffic: Arc::clone(&traffic),
     };
-    let run = || member::shell::run(context::Context::system(), Arc::new(settings), wiring);
+    let run = || {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let context = context::Context::system();
+        runtime.block_on(member::shell::run(context, Arc::new(settings), wiring))
+    };
     let id = host::HostId::new(address(index));
     Duty { id, view, stage, applied, heard, traffic, _local, thread: thread::spawn(run) }
 }
