feat(bench): put hosts and log of a fleet behind a fault-injecting proxy

Conclusion: dandelionspool-bench fault holds the known addresses of all hosts, nodes bind others by the setting bind, and rules are replaced over HTTP while it runs.

--- a/src/bench/fleet/host.rs
+++ b/src/bench/fleet/host.rs
@@ -20,6 +20,8 @@
     pub index: usize,
     /// Identity and addresses of its node.
     pub id: host::HostId,
+    /// Addresses its node binds; others than `id` behind a fault proxy.
+    pub bound: host::HostId,
     /// Region.
     pub region: SmolStr,
     /// Availability zone.
@@ -31,21 +33,32 @@
 }
 
 impl Host {
-    pub(super) fn new(index: usize, ip: net::IpAddr, place: (SmolStr, SmolStr)) -> Self {
-        let base = net::SocketAddr::new(ip, NODE_PORT);
+    /// A host known by `ip` whose node binds `bound`, in a region and a zone.
+    pub(super) fn new(
+        index: usize,
+        ip: net::IpAddr,
+        bound: net::IpAddr,
+        place: (SmolStr, SmolStr),
+    ) -> Self {
         let (region, zone) = place;
-        let id = host::HostId::new(base);
-        Self { index, id, region, zone, group: None, node: None, upstream: None }
+        let id = host::HostId::new(net::SocketAddr::new(ip, NODE_PORT));
+        let bound = host::HostId::new(net::SocketAddr::new(bound, NODE_PORT));
+        Self { index, id, bound, region, zone, group: None, node: None, upstream: None }
+    }
+
+    /// Base address by which it is known, as rules of the fault proxy name it.
+    pub fn base(&self) -> net::SocketAddr {
+        self.id.member_addr()
     }
 
     /// Where its upstream takes calls.
     pub fn upstream_addr(&self) -> net::SocketAddr {
-        net::SocketAddr::new(self.id.member_addr().ip(), UPSTREAM_PORT)
+        net::SocketAddr::new(self.bound.member_addr().ip(), UPSTREAM_PORT)
     }
 
     /// Where its upstream takes control.
     pub fn control_addr(&self) -> net::SocketAddr {
-        net::SocketAddr::new(self.id.member_addr().ip(), UPSTREAM_PORT + 1)
+        net::SocketAddr::new(self.bound.member_addr().ip(), UPSTREAM_PORT + 1)
     }
 
     /// Name of the service of its upstream.
--- a/src/bench/fleet/layout.rs
+++ b/src/bench/fleet/layout.rs
@@ -29,7 +29,9 @@
     let zone = index % plan.zones;
     let region = zone % plan.regions;
     let names = (format_smolstr!("region-{region}"), format_smolstr!("zone-{zone}"));
-    host::Host::new(index, network.host(index), names)
+    let known = network.host(index);
+    let bound = if plan.faults { network.bound(index) } else { known };
+    host::Host::new(index, known, bound, names)
 }
 
 /// Arguments of the upstream of `host`, which announces itself when there is a `node`.
@@ -49,7 +51,7 @@
         add("--time", format!("{prefix}={millis}"));
     }
     if node {
-        add("--admin", host.id.admin_addr().to_string());
+        add("--admin", host.bound.admin_addr().to_string());
     }
     arguments
 }
@@ -63,8 +65,9 @@
 ) -> configs::Node {
     let mut settings = plan.settings.clone();
     let joins = hosts.iter().filter(|other| other.index != host.index).take(JOINS);
-    settings.join = joins.map(|other| other.id.member_addr()).collect();
-    settings.listen = host.id.member_addr();
+    settings.join = joins.map(|other| other.base()).collect();
+    settings.listen = host.base();
+    settings.bind = (host.bound != host.id).then(|| host.bound.member_addr());
     settings.region = host.region.clone();
     settings.zone = host.zone.clone();
     settings.log.address = log;
@@ -76,3 +79,18 @@
     }
     settings
 }
+
+/// Arguments of the fault proxy for `hosts` and a link from the log's known to its own address.
+pub fn fault_arguments(
+    control: net::SocketAddr,
+    hosts: &[host::Host],
+    log: (net::SocketAddr, net::SocketAddr),
+) -> Vec<String> {
+    let mut arguments = vec!["fault".to_owned(), "--control".to_owned(), control.to_string()];
+    for host in hosts {
+        let pair = format!("{}={}", host.base(), host.bound.member_addr());
+        arguments.extend(["--host".to_owned(), pair]);
+    }
+    arguments.extend(["--link".to_owned(), format!("{}={}", log.0, log.1)]);
+    arguments
+}
--- a/src/bench/fleet/mod.rs
+++ b/src/bench/fleet/mod.rs
@@ -38,6 +38,7 @@
 mod process;
 mod publish;
 mod run;
+mod signals;
 mod stat;
 
 pub use host::Host;
--- a/src/bench/fleet/network.rs
+++ b/src/bench/fleet/network.rs
@@ -15,6 +15,8 @@
 const RANGES: u32 = 60;
 /// Hosts on one third octet.
 const ROW: usize = 200;
+/// First third octet, counted from the range's first, of addresses bound behind a proxy.
+const BOUND_ROW: usize = 2;
 /// Port whose listener holds the range.
 const LOCK_PORT: u16 = 7099;
 
@@ -43,13 +45,20 @@
         Some(Self { second, third, _lock: lock })
     }
 
-    /// Address of the host number `index`, below 800.
+    /// Address of the host number `index`, below 400.
     pub fn host(&self, index: usize) -> net::IpAddr {
         let row = u8::try_from(index / ROW).unwrap_or(u8::MAX);
         let column = u8::try_from(index % ROW + 1).unwrap_or(u8::MAX);
         self.ip(row, column)
     }
 
+    /// Address the node of host number `index`, below 400, binds when a proxy holds its own.
+    pub fn bound(&self, index: usize) -> net::IpAddr {
+        let row = u8::try_from(index / ROW + BOUND_ROW).unwrap_or(u8::MAX);
+        let column = u8::try_from(index % ROW + 1).unwrap_or(u8::MAX);
+        self.ip(row, column)
+    }
+
     /// Address of a service of the platform, numbered from 0.
     pub fn platform(&self, index: u8) -> net::IpAddr {
         self.ip(0, 240 + index)
--- a/src/bench/fleet/plan.rs
+++ b/src/bench/fleet/plan.rs
@@ -112,6 +112,7 @@
     pub(super) configuration: Option<path::PathBuf>,
     pub(super) log_arguments: Vec<String>,
     pub(super) nodes: bool,
+    pub(super) faults: bool,
 }
 
 impl Plan {
@@ -127,6 +128,7 @@
             configuration: None,
             log_arguments: Vec::new(),
             nodes: true,
+            faults: false,
         }
     }
 
@@ -178,15 +180,21 @@
         self
     }
 
+    /// Puts every host and the log behind a fault proxy.
+    pub fn faults(mut self) -> Self {
+        self.faults = true;
+        self
+    }
+
     /// Number of hosts.
     pub fn host_count(&self) -> usize {
         self.plain + self.groups.iter().map(|g| g.count).sum::<usize>()
     }
 
-    /// Number of processes, the log stand-in among them.
+    /// Number of processes, the log stand-in and the fault proxy among them.
     pub fn process_count(&self) -> usize {
         let upstreams: usize = self.groups.iter().map(|g| g.count).sum();
         let nodes = if self.nodes { self.host_count() } else { 0 };
-        1 + upstreams + nodes
+        1 + usize::from(self.faults) + upstreams + nodes
     }
 }
--- a/src/bench/fleet/run.rs
+++ b/src/bench/fleet/run.rs
@@ -15,16 +15,22 @@
 use crate::bench::fleet::plan;
 use crate::bench::fleet::process;
 use crate::bench::fleet::publish;
-use crate::bench::fleet::stat;
+use crate::standin::fault::rules;
 use crate::standin::http;
 use crate::standin::upstream::record;
 
 /// Port of the log stand-in.
 const LOG_PORT: u16 = 7000;
+/// Port where the fault proxy takes control.
+const FAULT_PORT: u16 = 7001;
+/// Numbers of the platform's addresses: the log, the log behind the proxy, the proxy.
+const LOG: u8 = 0;
+const PROXIED_LOG: u8 = 1;
+const FAULTS: u8 = 2;
 /// Longest one request to a process of the fleet may take.
 const LIMIT: time::Duration = time::Duration::from_secs(5);
 /// Time between two looks at a state that is waited for.
-const LOOK: time::Duration = time::Duration::from_millis(20);
+pub(super) const LOOK: time::Duration = time::Duration::from_millis(20);
 
 /// Fleets started by this process, for the names of their directories.
 static FLEETS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
@@ -33,8 +39,9 @@
 #[derive(Debug)]
 pub struct Fleet {
     plan: plan::Plan,
-    hosts: Vec<host::Host>,
+    pub(super) hosts: Vec<host::Host>,
     log: Option<process::Process>,
+    faults: Option<process::Process>,
     network: network::Network,
     dir: path::PathBuf,
 }
@@ -49,7 +56,11 @@
         }
         let mut fleet = Self::prepare(plan)?;
         fleet.start_log()?;
-        fleet.log_answers(fleet::PATIENCE).await?;
+        fleet.answers(fleet.log_addr(), fleet::PATIENCE).await?;
+        if fleet.plan.faults {
+            fleet.start_faults()?;
+            fleet.answers(fleet.fault_addr(), fleet::PATIENCE).await?;
+        }
         if let Some(file) = fleet.plan.configuration.clone() {
             let done = fleet.publish(&file, 0, &[]).await?;
             if done.code != 0 {
@@ -69,7 +80,7 @@
         let dir = env::temp_dir().join(format!("dandelionspool-{}-{number}", os::id()));
         fs::create_dir_all(&dir).map_err(|e| fleet::Error::File(dir.clone(), e))?;
         let hosts = layout::hosts(&plan, &network);
-        Ok(Self { plan, hosts, log: None, network, dir })
+        Ok(Self { plan, hosts, log: None, faults: None, network, dir })
     }
 
     /// The hosts: first those of the groups in their order, then those without an upstream.
@@ -84,7 +95,28 @@
 
     /// Address of the log stand-in.
     pub fn log_addr(&self) -> net::SocketAddr {
-        net::SocketAddr::new(self.network.platform(0), LOG_PORT)
+        net::SocketAddr::new(self.network.platform(LOG), LOG_PORT)
+    }
+
+    /// Address by which nodes know the log: that of the fault proxy when there is one.
+    pub fn known_log_addr(&self) -> net::SocketAddr {
+        let index = if self.plan.faults { PROXIED_LOG } else { LOG };
+        net::SocketAddr::new(self.network.platform(index), LOG_PORT)
+    }
+
+    /// Address where the fault proxy takes control.
+    pub fn fault_addr(&self) -> net::SocketAddr {
+        net::SocketAddr::new(self.network.platform(FAULTS), FAULT_PORT)
+    }
+
+    /// Replaces the rules of the fault proxy.
+    pub async fn rules(&self, rules: &[rules::Rule]) -> Result<(), fleet::Error> {
+        self.post(self.fault_addr(), "/rules", &serde_json::to_value(rules)?).await
+    }
+
+    /// What the fault proxy has counted, see `standin::fault`.
+    pub async fn fault_counts(&self) -> Result<serde_json::Value, fleet::Error> {
+        self.get(self.fault_addr(), "/counts").await
     }
 
     /// Sets the faults of the log stand-in, see `standin::log`; `{}` takes them back.
@@ -108,7 +140,7 @@
 
     /// What the node of host `index` says of itself and the mesh.
     pub async fn status(&self, index: usize) -> Result<serde_json::Value, fleet::Error> {
-        self.get(self.host(index)?.id.admin_addr(), "/status").await
+        self.get(self.host(index)?.bound.admin_addr(), "/status").await
     }
 
     /// Publishes `file` on top of version `base` with the real program and `more` arguments.
@@ -121,57 +153,6 @@
         publish::publish(&self.plan.programs.node, self.log_addr(), file, base, more).await
     }
 
-    /// Kills a process at once (SIGKILL).
-    pub fn kill(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
-        let slot = self.slot(index, part)?;
-        slot.take().map_or(Err(fleet::Error::NoProcess(index)), |mut process| process.kill())
-    }
-
-    /// Pauses a process (SIGSTOP).
-    pub fn pause(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
-        self.signal(index, part, libc::SIGSTOP)
-    }
-
-    /// Resumes a paused process (SIGCONT).
-    pub fn resume(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
-        self.signal(index, part, libc::SIGCONT)
-    }
-
-    /// Asks a process to end as planned (SIGTERM).
-    pub fn terminate(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
-        self.signal(index, part, libc::SIGTERM)
-    }
-
-    /// Waits until a process that was asked to end has ended, and gives its exit code.
-    pub async fn ended(
-        &mut self,
-        index: usize,
-        part: fleet::Part,
-        limit: time::Duration,
-    ) -> Result<Option<i32>, fleet::Error> {
-        let until = tokio::time::Instant::now() + limit;
-        loop {
-            let slot = self.slot(index, part)?;
-            let process = slot.as_mut().ok_or(fleet::Error::NoProcess(index))?;
-            if let Some(status) = process.ended()? {
-                *slot = None;
-                return Ok(status.code());
-            }
-            if tokio::time::Instant::now() > until {
-                return Err(fleet::Error::Late(format!("end of host {index}: {part:?}")));
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-    }
-
-    /// Starts a process that was killed or has ended anew.
-    pub fn restart(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
-        match part {
-            fleet::Part::Node => self.start_node(index),
-            fleet::Part::Upstream => self.start_upstream(index),
-        }
-    }
-
     /// Kills the log stand-in; what it kept is lost with it.
     pub fn kill_log(&mut self) {
         self.log = None;
@@ -188,6 +169,15 @@
         Ok(())
     }
 
+    fn start_faults(&mut self) -> Result<(), fleet::Error> {
+        let log = (self.known_log_addr(), self.log_addr());
+        let arguments = layout::fault_arguments(self.fault_addr(), &self.hosts, log);
+        let bench = &self.plan.programs.bench;
+        let faults = process::Process::start("fault", bench, &arguments, &self.dir)?;
+        self.faults = Some(faults);
+        Ok(())
+    }
+
     /// Adds a host without an upstream and starts its node; gives its index.
     pub fn add_host(&mut self) -> Result<usize, fleet::Error> {
         let count = self.plan.process_count() + 1;
@@ -196,22 +186,14 @@
         }
         self.plan.plain += 1;
         let index = self.hosts.len();
-        self.hosts.push(layout::place(&self.plan, &self.network, index));
+        let mut host = layout::place(&self.plan, &self.network, index);
+        // The proxy's list of hosts is fixed at its start.
+        host.bound = host.id;
+        self.hosts.push(host);
         self.start_host(index)?;
         Ok(index)
     }
 
-    /// Processor time and memory of a process.
-    pub fn stat(&self, index: usize, part: fleet::Part) -> Result<stat::Stat, fleet::Error> {
-        let host = self.host(index)?;
-        let pid = match part {
-            fleet::Part::Node => host.node_pid(),
-            fleet::Part::Upstream => host.upstream_pid(),
-        };
-        let pid = pid.ok_or(fleet::Error::NoProcess(index))?;
-        stat::Stat::read(pid).map_err(|e| fleet::Error::Process(format!("process {pid}"), e))
-    }
-
     /// Waits until every node that runs is ready; an error when one has ended by itself.
     pub async fn ready(&mut self, limit: time::Duration) -> Result<(), fleet::Error> {
         let until = tokio::time::Instant::now() + limit;
@@ -230,7 +212,7 @@
             let host = &mut self.hosts[index];
             let Some(node) = &mut host.node else { return Ok(()) };
             node.running()?;
-            let answer = http::get(host.id.admin_addr(), "/ready", LIMIT).await;
+            let answer = http::get(host.bound.admin_addr(), "/ready", LIMIT).await;
             if answer.is_ok_and(|answer| answer.status().is_success()) {
                 return Ok(());
             }
@@ -242,27 +224,25 @@
         }
     }
 
-    /// Waits until the log stand-in takes connections.
-    pub async fn log_answers(&mut self, limit: time::Duration) -> Result<(), fleet::Error> {
+    /// Waits until log stand-in or fault proxy takes connections at `address`.
+    pub async fn answers(
+        &mut self,
+        address: net::SocketAddr,
+        limit: time::Duration,
+    ) -> Result<(), fleet::Error> {
         let until = tokio::time::Instant::now() + limit;
-        while tokio::net::TcpStream::connect(self.log_addr()).await.is_err() {
-            if let Some(log) = &mut self.log {
-                log.running()?;
+        while tokio::net::TcpStream::connect(address).await.is_err() {
+            for process in self.log.iter_mut().chain(&mut self.faults) {
+                process.running()?;
             }
             if tokio::time::Instant::now() > until {
-                return Err(fleet::Error::Late("the log does not answer".into()));
+                return Err(fleet::Error::Late(format!("nobody answers at {address}")));
             }
             tokio::time::sleep(LOOK).await;
         }
         Ok(())
     }
 
-    /// The end of what a process printed so far.
-    pub fn tail(&mut self, index: usize, part: fleet::Part) -> Result<String, fleet::Error> {
-        let process = self.slot(index, part)?.as_ref();
-        process.map(process::Process::tail).ok_or(fleet::Error::NoProcess(index))
-    }
-
     fn start_host(&mut self, index: usize) -> Result<(), fleet::Error> {
         if self.plan.nodes {
             self.start_node(index)?;
@@ -273,9 +253,9 @@
         Ok(())
     }
 
-    fn start_node(&mut self, index: usize) -> Result<(), fleet::Error> {
+    pub(super) fn start_node(&mut self, index: usize) -> Result<(), fleet::Error> {
         let host = self.host(index)?;
-        let settings = layout::settings(&self.plan, &self.hosts, host, self.log_addr());
+        let settings = layout::settings(&self.plan, &self.hosts, host, self.known_log_addr());
         let name = format!("node-{index}");
         let file = self.dir.join(format!("{name}.json"));
         let json = serde_json::to_vec_pretty(&settings)?;
@@ -287,7 +267,7 @@
         Ok(())
     }
 
-    fn start_upstream(&mut self, index: usize) -> Result<(), fleet::Error> {
+    pub(super) fn start_upstream(&mut self, index: usize) -> Result<(), fleet::Error> {
         let host = self.host(index)?;
         let group = host.group.as_ref().ok_or(fleet::Error::NoProcess(index))?;
         let arguments = layout::arguments(host, group, self.plan.nodes);
@@ -298,32 +278,10 @@
         Ok(())
     }
 
-    fn host(&self, index: usize) -> Result<&host::Host, fleet::Error> {
+    pub(super) fn host(&self, index: usize) -> Result<&host::Host, fleet::Error> {
         self.hosts.get(index).ok_or(fleet::Error::NoProcess(index))
     }
 
-    fn slot(
-        &mut self,
-        index: usize,
-        part: fleet::Part,
-    ) -> Result<&mut Option<process::Process>, fleet::Error> {
-        let host = self.hosts.get_mut(index).ok_or(fleet::Error::NoProcess(index))?;
-        Ok(match part {
-            fleet::Part::Node => &mut host.node,
-            fleet::Part::Upstream => &mut host.upstream,
-        })
-    }
-
-    fn signal(
-        &mut self,
-        index: usize,
-        part: fleet::Part,
-        signal: libc::c_int,
-    ) -> Result<(), fleet::Error> {
-        let process = self.slot(index, part)?.as_mut();
-        process.ok_or(fleet::Error::NoProcess(index))?.signal(signal)
-    }
-
     async fn post(
         &self,
         to: net::SocketAddr,
@@ -354,6 +312,7 @@
     fn drop(&mut self) {
         self.hosts.clear();
         self.log = None;
+        self.faults = None;
         let _removed = fs::remove_dir_all(&self.dir);
     }
 }
--- /dev/null
+++ b/src/bench/fleet/signals.rs
@@ -0,0 +1,100 @@
+//! Signals to the processes of a fleet, and what they use.
+
+use std::time;
+
+use crate::bench::fleet;
+use crate::bench::fleet::process;
+use crate::bench::fleet::run;
+use crate::bench::fleet::stat;
+
+impl run::Fleet {
+    /// Kills a process at once (SIGKILL).
+    pub fn kill(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
+        let slot = self.slot(index, part)?;
+        slot.take().map_or(Err(fleet::Error::NoProcess(index)), |mut process| process.kill())
+    }
+
+    /// Pauses a process (SIGSTOP).
+    pub fn pause(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
+        self.signal(index, part, libc::SIGSTOP)
+    }
+
+    /// Resumes a paused process (SIGCONT).
+    pub fn resume(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
+        self.signal(index, part, libc::SIGCONT)
+    }
+
+    /// Asks a process to end as planned (SIGTERM).
+    pub fn terminate(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
+        self.signal(index, part, libc::SIGTERM)
+    }
+
+    /// Waits until a process that was asked to end has ended, and gives its exit code.
+    pub async fn ended(
+        &mut self,
+        index: usize,
+        part: fleet::Part,
+        limit: time::Duration,
+    ) -> Result<Option<i32>, fleet::Error> {
+        let until = tokio::time::Instant::now() + limit;
+        loop {
+            let slot = self.slot(index, part)?;
+            let process = slot.as_mut().ok_or(fleet::Error::NoProcess(index))?;
+            if let Some(status) = process.ended()? {
+                *slot = None;
+                return Ok(status.code());
+            }
+            if tokio::time::Instant::now() > until {
+                return Err(fleet::Error::Late(format!("end of host {index}: {part:?}")));
+            }
+            tokio::time::sleep(run::LOOK).await;
+        }
+    }
+
+    /// Starts a process that was killed or has ended anew.
+    pub fn restart(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
+        match part {
+            fleet::Part::Node => self.start_node(index),
+            fleet::Part::Upstream => self.start_upstream(index),
+        }
+    }
+
+    /// Processor time and memory of a process.
+    pub fn stat(&self, index: usize, part: fleet::Part) -> Result<stat::Stat, fleet::Error> {
+        let host = self.host(index)?;
+        let pid = match part {
+            fleet::Part::Node => host.node_pid(),
+            fleet::Part::Upstream => host.upstream_pid(),
+        };
+        let pid = pid.ok_or(fleet::Error::NoProcess(index))?;
+        stat::Stat::read(pid).map_err(|e| fleet::Error::Process(format!("process {pid}"), e))
+    }
+
+    /// The end of what a process printed so far.
+    pub fn tail(&mut self, index: usize, part: fleet::Part) -> Result<String, fleet::Error> {
+        let process = self.slot(index, part)?.as_ref();
+        process.map(process::Process::tail).ok_or(fleet::Error::NoProcess(index))
+    }
+
+    fn slot(
+        &mut self,
+        index: usize,
+        part: fleet::Part,
+    ) -> Result<&mut Option<process::Process>, fleet::Error> {
+        let host = self.hosts.get_mut(index).ok_or(fleet::Error::NoProcess(index))?;
+        Ok(match part {
+            fleet::Part::Node => &mut host.node,
+            fleet::Part::Upstream => &mut host.upstream,
+        })
+    }
+
+    fn signal(
+        &mut self,
+        index: usize,
+        part: fleet::Part,
+        signal: libc::c_int,
+    ) -> Result<(), fleet::Error> {
+        let process = self.slot(index, part)?.as_mut();
+        process.ok_or(fleet::Error::NoProcess(index))?.signal(signal)
+    }
+}
--- a/src/standin/upstream/accept.rs
+++ b/src/standin/accept.rs
@@ -1,6 +1,7 @@
 //! Connections of one port.
 
 use std::convert::Infallible;
+use std::error;
 use std::future;
 use std::io;
 use std::time;
@@ -13,14 +14,12 @@
 use tokio::sync::watch;
 use tokio::task;
 
-use crate::standin::upstream::run;
-
 /// How long connections may take to end once the port is closed.
 const LIMIT: time::Duration = time::Duration::from_secs(2);
 
 /// Accepts connections until `stop` is true, then lets each end after its current answer. A
 /// connection is taken only while `enter` gives it a guard, which lives as long as it does.
-pub async fn serve<E, G, H, F>(
+pub async fn serve<E, G, H, F, B>(
     listener: net::TcpListener,
     stop: watch::Receiver<bool>,
     enter: E,
@@ -29,7 +28,10 @@
     E: Fn() -> Option<G>,
     G: Send + 'static,
     H: Fn(http::Request<body::Incoming>) -> F + Clone + Send + 'static,
-    F: future::Future<Output = Result<http::Response<run::Body>, Infallible>> + Send + 'static,
+    F: future::Future<Output = Result<http::Response<B>, Infallible>> + Send + 'static,
+    B: body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
 {
     let mut tasks = task::JoinSet::new();
     let mut closed = stop.clone();
@@ -52,14 +54,16 @@
     let _ended = tokio::time::timeout(LIMIT, all).await;
 }
 
-async fn connection<G, H, F>(
+async fn connection<G, H, F, B>(
     stream: net::TcpStream,
     handle: H,
     mut stop: watch::Receiver<bool>,
     guard: G,
 ) where
     H: Fn(http::Request<body::Incoming>) -> F,
-    F: future::Future<Output = Result<http::Response<run::Body>, Infallible>>,
+    F: future::Future<Output = Result<http::Response<B>, Infallible>>,
+    B: body::Body + 'static,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
 {
     let _delay = stream.set_nodelay(true);
     let io = rt::TokioIo::new(stream);
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,5 +1,7 @@
 //! Stand-ins for the platform: log service and upstream.
 
+mod accept;
+pub mod fault;
 pub mod http;
 pub mod log;
 pub mod upstream;
--- a/src/standin/upstream/mod.rs
+++ b/src/standin/upstream/mod.rs
@@ -4,7 +4,6 @@
 //! checked against what was run. Control and records have a port of their own, which answers
 //! while the upstream plays dead.
 
-mod accept;
 mod announce;
 pub mod answer;
 mod control;
--- a/src/standin/upstream/server.rs
+++ b/src/standin/upstream/server.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::{Notify, watch};
 
-use crate::standin::upstream::accept;
+use crate::standin::accept;
 use crate::standin::upstream::announce;
 use crate::standin::upstream::control;
 use crate::standin::upstream::faults;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use dandelionspool::bench::fleet;
+use dandelionspool::standin::fault::rules;
 use dandelionspool::standin::http;
 use dandelionspool::standin::upstream::answer;
 use rstest::rstest;
@@ -109,3 +110,17 @@
     let error = fleet::Fleet::start(plan).await.unwrap_err();
     assert!(matches!(error, fleet::Error::TooMany(_)), "{error}");
 }
+
+#[tokio::test]
+async fn a_fleet_behind_the_fault_proxy_reaches_its_log_through_it() {
+    let fleet = fleet::Fleet::start(plan().faults()).await.unwrap();
+    let path = "/streams/config?from=0&most=1&wait_ms=0";
+    let read = http::get(fleet.known_log_addr(), path, LIMIT).await;
+    assert!(read.is_ok(), "{read:?}");
+    let cut = rules::Faults { cut: true, ..Default::default() };
+    let to = vec![fleet.known_log_addr()];
+    fleet.rules(&[rules::Rule { to, faults: cut, ..Default::default() }]).await.unwrap();
+    assert!(http::get(fleet.known_log_addr(), path, LIMIT).await.is_err());
+    assert!(http::get(fleet.log_addr(), path, LIMIT).await.is_ok());
+    assert!(fleet.fault_counts().await.unwrap()["cuts"].as_u64().unwrap() >= 1);
+}
