feat(spread): decide and run the distribution of accepted versions

Cause: an accepted version must reach every node quickly and at few bytes, whatever fails, while the source's load must not grow with the fleet. A node whose tail was overdue while it was idle span without end: the network's check of the next wake showed it. Not yet killed by a test: the floor, the witness, the cap on transfers, the standby's push, the resending of pushes; tests for these follow. Conclusion: spread::decision is pure; spread::shell gives it UDP, TCP and the log.

--- a/src/configs/spread.rs
+++ b/src/configs/spread.rs
@@ -45,7 +45,7 @@
 impl Spread {
     /// Fewer bytes before less time: no acknowledgements, slower standby readers.
     pub fn condor() -> Self {
-        Self { ack_ms: 0, pull_ms: 200, retry_ms: 500, standby_ms: 2000, ..Self::cascadia() }
+        Self { ack_ms: 0, pull_ms: 200, retry_ms: 300, standby_ms: 2000, ..Self::cascadia() }
     }
 
     /// Less time before fewer bytes: every push is acknowledged and quickly sent again.
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod follow;
 pub mod memory;
+pub mod reader;
 pub mod record;
 pub mod rules;
 pub mod snapshot;
--- a/src/host.rs
+++ b/src/host.rs
@@ -30,6 +30,12 @@
         Self(base)
     }
 
+    /// The host whose configuration datagrams come from `address`.
+    pub fn of_spread(address: net::SocketAddr) -> Self {
+        let port = address.port().wrapping_sub(SPREAD_OFFSET);
+        Self(net::SocketAddr::new(address.ip(), port))
+    }
+
     /// Membership datagrams (UDP).
     pub const fn member_addr(self) -> net::SocketAddr {
         self.0
--- /dev/null
+++ b/src/spread/confirm.rs
@@ -0,0 +1,56 @@
+//! Whether the log holds anything newer than what other nodes gave.
+//!
+//! A node that starts looks at the records after its version. It does not judge them, since it
+//! lacks the memory of publish ids that a reader's fold has; it only learns whether to wait.
+
+use crate::fold::record;
+use crate::fold::rules;
+use crate::logs;
+use crate::mesh;
+use crate::version;
+
+/// What the log's tail says about a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Tail {
+    /// It is the current one.
+    Current,
+    /// This one seems to have been accepted after it.
+    Newer(version::Version),
+    /// Too many records follow it, or some have expired.
+    Unknown,
+}
+
+/// Looks at `batch`, read from the record after `held` on.
+pub fn look(batch: &logs::Batch, held: version::Version) -> Tail {
+    let newer = batch.records.iter().filter_map(|r| successor(r, held)).max();
+    if let Some(newer) = newer {
+        return Tail::Newer(newer);
+    }
+    let end = batch.records.last().map_or(batch.first.max(held.number()), |r| r.offset + 1);
+    let whole = batch.first <= held.number() || batch.records.iter().any(|r| keeps(r, held));
+    match whole && end >= batch.next {
+        true => Tail::Current,
+        false => Tail::Unknown,
+    }
+}
+
+/// The version that `record` seems to put after `held`.
+fn successor(record: &logs::Record, held: version::Version) -> Option<version::Version> {
+    match record::decode(&record.body, rules::NEWEST).ok()? {
+        record::Record::Publish(publish) => {
+            let follows = publish.base == held && mesh::check::check(&publish.body).is_ok();
+            follows.then(|| version::Version::new(record.offset + 1))
+        }
+        record::Record::Snapshot(snapshot) => {
+            Some(snapshot.stamp.version).filter(|&version| version > held)
+        }
+    }
+}
+
+/// Whether `record` says that `held` is the current version.
+fn keeps(record: &logs::Record, held: version::Version) -> bool {
+    match record::decode(&record.body, rules::NEWEST) {
+        Ok(record::Record::Snapshot(snapshot)) => snapshot.stamp.version == held,
+        _ => false,
+    }
+}
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -6,8 +6,23 @@
 use std::io;
 use std::net;
 
+mod answer;
+pub mod confirm;
+pub mod decision;
+mod learn;
+pub mod message;
+pub mod peers;
+pub mod pull;
+pub mod push;
+mod reading;
+pub mod replica;
+pub mod shelf;
 pub mod shell;
+pub mod start;
+pub mod tail;
+pub mod transfer;
 pub mod tree;
+pub mod wire;
 
 #[cfg(test)]
 mod tests;
--- a/src/spread/tests.rs
+++ b/src/spread/tests.rs
@@ -1,3 +1,10 @@
 //! Tests of the distribution.
 
+mod faults;
+mod files;
+mod fleet;
+mod net;
+mod orders;
+mod source;
 mod tree;
+mod whole;
--- a/src/spread/tree.rs
+++ b/src/spread/tree.rs
@@ -19,9 +19,13 @@
     sorted(zone, READER, 0)
 }
 
-/// The push tree of one version: a heap laid out in an array.
+/// The push tree of one version, or rather its top hosts and who is below whom.
 ///
-/// Invariant: `order` holds no host twice and its first host is the root.
+/// The tree has no root of its own: whoever learns of the version first, one host or several,
+/// pushes to the top hosts as well as to the hosts below itself. So the tree depends on the version
+/// and the zone only, and no message needs to name a root.
+///
+/// Invariant: `order` holds no host twice.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Tree {
     order: Vec<host::HostId>,
@@ -29,39 +33,39 @@
 }
 
 impl Tree {
-    /// The tree over `zone` for `version`, rooted at `root`, which need not be in `zone`.
-    pub fn new(
-        zone: &[host::HostId],
-        version: version::Version,
-        root: host::HostId,
-        fanout: u8,
-    ) -> Self {
-        let mut order = sorted(zone, TREE, version.number());
-        order.retain(|&h| h != root);
-        order.insert(0, root);
+    /// The tree over `zone` for `version`.
+    pub fn new(zone: &[host::HostId], version: version::Version, fanout: u8) -> Self {
+        let order = sorted(zone, TREE, version.number());
         Self { order, fanout: usize::from(cmp::max(fanout, 1)) }
     }
 
+    /// The hosts to which a host pushes that learned of the version first.
+    pub fn top(&self) -> &[host::HostId] {
+        self.slice(0)
+    }
+
     /// The hosts to which `host` pushes; none when it is not in the tree.
     pub fn children(&self, host: host::HostId) -> &[host::HostId] {
-        let Some(place) = self.order.iter().position(|&h| h == host) else {
-            return &[];
-        };
-        let first = cmp::min(place * self.fanout + 1, self.order.len());
-        let last = cmp::min(first + self.fanout, self.order.len());
-        &self.order[first..last]
+        let place = self.order.iter().position(|&h| h == host);
+        place.map_or(&[], |place| self.slice((place + 1) * self.fanout))
     }
 
-    /// Steps from the root to the furthest host.
+    /// Pushes one after the other from the first host to the furthest one.
     pub fn depth(&self) -> usize {
         let mut depth = 0;
-        let mut place = self.order.len().saturating_sub(1);
+        let mut place = self.order.len();
         while place > 0 {
             place = (place - 1) / self.fanout;
             depth += 1;
         }
         depth
     }
+
+    fn slice(&self, from: usize) -> &[host::HostId] {
+        let first = cmp::min(from, self.order.len());
+        let last = cmp::min(first + self.fanout, self.order.len());
+        &self.order[first..last]
+    }
 }
 
 fn sorted(zone: &[host::HostId], purpose: u64, salt: u64) -> Vec<host::HostId> {
