--- a/src/cli/local.rs
+++ b/src/cli/local.rs
@@ -3,8 +3,14 @@
 use std::path;
 
 use bpaf::Bpaf;
+use tokio::runtime;
 
 use crate::cli::exit;
+use crate::cli::logging;
+use crate::cli::node;
+use crate::configs;
+use crate::host;
+use crate::standin::small;
 
 /// Arguments of `dandelionspool local`.
 #[derive(Bpaf, Clone, Debug)]
@@ -14,7 +20,52 @@
     pub file: path::PathBuf,
 }
 
-/// Runs the command.
+/// Runs the command until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Files that can't be used, addresses that are taken, a node that failed.
 pub fn run(args: &Args) -> Result<(), exit::Failure> {
-    Err(exit::Failure::Refused(eyre::eyre!("not built yet: {args:?}")))
+    let settings = configs::load::load::<configs::local::Local>(&args.file);
+    let settings = settings.map_err(|e| exit::Failure::Input(e.into()))?;
+    logging::init();
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| exit::Failure::Refused(e.into()))?;
+    runtime.block_on(serve(settings, args.file.parent().unwrap_or(path::Path::new("."))))
+}
+
+async fn serve(settings: configs::local::Local, base: &path::Path) -> Result<(), exit::Failure> {
+    let mut signals = node::Signals::new().map_err(|e| exit::Failure::Refused(e.into()))?;
+    let small = small::Small::start(settings, base).await.map_err(failure)?;
+    explain(&small, &base.join("FILE"));
+    small.run(signals.next()).await.map_err(failure)
+}
+
+fn failure(error: small::Error) -> exit::Failure {
+    match error {
+        small::Error::File(..) | small::Error::Invalid(..) | small::Error::Misfit(..) => {
+            exit::Failure::Input(error.into())
+        }
+        small::Error::Listen(..) | small::Error::Node(..) | small::Error::Refused(_) => {
+            exit::Failure::Refused(error.into())
+        }
+        small::Error::Publish(..) => exit::Failure::Unreachable(error.into()),
+    }
+}
+
+/// Says how to call the mesh, publish to it and watch it.
+fn explain(small: &small::Small, file: &path::Path) {
+    let (log, version) = (small.log, small.version);
+    println!("{} hosts start; version {version} is published", small.hosts.len());
+    for host in &small.hosts {
+        let id = host::HostId::new(host.listen);
+        let (calls, admin) = (id.call_addr(), id.admin_addr());
+        println!("  {:<16} {:<14} calls http://{calls}  admin {admin}", host.class, host.zone);
+    }
+    let Some(first) = small.hosts.first() else { return };
+    let id = host::HostId::new(first.listen);
+    println!("call:    curl -i http://{}/PATH", id.call_addr());
+    println!("publish: dandelionspool publish {} --base {version} --log {log}", file.display());
+    println!("watch:   dandelionspool status --node {}", id.admin_addr());
+    println!("stop:    Ctrl-C");
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,4 +4,5 @@
 pub mod fault;
 pub mod http;
 pub mod log;
+pub mod small;
 pub mod upstream;
