feat(bench): run policies of choice and of retry side by side in virtual time

Cause: the choice of policies needs one run in which they meet the same load and the same faults, with several entries that share no state. Ruled out: a simulator of the whole cluster.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod load;
 pub mod log;
+pub mod policies;
 pub mod upstream;
 
 /// Proves and measures dandelionspool with real processes on loopback.
@@ -36,6 +37,9 @@
     /// Run the stand-in for the platform's log service
     #[bpaf(command)]
     Log(#[bpaf(external(log::args))] log::Args),
+    /// Run policies of choice and of retry side by side in virtual time
+    #[bpaf(command)]
+    Policies(#[bpaf(external(policies::args))] policies::Args),
     /// Run the stand-in for an upstream
     #[bpaf(command)]
     Upstream(#[bpaf(external(upstream::args))] upstream::Args),
@@ -57,6 +61,7 @@
         Command::Fault(args) => fault::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Log(args) => log::run(&args),
+        Command::Policies(args) => policies::run(&args),
         Command::Upstream(args) => upstream::run(&args),
     }
 }
--- /dev/null
+++ b/src/bench/policies/tally.rs
@@ -0,0 +1,114 @@
+//! Counts of one run.
+
+use serde::Serialize;
+
+use crate::bench::policies::setup;
+use crate::retry;
+
+/// What came of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figures {
+    /// Calls that came in.
+    pub calls: u64,
+    /// Weighted service over the most that the upstreams could have given of what was offered.
+    pub goodput: f64,
+    /// Share of the orders that were served whole.
+    pub orders: f64,
+    /// Median time to a whole answer, in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile of the time to a whole answer, in microseconds.
+    pub p99_us: u64,
+    /// 99.9th percentile of the time to a whole answer, in microseconds.
+    pub p999_us: u64,
+    /// Attempts per call.
+    pub attempts: f64,
+    /// Calls refused as not run.
+    pub refused: u64,
+    /// 99th percentile of the time to a refusal, in microseconds.
+    pub refused_p99_us: u64,
+    /// Calls that ended at their deadline.
+    pub timeouts: u64,
+    /// Calls that may have run, the timeouts included.
+    pub unknown: u64,
+}
+
+/// Counts while a run goes on.
+pub(super) struct Tally {
+    calls: u64,
+    attempts: u64,
+    offered: [u64; 2],
+    served: [u64; 2],
+    whole: hdrhistogram::Histogram<u32>,
+    refusals: hdrhistogram::Histogram<u32>,
+    refused: u64,
+    timeouts: u64,
+    unknown: u64,
+}
+
+/// Longest time recorded, in microseconds.
+const MOST: u64 = 10_000_000;
+
+impl Tally {
+    pub(super) fn new() -> Result<Self, hdrhistogram::CreationError> {
+        Ok(Self {
+            calls: 0,
+            attempts: 0,
+            offered: [0; 2],
+            served: [0; 2],
+            whole: hdrhistogram::Histogram::new_with_max(MOST, 3)?,
+            refusals: hdrhistogram::Histogram::new_with_max(MOST, 3)?,
+            refused: 0,
+            timeouts: 0,
+            unknown: 0,
+        })
+    }
+
+    pub(super) fn arrived(&mut self, kind: setup::Kind) {
+        self.calls += 1;
+        self.offered[kind as usize] += 1;
+    }
+
+    pub(super) fn attempt(&mut self) {
+        self.attempts += 1;
+    }
+
+    pub(super) fn ended(&mut self, kind: setup::Kind, outcome: retry::Outcome, micros: u64) {
+        match outcome {
+            retry::Outcome::Ran => {
+                self.served[kind as usize] += 1;
+                self.whole.saturating_record(micros);
+            }
+            retry::Outcome::NotRun(_) => {
+                self.refused += 1;
+                self.refusals.saturating_record(micros);
+            }
+            retry::Outcome::Unknown(reason) => {
+                self.unknown += 1;
+                self.timeouts += u64::from(reason == retry::Reason::Timeout);
+            }
+        }
+    }
+
+    /// The figures, when the upstreams could have run `capacity` calls.
+    pub(super) fn figures(&self, capacity: f64) -> Figures {
+        let [browses, orders] = self.offered.map(|n| n as f64);
+        let best_orders = orders.min(capacity);
+        let best_browses = browses.min(capacity - best_orders);
+        let best = best_browses + best_orders * f64::from(setup::Kind::Order.weight());
+        let [served, kept] = self.served.map(|n| n as f64);
+        let worth = served + kept * f64::from(setup::Kind::Order.weight());
+        Figures {
+            calls: self.calls,
+            goodput: worth / best.max(1.0),
+            orders: kept / orders.max(1.0),
+            p50_us: self.whole.value_at_quantile(0.5),
+            p99_us: self.whole.value_at_quantile(0.99),
+            p999_us: self.whole.value_at_quantile(0.999),
+            attempts: self.attempts as f64 / self.calls.max(1) as f64,
+            refused: self.refused,
+            refused_p99_us: self.refusals.value_at_quantile(0.99),
+            timeouts: self.timeouts,
+            unknown: self.unknown,
+        }
+    }
+}
--- /dev/null
+++ b/src/bench/policies/upstream.rs
@@ -0,0 +1,84 @@
+//! A modelled upstream behind its gate.
+
+use rand::RngExt;
+use rand::rngs;
+
+use crate::admit;
+use crate::bench::policies::case;
+use crate::bench::policies::setup;
+use crate::clock;
+
+/// Spread of the service time: standard deviation of its logarithm.
+const SIGMA: f64 = 0.5;
+
+/// A modelled upstream.
+pub(super) struct Upstream {
+    pub(super) gate: admit::Gate,
+    /// Calls that run.
+    running: Vec<admit::Ticket>,
+    /// Calls it really runs at once.
+    pub(super) slots: u16,
+    pub(super) dead: bool,
+    /// When its gate is to be woken.
+    pub(super) wake: Option<clock::Instant>,
+    slow: f64,
+    cold: bool,
+}
+
+impl Upstream {
+    pub(super) fn new(index: usize, fault: case::Fault) -> Self {
+        let limits =
+            admit::Limits { slots: setup::SLOTS, connections: u16::MAX, queue: setup::QUEUE };
+        let hit = index == 0;
+        let lying = hit && fault == case::Fault::Lying;
+        Self {
+            gate: admit::Gate::new(limits),
+            running: Vec::new(),
+            slots: if lying { setup::LYING_SLOTS } else { setup::SLOTS },
+            dead: fault == case::Fault::Outage || (hit && fault == case::Fault::Dead),
+            wake: None,
+            slow: if hit && fault == case::Fault::Slow { setup::SLOW } else { 1.0 },
+            cold: hit && fault == case::Fault::Cold,
+        }
+    }
+
+    /// Mean service time at `now`, in microseconds.
+    pub(super) fn mean(&self, now: clock::Instant) -> f64 {
+        let warm = now.as_micros() as f64 / setup::WARMUP.as_micros() as f64;
+        let cold = if self.cold { setup::COLD - (setup::COLD - 1.0) * warm.min(1.0) } else { 1.0 };
+        setup::SERVICE * self.slow * cold
+    }
+
+    /// Starts a call; its service time in microseconds, or `None` when the upstream sheds it.
+    pub(super) fn start(
+        &mut self,
+        ticket: admit::Ticket,
+        now: clock::Instant,
+        rng: &mut rngs::SmallRng,
+    ) -> Option<u64> {
+        if self.running.len() >= usize::from(self.slots) {
+            return None;
+        }
+        self.running.push(ticket);
+        Some((self.mean(now) * log_normal(rng)) as u64)
+    }
+
+    /// Ends a call; `false` when it does not run any more.
+    pub(super) fn end(&mut self, ticket: admit::Ticket) -> bool {
+        let before = self.running.len();
+        self.running.retain(|t| *t != ticket);
+        self.running.len() < before
+    }
+}
+
+/// A log-normal number with mean 1.
+fn log_normal(rng: &mut rngs::SmallRng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    let normal = radius * (std::f64::consts::TAU * rng.random::<f64>()).cos();
+    (SIGMA * normal - SIGMA * SIGMA / 2.0).exp()
+}
+
+/// An exponential number with mean 1.
+pub(super) fn exponential(rng: &mut rngs::SmallRng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
