feat(claim): decide claims of idempotency keys by the order of the log

Cause: a keyed call may run once only, whatever happens to its entry, to the writers and to the answers of the log. Ruled out: a lease of the writer (it may lapse while its holder is paused); answering from the append's answer; batch ids to find a lost append again (an entry is known by its attempt, so it is read back or written again without harm). Conclusion: pure writer, fold and follower stand; the shell follows.

--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -12,6 +12,13 @@
 use crate::clock;
 use crate::host;
 
+pub mod circuit;
+pub mod event;
+pub mod fold;
+pub mod follow;
+pub mod record;
+pub mod writer;
+
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/src/claim/tests/writer.rs
@@ -0,0 +1,179 @@
+//! Tests of one writer, step by step.
+
+use std::time;
+
+use bytes::Bytes;
+
+use super::{attempt, entry, key};
+use crate::claim;
+use crate::claim::event::{Action, Answer, End, Event, Limits, Ticket, Token};
+use crate::claim::record::{Entry, Op};
+use crate::claim::writer::Writer;
+use crate::clock;
+use crate::logs;
+
+const LIMITS: Limits = Limits {
+    group: time::Duration::from_millis(20),
+    window: time::Duration::from_secs(60),
+    patience: time::Duration::from_millis(500),
+    waiting: 100,
+};
+
+fn at(millis: u64) -> clock::Instant {
+    clock::Instant::from_millis(millis)
+}
+
+fn ask(token: u64, entry: Entry, deadline: u64) -> Event {
+    Event::Ask { token: Token(token), entry, deadline: at(deadline) }
+}
+
+fn batch(first: u64, bodies: &[Bytes]) -> Event {
+    let record = |(offset, body): (u64, &Bytes)| logs::Record {
+        offset,
+        unix_millis: 1000 + offset,
+        body: body.clone(),
+    };
+    let records: Vec<_> = (first..).zip(bodies).map(record).collect();
+    let next = first + bodies.len() as u64;
+    Event::Read(Some(logs::Batch { first: 0, next, records }))
+}
+
+/// A writer that has read its empty stream.
+fn current() -> Writer {
+    let mut writer = Writer::new(LIMITS);
+    writer.handle(Event::Tick, at(100));
+    writer.handle(batch(0, &[]), at(100));
+    writer.handle(batch(0, &[]), at(100));
+    assert!(writer.current());
+    writer
+}
+
+fn appends(actions: &[Action]) -> Vec<(Ticket, Bytes)> {
+    let append = |action: &Action| match action {
+        Action::Append(ticket, body) => Some((*ticket, body.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(append).collect()
+}
+
+fn answers(actions: &[Action]) -> Vec<(u64, Answer)> {
+    let answer = |action: &Action| match action {
+        Action::Answer(token, answer) => Some((token.0, *answer)),
+        _ => None,
+    };
+    actions.iter().filter_map(answer).collect()
+}
+
+#[test]
+fn nothing_is_answered_before_it_is_read_back() {
+    let mut writer = current();
+    let actions = writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(101));
+    let sent = appends(&actions);
+    assert_eq!((sent.len(), answers(&actions).len()), (1, 0));
+    let done = Event::Appended { ticket: sent[0].0, end: End::Done };
+    assert_eq!(answers(&writer.handle(done, at(102))), []);
+    let actions = writer.handle(batch(0, &[sent[0].1.clone()]), at(103));
+    assert_eq!(answers(&actions), [(1, Answer::Claimed(claim::Verdict::First))]);
+}
+
+#[test]
+fn claims_share_appends() {
+    let mut writer = current();
+    let first = appends(&writer.handle(ask(0, entry(Op::Claim, 0, 0), 9000), at(101)));
+    for n in 1..50 {
+        let actions = writer.handle(ask(n, entry(Op::Claim, n as u8, n), 9000), at(102));
+        assert_eq!(appends(&actions), []);
+    }
+    let actions = writer.handle(batch(0, &[first[0].1.clone()]), at(110));
+    assert_eq!(appends(&actions), [], "the next append waits for its time");
+    let actions = writer.handle(Event::Tick, at(121));
+    let second = appends(&actions);
+    assert_eq!(second.len(), 1);
+    let actions = writer.handle(batch(1, &[second[0].1.clone()]), at(125));
+    assert_eq!(answers(&actions).len(), 49);
+}
+
+#[test]
+fn another_writer_that_was_first_in_the_log_wins() {
+    let mut writer = current();
+    let mine = appends(&writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(101)));
+    let theirs = Entry { key: key(1), attempt: attempt(2, 7), op: Op::Claim };
+    let theirs = claim::record::encode(&[theirs]);
+    let actions = writer.handle(batch(0, &[theirs, mine[0].1.clone()]), at(102));
+    let taken = claim::Verdict::Taken(attempt(2, 7));
+    assert_eq!(answers(&actions), [(1, Answer::Claimed(taken))]);
+    let again = writer.handle(ask(2, entry(Op::Claim, 1, 9), 9000), at(103));
+    assert_eq!(answers(&again), [(2, Answer::Claimed(taken))]);
+    assert_eq!(appends(&again), [], "what is known needs no append");
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_reading() {
+    let mut writer = current();
+    let sent = appends(&writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(101)));
+    let lost = Event::Appended { ticket: sent[0].0, end: End::Unknown };
+    assert_eq!(answers(&writer.handle(lost, at(102))), []);
+    let actions = writer.handle(batch(0, &[sent[0].1.clone()]), at(103));
+    assert_eq!(answers(&actions), [(1, Answer::Claimed(claim::Verdict::First))]);
+    assert_eq!(appends(&writer.handle(Event::Tick, at(200))), [], "not written twice");
+}
+
+#[test]
+fn an_append_that_did_not_happen_is_made_again() {
+    let mut writer = current();
+    let sent = appends(&writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(101)));
+    writer.handle(Event::Appended { ticket: sent[0].0, end: End::Unknown }, at(102));
+    let again = appends(&writer.handle(Event::Tick, at(150)));
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1, sent[0].1);
+}
+
+#[test]
+fn an_outage_is_refused_at_once_and_ends() {
+    let mut writer = current();
+    let sent = appends(&writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(101)));
+    writer.handle(Event::Appended { ticket: sent[0].0, end: End::Refused }, at(102));
+    let again = appends(&writer.handle(Event::Tick, at(125)));
+    let refused = Event::Appended { ticket: again[0].0, end: End::Refused };
+    let actions = writer.handle(refused, at(126));
+    let retry_after = time::Duration::from_millis(250);
+    let error = claim::Error::Unavailable { retry_after };
+    assert_eq!(answers(&actions), [(1, Answer::Failed { error, written: false })]);
+    let actions = writer.handle(ask(2, entry(Op::Claim, 2, 2), 9000), at(127));
+    assert!(matches!(answers(&actions)[..], [(2, Answer::Failed { .. })]), "{actions:?}");
+    let actions = writer.handle(ask(3, entry(Op::Claim, 3, 3), 9000), at(400));
+    assert_eq!(appends(&actions).len(), 1, "one is let through to look");
+}
+
+#[test]
+fn a_silent_log_is_given_up_before_the_append_times_out() {
+    let mut writer = current();
+    writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(101));
+    assert_eq!(answers(&writer.handle(Event::Tick, at(599))), []);
+    let actions = writer.handle(Event::Tick, at(640));
+    assert!(matches!(answers(&actions)[..], [(1, Answer::Failed { written: true, .. })]));
+    let actions = writer.handle(ask(2, entry(Op::Claim, 2, 2), 9000), at(650));
+    assert!(matches!(answers(&actions)[..], [(2, Answer::Failed { written: false, .. })]));
+}
+
+#[test]
+fn a_deadline_is_kept_and_the_entry_not_written_later() {
+    let mut writer = Writer::new(LIMITS);
+    writer.handle(ask(1, entry(Op::Claim, 1, 1), 300), at(100));
+    let actions = writer.handle(Event::Tick, at(300));
+    let late = Answer::Failed { error: claim::Error::Late, written: false };
+    assert_eq!(answers(&actions), [(1, late)]);
+    writer.handle(batch(0, &[]), at(301));
+    assert_eq!(appends(&writer.handle(batch(0, &[]), at(302))), []);
+}
+
+#[test]
+fn waiting_entries_are_bounded() {
+    let mut writer = Writer::new(LIMITS);
+    for n in 0..100 {
+        assert_eq!(answers(&writer.handle(ask(n, entry(Op::Claim, 1, n), 9000), at(1))), []);
+    }
+    let actions = writer.handle(ask(100, entry(Op::Claim, 1, 100), 9000), at(1));
+    let busy = claim::Error::Busy { retry_after: LIMITS.group };
+    assert_eq!(answers(&actions), [(100, Answer::Failed { error: busy, written: false })]);
+}
