feat(claim): carry claims and usage to the log, many in one append

Cause: the pure writer needs its thread: connections between entries and writers, reads and appends, and usage totals with exactly one count. Ruled out: a reliable view (a writer is asked whatever the others think; only the log's order counts); giving an entry up when one of two writers asked is lost; batching by a timer alone (the next append goes when the last one is read back, `group_ms` after it at the earliest). Seen failing while written: claims before the first view (four tests), a lost connection that ended claims which another writer still held. Conclusion: `claim::shell::run` is ready to be wired; the reports duty passes the counts on to it.

--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -27,6 +27,9 @@
 /// How often leases are looked at.
 const TICK: time::Duration = time::Duration::from_millis(250);
 
+/// Longest wait for the last counts of the call path at the end.
+const LAST: time::Duration = time::Duration::from_millis(1500);
+
 /// Reports on the whole mesh made at once.
 const REPORTS: usize = 2;
 
@@ -43,6 +46,8 @@
     pub reach: watch::Receiver<reach::Reach>,
     /// From the call path: what was counted. Full: the counts stay there and come with the next.
     pub tallies: ring::Receiver<usage::Delta>,
+    /// To the ledger: the same counts. Full: this duty waits, and the counts stay in the call path.
+    pub usage: ring::Sender<usage::Delta>,
     /// Registry of metrics.
     pub metrics: metrics::Metrics,
     /// Stage of the process; the duty ends at [`node::Stage::End`].
@@ -103,7 +108,7 @@
     let address = settings.bound().admin_addr();
     let bound = TcpListener::bind(address).await;
     let listener = bound.map_err(|source| admin::Error::Bind { address, source })?;
-    let Wiring { tallies, mut stage, .. } = wiring;
+    let Wiring { tallies, usage, mut stage, .. } = wiring;
     let calls = calls::Calls::default();
     wiring.metrics.collect(calls.clone());
     wiring.metrics.collect(metrics::Traffic(Arc::clone(&wiring.traffic)));
@@ -130,10 +135,13 @@
     let tasks = [
         task::spawn_local(server::accept(listener, Rc::clone(&state), connections)),
         task::spawn_local(follow(Rc::clone(&state))),
-        task::spawn_local(count(tallies, calls)),
     ];
+    let mut counting = task::spawn_local(count(tallies, calls, usage));
     // A dropped sender means that the process ends, too.
     let _ = stage.wait_for(|&stage| stage == node::Stage::End).await;
+    // The call path ends at the same time and hands over its last counts.
+    let _ = tokio::time::timeout(LAST, &mut counting).await;
+    counting.abort();
     tasks.iter().for_each(task::JoinHandle::abort);
     Ok(())
 }
@@ -159,10 +167,19 @@
     }
 }
 
-/// Takes what the call path counted.
-async fn count(mut tallies: ring::Receiver<usage::Delta>, calls: calls::Calls) {
+/// Takes what the call path counted, until the call path has ended.
+async fn count(
+    mut tallies: ring::Receiver<usage::Delta>,
+    calls: calls::Calls,
+    ledger: ring::Sender<usage::Delta>,
+) {
     while let Some(delta) = tallies.recv().await {
         calls.add(&delta);
+        // While the ledger is behind, the counts wait in the ring before this one, and in the
+        // call path's tally.
+        if ledger.send(delta).await.is_err() {
+            log::warn!("the ledger has ended before the reports");
+        }
     }
 }
 
--- a/src/admin/tests/served.rs
+++ b/src/admin/tests/served.rs
@@ -57,6 +57,7 @@
         local: local_end,
         reach: reach_end,
         tallies: tallies_end,
+        usage: ring::bounded(4).0,
         metrics: metrics::Metrics::new(),
         stage: stage_end,
         traffic: Arc::new(traffic::Traffic::default()),
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -13,11 +13,20 @@
 use crate::host;
 
 pub mod circuit;
+pub mod desk;
+pub mod dial;
 pub mod event;
 pub mod fold;
 pub mod follow;
+pub mod handle;
+pub mod keep;
+pub mod ledger;
 pub mod record;
+pub mod serve;
+pub mod shell;
+pub mod wire;
 pub mod writer;
+pub mod writers;
 
 #[cfg(test)]
 mod tests;
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod history;
 mod record;
+mod shell;
 mod sim;
 mod writer;
 
--- a/src/claim/tests/writer.rs
+++ b/src/claim/tests/writer.rs
@@ -177,3 +177,18 @@
     let busy = claim::Error::Busy { retry_after: LIMITS.group };
     assert_eq!(answers(&actions), [(100, Answer::Failed { error: busy, written: false })]);
 }
+
+#[test]
+fn a_writer_that_may_be_behind_does_not_answer_from_memory() {
+    let mut writer = current();
+    let sent = appends(&writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(101)));
+    writer.handle(batch(0, &[sent[0].1.clone()]), at(103));
+    writer.handle(Event::Read(None), at(104));
+    let actions = writer.handle(ask(2, entry(Op::Claim, 1, 2), 9000), at(105));
+    assert_eq!(answers(&actions), []);
+    writer.handle(Event::Tick, at(130));
+    let release = claim::record::encode(&[entry(Op::Release, 1, 1)]);
+    let again = appends(&writer.handle(batch(1, &[release]), at(131)));
+    let actions = writer.handle(batch(2, &[again[0].1.clone()]), at(135));
+    assert_eq!(answers(&actions), [(2, Answer::Claimed(claim::Verdict::First))]);
+}
--- a/src/configs/limits.rs
+++ b/src/configs/limits.rs
@@ -50,7 +50,12 @@
     limit("/call/eject_most_ms", 1, HOUR_MS),
     limit("/call/slow_factor", 2, 100),
     limit("/call/load_half_ms", 1, 60_000),
-    limit("/claim/group_ms", 0, 1000),
+    limit("/claim/group_ms", 1, 1000),
+    limit("/claim/partitions", 1, 1024),
+    limit("/claim/window_s", 1, WEEK_S),
+    limit("/claim/patience_ms", 10, 60_000),
+    limit("/claim/hedge_ms", 1, 60_000),
+    limit("/claim/waiting", 1, 1_000_000),
     limit("/log/append_ms", 1, 60_000),
     limit("/log/wait_ms", 1, 300_000),
     limit("/log/retention_s", 10, 10 * 366 * 86_400),
@@ -106,6 +111,8 @@
     limit("/stop/settle_ms", 0, 60_000),
     limit("/stop/drain_ms", 0, HOUR_MS),
     limit("/usage/flush_ms", 10, HOUR_MS),
+    limit("/usage/group_ms", 10, HOUR_MS),
+    limit("/usage/writers", 1, 16),
 ];
 
 /// A number that must fit some times into another one.
--- a/src/configs/usage.rs
+++ b/src/configs/usage.rs
@@ -8,10 +8,14 @@
 pub struct Usage {
     /// Time between two totals sent to a writer, in milliseconds.
     pub flush_ms: u64,
+    /// Least time between two appends of one writer, in milliseconds.
+    pub group_ms: u64,
+    /// Writers in each availability zone.
+    pub writers: u8,
 }
 
 impl Default for Usage {
     fn default() -> Self {
-        Self { flush_ms: 10_000 }
+        Self { flush_ms: 10_000, group_ms: 1000, writers: 1 }
     }
 }
--- a/src/spread/tree.rs
+++ b/src/spread/tree.rs
@@ -76,7 +76,8 @@
     keyed.into_iter().map(|(_, h)| h).collect()
 }
 
-fn weight(host: host::HostId, purpose: u64, salt: u64) -> u64 {
+/// Rendezvous weight of `host`: the hosts of lowest weight are due for `purpose` and `salt`.
+pub fn weight(host: host::HostId, purpose: u64, salt: u64) -> u64 {
     let address = host.member_addr();
     let mut bytes = [0; 34];
     match address.ip() {
--- a/src/usage/mod.rs
+++ b/src/usage/mod.rs
@@ -10,6 +10,11 @@
 
 use crate::mesh;
 
+pub mod collect;
+pub mod outbox;
+pub mod post;
+pub mod record;
+pub mod sum;
 pub mod tally;
 
 pub use tally::Tally;
