feat(node): give each node its ledger in place of refusing keyed calls

Cause: the node had a placeholder that refused every keyed call as not run. Ruled out: sharing one client of the log between threads (its connections belong to one runtime); each duty has its own, and all tell the same watch whether the log answers. Conclusion: claims and usage run in every node.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,7 +7,6 @@
 pub mod duty;
 pub mod life;
 pub mod shell;
-pub mod unclaimed;
 
 #[cfg(test)]
 mod tests;
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -7,6 +7,7 @@
 use tokio::task;
 
 use crate::admin;
+use crate::claim;
 use crate::clock::{self, Clock as _};
 use crate::configs;
 use crate::context;
@@ -115,7 +116,8 @@
     settings: Arc<configs::Node>,
     traffic: Arc<traffic::Traffic>,
     metrics: admin::metrics::Metrics,
-    log: Log,
+    /// Told by every client of the log.
+    told: Arc<watch::Sender<logs::reach::Reach>>,
     reach: watch::Receiver<logs::reach::Reach>,
     stage: watch::Sender<node::Stage>,
 }
@@ -123,19 +125,24 @@
 impl Wires {
     fn new(ctx: context::Context, settings: configs::Node) -> Self {
         let traffic = Arc::new(traffic::Traffic::default());
-        let client = logs::http::Client::new(&settings.log, Arc::clone(&traffic));
         let (told, reach) = watch::channel(logs::reach::Reach::default());
         Self {
             ctx,
             settings: Arc::new(settings),
             traffic,
             metrics: admin::metrics::Metrics::new(),
-            log: logs::reach::Watched::new(client, ctx.clock, Arc::new(told)),
+            told: Arc::new(told),
             reach,
             stage: watch::Sender::new(node::Stage::Run),
         }
     }
 
+    /// A client of the log service; each duty has its own.
+    fn log(&self) -> Log {
+        let client = logs::http::Client::new(&self.settings.log, Arc::clone(&self.traffic));
+        logs::reach::Watched::new(client, self.ctx.clock, Arc::clone(&self.told))
+    }
+
     /// Starts the duties; the first of the result is that of calls.
     fn start(self) -> Result<(duty::Duty, Vec<duty::Duty>), duty::Error> {
         let (applied_in, applied) = watch::channel(Arc::default());
@@ -144,7 +151,11 @@
         let (heard_in, heard) = ring::bounded(HEARD);
         let (tallies_in, tallies) = ring::bounded(TALLIES);
         self.metrics.ring("heard", &heard_in);
+        let (usage_in, usage) = ring::bounded(TALLIES);
+        let (claims, ends) = claim::handle::pair();
         self.metrics.ring("tallies", &tallies_in);
+        self.metrics.ring("claims", claims.claims());
+        self.metrics.ring("releases", claims.releases());
         let member = self.member(member::shell::Wiring {
             applied: applied.clone(),
             view: view_in,
@@ -157,7 +168,16 @@
             applied: applied_in,
             view: view.clone(),
             heard,
-            log: self.log.clone(),
+            log: self.log(),
+            stage: self.stage.subscribe(),
+            traffic: Arc::clone(&self.traffic),
+        })?;
+        let ledger = self.ledger(claim::shell::Wiring {
+            ends,
+            deltas: usage,
+            view: view.clone(),
+            log: self.log(),
+            metrics: self.metrics.clone(),
             stage: self.stage.subscribe(),
             traffic: Arc::clone(&self.traffic),
         })?;
@@ -167,6 +187,7 @@
             local: local_in,
             reach: self.reach.clone(),
             tallies,
+            usage: usage_in,
             metrics: self.metrics.clone(),
             stage: self.stage.subscribe(),
             traffic: Arc::clone(&self.traffic),
@@ -177,9 +198,9 @@
             local,
             stage: self.stage.subscribe(),
             tallies: tallies_in,
-            claims: node::unclaimed::Unclaimed,
+            claims,
         })?;
-        Ok((calls, vec![member, spread, admin]))
+        Ok((calls, vec![member, spread, ledger, admin]))
     }
 
     fn member(&self, wiring: member::shell::Wiring) -> Result<duty::Duty, duty::Error> {
@@ -192,6 +213,11 @@
         duty::Duty::spawn("spread", move || spread::shell::run(ctx, settings, wiring))
     }
 
+    fn ledger(&self, wiring: claim::shell::Wiring<Log>) -> Result<duty::Duty, duty::Error> {
+        let (ctx, settings) = (self.ctx, Arc::clone(&self.settings));
+        duty::Duty::spawn("ledger", move || claim::shell::run(ctx, settings, wiring))
+    }
+
     fn admin(&self, wiring: admin::shell::Wiring) -> Result<duty::Duty, duty::Error> {
         let (ctx, settings) = (self.ctx, Arc::clone(&self.settings));
         duty::Duty::spawn("admin", move || admin::shell::run(ctx, settings, wiring))
@@ -199,7 +225,7 @@
 
     fn calls(
         &self,
-        wiring: proxy::shell::Wiring<node::unclaimed::Unclaimed>,
+        wiring: proxy::shell::Wiring<claim::handle::Handle>,
     ) -> Result<duty::Duty, duty::Error> {
         let (ctx, settings) = (self.ctx, Arc::clone(&self.settings));
         duty::Duty::spawn("calls", move || proxy::shell::run(ctx, settings, wiring))
