test(claim): a keyed call that is sent five times runs once, in real processes

Cause: the claim duty is wired in, and the whole path should show it. Ruled out: counting answers only; the upstreams' own records are summed.

--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -14,6 +14,7 @@
 use dandelionspool::proxy::headers;
 use dandelionspool::standin::http;
 use dandelionspool::standin::upstream::answer;
+use http_body_util::Full;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
@@ -48,6 +49,20 @@
     fleet.hosts().last().unwrap().id.call_addr()
 }
 
+async fn post(
+    to: net::SocketAddr,
+    path: &str,
+    key: &str,
+    body: &'static [u8],
+) -> ::http::Response<Bytes> {
+    let request = ::http::Request::post(path)
+        .header(::http::header::HOST, "gifts.example")
+        .header(headers::IDEMPOTENCY_KEY, key)
+        .body(Full::new(Bytes::from_static(body)))
+        .unwrap();
+    http::send(to, request, LIMIT).await.unwrap()
+}
+
 fn header<'a>(answer: &'a ::http::Response<Bytes>, name: &str) -> &'a str {
     answer.headers().get(name).map(|v| v.to_str().unwrap()).unwrap_or_default()
 }
@@ -99,6 +114,23 @@
     assert_eq!(runs, 1);
 }
 
+#[tokio::test]
+async fn a_non_idempotent_call_with_a_key_runs_once_however_often_it_is_sent() {
+    let fleet = start().await;
+    served(entry(&fleet), "/lists/7").await;
+    let mut statuses = Vec::new();
+    for _ in 0..5 {
+        let answer = post(entry(&fleet), "/purchases", "toaster-1", b"a toaster").await;
+        statuses.push((answer.status().as_u16(), header(&answer, headers::OUTCOME).to_owned()));
+    }
+    assert_eq!(statuses, vec![(200, headers::RAN.to_owned()); 5]);
+    let mut keys = 0;
+    for index in 0..2 {
+        keys += fleet.record(index).await.unwrap().keys.get("toaster-1").copied().unwrap_or(0);
+    }
+    assert_eq!(keys, 1);
+}
+
 #[tokio::test]
 async fn a_new_version_is_in_force_on_every_node() {
     let fleet = start().await;
