--- /dev/null
+++ b/tests/format1.rs
@@ -0,0 +1,25 @@
+//! Verdicts of format 1 that must never change: nodes of different builds have to agree on each
+//! version in the log. A new rule takes a new format number; no file here is ever edited.
+
+use std::fs;
+use std::path;
+
+use dandelionspool::mesh::check;
+use rstest::rstest;
+
+/// One line for each fault, its pointer and its code; empty for an accepted file.
+fn verdict(body: &[u8]) -> String {
+    let Err(faults) = check::check(body) else { return String::new() };
+    let line = |fault| {
+        let fault = serde_json::to_value(fault).unwrap();
+        let text = |field: &str| fault[field].as_str().unwrap().to_owned();
+        format!("{} {}\n", text("pointer"), text("code"))
+    };
+    faults.list().iter().map(line).collect()
+}
+
+#[rstest]
+fn a_frozen_verdict_stands(#[files("tests/format1/*.json")] path: path::PathBuf) {
+    let wanted = fs::read_to_string(path.with_extension("verdict")).unwrap();
+    assert_eq!(verdict(&fs::read(&path).unwrap()), wanted);
+}
