fix(claim): key a claim by method and path so that a moved route can't run it twice

Cause: the claimed key was hashed with the name of the service. When a publish moved the route to another service, a caller's repeat had another key there and ran again: 13 keys ran twice, each at one upstream of both services. Ruled out: lapsed writers and lost answers of appends, as a fleet of two upstreams without any fault shows it with one publish between two tries; the host header as part of the key, as callers repeat through other entries by other names; the key alone, which would let unrelated requests collide. Conclusion: the key depends on method, path and the caller's text, and on nothing a configuration says. The unit test that keys of two services differ asserted the fault; it now asserts that keys of two methods and of two paths differ.

--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -36,16 +36,21 @@
 
 const KEY_CONTEXT: &str = "dandelionspool idempotency key v1";
 
-/// An idempotency key within its service, hashed.
+/// An idempotency key with the method and path it was sent to, hashed.
+///
+/// Invariant: it depends on nothing that a configuration says. A repeat after its route has moved
+/// to another service has the same key, and does not run there again.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Key(pub [u8; KEY_BYTES]);
 
 impl Key {
-    /// The key that a caller of `service` named `text`.
-    pub fn new(service: &str, text: &[u8]) -> Self {
+    /// The key named `text` of a request with `method` to `path`, the query left out.
+    pub fn new(method: &str, path: &str, text: &[u8]) -> Self {
         let mut hasher = blake3::Hasher::new_derive_key(KEY_CONTEXT);
-        hasher.update(&(service.len() as u64).to_le_bytes());
-        hasher.update(service.as_bytes());
+        for part in [method, path] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
         hasher.update(text);
         let mut bytes = [0; KEY_BYTES];
         bytes.copy_from_slice(&hasher.finalize().as_bytes()[..KEY_BYTES]);
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -28,8 +28,9 @@
 }
 
 #[test]
-fn keys_of_two_services_differ() {
-    assert_ne!(claim::Key::new("shop", b"1"), claim::Key::new("desk", b"1"));
-    assert_ne!(claim::Key::new("ab", b"c"), claim::Key::new("a", b"bc"));
-    assert_eq!(claim::Key::new("shop", b"1"), claim::Key::new("shop", b"1"));
+fn keys_of_two_requests_differ() {
+    assert_ne!(claim::Key::new("POST", "/a", b"1"), claim::Key::new("POST", "/b", b"1"));
+    assert_ne!(claim::Key::new("POST", "/a", b"1"), claim::Key::new("PUT", "/a", b"1"));
+    assert_ne!(claim::Key::new("PUT", "/ab", b"c"), claim::Key::new("PUT", "/a", b"bc"));
+    assert_eq!(claim::Key::new("PUT", "/a", b"1"), claim::Key::new("PUT", "/a", b"1"));
 }
--- a/src/claim/tests/shell.rs
+++ b/src/claim/tests/shell.rs
@@ -136,7 +136,7 @@
 }
 
 fn numbered(n: u64) -> claim::Key {
-    claim::Key::new("shop", &n.to_le_bytes())
+    claim::Key::new("POST", "/orders", &n.to_le_bytes())
 }
 
 #[tokio::test]
--- a/src/proxy/keyed.rs
+++ b/src/proxy/keyed.rs
@@ -56,7 +56,8 @@
     mut hold: guard::Hold,
     text: header::HeaderValue,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let key = claim::Key::new(&job.service().name, text.as_bytes());
+    let path = job.ask.path.path();
+    let key = claim::Key::new(job.ask.method.as_str(), path, text.as_bytes());
     let print = print(&job);
     for _ in 0..CLAIMS {
         let attempt = attempt(&state);
