test(mesh): prove by real processes what must hold while they are killed and paused

Ruled out: one test for each fault alone, as they come together in the field; bounds on wall time. Load without a host header was refused as malformed and failed three tests; the client sends one now.

--- a/src/bench/load/call.rs
+++ b/src/bench/load/call.rs
@@ -1,5 +1,6 @@
 //! One call of a caller: its tries, what it was told and whether that was whole.
 
+use std::net;
 use std::time;
 
 use bytes::Bytes;
@@ -77,7 +78,7 @@
     pub async fn make(self, client: &client::Client) -> Told {
         let limit = time::Duration::from_millis(self.flow.deadline_ms) + MARGIN;
         let body = body(&self.id, self.flow.body);
-        let Ok(request) = self.request(body.clone()) else {
+        let Ok(request) = self.request(client.address(self.target), body.clone()) else {
             return self.told(Outcome::Connect, 0, SmolStr::default());
         };
         match tokio::time::timeout(limit, client.send(self.target, request)).await {
@@ -96,11 +97,15 @@
         }
     }
 
-    fn request(&self, body: Bytes) -> Result<client::Request, http::Error> {
+    fn request(&self, to: net::SocketAddr, body: Bytes) -> Result<client::Request, http::Error> {
+        let host = match self.flow.host.as_str() {
+            "" => to.to_string(),
+            host => host.to_owned(),
+        };
         let mut request = http::Request::builder()
             .method(self.flow.method.as_str())
             .uri(self.flow.path.as_str())
-            .header(http::header::HOST, self.flow.host.as_str())
+            .header(http::header::HOST, host)
             .header(headers::REQUEST_ID, self.id.as_str())
             .header(headers::DEADLINE, self.flow.deadline_ms);
         if let Some(key) = &self.key {
--- a/src/bench/load/client.rs
+++ b/src/bench/load/client.rs
@@ -37,6 +37,11 @@
         Self { targets: targets.iter().map(|to| (*to, Mutex::default())).collect() }
     }
 
+    /// Address of the target number `to`.
+    pub fn address(&self, to: usize) -> net::SocketAddr {
+        self.targets[to].0
+    }
+
     /// Sends `request` to the target number `to` and returns the whole answer. A request that an
     /// idle connection gave back unsent goes on a new one.
     pub async fn send(
--- /dev/null
+++ b/tests/failures/bed.rs
@@ -0,0 +1,167 @@
+//! What the tests of failures share: programs, configurations, records and waiting.
+
+use std::collections;
+use std::fs;
+use std::path;
+use std::time;
+
+use dandelionspool::bench::fleet;
+use dandelionspool::bench::load;
+use dandelionspool::standin::upstream::record;
+use serde_json::json;
+use smol_str::SmolStr;
+
+/// Longest anything that must come about may take.
+pub const LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// The programs as cargo built them for this test.
+pub fn programs() -> fleet::Programs {
+    fleet::Programs {
+        node: path::PathBuf::from(env!("CARGO_BIN_EXE_dandelionspool")),
+        bench: path::PathBuf::from(env!("CARGO_BIN_EXE_dandelionspool-bench")),
+    }
+}
+
+/// A configuration with the services `shop` and, when `desk`, `desk`, to which `/browse` and
+/// `/orders` then go. `turn` makes it differ from others.
+pub fn configuration(desk: bool, turn: u64) -> serde_json::Value {
+    let target = if desk { "desk" } else { "shop" };
+    let mut names = vec!["shop"];
+    if desk {
+        names.push("desk");
+    }
+    let services: Vec<_> = names.iter().map(|name| service(name)).collect();
+    let upstreams: Vec<_> = names.iter().map(|name| class(name)).collect();
+    let route = |name: &str, path: &str, methods: &[&str]| json!({ "name": name, "path": path, "methods": methods, "service": target, "kind": name });
+    json!({
+        "format": 1,
+        "teams": [{ "name": "sellers" }, { "name": format!("team-{turn}") }],
+        "services": services,
+        "upstreams": upstreams,
+        "routes": [route("browse", "/browse", &["GET"]), route("order", "/orders", &["POST"])],
+    })
+}
+
+fn service(name: &str) -> serde_json::Value {
+    json!({
+        "name": name, "team": "sellers", "timeout_ms": 3000, "queue": 8, "retry_percent": 20,
+        "objectives": {
+            "availability": 0.999, "latency_ms": 200, "latency_share": 0.99, "window_days": 28
+        },
+        "kinds": [
+            { "name": "browse", "weight": 1, "idempotent": true, "body_bytes": 1000 },
+            { "name": "order", "weight": 20, "idempotent": false, "body_bytes": 100_000 }
+        ]
+    })
+}
+
+fn class(name: &str) -> serde_json::Value {
+    json!({ "name": name, "service": name, "slots": 9, "connections": 130, "warmup_ms": 0 })
+}
+
+/// Writes a configuration to a file of its own that outlives the plan.
+pub fn write(dir: &path::Path, name: &str, value: &serde_json::Value) -> path::PathBuf {
+    let file = dir.join(name);
+    fs::write(&file, value.to_string()).unwrap();
+    file
+}
+
+/// Publishes `value` on top of `base`; gives the version it became.
+pub async fn publish(fleet: &fleet::Fleet, base: u64, value: &serde_json::Value) -> u64 {
+    let file = write(fleet.dir(), &format!("mesh-{base}.json"), value);
+    let done = fleet.publish(&file, base, &["--json", "--wait-ms", "30000"]).await.unwrap();
+    assert_eq!(done.code, 0, "{done:?}");
+    done.version().unwrap()
+}
+
+/// Starts a fleet and publishes the first configuration; gives the version all nodes run.
+pub async fn start(plan: fleet::Plan) -> (fleet::Fleet, u64) {
+    let dir = std::env::temp_dir();
+    let name = format!("dandelionspool-first-{}-{:p}.json", std::process::id(), &plan);
+    let file = write(&dir, &name, &configuration(false, 0));
+    let fleet = fleet::Fleet::start(plan.configuration(&file)).await;
+    fs::remove_file(file).unwrap();
+    (fleet.unwrap(), 1)
+}
+
+/// Version that the node of host `index` runs; `None` when it does not answer.
+pub async fn version(fleet: &fleet::Fleet, index: usize) -> Option<u64> {
+    fleet.status(index).await.ok()?["version"].as_u64()
+}
+
+/// Waits until the node of each of `hosts` runs `wanted` or a later version.
+pub async fn until_version(fleet: &fleet::Fleet, hosts: &[usize], wanted: u64) {
+    let end = time::Instant::now() + LIMIT;
+    for index in hosts {
+        loop {
+            let now = version(fleet, *index).await;
+            if now >= Some(wanted) {
+                break;
+            }
+            assert!(time::Instant::now() < end, "host {index} runs {now:?}, not {wanted}");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Waits until every node sees `count` upstreams of `service` that serve.
+pub async fn until_serving(fleet: &fleet::Fleet, service: &str, count: u64) {
+    let end = time::Instant::now() + LIMIT;
+    for host in fleet.hosts() {
+        loop {
+            let status = fleet.status(host.index).await.ok();
+            let seen = status.and_then(|s| s["upstreams"][service]["serving"].as_u64());
+            if seen == Some(count) {
+                break;
+            }
+            assert!(time::Instant::now() < end, "host {} sees {seen:?}", host.index);
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Records of all upstreams of the fleet.
+pub async fn records(fleet: &fleet::Fleet) -> Vec<record::Record> {
+    let mut records = Vec::new();
+    for host in fleet.hosts().iter().filter(|host| host.group.is_some()) {
+        records.push(fleet.record(host.index).await.unwrap());
+    }
+    records
+}
+
+/// Checks what callers were told against what the upstreams ran.
+pub fn check_truth(told: &[load::Told], records: &[record::Record]) {
+    let mut starts: collections::HashMap<&SmolStr, u32> = collections::HashMap::new();
+    let mut keys: collections::HashMap<&SmolStr, u32> = collections::HashMap::new();
+    let mut places: collections::HashMap<&SmolStr, Vec<usize>> = collections::HashMap::new();
+    for (place, record) in records.iter().enumerate() {
+        assert_eq!(record.lost, 0);
+        for (id, run) in &record.runs {
+            *starts.entry(id).or_default() += run.starts;
+        }
+        for (key, count) in &record.keys {
+            *keys.entry(key).or_default() += count;
+            places.entry(key).or_default().push(place);
+        }
+    }
+    let twice: Vec<_> = keys.iter().filter(|(_, count)| **count > 1).collect();
+    let where_ran: Vec<_> = twice.iter().map(|(key, _)| (key, &places[*key])).collect();
+    assert!(twice.is_empty(), "{} keys ran more than once, at {where_ran:?}", twice.len());
+    let lies: Vec<_> = told
+        .iter()
+        .filter(|t| matches!(t.outcome, load::Outcome::NotRun | load::Outcome::Connect))
+        .filter(|t| starts.contains_key(&t.id))
+        .collect();
+    assert!(lies.is_empty(), "{} told not run had run: {:?}", lies.len(), lies.first());
+    let wrong = told.iter().find(|t| t.outcome == load::Outcome::Wrong);
+    assert!(wrong.is_none(), "an answer that is not whole passed as whole: {wrong:?}");
+    let unran = told
+        .iter()
+        .filter(|t| t.outcome == load::Outcome::Served)
+        .find(|t| !starts.contains_key(&t.id) && !ran_by_key(t, &keys));
+    assert!(unran.is_none(), "served without a run: {unran:?}");
+}
+
+fn ran_by_key(told: &load::Told, keys: &collections::HashMap<&SmolStr, u32>) -> bool {
+    told.key.as_ref().is_some_and(|key| keys.contains_key(key))
+}
