perf(pick): remember the usual load of others and believe the last answer briefly

Cause: at 90% load the picker's policy was behind the simpler ones. It halved what the last answer told only every 200 ms, twenty service times, and took an upstream it had not heard of for an empty one, so that an upstream which had just answered looked worse than one nobody had asked. With twenty times as many entries, each of which hears little, it was last of all. Conclusion: load is a smoothed usual load with a half-life of two seconds, plus the last answer's difference from it with a half-life of 5 ms; candidates start in turn in place of by chance. The experiment has a case of many entries.

--- a/src/bench/policies/case.rs
+++ b/src/bench/policies/case.rs
@@ -91,18 +91,21 @@
     Cold,
     /// Half of the calls come in through the two entries of one availability zone.
     Skew,
+    /// The calls come in through twenty times as many entries, each of which sees few of them.
+    Many,
     /// All refuse connections; the membership has not noticed.
     Outage,
 }
 
 impl Fault {
-    const ALL: [Fault; 7] = [
+    const ALL: [Fault; 8] = [
         Fault::None,
         Fault::Slow,
         Fault::Dead,
         Fault::Lying,
         Fault::Cold,
         Fault::Skew,
+        Fault::Many,
         Fault::Outage,
     ];
 
@@ -115,6 +118,7 @@
             Self::Lying => "lying",
             Self::Cold => "cold",
             Self::Skew => "skew",
+            Self::Many => "many",
             Self::Outage => "outage",
         }
     }
--- a/src/bench/policies/mod.rs
+++ b/src/bench/policies/mod.rs
@@ -26,7 +26,7 @@
     /// Seed of every random number
     #[bpaf(argument("SEED"), fallback(1))]
     pub seed: u64,
-    /// Only runs with this fault: none, slow, dead, lying, cold, skew or outage
+    /// Only runs with this fault: none, slow, dead, lying, cold, skew, many or outage
     #[bpaf(argument("FAULT"), optional)]
     pub fault: Option<String>,
     /// Only runs at this load, in percent of capacity
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -106,7 +106,8 @@
     fn new(policy: P, case: case::Case, seconds: u64, seed: u64, tally: tally::Tally) -> Self {
         let full = setup::HOSTS as f64 * f64::from(setup::SLOTS) / setup::SERVICE;
         let mut rng = rngs::SmallRng::seed_from_u64(seed);
-        let entries = (0..setup::HOSTS).map(|i| entry(policy, case, i, rng.random())).collect();
+        let entries =
+            (0..setup::entries(case.fault)).map(|i| entry(policy, case, i, rng.random())).collect();
         Self {
             now: clock::Instant::ZERO,
             end: clock::Instant::from_micros(setup::LEAD + seconds * 1_000_000),
@@ -178,7 +179,7 @@
         if skewed {
             return if self.rng.random_bool(0.5) { 1 } else { 5 };
         }
-        self.rng.random_range(0..setup::HOSTS)
+        self.rng.random_range(0..self.entries.len())
     }
 
     fn attempt(&mut self, call: usize, avoid: &[crate::host::HostId]) {
--- a/src/bench/policies/setup.rs
+++ b/src/bench/policies/setup.rs
@@ -12,8 +12,10 @@
 use crate::pick;
 use crate::view;
 
-/// Hosts; each is an entry and runs one upstream.
+/// Upstreams; each has its host, which is an entry too.
 pub(super) const HOSTS: usize = 9;
+/// Entries where many hosts call the service.
+const MANY: usize = 180;
 /// Slots of an upstream.
 pub(super) const SLOTS: u16 = 9;
 /// Slots that a lying upstream really has.
@@ -70,6 +72,11 @@
     }
 }
 
+/// Hosts at which calls come in.
+pub(super) fn entries(fault: case::Fault) -> usize {
+    if fault == case::Fault::Many { MANY } else { HOSTS }
+}
+
 /// The zone of the host with `index`.
 pub(super) const fn zone(index: usize) -> &'static str {
     ZONES[index % ZONES.len()]
--- a/src/configs/call.rs
+++ b/src/configs/call.rs
@@ -35,7 +35,7 @@
             eject_ms: 500,
             eject_most_ms: 30_000,
             slow_factor: 3,
-            load_half_ms: 200,
+            load_half_ms: 5,
         }
     }
 }
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -14,6 +14,9 @@
 /// Share of its full size that an upstream gets when it starts.
 const COLD_SHARE: f32 = 0.1;
 
+/// Weight of a new measurement: one in this many.
+const SMOOTHING: f32 = 8.0;
+
 /// Service times closer than this, in microseconds, are not told apart.
 const SLACK: f32 = 500.0;
 
@@ -23,6 +26,7 @@
     pub(super) breaker: outlier::Limits,
     /// Half-life of a reported load, in microseconds.
     pub(super) half: f32,
+    pub(super) usual_half: f32,
     /// Times slower than its peers that makes an outlier.
     pub(super) slow: f32,
 }
@@ -35,7 +39,12 @@
             most: time::Duration::from_millis(settings.eject_most_ms),
         };
         let half = settings.load_half_ms.max(1) as f32 * 1000.0;
-        Self { breaker, half, slow: f32::from(settings.slow_factor.max(2)) }
+        Self {
+            breaker,
+            half,
+            usual_half: 2_000_000.0,
+            slow: f32::from(settings.slow_factor.max(2)),
+        }
     }
 }
 
@@ -57,6 +66,8 @@
     total: u16,
     /// Slots as the gate counts them.
     slots: u16,
+    /// Smoothed `others`.
+    usual: f32,
     at: clock::Instant,
 }
 
@@ -156,7 +167,8 @@
     pub(super) fn calls(&self, rules: &Rules, now: clock::Instant) -> f32 {
         let others = self.told.map_or(0.0, |told| {
             let age = now.since(told.at).as_micros() as f32;
-            f32::from(told.others) * (-age / rules.half).exp2()
+            let usual = told.usual * (-age / rules.usual_half).exp2();
+            usual + (f32::from(told.others) - usual) * (-age / rules.half).exp2()
         });
         f32::from(self.outstanding) + others
     }
@@ -236,7 +248,9 @@
     fn tell(&mut self, load: admit::Load, now: clock::Instant) {
         let total = load.running.saturating_add(load.waiting);
         let others = total.saturating_sub(self.outstanding);
-        self.told = Some(Told { others, total, slots: load.slots, at: now });
+        let fresh = f32::from(others);
+        let usual = self.told.map_or(fresh, |t| t.usual + (fresh - t.usual) / SMOOTHING);
+        self.told = Some(Told { others, total, usual, slots: load.slots, at: now });
         self.service = load.service;
     }
 }
--- a/src/pick/policy.rs
+++ b/src/pick/policy.rs
@@ -102,19 +102,20 @@
     fn choose(
         &self,
         pool: &pick::Pool<'_>,
-        _turn: &mut table::Turn,
+        turn: &mut table::Turn,
         rng: &mut rngs::SmallRng,
     ) -> Option<usize> {
         let len = pool.len();
         if len == 0 {
             return None;
         }
-        let start = rng.random_range(0..len);
+        let start = turn.next(len);
         let stride = if len > 1 { rng.random_range(1..len) } else { 0 };
         let mut best = walk(pool, start)?;
+        turn.set(best + 1);
         let mut least = pool.fullness(best);
-        for turn in 1..usize::from(self.candidates) {
-            let place = walk(pool, (start + turn * stride) % len)?;
+        for step in 1..usize::from(self.candidates).min(len) {
+            let place = walk(pool, (start + step * stride) % len)?;
             let fullness = pool.fullness(place);
             if fullness < least {
                 (best, least) = (place, fullness);
