--- a/tests/failures/calls.rs
+++ b/tests/failures/calls.rs
@@ -1,4 +1,4 @@
-//! Keyed orders while nodes are killed and paused, the log fails and routes move.
+//! Keyed orders while nodes are killed and paused, network and log fail, and routes move.
 
 use std::time;
 
@@ -6,6 +6,7 @@
 use dandelionspool::bench::fleet;
 use dandelionspool::bench::load;
 use dandelionspool::proxy::headers;
+use dandelionspool::standin::fault::rules;
 use dandelionspool::standin::http;
 use http_body_util::Full;
 use rand::RngExt as _;
@@ -22,12 +23,39 @@
 /// Calls a second; with repeats by callers more than 10,000 in all.
 const RATE: f64 = 350.0;
 const SECONDS: f64 = 30.0;
+/// Ports of a host, counted from its base port.
+const INNER: u16 = 2;
+const CALLS: u16 = 3;
 
 fn plan() -> fleet::Plan {
     fleet::Plan::new(bed::programs())
         .group(fleet::Group::new("shop", UPSTREAMS).mean_ms(4.0))
         .group(fleet::Group::new("desk", UPSTREAMS).mean_ms(4.0))
         .hosts(ENTRIES)
+        .faults()
+}
+
+/// What goes wrong on the network in this turn: everything a little, one host cut off, one host
+/// half-open for other nodes, or answers to the callers of one host cut short.
+fn rules(fleet: &fleet::Fleet, turn: usize) -> Vec<rules::Rule> {
+    let to = vec![fleet.hosts()[turn * 7 % fleet.hosts().len()].base()];
+    let faults = rules::Faults::default();
+    let slow = rules::Faults { delay_ms: 2, jitter_ms: 20, loss: 0.1, twice: 0.1, ..faults };
+    let one = match turn % 4 {
+        0 => rules::Rule { faults: slow, ..Default::default() },
+        1 => {
+            rules::Rule { to, faults: rules::Faults { cut: true, ..faults }, ..Default::default() }
+        }
+        2 => {
+            let faults = rules::Faults { hang: true, ..faults };
+            rules::Rule { to, ports: vec![INNER], faults, ..Default::default() }
+        }
+        _ => {
+            let faults = rules::Faults { cut_after: 30_000, ..faults };
+            rules::Rule { to, ports: vec![CALLS], faults, ..Default::default() }
+        }
+    };
+    vec![one]
 }
 
 fn orders(fleet: &fleet::Fleet) -> load::Plan {
@@ -41,7 +69,7 @@
         .keep()
 }
 
-/// Kills, pauses, fails and publishes in turn until `end`; leaves everything running.
+/// Kills, pauses, cuts, fails and publishes in turn until `end`; leaves everything running.
 async fn trouble(fleet: &mut fleet::Fleet, mut version: u64, end: time::Instant) -> u64 {
     let mut rng = SmallRng::seed_from_u64(5);
     let count = fleet.hosts().len();
@@ -52,6 +80,7 @@
         if paused != killed {
             fleet.pause(paused, fleet::Part::Node).unwrap();
         }
+        fleet.rules(&rules(fleet, turn)).await.unwrap();
         let outage = if turn % 2 == 0 { "none" } else { ["refuse", "hang"][turn / 2 % 2] };
         let faults = json!({ "lose_share": 0.2, "seed": turn, "outage": outage });
         fleet.log_faults(&faults).await.unwrap();
@@ -68,6 +97,7 @@
         tokio::time::sleep(time::Duration::from_millis(1000)).await;
     }
     fleet.log_faults(&json!({})).await.unwrap();
+    fleet.rules(&[]).await.unwrap();
     version
 }
 
--- a/tests/failures/mesh.rs
+++ b/tests/failures/mesh.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use dandelionspool::bench::fleet;
+use dandelionspool::standin::fault::rules;
 use serde_json::json;
 
 use crate::bed;
@@ -40,8 +41,10 @@
 }
 
 #[tokio::test]
-async fn versions_never_go_back_while_nodes_are_killed_and_paused() {
-    let (mut fleet, mut version) = bed::start(plan()).await;
+async fn versions_never_go_back_while_nodes_are_killed_and_paused_and_datagrams_lost() {
+    let (mut fleet, mut version) = bed::start(plan().faults()).await;
+    let bad = rules::Faults { jitter_ms: 30, loss: 0.2, twice: 0.1, ..Default::default() };
+    fleet.rules(&[rules::Rule { faults: bad, ..Default::default() }]).await.unwrap();
     let mut seen = Seen::default();
     for turn in 1..=10 {
         let (killed, paused) = (turn % HOSTS, (turn * 5 + 3) % HOSTS);
