feat(burn): report burn rates, usage and status with the nodes heard from

Cause: operators had no view of objectives, charges or versions. Ruled out: keeping every minute of a month (155 buckets a service in four rings do); sending buckets between nodes (sums by window add up); a report that waits for silent hosts or hides them (PARTIAL, with names); a date library for one line of output.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -74,10 +74,12 @@
         (&http::Method::GET, "/metrics") => reply::text(reply::OPENMETRICS, state.metrics()),
         (&http::Method::GET, "/status") if whole => mesh_status(state).await,
         (&http::Method::GET, "/status") => reply::json(http::StatusCode::OK, &state.status()),
+        (&http::Method::GET, "/burn") if whole => mesh_burn(state).await,
+        (&http::Method::GET, "/burn") => reply::json(http::StatusCode::OK, &state.burn()),
         (&http::Method::PUT | &http::Method::DELETE, "/upstream") => {
             upstream(state, peer, request).await
         }
-        (_, "/live" | "/ready" | "/metrics" | "/status" | "/upstream") => {
+        (_, "/burn" | "/live" | "/ready" | "/metrics" | "/status" | "/upstream") => {
             reply::refuse(Refusal::Method)
         }
         _ => reply::refuse(Refusal::Path),
@@ -101,6 +103,13 @@
     }
 }
 
+async fn mesh_burn(state: &shell::State) -> Reply {
+    match state.mesh_burn().await {
+        Some(report) => reply::json(http::StatusCode::OK, &report),
+        None => reply::refuse(Refusal::Busy),
+    }
+}
+
 async fn upstream(
     state: &shell::State,
     peer: net::IpAddr,
--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -12,6 +12,7 @@
 use tokio::task;
 
 use crate::admin::{self, announce, ask, calls, metrics, scatter, server, status, whole};
+use crate::burn::{book, report};
 use crate::clock::Clock as _;
 use crate::configs;
 use crate::context;
@@ -71,6 +72,7 @@
     stage: watch::Receiver<node::Stage>,
     traffic: Arc<traffic::Traffic>,
     desk: RefCell<announce::Desk>,
+    book: RefCell<book::Book>,
     /// When the applied configuration was seen, in milliseconds since the Unix epoch.
     applied_unix_ms: Cell<Option<u64>>,
     reports: Semaphore,
@@ -128,6 +130,7 @@
             address.ip(),
             time::Duration::from_millis(settings.admin.lease_ms),
         )),
+        book: RefCell::new(book::Book::new(ctx.clock.unix_millis())),
         applied_unix_ms: Cell::new(None),
         reports: Semaphore::new(REPORTS),
     });
@@ -136,7 +139,7 @@
         task::spawn_local(server::accept(listener, Rc::clone(&state), connections)),
         task::spawn_local(follow(Rc::clone(&state))),
     ];
-    let mut counting = task::spawn_local(count(tallies, calls, usage));
+    let mut counting = task::spawn_local(count(Rc::clone(&state), tallies, calls, usage));
     // A dropped sender means that the process ends, too.
     let _ = stage.wait_for(|&stage| stage == node::Stage::End).await;
     // The call path ends at the same time and hands over its last counts.
@@ -169,12 +172,14 @@
 
 /// Takes what the call path counted, until the call path has ended.
 async fn count(
+    state: Rc<State>,
     mut tallies: ring::Receiver<usage::Delta>,
     calls: calls::Calls,
     ledger: ring::Sender<usage::Delta>,
 ) {
     while let Some(delta) = tallies.recv().await {
         calls.add(&delta);
+        state.book.borrow_mut().add(&delta, state.ctx.clock.unix_millis());
         // While the ledger is behind, the counts wait in the ring before this one, and in the
         // call path's tally.
         if ledger.send(delta).await.is_err() {
@@ -262,6 +267,21 @@
         Some(whole::mesh(&gathered.answers, missing, self.ctx.clock.unix_millis()))
     }
 
+    /// What this node counted for the objectives of its configuration.
+    pub fn burn(&self) -> book::Page {
+        let mesh = Arc::clone(&self.applied.borrow().mesh);
+        self.book.borrow().page(&mesh, self.ctx.clock.unix_millis())
+    }
+
+    /// The report on service levels; `None` when too many such reports are being made.
+    pub async fn mesh_burn(&self) -> Option<report::Report> {
+        let _place = self.reports.try_acquire().ok()?;
+        let mut gathered = self.gather::<book::Page>("/burn").await;
+        gathered.answers.insert(0, self.burn());
+        let missing = gathered.missing.iter().map(|h| smol_str::format_smolstr!("{h}"));
+        Some(report::report(&gathered.answers, missing.collect()))
+    }
+
     /// Asks all other nodes for `path`.
     async fn gather<T: serde::de::DeserializeOwned>(&self, path: &str) -> scatter::Gathered<T> {
         let hosts = scatter::others(&self.view.borrow(), self.host);
--- /dev/null
+++ b/src/cli/ask/tests.rs
@@ -0,0 +1,25 @@
+//! Tests of what the reports share.
+
+use rstest::rstest;
+
+use super::{coverage, moment};
+use crate::admin::whole;
+
+#[rstest]
+#[case(0, "1970-01-01T00:00:00Z")]
+#[case(951_782_400_000, "2000-02-29T00:00:00Z")]
+#[case(951_868_800_000, "2000-03-01T00:00:00Z")]
+#[case(1_735_689_599_000, "2024-12-31T23:59:59Z")]
+#[case(4_107_542_400_000, "2100-03-01T00:00:00Z")]
+fn moments_are_utc(#[case] unix_ms: u64, #[case] text: &str) {
+    assert_eq!(moment(unix_ms), text);
+}
+
+#[test]
+fn a_partial_report_names_who_is_missing() {
+    let whole = whole::Coverage::new(3, Vec::new());
+    assert_eq!(coverage(&whole), "heard from 3 of 3 nodes\n");
+    let partial = whole::Coverage::new(3, vec!["10.0.0.1:7100".into()]);
+    let text = coverage(&partial);
+    assert_eq!(text, "PARTIAL: heard from 3 of 4 nodes; no answer from 10.0.0.1:7100\n");
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 
+pub mod ask;
 pub mod check;
 pub mod exit;
 pub mod local;
