--- a/benches/claim.rs
+++ b/benches/claim.rs
@@ -17,7 +17,7 @@
 fn entry(n: u64) -> Entry {
     let host = net::SocketAddr::from(([10, 0, (n % 11) as u8, (n % 251) as u8], 7100));
     let attempt = Attempt { host: host::HostId::new(host), incarnation: 3, number: 1_000_000 + n };
-    Entry { key: Key::new("shop", &n.to_le_bytes()), attempt, op: Op::Claim }
+    Entry { key: Key::new("POST", "/gifts", &n.to_le_bytes()), attempt, op: Op::Claim }
 }
 
 /// A group of claims from the questions to the answers, with the log answering at once.
