docs: describe configuration and settings in tables that tests keep true

Cause: operators need each field with its default, unit, range and meaning, and a page written by hand drifts from the program. Ruled out: pages made by a build step, as a page in the tree can be read without a build; comparing names only, which lets defaults and ranges drift. Conclusion: the schema is the source of docs/CONFIGURATION.md; defaults, ranges and doc comments of the settings are the source of docs/SETTINGS.md.

--- a/src/configs/local.rs
+++ b/src/configs/local.rs
@@ -180,7 +180,8 @@
     }
 }
 
-const LIMITS: &[limits::Limit] = &[
+/// Range of each number that is not a setting of the nodes.
+pub const LIMITS: &[limits::Limit] = &[
     limits::Limit { pointer: "/upstream_port", least: 1, most: u16::MAX as u64 - 1 },
     limits::Limit { pointer: "/log/appends", least: 1, most: 1_000_000 },
     limits::Limit { pointer: "/log/retention_s", least: 1, most: 10 * 366 * 86_400 },
--- /dev/null
+++ b/tests/reference_pages.rs
@@ -0,0 +1,183 @@
+//! Keeps the tables of docs/CONFIGURATION.md and docs/SETTINGS.md true: each is made here from the
+//! schema, or from the defaults, ranges and doc comments of the settings, and compared as a whole.
+//! When one differs, the failure prints the table to put into the page.
+
+use std::collections;
+use std::fs;
+use std::path;
+
+use dandelionspool::configs;
+use dandelionspool::configs::limits;
+use dandelionspool::configs::local;
+use rstest::rstest;
+use serde::Serialize;
+use serde_json::Value;
+
+fn read(name: &str) -> String {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    fs::read_to_string(root.join(name)).unwrap()
+}
+
+/// The rows of the table of `page` whose first column is headed `heading`.
+fn table(page: &str, heading: &str) -> String {
+    let page = read(page);
+    let start = page.find(&format!("| {heading} |")).expect("a table with this heading");
+    page[start..]
+        .lines()
+        .skip(2)
+        .take_while(|l| l.starts_with('|'))
+        .map(|l| format!("{l}\n"))
+        .collect()
+}
+
+/// The unit that the end of a field's name says.
+fn unit(name: &str) -> &'static str {
+    let units = [
+        ("_ms", "ms"),
+        ("_s", "s"),
+        ("_days", "days"),
+        ("_bytes", "bytes"),
+        ("_percent", "%"),
+        ("_share", "share"),
+        ("availability", "share"),
+    ];
+    units.iter().find(|(end, _)| name.ends_with(end)).map_or("", |(_, unit)| unit)
+}
+
+fn row(cells: [&str; 5]) -> String {
+    let [name, default, unit, range, meaning] = cells;
+    format!("| `{name}` | {default} | {unit} | {range} | {meaning} |\n")
+}
+
+fn code(value: &Value) -> String {
+    format!("`{value}`")
+}
+
+/// The rows for the fields of the object `schema`, which stand at `place`.
+fn schema_rows(root: &Value, schema: &Value, place: &str, rows: &mut String) {
+    for (name, field) in schema["properties"].as_object().unwrap() {
+        let target = follow(root, field);
+        let required =
+            schema["required"].as_array().is_some_and(|r| r.contains(&name.as_str().into()));
+        let default = match (field.get("default"), required) {
+            (Some(default), _) => code(default),
+            (None, true) => "required".to_owned(),
+            (None, false) => "none".to_owned(),
+        };
+        let full = format!("{place}{name}");
+        let meaning = field["description"].as_str().unwrap();
+        rows.push_str(&row([&full, &default, unit(name), &schema_range(root, target), meaning]));
+        if target["type"] == "object" {
+            schema_rows(root, target, &format!("{full}."), rows);
+        }
+        let items = target.get("items").map(|items| follow(root, items));
+        if let Some(items) = items.filter(|items| items["type"] == "object") {
+            schema_rows(root, items, &format!("{full}[]."), rows);
+        }
+    }
+}
+
+/// What `$ref` in `schema` leads to, or `schema` itself.
+fn follow<'a>(root: &'a Value, schema: &'a Value) -> &'a Value {
+    let target = schema.get("$ref").and_then(Value::as_str);
+    target.map_or(schema, |t| root.pointer(&t[1..]).unwrap())
+}
+
+fn schema_range(root: &Value, schema: &Value) -> String {
+    let of = |key: &str| schema.get(key);
+    if let (Some(least), Some(most)) = (of("minimum"), of("maximum")) {
+        return if least == most { least.to_string() } else { format!("{least} to {most}") };
+    }
+    if let (Some(least), Some(most)) = (of("exclusiveMinimum"), of("exclusiveMaximum")) {
+        return format!("between {least} and {most}");
+    }
+    if let Some(most) = of("maxItems") {
+        let least = of("minItems").map_or("0".to_owned(), Value::to_string);
+        let options = follow(root, &schema["items"]).get("enum");
+        let options = options.map_or(String::new(), |o| format!(" of `{o}`"));
+        return format!("{least} to {most} items{options}");
+    }
+    match schema["type"].as_str().unwrap() {
+        "boolean" => "`true`, `false`".to_owned(),
+        "string" => format!("`{}`", schema["pattern"].as_str().unwrap().replace('|', "\\|")),
+        _ => String::new(),
+    }
+}
+
+#[test]
+fn the_configuration_page_shows_the_schema() {
+    let root: Value = serde_json::from_str(&read("schema/configuration.json")).unwrap();
+    let mut rows = String::new();
+    schema_rows(&root, &root, "", &mut rows);
+    assert!(table("docs/CONFIGURATION.md", "field") == rows, "the table has to be\n{rows}");
+}
+
+/// Doc comments of the public fields of the struct called `name` in the file `source`.
+fn docs(source: &str, name: &str) -> collections::BTreeMap<String, String> {
+    let source = read(source);
+    let start = source.find(&format!("pub struct {name} {{")).unwrap();
+    let mut docs = collections::BTreeMap::new();
+    let mut doc: Vec<&str> = Vec::new();
+    for line in source[start..].lines().skip(1).map(str::trim).take_while(|l| *l != "}") {
+        if let Some(text) = line.strip_prefix("/// ") {
+            doc.push(text);
+        } else if let Some((field, _)) = line.strip_prefix("pub ").and_then(|l| l.split_once(':')) {
+            docs.insert(field.to_owned(), doc.join(" "));
+            doc.clear();
+        }
+    }
+    docs
+}
+
+/// Rows for the settings `defaults`, the struct called `name` in the file `source`, at `place`.
+fn settings_rows<T: Serialize>(
+    defaults: &T,
+    (source, name): (&str, &str),
+    place: &str,
+    limits: &[limits::Limit],
+) -> String {
+    let docs = docs(source, name);
+    let tree = serde_json::to_value(defaults).unwrap();
+    let fields = tree.as_object().unwrap().iter();
+    let fields = fields.filter(|(_, value)| value.as_object().is_none_or(|o| o.is_empty()));
+    let line = |(field, value): (&String, &Value)| {
+        let full = format!("{place}{field}");
+        let pointer = format!("/{}", full.replace('.', "/"));
+        let limit = limits.iter().find(|l| l.pointer == pointer);
+        let range = limit.map_or(String::new(), |l| format!("{} to {}", l.least, l.most));
+        row([&full, &code(value), unit(field), &range, &docs[field]])
+    };
+    fields.map(line).collect()
+}
+
+/// The rows for every setting of a node.
+fn node_rows() -> String {
+    let node = configs::Node::default();
+    let mut rows = settings_rows(&node, ("src/configs/mod.rs", "Node"), "", limits::NODE);
+    let tree = serde_json::to_value(&node).unwrap();
+    for (section, fields) in tree.as_object().unwrap().iter().filter(|(_, v)| v.is_object()) {
+        let name = format!("{}{}", section[..1].to_uppercase(), &section[1..]);
+        let source = format!("src/configs/{section}.rs");
+        let place = format!("{section}.");
+        rows.push_str(&settings_rows(fields, (&source, &name), &place, limits::NODE));
+    }
+    rows
+}
+
+/// The rows for every setting of a whole small mesh but those of its nodes.
+fn local_rows() -> String {
+    let source = "src/configs/local.rs";
+    let local = local::Local::default();
+    let mut rows = settings_rows(&local, (source, "Local"), "", local::LIMITS);
+    rows.push_str(&settings_rows(&local.log, (source, "Log"), "log.", local::LIMITS));
+    let group = local::Group::default();
+    rows.push_str(&settings_rows(&group, (source, "Group"), "upstreams.CLASS.", &[]));
+    rows
+}
+
+#[rstest]
+#[case::node("setting", node_rows())]
+#[case::local("setting of `local`", local_rows())]
+fn the_settings_page_shows_the_defaults(#[case] heading: &str, #[case] rows: String) {
+    assert!(table("docs/SETTINGS.md", heading) == rows, "the table has to be\n{rows}");
+}
