docs(spread): name private modules without links in the public page

Cause: the page of the decisions linked to two private modules, and `cargo doc` with warnings denied failed on it. Ruled out: making the modules public for a link.

--- a/src/spread/decision.rs
+++ b/src/spread/decision.rs
@@ -1,7 +1,7 @@
 //! The decisions of the distribution: a state machine without sockets, clock or threads.
 //!
-//! This file holds the state and takes events apart; [`crate::spread::learn`] decides what follows
-//! from a version newly held, [`crate::spread::answer`] what follows from other nodes' messages.
+//! This file holds the state and takes events apart; `learn` decides what follows
+//! from a version newly held, `answer` what follows from other nodes' messages.
 
 use std::collections;
 use std::fmt;
