test(fold): prove in virtual time that a log that forgets loses no version

Cause: records expire; a node that joins after the version's record has expired must come to it, and a reader of a long log must read little of it. Conclusion: the tests of the fold are one program now, tests/fold; the tests that stood in tests/fold.rs have moved there unchanged.

--- /dev/null
+++ b/tests/fold/main.rs
@@ -0,0 +1,6 @@
+//! Acceptance of configurations: verdicts, snapshots and readers of the log.
+
+mod follow;
+mod history;
+mod snapshot;
+mod verdict;
--- a/tests/fold.rs
+++ b/tests/fold/verdict.rs
@@ -1,12 +1,10 @@
 //! The fold comes to the same verdicts wherever a reader starts, and never goes back.
 
-mod history;
-
+use crate::history::{self, History, NEWEST, OLDER, Toy};
 use bytes::Bytes;
 use dandelionspool::fold::{self, Verdict, record};
 use dandelionspool::logs::{self, wire};
 use dandelionspool::version::Version;
-use history::{History, NEWEST, OLDER, Toy};
 use proptest::prelude::*;
 
 /// Reads after which a reader should long have come to the end.
