--- /dev/null
+++ b/benches/delta.rs
@@ -0,0 +1,23 @@
+//! Time to make and to restore the patch of one changed route in a file of 370 services.
+
+#[path = "../tests/fixture/mod.rs"]
+mod fixture;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use dandelionspool::delta;
+use dandelionspool::version::Digest;
+
+fn patches(criterion: &mut Criterion) {
+    let (base, next) = (fixture::file(None), fixture::file(Some(185)));
+    let digest = Digest::of(&next);
+    for (name, base) in [("delta", Some(&base[..])), ("whole", None)] {
+        let patch = delta::make(base, &next);
+        criterion.bench_function(&format!("make {name}"), |b| b.iter(|| delta::make(base, &next)));
+        criterion.bench_function(&format!("restore {name}"), |b| {
+            b.iter(|| delta::restore(base, &patch, digest));
+        });
+    }
+}
+
+criterion_group!(benches, patches);
+criterion_main!(benches);
--- a/src/delta/frame.rs
+++ b/src/delta/frame.rs
@@ -7,9 +7,13 @@
 
 use crate::delta;
 
-/// Compression level: the smallest deltas that still take milliseconds, by measurement.
+/// Compression level of whole files: the smallest result that takes milliseconds, by measurement.
 const LEVEL: i32 = 9;
 
+/// Compression levels tried for deltas. The low one is smaller for a change in place; it fails to
+/// find the rest of the base again after an insertion, where the high one does.
+const DELTA_LEVELS: [i32; 2] = [3, 9];
+
 /// Base-2 logarithm of the window, which spans a base and a next file of the largest size.
 const WINDOW_LOG: u32 = 21;
 
@@ -18,9 +22,15 @@
     finish(write::Encoder::new(Vec::new(), LEVEL)?, file)
 }
 
-/// `next` compressed with `base` as its prefix.
+/// `next` compressed with `base` as its prefix, at the level that gives the smallest result.
 pub fn compress_against(base: &[u8], next: &[u8]) -> io::Result<Bytes> {
-    finish(write::Encoder::with_ref_prefix(Vec::new(), LEVEL, base)?, next)
+    let [low, high] = DELTA_LEVELS.map(|level| compress_at(level, base, next));
+    let (low, high) = (low?, high?);
+    Ok(if low.len() <= high.len() { low } else { high })
+}
+
+fn compress_at(level: i32, base: &[u8], next: &[u8]) -> io::Result<Bytes> {
+    finish(write::Encoder::with_ref_prefix(Vec::new(), level, base)?, next)
 }
 
 /// The file that [`compress`] was given.
--- a/tests/delta.rs
+++ b/tests/delta.rs
@@ -1,9 +1,18 @@
 //! Deltas restore files to the byte, and nothing else.
 
+mod fixture;
+
 use bytes::Bytes;
 use dandelionspool::delta::{self, Patch};
 use dandelionspool::version::Digest;
 use proptest::prelude::*;
+use rstest::rstest;
+
+/// Most bytes of a delta of one route in a file of 370 services; 61 were measured.
+const ROUTE_BYTES: usize = 64;
+
+/// Most bytes of a delta that adds a route to it; 98 were measured.
+const ADDED_BYTES: usize = 104;
 
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(200))]
@@ -53,3 +62,34 @@
     let error = delta::restore(None, &patch, Digest::of(&large)).unwrap_err();
     assert!(matches!(error, delta::Error::Frame(_)), "{error:?}");
 }
+
+fn delta_size(base: &[u8], next: &[u8]) -> usize {
+    let patch = delta::make(Some(base), next);
+    assert!(matches!(patch, Patch::Delta(_)));
+    assert_eq!(delta::restore(Some(base), &patch, Digest::of(next)).unwrap(), next);
+    patch.size()
+}
+
+#[rstest]
+#[case(0)]
+#[case(185)]
+#[case(369)]
+fn a_change_of_one_route_takes_few_bytes(#[case] service: usize) {
+    let (base, next) = (fixture::file(None), fixture::file(Some(service)));
+    dandelionspool::mesh::check::check(&next).unwrap();
+    let (delta, whole) = (delta_size(&base, &next), delta::make(None, &next).size());
+    assert!(delta <= ROUTE_BYTES, "{delta} bytes");
+    assert!(100 * delta <= whole, "{delta} bytes of {whole}");
+}
+
+#[test]
+fn a_route_added_in_the_middle_takes_few_bytes() {
+    let base = String::from_utf8(fixture::file(None)).unwrap();
+    let name = base.find("\"browse-200\"").unwrap();
+    let place = base[..name].rfind("    {").unwrap();
+    let route = "    {\n      \"name\": \"extra\",\n      \"path\": \"/v1/extra\",\n      \
+                 \"service\": \"service-7\",\n      \"kind\": \"browse\"\n    },\n";
+    let next = format!("{}{route}{}", &base[..place], &base[place..]);
+    let delta = delta_size(base.as_bytes(), next.as_bytes());
+    assert!(delta <= ADDED_BYTES, "{delta} bytes");
+}
