--- a/src/bench/policies/tests.rs
+++ b/src/bench/policies/tests.rs
@@ -19,3 +19,34 @@
     let figures = || format!("{:?}", run(case::Fault::Slow, percent));
     assert_eq!(figures(), figures());
 }
+
+#[rstest]
+#[case::healthy(case::Fault::None)]
+#[case::lying(case::Fault::Lying)]
+#[case::many_entries(case::Fault::Many)]
+fn twice_the_load_costs_light_calls_only(#[case] fault: case::Fault) {
+    let figures = run(fault, 200);
+    assert!(figures.goodput >= 0.95, "{figures:?}");
+    assert!(figures.orders >= 0.99, "{figures:?}");
+    assert!(figures.attempts <= 1.1, "{figures:?}");
+    assert!(figures.refused_p99_us <= 10_000, "{figures:?}");
+}
+
+#[test]
+fn an_outage_costs_at_most_a_tenth_more_attempts() {
+    let figures = run(case::Fault::Outage, 90);
+    assert!(figures.attempts <= 1.1, "{figures:?}");
+    assert_eq!(figures.unknown, 0);
+}
+
+#[test]
+fn a_dead_upstream_costs_callers_nothing_at_half_load() {
+    let figures = run(case::Fault::Dead, 50);
+    assert_eq!((figures.refused, figures.unknown), (0, 0), "{figures:?}");
+}
+
+#[test]
+fn a_slow_upstream_costs_at_most_half_of_the_tail_at_half_load() {
+    let (slow, healthy) = (run(case::Fault::Slow, 50), run(case::Fault::None, 50));
+    assert!(slow.p99_us * 2 <= healthy.p99_us * 3, "{slow:?} against {healthy:?}");
+}
