--- a/src/bench/capacity/table.rs
+++ b/src/bench/capacity/table.rs
@@ -1,11 +1,13 @@
 //! The capacity table: each role at the size to design for.
 
 use std::fmt::Write as _;
+use std::mem;
 
 use serde::Serialize;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::bench::capacity::measures::{Figure, Measures, Missing};
+use crate::pick;
 
 /// Upstreams, each with its node.
 const NODES: f64 = 2800.0;
@@ -58,10 +60,18 @@
 fn calls(m: &Measures, rows: &mut Vec<Row>) -> Result<(), Missing> {
     let rate = Figure::given(CALLS / NODES);
     let entry = m.get("entry_cpu_us")? * rate * 1e-6;
-    rows.push(row("entry", "processor", cores(entry), "", entry, "one thread, no ring on the path"));
+    rows.push(row(
+        "entry",
+        "processor",
+        cores(entry),
+        "",
+        entry,
+        "one thread, no ring on the path",
+    ));
     let owner = m.get("owner_cpu_us")? * rate * 1e-6;
     rows.push(row("owner", "processor", cores(owner), "", owner, "gate beside the upstream"));
-    let table = m.get("pick_peer_bytes")? * NODES + m.get("mesh_service_bytes")? * SERVICES;
+    let peer = Figure::given(mem::size_of::<pick::Peer>() as f64);
+    let table = peer * NODES + m.get("mesh_service_bytes")? * SERVICES;
     rows.push(row("entry", "state", megabytes(table), "64 MB", table, "arena of peers, one swap"));
     Ok(())
 }
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -10,6 +10,7 @@
 use crate::cli::exit;
 
 pub mod calls;
+pub mod capacity;
 pub mod converge;
 pub mod fault;
 pub mod fleet;
@@ -25,6 +26,9 @@
     /// Measure calls through nodes: service, latency, attempts, refusals
     #[bpaf(command)]
     Calls(#[bpaf(external(calls::args))] calls::Args),
+    /// Work out the capacity table from a file of measurements
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity::args))] capacity::Args),
     /// Measure how fast and at what cost an accepted version reaches every node
     #[bpaf(command)]
     Converge(#[bpaf(external(converge::args))] converge::Args),
@@ -57,6 +61,7 @@
 fn run(command: Command) -> Result<(), exit::Failure> {
     match command {
         Command::Calls(args) => calls::run(&args),
+        Command::Capacity(args) => capacity::run(&args),
         Command::Converge(args) => converge::run(&args),
         Command::Fault(args) => fault::run(&args),
         Command::Load(args) => load::run(&args),
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -41,3 +41,28 @@
     listed.remove("crate");
     assert_eq!(listed, declared());
 }
+
+/// All test sources of the tree, as one text.
+fn tests(dir: &path::Path, text: &mut String) {
+    for entry in fs::read_dir(dir).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            tests(&path, text);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            text.push_str(&fs::read_to_string(&path).unwrap());
+        }
+    }
+}
+
+#[rstest]
+fn every_test_named_in_the_promises_exists() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut text = String::new();
+    tests(&root.join("src"), &mut text);
+    tests(&root.join("tests"), &mut text);
+    let page = read("docs/PROMISES.md");
+    let names: Vec<_> = page.split('`').skip(1).step_by(2).filter(|n| n.contains('_')).collect();
+    assert!(names.len() > 20);
+    let missing: Vec<_> = names.iter().filter(|n| !text.contains(&format!("fn {n}("))).collect();
+    assert!(missing.is_empty(), "no such tests: {missing:?}");
+}
