feat(cli): let publish follow its version until every node runs it

Cause: an operator who has published wants to know when the fleet follows; the verdict alone does not say. Ruled out: following by the log, which does not know who runs what. Conclusion: cli::follow, a bar on a terminal and JSON lines elsewhere.

--- /dev/null
+++ b/src/cli/follow.rs
@@ -0,0 +1,115 @@
+//! Follows a version until every node runs it: a bar on a terminal, JSON lines elsewhere.
+
+use std::io::{self, IsTerminal as _};
+use std::net;
+use std::thread;
+use std::time;
+
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use serde::Serialize;
+
+use crate::admin::whole;
+use crate::cli::{ask, exit};
+use crate::version;
+
+/// Time between two looks at the mesh.
+const LOOK: time::Duration = time::Duration::from_millis(200);
+
+/// Why following ended before every node ran the version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// Time is up.
+    #[error("version {version} runs on {running} of {hosts} nodes after the allowed time")]
+    Late {
+        /// The version followed.
+        version: version::Version,
+        /// Nodes that run it or a later one.
+        running: u32,
+        /// Nodes that are known.
+        hosts: u32,
+    },
+}
+
+/// How far a version has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Progress {
+    /// The version followed.
+    pub version: u64,
+    /// Nodes that run it or a later one.
+    pub running: u32,
+    /// Nodes that are known.
+    pub hosts: u32,
+    /// Nodes that answered; one that did not is not counted as running.
+    pub heard: u32,
+}
+
+impl Progress {
+    /// How far `version` has come in `mesh`.
+    pub fn new(version: version::Version, mesh: &whole::Mesh) -> Self {
+        let rows = mesh.running.iter().filter(|row| row.version >= version.number());
+        Self {
+            version: version.number(),
+            running: rows.map(|row| row.nodes).sum(),
+            hosts: mesh.coverage.hosts,
+            heard: mesh.coverage.heard,
+        }
+    }
+
+    /// Whether every known node runs the version.
+    pub const fn done(&self) -> bool {
+        self.running >= self.hosts
+    }
+}
+
+/// Asks `node` until all nodes run `version`, for `limit` at most.
+///
+/// # Errors
+///
+/// The node can't be reached, or time is up.
+pub fn follow(
+    node: net::SocketAddr,
+    version: version::Version,
+    limit: time::Duration,
+) -> Result<(), exit::Failure> {
+    let end = time::Instant::now() + limit;
+    let shown = Shown::new();
+    loop {
+        let progress = Progress::new(version, &ask::node(node, "/status?mesh=1")?);
+        shown.show(&progress);
+        if progress.done() {
+            return Ok(());
+        }
+        if time::Instant::now() >= end {
+            let Progress { running, hosts, .. } = progress;
+            return Err(exit::Failure::Refused(Error::Late { version, running, hosts }.into()));
+        }
+        thread::sleep(LOOK);
+    }
+}
+
+/// Where progress is shown.
+struct Shown(Option<ProgressBar>);
+
+impl Shown {
+    fn new() -> Self {
+        if !io::stderr().is_terminal() {
+            return Self(None);
+        }
+        let bar = ProgressBar::with_draw_target(None, ProgressDrawTarget::stderr());
+        let style = ProgressStyle::with_template("{bar:40} {pos} of {len} nodes {msg}");
+        Self(Some(match style {
+            Ok(style) => bar.with_style(style),
+            Err(_) => bar,
+        }))
+    }
+
+    fn show(&self, progress: &Progress) {
+        let Some(bar) = &self.0 else {
+            println!("{}", serde_json::json!(progress));
+            return;
+        };
+        bar.set_length(progress.hosts.into());
+        bar.set_position(progress.running.into());
+        bar.set_message(format!("run version {}", progress.version));
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod check;
 pub mod exit;
+pub mod follow;
 pub mod local;
 pub mod logging;
 pub mod node;
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 
-use crate::cli::exit;
+use crate::cli::{exit, follow};
 use crate::configs;
 use crate::context;
 use crate::fold::{memory, record, rules, submit};
@@ -38,6 +38,12 @@
     /// Milliseconds to keep trying while the log service fails
     #[bpaf(argument("MILLISECONDS"), fallback(10_000), display_fallback)]
     pub wait_ms: u64,
+    /// Operators' port of any one node; follow the version until every node runs it
+    #[bpaf(argument("ADDRESS"), optional)]
+    pub follow: Option<net::SocketAddr>,
+    /// Milliseconds to follow the version
+    #[bpaf(argument("MILLISECONDS"), fallback(60_000), display_fallback)]
+    pub follow_ms: u64,
     /// Print the verdict as JSON
     pub json: bool,
     /// Configuration file
@@ -124,7 +130,8 @@
     match answer.outcome {
         memory::Outcome::Accepted(stamp) => {
             accepted(args, stamp, answer.repeated, publish_id);
-            Ok(())
+            let limit = time::Duration::from_millis(args.follow_ms);
+            args.follow.map_or(Ok(()), |node| follow::follow(node, stamp.version, limit))
         }
         memory::Outcome::Conflict { current } => {
             let base = args.base;
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -89,6 +89,12 @@
     starts
 }
 
+/// Line `index` of what a command printed; -1 is the last one.
+fn line(published: &fleet::Published, index: isize) -> &str {
+    let lines: Vec<_> = published.stdout.lines().collect();
+    lines[index.rem_euclid(lines.len() as isize) as usize]
+}
+
 async fn until_all_run(fleet: &fleet::Fleet, version: u64) {
     let end = time::Instant::now() + PATIENCE;
     for index in 0..fleet.hosts().len() {
@@ -138,9 +144,17 @@
     let file = fleet.dir().join("next.json");
     let text = fs::read_to_string(configuration()).unwrap();
     fs::write(&file, text.replace("\"/lists\"", "\"/registries\"")).unwrap();
-    let published = fleet.publish(&file, 1, &["--json"]).await.unwrap();
-    assert_eq!((published.code, published.version()), (0, Some(2)), "{published:?}");
-    until_all_run(&fleet, 2).await;
+    let node = fleet.hosts()[0].id.admin_addr().to_string();
+    let published = fleet.publish(&file, 1, &["--json", "--follow", &node]).await.unwrap();
+    assert_eq!(published.code, 0, "{published:?}");
+    let verdict: serde_json::Value = serde_json::from_str(line(&published, 0)).unwrap();
+    assert_eq!((&verdict["verdict"], &verdict["version"]), (&"accepted".into(), &2.into()));
+    let last: serde_json::Value = serde_json::from_str(line(&published, -1)).unwrap();
+    assert_eq!((&last["running"], &last["hosts"]), (&5.into(), &5.into()), "{published:?}");
+    // Followed to its end: no node is asked again before it runs the version.
+    for index in 0..5 {
+        assert_eq!(fleet.status(index).await.unwrap()["version"], 2);
+    }
     served(entry(&fleet), "/registries/7").await;
     let gone = http::get(entry(&fleet), "/lists/7", LIMIT).await.unwrap();
     assert_eq!(gone.status(), ::http::StatusCode::NOT_FOUND);
