--- a/tests/member/main.rs
+++ b/tests/member/main.rs
@@ -4,4 +4,5 @@
 mod faults;
 mod feed;
 mod net;
+mod presets;
 mod scenes;
