fix(claim): let a writer rest that has not read its stream to the end

Cause: while claims waited for a stream that was not read yet (a slow or hanging log, a writer taking over), the writer's next moment lay in the past and the ledger's loop turned without rest. Ruled out: a least pause in the loop, which would delay the groups. Conclusion: what can't be written yet waits for a read.

--- a/src/claim/tests/writer.rs
+++ b/src/claim/tests/writer.rs
@@ -192,3 +192,13 @@
     let actions = writer.handle(batch(2, &[again[0].1.clone()]), at(135));
     assert_eq!(answers(&actions), [(2, Answer::Claimed(claim::Verdict::First))]);
 }
+
+#[test]
+fn a_writer_that_has_not_read_its_stream_rests() {
+    let mut writer = Writer::new(LIMITS);
+    writer.handle(ask(1, entry(Op::Claim, 1, 1), 9000), at(100));
+    let wake = writer.wake().expect("a deadline to look at");
+    assert!(wake > at(100), "{wake:?}");
+    writer.handle(Event::Tick, wake);
+    assert!(writer.wake().expect("a deadline to look at") > wake);
+}
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -112,7 +112,9 @@
     /// When [`Event::Tick`] is due at the latest, if nothing else happens.
     pub fn wake(&self) -> Option<clock::Instant> {
         let waiters = (!self.pending.is_empty()).then(|| self.ticked + TICK);
-        let queued = !self.queue.is_empty() && self.flight.is_none();
+        // What can't be written yet waits for a read, not for a moment.
+        let ready = self.follower.current() && self.flight.is_none();
+        let queued = ready && !self.queue.is_empty();
         let queued = queued.then(|| self.free.max(self.appends.until()));
         let read = (!self.reading).then(|| self.reads.until());
         waiters.into_iter().chain(queued).chain(read).min()
