feat(bench): measure convergence and control bytes with real node processes

Cause: the users' two measures need figures from real processes, beside nodes that poll the log. Ruled out: reading the apply time from logs (the admin port tells it), asking the nodes while a change spreads (it disturbs what is measured; they are asked once, seconds later). Tests of single nodes: seen failing without the floor, the witness, the cap on transfers, the resending of pushes and the look at the log's tail (1 to 3 tests each). A parcel taken although older survives, since three places refuse it: its guard in Replica alone is not shown.

--- /dev/null
+++ b/src/bench/converge/baseline.rs
@@ -0,0 +1,157 @@
+//! What the distribution is measured against: every node polls the log itself.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use rand::RngExt;
+use serde::Serialize;
+use tokio::task;
+
+use crate::bench::converge::report;
+use crate::bench::converge::source;
+use crate::configs;
+use crate::fold::record;
+use crate::fold::rules;
+use crate::logs::{self, Service as _, http};
+use crate::traffic;
+use crate::version;
+
+/// Time between two polls of one node.
+pub const PERIOD: time::Duration = time::Duration::from_secs(1);
+
+/// Time given to a change to reach all.
+const PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+/// What every node polls the log for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The whole file, each time.
+    Whole,
+    /// The records since the last poll.
+    New,
+}
+
+/// Figures of a baseline.
+#[derive(Clone, Debug, Serialize)]
+pub struct Baseline {
+    /// What is polled for.
+    pub kind: Kind,
+    /// Time between two polls, in milliseconds.
+    pub period_ms: u64,
+    /// Time from acceptance until a node holds the version.
+    pub convergence_ms: report::Quantiles,
+    /// Bytes between log and nodes, a node a second.
+    pub node_bytes_s: f64,
+    /// Reads of the log a second by all nodes.
+    pub reads_s: f64,
+    /// Bytes sent by the log a second to all nodes.
+    pub read_bytes_s: f64,
+}
+
+struct Poller {
+    log: http::Client,
+    kind: Kind,
+    reads: Rc<atomic::AtomicU64>,
+    held: Rc<atomic::AtomicU64>,
+    seen: Rc<atomic::AtomicU64>,
+}
+
+impl Poller {
+    async fn run(self) {
+        let spread = PERIOD.mul_f64(rand::rng().random_range(0.0..1.0));
+        tokio::time::sleep(spread).await;
+        let mut cursor = 0;
+        loop {
+            let begin = tokio::time::Instant::now();
+            cursor = self.poll(cursor).await;
+            tokio::time::sleep_until(begin + PERIOD).await;
+        }
+    }
+
+    async fn poll(&self, cursor: logs::Offset) -> logs::Offset {
+        self.reads.fetch_add(1, atomic::Ordering::Relaxed);
+        let from = match self.kind {
+            Kind::Whole => cursor.saturating_sub(1),
+            Kind::New => cursor,
+        };
+        let wait = time::Duration::ZERO;
+        let Ok(batch) = self.log.read(logs::streams::CONFIG, from, 64, wait).await else {
+            return cursor;
+        };
+        let Some(last) = batch.records.last() else { return cursor };
+        let held = last.offset + 1;
+        if held > cursor && record::decode(&last.body, rules::NEWEST).is_ok() {
+            self.held.store(held, atomic::Ordering::Relaxed);
+            self.seen.store(report::unix_millis(), atomic::Ordering::Relaxed);
+        }
+        held
+    }
+}
+
+/// Measures one baseline with `nodes` nodes over `changes` changes.
+///
+/// # Errors
+///
+/// The log does not answer the operator.
+pub async fn measure(
+    kind: Kind,
+    nodes: usize,
+    changes: usize,
+    settings: &configs::log::Log,
+    operator: &mut source::Operator,
+) -> Result<Baseline, source::Error> {
+    let traffic = Arc::new(traffic::Traffic::default());
+    let reads = Rc::new(atomic::AtomicU64::new(0));
+    let mut tasks = task::JoinSet::new();
+    let mut polled = Vec::new();
+    for _ in 0..nodes {
+        let (held, seen) = (Rc::default(), Rc::default());
+        let log = http::Client::new(settings, Arc::clone(&traffic));
+        let reads = Rc::clone(&reads);
+        let poller = Poller { log, kind, reads, held: Rc::clone(&held), seen: Rc::clone(&seen) };
+        tasks.spawn_local(poller.run());
+        polled.push((held, seen));
+    }
+    tokio::time::sleep(PERIOD * 3).await;
+    let counts = traffic.of(traffic::Purpose::Log);
+    let load = |c: &traffic::Counts| {
+        let sent = c.sent.load(atomic::Ordering::Relaxed);
+        (sent, c.received.load(atomic::Ordering::Relaxed))
+    };
+    let (before, begin) = (load(counts), tokio::time::Instant::now());
+    let reads_before = reads.load(atomic::Ordering::Relaxed);
+    let mut took = Vec::new();
+    for _ in 0..changes {
+        let change = operator.publish().await?;
+        wait(&polled, change.version).await;
+        for (_, seen) in &polled {
+            let seen = seen.load(atomic::Ordering::Relaxed);
+            took.push(seen.saturating_sub(change.unix_millis));
+        }
+    }
+    let (after, span) = (load(counts), begin.elapsed().as_secs_f64());
+    let reads = (reads.load(atomic::Ordering::Relaxed) - reads_before) as f64;
+    let received = (after.1 - before.1) as f64;
+    Ok(Baseline {
+        kind,
+        period_ms: PERIOD.as_millis() as u64,
+        convergence_ms: report::Quantiles::of(took),
+        node_bytes_s: (received + (after.0 - before.0) as f64) / span / nodes as f64,
+        reads_s: reads / span,
+        read_bytes_s: received / span,
+    })
+}
+
+async fn wait(
+    polled: &[(Rc<atomic::AtomicU64>, Rc<atomic::AtomicU64>)],
+    version: version::Version,
+) {
+    let until = tokio::time::Instant::now() + PATIENCE;
+    let all = || polled.iter().all(|p| p.0.load(atomic::Ordering::Relaxed) >= version.number());
+    while !all() && tokio::time::Instant::now() < until {
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
--- a/src/spread/tests.rs
+++ b/src/spread/tests.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod net;
 mod orders;
+mod parts;
 mod source;
 mod tree;
 mod whole;
