--- a/src/configs/limits.rs
+++ b/src/configs/limits.rs
@@ -94,7 +94,7 @@
     limit("/proxy/retry_ms", 1, HOUR_MS),
     limit("/proxy/tally_ms", 1, HOUR_MS),
     limit("/spread/readers", 1, 16),
-    limit("/spread/standby_ms", 10, 60_000),
+    limit("/spread/standby_ms", 0, 60_000),
     limit("/spread/fanout", 1, 64),
     limit("/spread/ack_ms", 0, 60_000),
     limit("/spread/pushes", 1, 16),
--- a/src/configs/spread.rs
+++ b/src/configs/spread.rs
@@ -10,7 +10,8 @@
 pub struct Spread {
     /// Hosts in each availability zone that read the log: one follows it, the others stand by.
     pub readers: u8,
-    /// Time between two reads of a standby reader, in milliseconds.
+    /// Time between two reads of a standby reader, in milliseconds; 0 has it wait for records at the
+    /// end of the log as the one that follows does.
     pub standby_ms: u64,
     /// Hosts to which one host pushes a new version.
     pub fanout: u8,
@@ -52,7 +53,7 @@
     pub fn cascadia() -> Self {
         Self {
             readers: 2,
-            standby_ms: 250,
+            standby_ms: 0,
             fanout: 4,
             ack_ms: 40,
             pushes: 3,
