fix(proxy): answer requests that are on their way when the last call ends

Cause: a_planned_stop_of_a_node_cuts_no_call failed once under load: a try ended in a connection error 0.9 ms after it was sent. When nothing was in flight any more the entry closed its port and every idle connection at once, among them connections just accepted whose request had not been read yet. Ruled out: the library's graceful end alone, which closes an idle connection whatever is on its way; a longer linger_ms, which only moves the moment. Conclusion: for 100 ms more, connections are accepted and requests answered as not run. What arrives between the last accept and the closing of the port can still be cut; a caller sees a connection that took nothing.

--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -23,6 +23,10 @@
 /// Pause after a failed accept: the process is out of descriptors.
 const PAUSE: time::Duration = time::Duration::from_millis(10);
 
+/// How long connections are still accepted, and requests on idle ones still answered, after the
+/// last call has ended: what was on its way then is told "not run" in place of being cut.
+const LATE: time::Duration = time::Duration::from_millis(100);
+
 /// Becomes true when connections shall end as soon as they carry no call.
 pub type Closing = watch::Receiver<bool>;
 
@@ -46,6 +50,12 @@
     while let Some(stream) = accept(&listener, &mut closing, &mut open).await {
         open.spawn_local(caller(Rc::clone(&state), stream, closing.clone()));
     }
+    let late = tokio::time::Instant::now() + LATE;
+    while let Ok(accepted) = tokio::time::timeout_at(late, listener.accept()).await {
+        let Ok((stream, _)) = accepted else { break };
+        open.spawn_local(caller(Rc::clone(&state), stream, closing.clone()));
+    }
+    drop(listener);
     while open.join_next().await.is_some() {}
 }
 
@@ -104,9 +114,14 @@
         .max_headers(proxy.head_count)
         .serve_connection(TokioIo::new(stream), answers);
     let mut conn = std::pin::pin!(conn);
+    let late = async {
+        // A closed channel means the same as `true`.
+        let _ = closing.wait_for(|c| *c).await;
+        tokio::time::sleep(LATE).await;
+    };
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        _ = closing.wait_for(|c| *c) => {
+        () = late => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
--- a/tests/calls/drain.rs
+++ b/tests/calls/drain.rs
@@ -8,6 +8,8 @@
 use dandelionspool::usage;
 use dandelionspool::view;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net;
 
 use crate::fake;
 use crate::fake::Step;
@@ -55,6 +57,31 @@
     });
 }
 
+#[test]
+fn a_request_on_its_way_when_the_last_call_ends_is_still_answered() {
+    rig::run(async {
+        let fake = fake::Fake::start(slowly).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let call = rig::call(&nodes[0], rig::request("POST", "/orders", "long"), b"");
+        let mut stream = None;
+        let halt = async {
+            rig::until(|| fake.runs("long") == 1).await;
+            stop(&nodes[..1], node::Stage::Drain);
+            stream = Some(net::TcpStream::connect(nodes[0].id.call_addr()).await.unwrap());
+        };
+        let (whole, ()) = tokio::join!(call, halt);
+        assert_eq!(whole.outcome(), "ran");
+        // Nothing is in flight now, so that the node closes its port.
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+        let mut stream = stream.unwrap();
+        stream.write_all(b"GET /lists HTTP/1.1\r\nhost: a.example\r\n\r\n").await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+        assert!(answer.contains("dandelionspool-outcome: not-run"), "{answer:?}");
+    });
+}
+
 #[test]
 fn a_draining_entry_takes_no_new_call_although_its_upstreams_would() {
     rig::run(async {
