refactor(cli): let both programs read their arguments through one function

Ruled out: a macro; one generic function in cli::exit serves both. Conclusion: exit::main reads, runs and reports.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -51,11 +51,7 @@
 
 /// Runs the command line of the bench.
 pub fn main() -> process::ExitCode {
-    let command = match command().run_inner(bpaf::Args::current_args()) {
-        Ok(command) => command,
-        Err(failure) => return exit::usage(failure),
-    };
-    exit::report(run(command))
+    exit::main(command(), run)
 }
 
 fn run(command: Command) -> Result<(), exit::Failure> {
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -30,15 +30,26 @@
     }
 }
 
+/// Reads the arguments of this process by `parser`, gives them to `run` and says how it ended.
+pub fn main<T>(
+    parser: bpaf::OptionParser<T>,
+    run: impl FnOnce(T) -> Result<(), Failure>,
+) -> process::ExitCode {
+    match parser.run_inner(bpaf::Args::current_args()) {
+        Ok(command) => report(run(command)),
+        Err(failure) => usage(failure),
+    }
+}
+
 /// Prints the result of a usage error or of `--help`, and gives its exit code.
-pub fn usage(failure: bpaf::ParseFailure) -> process::ExitCode {
+fn usage(failure: bpaf::ParseFailure) -> process::ExitCode {
     let wanted = matches!(failure, bpaf::ParseFailure::Stdout(..));
     failure.print_message(100);
     if wanted { process::ExitCode::SUCCESS } else { process::ExitCode::from(USAGE) }
 }
 
 /// Prints a failure once, without a backtrace, and gives the exit code of `result`.
-pub fn report(result: Result<(), Failure>) -> process::ExitCode {
+fn report(result: Result<(), Failure>) -> process::ExitCode {
     match result {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(failure) => {
