docs: point the map of the code at the shells that run each decision

Cause: the front page named the node for the shells of membership and distribution, which live beside their decisions, and left out the claims'. Ruled out: nothing else on the page was wrong.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,12 +13,13 @@
 //! |---|---|---|
 //! | configuration file | [`mesh`], [`border`] | [`cli`] |
 //! | accepted versions | [`fold`], [`delta`] | [`logs`] |
-//! | membership | [`member`] | [`node`] |
-//! | distribution | [`spread`] | [`node`] |
-//! | calls | [`pick`], [`admit`], [`retry`], [`claim`] | [`proxy`] |
+//! | membership | [`member`] | [`member::shell`] |
+//! | distribution | [`spread`] | [`spread::shell`] |
+//! | calls | [`pick`], [`admit`], [`retry`] | [`proxy`] |
+//! | at most once | [`claim`] | [`claim::shell`] |
 //! | charging and objectives | [`usage`], [`burn`] | [`admin`] |
 //!
-//! [`standin`] takes the platform's place in tests; [`mod@bench`] measures.
+//! [`node`] joins the shells, each on a thread of its own, into one process. [`standin`] takes the platform's place in tests; [`mod@bench`] measures.
 
 #![cfg_attr(not(test), warn(clippy::expect_used, clippy::panic, clippy::unwrap_used))]
 #![warn(missing_docs)]
