--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -4,6 +4,7 @@
 //! configuration that is applied; one that names a service or class the configuration lacks is
 //! refused but kept, so that it holds as soon as a configuration brings them.
 
+use std::collections;
 use std::net;
 use std::time;
 
@@ -41,18 +42,51 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
-    /// Name of the service it serves.
+    /// Service it serves.
     pub service: SmolStr,
-    /// Name of its class among the configuration's `upstreams`.
+    /// Class of upstreams it belongs to; without it the class named like the service.
+    #[serde(default)]
     pub class: SmolStr,
-    /// Where it takes calls (HTTP/1.1), on this host.
+    /// Where its node calls it.
     pub address: net::SocketAddr,
+    /// Availability zone it believes to be in; for the logs alone.
+    #[serde(default)]
+    pub zone: SmolStr,
+    /// Version of its software; for the logs alone.
+    #[serde(default)]
+    pub version: SmolStr,
     /// Calls it runs at once.
     pub slots: u16,
-    /// Connections it accepts.
+    /// Connections it accepts; without it as many as its class allows.
+    #[serde(default = "unlimited")]
     pub connections: u16,
-    /// Life cycle.
+    /// How far it is in its life.
     pub phase: Phase,
+    /// For how much longer it is slow after its start, in milliseconds.
+    #[serde(default)]
+    pub warmup_ms: u64,
+    /// Grows with each announcement of one instance, so that one that comes late is known; 0 where
+    /// the instance does not count.
+    #[serde(default)]
+    pub sequence: u64,
+}
+
+const fn unlimited() -> u16 {
+    u16::MAX
+}
+
+impl Announcement {
+    fn class(&self) -> &SmolStr {
+        if self.class.is_empty() { &self.service } else { &self.class }
+    }
+
+    /// Its phase, taking one that is still slow for warming.
+    fn phase(&self) -> view::Phase {
+        match self.phase {
+            Phase::Serving if self.warmup_ms > 0 => view::Phase::Warming,
+            phase => phase.into(),
+        }
+    }
 }
 
 /// What is wrong with an announcement.
@@ -71,6 +105,9 @@
     /// The service has no such class of upstreams. The announcement is kept.
     #[error("the service has no such class of upstreams; kept until one comes")]
     Class,
+    /// It comes from an instance that has gone, or before a later one of the same instance.
+    #[error("the instance has gone, or has announced itself anew since; nothing changes")]
+    Stale,
 }
 
 impl Fault {
@@ -78,6 +115,23 @@
     pub const fn pending(self) -> bool {
         matches!(self, Fault::Class | Fault::Service)
     }
+
+    /// Whether the instance has nothing to mend: saying the same again would change nothing.
+    pub const fn is_heard(self) -> bool {
+        self.pending() || matches!(self, Fault::Stale)
+    }
+}
+
+/// Instances that have gone and are remembered. A backend's late announcements come within seconds,
+/// and a host replaces its upstream a few times an hour at most.
+const GONE: usize = 32;
+
+/// An announcement that holds.
+#[derive(Debug)]
+struct Held {
+    instance: SmolStr,
+    announcement: Announcement,
+    until: clock::Instant,
 }
 
 /// The announcement that holds, if one does.
@@ -85,14 +139,16 @@
 pub struct Desk {
     host: net::IpAddr,
     lease: time::Duration,
-    /// The last announcement and when its lease ends.
-    held: Option<(Announcement, clock::Instant)>,
+    /// The last announcement.
+    held: Option<Held>,
+    /// Instances that have gone, the latest last. Invariant: `held` is none of them.
+    gone: collections::VecDeque<SmolStr>,
 }
 
 impl Desk {
     /// A desk on the host with address `host`; announcements hold for `lease`.
     pub const fn new(host: net::IpAddr, lease: time::Duration) -> Self {
-        Self { host, lease, held: None }
+        Self { host, lease, held: None, gone: collections::VecDeque::new() }
     }
 
     /// Whether `peer` may announce: this host's own address or loopback.
@@ -100,13 +156,14 @@
         peer == self.host || peer.is_loopback()
     }
 
-    /// Takes an announcement or its renewal.
+    /// Takes an announcement of `instance` or its renewal.
     ///
     /// # Errors
     ///
     /// Names what is wrong with it under `mesh`; it is kept when [`Fault::pending`].
     pub fn announce(
         &mut self,
+        instance: &SmolStr,
         announcement: Announcement,
         now: clock::Instant,
         mesh: &mesh::Mesh,
@@ -117,34 +174,59 @@
         if announcement.slots == 0 || announcement.connections == 0 {
             return Err(Fault::Empty);
         }
+        if self.is_stale(instance, announcement.sequence) {
+            return Err(Fault::Stale);
+        }
         let found = class(&announcement, mesh).map(|_| ());
-        self.held = Some((announcement, now + self.lease));
+        let until = now + self.lease;
+        let held = Held { instance: instance.clone(), announcement, until };
+        if let Some(old) = self.held.replace(held).filter(|old| old.instance != *instance) {
+            self.forget(old.instance);
+        }
         found
     }
 
-    /// Takes the announcement back.
-    pub fn withdraw(&mut self) {
-        self.held = None;
+    /// Takes the announcement of `instance` back, and every later one that it sent before.
+    pub fn withdraw(&mut self, instance: &SmolStr) {
+        self.held.take_if(|held| held.instance == *instance);
+        self.forget(instance.clone());
+    }
+
+    fn is_stale(&self, instance: &SmolStr, sequence: u64) -> bool {
+        let held = self.held.as_ref().filter(|held| held.instance == *instance);
+        let later = held.is_some_and(|held| held.announcement.sequence > sequence);
+        later || self.gone.contains(instance)
+    }
+
+    /// Remembers that `instance` has gone. Upstreams without a name can't be told apart.
+    fn forget(&mut self, instance: SmolStr) {
+        if instance.is_empty() || self.gone.contains(&instance) {
+            return;
+        }
+        if self.gone.len() >= GONE {
+            self.gone.pop_front();
+        }
+        self.gone.push_back(instance);
     }
 
     /// Drops the announcement when its lease has ended.
     pub fn expire(&mut self, now: clock::Instant) {
-        self.held.take_if(|(_, until)| *until <= now);
+        self.held.take_if(|held| held.until <= now);
     }
 
     /// The upstream as `mesh` allows it: within the limits of its class, and only if the mesh has
     /// its service and class.
     pub fn local(&self, mesh: &mesh::Mesh) -> Option<node::Local> {
-        let (announcement, _) = self.held.as_ref()?;
+        let Held { instance, announcement, .. } = self.held.as_ref()?;
         let class = class(announcement, mesh).ok()?;
         let upstream = view::Upstream {
             service: announcement.service.clone(),
-            class: announcement.class.clone(),
-            phase: announcement.phase.into(),
+            class: announcement.class().clone(),
+            phase: announcement.phase(),
             slots: announcement.slots.min(class.slots),
             connections: announcement.connections.min(class.connections),
         };
-        Some(node::Local { address: announcement.address, upstream })
+        Some(node::Local { address: announcement.address, instance: instance.clone(), upstream })
     }
 }
 
@@ -154,7 +236,7 @@
         return Err(Fault::Service);
     }
     let matches = |c: &&mesh::Class| {
-        c.name == announcement.class && mesh.service(c.service).name == announcement.service
+        c.name == *announcement.class() && mesh.service(c.service).name == announcement.service
     };
     mesh.classes.iter().find(matches).ok_or(Fault::Class)
 }
--- a/src/admin/calls.rs
+++ b/src/admin/calls.rs
@@ -21,7 +21,7 @@
 /// further labels are left out.
 const ROWS: usize = 4096;
 
-/// What a row is about: a kind of call of a service, whatever its weight and team.
+/// What a row is about: a kind of call of a service, whatever its weight and organisation.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Row {
     service: SmolStr,
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
+use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task;
@@ -19,6 +20,9 @@
 use crate::admin::reply::{self, Refusal, Reply};
 use crate::admin::shell;
 
+/// Path below which an upstream announces itself by the name of its instance.
+const INSTANCES: &str = "/upstream/";
+
 /// Largest announcement accepted, in bytes.
 const BODY_BYTES: usize = 4096;
 
@@ -68,7 +72,11 @@
     request: http::Request<body::Incoming>,
 ) -> Reply {
     let whole = request.uri().query() == Some("mesh=1");
-    match (request.method(), request.uri().path()) {
+    let path = request.uri().path();
+    if let Some(instance) = path.strip_prefix(INSTANCES).map(SmolStr::new) {
+        return upstream(state, peer, &instance, request).await;
+    }
+    match (request.method(), path) {
         (&http::Method::GET, "/live") => reply::empty(),
         (&http::Method::GET, "/ready") => ready(state),
         (&http::Method::GET, "/metrics") => reply::text(reply::OPENMETRICS, state.metrics()),
@@ -77,7 +85,7 @@
         (&http::Method::GET, "/burn") if whole => mesh_burn(state).await,
         (&http::Method::GET, "/burn") => reply::json(http::StatusCode::OK, &state.burn()),
         (&http::Method::PUT | &http::Method::DELETE, "/upstream") => {
-            upstream(state, peer, request).await
+            upstream(state, peer, &SmolStr::default(), request).await
         }
         (_, "/burn" | "/live" | "/ready" | "/metrics" | "/status" | "/upstream") => {
             reply::refuse(Refusal::Method)
@@ -113,13 +121,18 @@
 async fn upstream(
     state: &shell::State,
     peer: net::IpAddr,
+    instance: &SmolStr,
     request: http::Request<body::Incoming>,
 ) -> Reply {
+    if !matches!(*request.method(), http::Method::DELETE | http::Method::PUT) {
+        return reply::refuse(Refusal::Method);
+    }
     if !state.admits(peer) {
         return reply::refuse(Refusal::Peer);
     }
     if request.method() == http::Method::DELETE {
-        state.withdraw();
+        log::info!(instance:% = instance; "the upstream has withdrawn");
+        state.withdraw(instance);
         return reply::empty();
     }
     let Some(body) = read(request.into_body()).await else {
@@ -128,8 +141,10 @@
     let Ok(announcement) = serde_json::from_slice::<announce::Announcement>(&body) else {
         return reply::refuse(Refusal::Body);
     };
-    match state.announce(announcement) {
+    match state.announce(instance, announcement) {
         Ok(()) => reply::empty(),
+        // It is kept, or there is nothing in it to mend.
+        Err(fault) if fault.is_heard() => reply::problem(http::StatusCode::ACCEPTED, fault),
         Err(fault) => reply::problem(http::StatusCode::UNPROCESSABLE_ENTITY, fault),
     }
 }
--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -108,8 +108,11 @@
     wiring: Wiring,
 ) -> Result<(), admin::Error> {
     let address = settings.bound().admin_addr();
-    let bound = TcpListener::bind(address).await;
-    let listener = bound.map_err(|source| admin::Error::Bind { address, source })?;
+    let mut listeners = Vec::new();
+    for address in std::iter::once(address).chain(settings.admin.also.iter().copied()) {
+        let bound = TcpListener::bind(address).await;
+        listeners.push(bound.map_err(|source| admin::Error::Bind { address, source })?);
+    }
     let Wiring { tallies, usage, mut stage, .. } = wiring;
     let calls = calls::Calls::default();
     wiring.metrics.collect(calls.clone());
@@ -135,10 +138,11 @@
         reports: Semaphore::new(REPORTS),
     });
     let connections = usize::from(settings.admin.connections);
-    let tasks = [
-        task::spawn_local(server::accept(listener, Rc::clone(&state), connections)),
-        task::spawn_local(follow(Rc::clone(&state))),
-    ];
+    let mut tasks = vec![task::spawn_local(follow(Rc::clone(&state)))];
+    for listener in listeners {
+        let accept = server::accept(listener, Rc::clone(&state), connections);
+        tasks.push(task::spawn_local(accept));
+    }
     let mut counting = task::spawn_local(count(Rc::clone(&state), tallies, calls, usage));
     // A dropped sender means that the process ends, too.
     let _ = stage.wait_for(|&stage| stage == node::Stage::End).await;
@@ -199,16 +203,20 @@
     /// # Errors
     ///
     /// Names what is wrong with it.
-    pub fn announce(&self, announcement: announce::Announcement) -> Result<(), announce::Fault> {
+    pub fn announce(
+        &self,
+        instance: &SmolStr,
+        announcement: announce::Announcement,
+    ) -> Result<(), announce::Fault> {
         let mesh = Arc::clone(&self.applied.borrow().mesh);
-        let result = self.desk.borrow_mut().announce(announcement, self.ctx.now(), &mesh);
+        let result = self.desk.borrow_mut().announce(instance, announcement, self.ctx.now(), &mesh);
         self.publish();
         result
     }
 
     /// Takes the announcement back.
-    pub fn withdraw(&self) {
-        self.desk.borrow_mut().withdraw();
+    pub fn withdraw(&self, instance: &SmolStr) {
+        self.desk.borrow_mut().withdraw(instance);
         self.publish();
     }
 
--- a/src/admin/tests.rs
+++ b/src/admin/tests.rs
@@ -8,7 +8,7 @@
 
 /// A configuration with the service `shop` and its class `shop-host` of 9 slots.
 fn shop() -> mesh::Mesh {
-    let teams = vec![mesh::Team { name: "guests".into() }];
+    let organisations = vec![mesh::Organisation { name: "guests".into() }];
     let objectives = mesh::Objectives {
         availability: 0.999,
         latency: std::time::Duration::from_millis(200),
@@ -17,7 +17,7 @@
     };
     let service = |name: &str| mesh::Service {
         name: name.into(),
-        team: mesh::TeamKey(0),
+        organisation: mesh::OrganisationKey(0),
         timeout: std::time::Duration::from_secs(2),
         queue: 8,
         retries: 10,
@@ -31,7 +31,7 @@
         warmup: std::time::Duration::from_secs(10),
     };
     let mut mesh = mesh::Mesh::default();
-    mesh.teams = teams;
+    mesh.organisations = organisations;
     mesh.services = vec![service("shop"), service("desk")];
     mesh.classes = vec![class];
     mesh
--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -63,6 +63,7 @@
             admit::Event::Shed { ticket } => self.shed(ticket),
             admit::Event::Limits(limits) => self.limit(limits),
             admit::Event::Drain => self.drain(now, actions),
+            admit::Event::Resume => self.draining = false,
             admit::Event::Tick => {}
         }
         self.settle(now, actions);
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -76,6 +76,8 @@
     Limits(Limits),
     /// Nothing new is admitted any more.
     Drain,
+    /// Another upstream takes the place of the one that was leaving.
+    Resume,
     /// Time passed; see [`Gate::wake`].
     Tick,
 }
--- a/src/bench/policies/setup.rs
+++ b/src/bench/policies/setup.rs
@@ -139,7 +139,7 @@
     };
     let service = mesh::Service {
         name: SmolStr::new_static("shop"),
-        team: mesh::TeamKey(0),
+        organisation: mesh::OrganisationKey(0),
         timeout: time::Duration::from_secs(1),
         queue: QUEUE,
         retries: 10,
--- a/src/border/configuration.rs
+++ b/src/border/configuration.rs
@@ -3,21 +3,24 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
-#[doc = "A whole configuration, format 1."]
+#[doc = "A whole configuration, format 3."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
     #[doc = "Number of the format, which fixes the rules of the check."]
-    pub format: ::std::num::NonZeroU32,
+    pub format: u32,
+    #[doc = "What a caller may send, and how long it may take."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub limits: ::std::option::Option<Limits>,
+    #[doc = "Organisations that are charged."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub organisations: ::std::vec::Vec<Organisation>,
     #[doc = "Routes from requests to services."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub routes: ::std::vec::Vec<Route>,
     #[doc = "Services and their kinds of calls."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub services: ::std::vec::Vec<Service>,
-    #[doc = "Teams that are charged."]
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub teams: ::std::vec::Vec<Team>,
     #[doc = "Classes of upstreams: limits for each upstream that announces itself under the name."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub upstreams: ::std::vec::Vec<Upstream>,
@@ -80,18 +83,47 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Kind {
+    #[doc = "Most upstreams one call may be sent to; without it the node's setting counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub attempts: ::std::option::Option<::std::num::NonZeroU8>,
     #[doc = "Largest request body accepted, in bytes."]
     #[serde(default = "defaults::default_u64::<u64, 65536>")]
     pub body_bytes: u64,
     #[doc = "Whether running a call twice does no harm."]
     #[serde(default)]
     pub idempotent: bool,
+    #[doc = "Time within which an answer has its full worth, in milliseconds; without it the service's objective counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub latency_ms: ::std::option::Option<::std::num::NonZeroU64>,
     #[doc = "Name, unique within its service."]
     pub name: Name,
+    #[doc = "Rank among the kinds of a service; 0 is the most urgent."]
+    #[serde(default)]
+    pub priority: u8,
+    #[doc = "Longest a call may take, in milliseconds; without it the service's timeout counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub timeout_ms: ::std::option::Option<::std::num::NonZeroU64>,
     #[doc = "Worth of one call served whole; a heavier kind is admitted first."]
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 1>")]
     pub weight: ::std::num::NonZeroU32,
 }
+#[doc = "What a caller may send, and how long it may take."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    #[doc = "Largest body of a request, in bytes, whatever its kind allows."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub body_bytes: ::std::option::Option<u64>,
+    #[doc = "Largest head of a request, in bytes; without it the node's setting counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub head_bytes: ::std::option::Option<u64>,
+    #[doc = "Longest a head may take to arrive, in milliseconds; without it the node's setting counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub head_ms: ::std::option::Option<::std::num::NonZeroU64>,
+    #[doc = "Longest a connection may stay idle, in milliseconds."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub idle_ms: ::std::option::Option<::std::num::NonZeroU64>,
+}
 #[doc = "A request method."]
 #[derive(
     :: serde :: Deserialize,
@@ -244,7 +276,23 @@
         }
     }
 }
-#[doc = "A path of whole segments, without a slash at its end, percent signs, or segments of dots alone."]
+#[doc = "An organisation that is charged for the calls its services serve."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    #[doc = "Name, unique among organisations."]
+    pub name: Name,
+}
+#[doc = "One part of a split route."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    #[doc = "Name of the service that serves this part of the calls."]
+    pub service: Name,
+    #[doc = "Share of the calls, in proportion to the other parts."]
+    pub weight: u32,
+}
+#[doc = "A path of whole segments, without percent signs or segments of dots alone. With a slash at its end it matches only what lies below it."]
 #[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[serde(transparent)]
 pub struct Path(::std::string::String);
@@ -267,11 +315,11 @@
         }
         static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
             ::std::sync::LazyLock::new(|| {
-                ::regress::Regex::new("^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+)$").unwrap()
+                ::regress::Regex::new("^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+/?)$").unwrap()
             });
         if PATTERN.find(value).is_none() {
             return Err(
-                "doesn't match pattern \"^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+)$\"".into(),
+                "doesn't match pattern \"^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+/?)$\"".into(),
             );
         }
         Ok(Self(value.to_string()))
@@ -321,6 +369,9 @@
     pub path: Path,
     #[doc = "Name of the service that serves the calls."]
     pub service: Name,
+    #[doc = "Services that share the calls by weight, in place of `service`; `service` still names whose kind it is."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub split: ::std::vec::Vec<Part>,
     #[doc = "Name of the class of upstreams that run the calls; without it every upstream of the service does."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub upstream: ::std::option::Option<Name>,
@@ -336,25 +387,18 @@
     #[doc = "Service-level objectives."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub objectives: ::std::option::Option<Objectives>,
+    #[doc = "Name of the organisation that is charged."]
+    pub organisation: Name,
     #[doc = "Calls that may wait for a slot at the node of each upstream."]
     #[serde(default = "defaults::default_u64::<u16, 16>")]
     pub queue: u16,
     #[doc = "Extra attempts allowed for each hundred calls."]
     #[serde(default = "defaults::default_u64::<u8, 10>")]
     pub retry_percent: u8,
-    #[doc = "Name of the team that is charged."]
-    pub team: Name,
     #[doc = "Longest a call may take when its caller names no deadline, in milliseconds."]
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 2000>")]
     pub timeout_ms: ::std::num::NonZeroU64,
 }
-#[doc = "A team that is charged for the calls its services serve."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
-#[serde(deny_unknown_fields)]
-pub struct Team {
-    #[doc = "Name, unique among teams."]
-    pub name: Name,
-}
 #[doc = "A class of upstreams: limits that hold for each upstream that announces itself under its name."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
--- a/src/burn/tests.rs
+++ b/src/burn/tests.rs
@@ -21,7 +21,7 @@
     mesh.services = ["shop", "desk"]
         .map(|name| mesh::Service {
             name: name.into(),
-            team: mesh::TeamKey(0),
+            organisation: mesh::OrganisationKey(0),
             timeout: time::Duration::from_secs(2),
             queue: 8,
             retries: 10,
@@ -33,7 +33,7 @@
 
 fn delta(service: &str, served: u64, refused: u64, slow: u64) -> usage::Delta {
     let label = usage::Label {
-        team: "guests".into(),
+        organisation: "guests".into(),
         service: service.into(),
         kind: "browse".into(),
         weight: 1,
--- a/src/claim/ledger.rs
+++ b/src/claim/ledger.rs
@@ -88,6 +88,8 @@
 pub struct Ledger<L> {
     ctx: context::Context,
     partitions: u16,
+    /// Whether partitions are read before the first claim.
+    ahead: bool,
     desk: desk::Desk,
     /// The writers due by the view, also used for the writers that run here.
     table: writers::Table,
@@ -132,6 +134,7 @@
         Self {
             ctx,
             partitions: claim.partitions,
+            ahead: claim.ahead,
             desk: desk::Desk::new(desk),
             table: writers::Table::new(claim.partitions),
             keep: keep::Keep::new(keep, log.clone(), inputs.clone()),
@@ -165,7 +168,7 @@
         self.desk.update(&view);
         self.table.update(&view);
         self.post.update(&view);
-        if view.standing != view::Standing::Member {
+        if view.standing != view::Standing::Member || !self.ahead {
             return;
         }
         for partition in 0..self.partitions {
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -97,9 +97,9 @@
 
 fn summary(mesh: &mesh::Mesh, digest: version::Digest) -> String {
     format!(
-        "accepted by format {}: {} teams, {} services, {} kinds, {} upstreams, {} routes; digest {digest}",
-        check::FORMAT,
-        mesh.teams.len(),
+        "accepted by format {}: {} organisations, {} services, {} kinds, {} upstreams, {} routes; digest {digest}",
+        mesh.format,
+        mesh.organisations.len(),
         mesh.services.len(),
         mesh.kinds.len(),
         mesh.classes.len(),
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -49,7 +49,8 @@
 }
 
 /// Prints a failure once, without a backtrace, and gives the exit code of `result`.
-fn report(result: Result<(), Failure>) -> process::ExitCode {
+/// Prints the failure of a command, if it failed, and gives its exit code.
+pub fn report(result: Result<(), Failure>) -> process::ExitCode {
     match result {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(failure) => {
--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -11,6 +11,7 @@
 use crate::configs;
 use crate::context;
 use crate::node;
+use crate::node::ports;
 use crate::ring;
 
 /// Room for requests to stop.
@@ -31,17 +32,32 @@
 ///
 /// Settings that can't be used, a duty that failed.
 pub fn run(args: &Args) -> Result<(), exit::Failure> {
-    let settings = configs::load(&args.settings).map_err(|e| exit::Failure::Input(e.into()))?;
+    run_with(&args.settings, ports::Own)
+}
+
+/// The same for the settings file `path` of a node with other `ports`.
+///
+/// # Errors
+///
+/// Settings that can't be used, a duty that failed.
+pub fn run_with<P: ports::Ports>(path: &path::Path, ports: P) -> Result<(), exit::Failure> {
+    let settings = configs::load(path).map_err(|e| exit::Failure::Input(e.into()))?;
     logging::init();
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| exit::Failure::Refused(e.into()))?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(path, settings, ports))
 }
 
-async fn serve(settings: configs::Node) -> Result<(), exit::Failure> {
+async fn serve<P: ports::Ports>(
+    path: &path::Path,
+    settings: configs::Node,
+    ports: P,
+) -> Result<(), exit::Failure> {
     let mut signals = Signals::new().map_err(|e| exit::Failure::Refused(e.into()))?;
+    let mut reloads =
+        unix::signal(unix::SignalKind::hangup()).map_err(|e| exit::Failure::Refused(e.into()))?;
     log::info!(listen:% = settings.listen, zone:% = settings.zone; "node starts");
-    let running = node::shell::Node::start(context::Context::system(), settings);
+    let running = node::shell::Node::start(context::Context::system(), settings.clone(), ports);
     let running = running.map_err(|e| exit::Failure::Refused(e.into()))?;
     let (stop, stops) = ring::bounded(STOPS);
     tokio::spawn(async move {
@@ -51,11 +67,26 @@
             let _ = stop.offer(node::shell::Stop);
         }
     });
+    let path = path.to_owned();
+    tokio::spawn(async move {
+        while reloads.recv().await.is_some() {
+            reload(&path, &settings);
+        }
+    });
     let result = running.run(stops).await;
     log::info!("node ends");
     result.map_err(|e| exit::Failure::Refused(e.into()))
 }
 
+/// Says what a changed settings file means. Every setting takes effect when a node starts.
+fn reload(path: &path::Path, running: &configs::Node) {
+    match configs::load(path) {
+        Ok(settings) if settings == *running => log::info!("the settings are the same"),
+        Ok(_) => log::warn!("the settings have changed; they take effect at the next start"),
+        Err(error) => log::error!(error:% = error; "the settings file can't be used"),
+    }
+}
+
 /// The signals that ask for a planned stop.
 pub(super) struct Signals {
     interrupt: unix::Signal,
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -26,7 +26,7 @@
     /// Burn rates and the budget left of each service-level objective, worst first
     #[bpaf(command)]
     Burn(#[bpaf(external(burn_args))] BurnArgs),
-    /// What each team is charged, by kind and period
+    /// What each organisation is charged, by kind and period
     #[bpaf(command)]
     Usage(#[bpaf(external(usage_args))] UsageArgs),
 }
@@ -166,13 +166,13 @@
     }
     text += &format!(
         "{:<21} {:<18} {:<18} {:<14} {:>6} {:>12} {:>14}\n",
-        "FROM", "TEAM", "SERVICE", "KIND", "WEIGHT", "SERVED", "CHARGE"
+        "FROM", "ORGANISATION", "SERVICE", "KIND", "WEIGHT", "SERVED", "CHARGE"
     );
     for charge in &usage.charges {
         text += &format!(
             "{:<21} {:<18} {:<18} {:<14} {:>6} {:>12} {:>14}\n",
             ask::moment(charge.since_unix_ms),
-            charge.team,
+            charge.organisation,
             charge.service,
             charge.kind,
             charge.weight,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -55,13 +55,13 @@
 /// The operating system's clock.
 #[derive(Clone, Copy, Debug)]
 pub struct System {
-    origin: time::Instant,
+    origin: time::Duration,
 }
 
 impl System {
     /// A clock whose origin is the moment of this call.
     pub fn new() -> Self {
-        Self { origin: time::Instant::now() }
+        Self { origin: since_boot() }
     }
 }
 
@@ -73,7 +73,7 @@
 
 impl Clock for System {
     fn now(&self) -> Instant {
-        Instant::ZERO + self.origin.elapsed()
+        Instant::ZERO + since_boot().saturating_sub(self.origin)
     }
 
     fn unix_millis(&self) -> u64 {
@@ -81,3 +81,11 @@
         since.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)).unwrap_or(0)
     }
 }
+
+/// Time since the host started, the time for which it was suspended included: a deadline, a lease
+/// or the age of news that outlived a suspension must not look fresh.
+fn since_boot() -> time::Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    time::Duration::new(seconds, u32::try_from(now.tv_nsec).unwrap_or_default())
+}
--- a/src/configs/admin.rs
+++ b/src/configs/admin.rs
@@ -1,11 +1,15 @@
 //! Settings of the operators' port.
 
+use std::net;
+
 use serde::{Deserialize, Serialize};
 
 /// Settings of the operators' port.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Admin {
+    /// Further addresses on which the operators' port is served.
+    pub also: Vec<net::SocketAddr>,
     /// How long an upstream's announcement holds without renewal, in milliseconds.
     pub lease_ms: u64,
     /// Connections served at once on the operators' port.
@@ -20,6 +24,13 @@
 
 impl Default for Admin {
     fn default() -> Self {
-        Self { lease_ms: 6000, connections: 64, scatter: 64, answer_ms: 1000, report_ms: 10_000 }
+        Self {
+            also: Vec::new(),
+            lease_ms: 6000,
+            connections: 64,
+            scatter: 64,
+            answer_ms: 1000,
+            report_ms: 10_000,
+        }
     }
 }
--- a/src/configs/claim.rs
+++ b/src/configs/claim.rs
@@ -21,6 +21,8 @@
     pub hedge_ms: u64,
     /// Claims and releases that wait at once, in each node and in each writer.
     pub waiting: u32,
+    /// Whether the writers of claims read the log before the first claim comes.
+    pub ahead: bool,
 }
 
 impl Default for Claim {
@@ -32,6 +34,7 @@
             patience_ms: 1000,
             hedge_ms: 400,
             waiting: 20_000,
+            ahead: true,
         }
     }
 }
--- a/src/configs/member.rs
+++ b/src/configs/member.rs
@@ -30,6 +30,8 @@
     pub join_most_ms: u64,
     /// Time without any answer after which this host goes on by itself, in milliseconds.
     pub alone_ms: u64,
+    /// Time between two looks into the directory of hosts, in milliseconds.
+    pub seek_ms: u64,
     /// A silence of this process longer than this counts as a pause, in milliseconds.
     pub pause_ms: u64,
     /// Time after which a dead host is forgotten, in seconds.
@@ -53,6 +55,7 @@
             join_ms: 200,
             join_most_ms: 5000,
             alone_ms: 2000,
+            seek_ms: 10_000,
             pause_ms: 2000,
             forget_s: 3600,
             dark_s: 86_400,
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -42,6 +42,8 @@
     pub region: SmolStr,
     /// Availability zone of this host.
     pub zone: SmolStr,
+    /// Service of the upstream beside this node; empty when there is none.
+    pub service: SmolStr,
     /// Base addresses of a few hosts to join through.
     pub join: Vec<net::SocketAddr>,
     /// The operators' port.
@@ -75,6 +77,11 @@
         host::HostId::new(self.bind.unwrap_or(self.listen))
     }
 
+    /// Address on which calls are taken.
+    pub fn call_addr(&self) -> net::SocketAddr {
+        self.proxy.listen.unwrap_or_else(|| self.bound().call_addr())
+    }
+
     /// Checks the settings.
     ///
     /// # Errors
@@ -94,6 +101,7 @@
             bind: None,
             region: SmolStr::new_static("region"),
             zone: SmolStr::new_static("zone"),
+            service: SmolStr::default(),
             join: Vec::new(),
             admin: admin::Admin::default(),
             call: call::Call::default(),
--- a/src/configs/proxy.rs
+++ b/src/configs/proxy.rs
@@ -1,11 +1,15 @@
 //! Settings of the listeners and connections of the call path.
 
+use std::net;
+
 use serde::{Deserialize, Serialize};
 
 /// Settings of the listeners and connections of the call path.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Proxy {
+    /// Address on which calls are taken; without it the host's own, three above `listen`.
+    pub listen: Option<net::SocketAddr>,
     /// Longest a connection to another node may take to open, in milliseconds.
     pub connect_ms: u64,
     /// Longest a caller may take to send a request's head, in milliseconds.
@@ -43,6 +47,9 @@
     pub held_bytes: usize,
     /// Least time for which a draining node still answers calls, in milliseconds.
     pub linger_ms: u64,
+    /// Time for which a stopping node still takes new calls, in milliseconds: callers are sent
+    /// elsewhere only once they have seen that it is not ready.
+    pub serve_ms: u64,
     /// Wait suggested to refused callers where nothing better is known, in milliseconds.
     pub retry_ms: u64,
     /// Time between two hand-overs of usage counts, in milliseconds.
@@ -52,6 +59,7 @@
 impl Default for Proxy {
     fn default() -> Self {
         Self {
+            listen: None,
             connect_ms: 250,
             head_ms: 10_000,
             head_bytes: 32_768,
@@ -69,6 +77,7 @@
             held_count: 4096,
             held_bytes: 8_388_608,
             linger_ms: 500,
+            serve_ms: 0,
             retry_ms: 1000,
             tally_ms: 250,
         }
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -190,6 +190,7 @@
         match record::decode(body, self.rules.newest()) {
             Ok(record::Record::Publish(publish)) => self.publish(publish),
             Ok(record::Record::Snapshot(snapshot)) => self.snapshot(offset, unix_millis, snapshot),
+            Ok(record::Record::Settled(settled)) => self.settle(unix_millis, settled),
             Err(record::Error::Format(format)) => {
                 self.gap = Some(self.next);
                 Verdict::Newer { format }
@@ -247,6 +248,20 @@
         Verdict::Accepted(stamp)
     }
 
+    /// Takes a file that the log service accepted; it needs none of the records before it.
+    fn settle(&mut self, unix_millis: u64, settled: record::Settled) -> Verdict<R::Faults> {
+        let version = version::Version::new(self.next);
+        let stamp = version::Stamp { version, digest: version::Digest::of(&settled.body) };
+        let mesh = match self.rules.check(settled.format, &settled.body) {
+            Ok(mesh) => Arc::new(mesh),
+            Err(faults) => return Verdict::Invalid { faults },
+        };
+        self.gap = None;
+        self.anchor = Some(Anchor { through: self.next, unix_millis });
+        self.current = Some(Accepted { stamp, format: settled.format, body: settled.body, mesh });
+        Verdict::Accepted(stamp)
+    }
+
     fn snapshot(
         &mut self,
         offset: logs::Offset,
--- a/src/fold/record.rs
+++ b/src/fold/record.rs
@@ -44,6 +44,18 @@
     pub body: Bytes,
 }
 
+/// A file that the log service itself has accepted.
+///
+/// It is the version after its offset whatever came before it, so that a reader that missed records
+/// needs no other one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settled {
+    /// Format of the file.
+    pub format: u16,
+    /// The file.
+    pub body: Bytes,
+}
+
 /// The state after the records before `through`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Snapshot {
@@ -66,6 +78,8 @@
     Publish(Publish),
     /// State kept for those who can't read the records it came from.
     Snapshot(Snapshot),
+    /// An accepted file.
+    Settled(Settled),
 }
 
 /// Why bytes are not a record that this build can judge, or a record can't be encoded.
@@ -90,6 +104,7 @@
 enum Content {
     Publish { base: version::Version, id: PublishId, frame: Bytes },
     Snapshot { stamp: version::Stamp, through: logs::Offset, memory: memory::Memory, frame: Bytes },
+    Settled { frame: Bytes },
 }
 
 /// Encodes `record`, whose body has at most [`delta::FILE_BYTES`].
@@ -107,6 +122,7 @@
             let (stamp, through) = (s.stamp, s.through);
             (s.format, Content::Snapshot { stamp, through, memory, frame })
         }
+        Record::Settled(s) => (s.format, Content::Settled { frame: frame::compress(&s.body)? }),
     };
     let mut out = Vec::from(MARK);
     out.extend_from_slice(&format.to_le_bytes());
@@ -133,6 +149,9 @@
             let body = frame::decompress(&frame)?;
             Record::Snapshot(Snapshot { format, stamp, through, memory, body })
         }
+        Content::Settled { frame } => {
+            Record::Settled(Settled { format, body: frame::decompress(&frame)? })
+        }
     })
 }
 
@@ -141,6 +160,7 @@
         match self {
             Record::Publish(publish) => &publish.body,
             Record::Snapshot(snapshot) => &snapshot.body,
+            Record::Settled(settled) => &settled.body,
         }
     }
 }
--- a/src/fold/rules.rs
+++ b/src/fold/rules.rs
@@ -19,7 +19,7 @@
 pub struct Builtin;
 
 /// The newest format this build knows.
-pub const NEWEST: u16 = 1;
+pub const NEWEST: u16 = 3;
 
 impl Rules for Builtin {
     type Faults = mesh::fault::Faults;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod retry;
 pub mod ring;
 pub mod seal;
+pub mod socket;
 pub mod spread;
 pub mod standin;
 pub mod traffic;
--- a/src/logs/connection.rs
+++ b/src/logs/connection.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::socket;
 use crate::traffic;
 
 /// Idle connections kept for later requests.
@@ -67,7 +68,7 @@
     /// A new connection.
     pub async fn connect(&self) -> Result<Sender, Error> {
         let stream = TcpStream::connect(self.address).await?;
-        stream.set_nodelay(true)?;
+        socket::tune(&stream)?;
         let counted = Counted { stream, traffic: Arc::clone(&self.traffic) };
         let (sender, connection) = http1::handshake(TokioIo::new(counted)).await?;
         tokio::spawn(async move {
--- a/src/logs/http.rs
+++ b/src/logs/http.rs
@@ -76,9 +76,12 @@
 }
 
 /// An answer read whole.
-struct Answer {
-    head: http::response::Parts,
-    body: Bytes,
+#[derive(Debug)]
+pub struct Answer {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The body.
+    pub body: Bytes,
 }
 
 impl Client {
@@ -88,7 +91,12 @@
         Self { pool, limit: time::Duration::from_millis(settings.append_ms) }
     }
 
-    async fn call(
+    /// Sends `request` and reads its answer within `limit`, on a kept connection if one is idle.
+    ///
+    /// # Errors
+    ///
+    /// Whatever kept the answer away, whole or in part.
+    pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
         limit: time::Duration,
@@ -135,7 +143,13 @@
         Ok(sent)
     }
 
-    fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
+    /// Longest a request may take, its wait for a record not counted.
+    pub const fn limit(&self) -> time::Duration {
+        self.limit
+    }
+
+    /// A request to the service, which gives the connection its name.
+    pub fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
         let host = self.pool.address().to_string();
         Request::builder().method(method).uri(path).header(header::HOST, host)
     }
@@ -187,7 +201,8 @@
         }
     }
 
-    fn after(&self) -> Option<time::Duration> {
+    /// How long the service asks to wait.
+    pub fn after(&self) -> Option<time::Duration> {
         let value = self.head.headers.get(header::RETRY_AFTER)?;
         let seconds = value.to_str().ok()?.parse().ok()?;
         Some(time::Duration::from_secs(seconds))
--- a/src/member/join.rs
+++ b/src/member/join.rs
@@ -26,6 +26,8 @@
 pub struct Join {
     /// Configured hosts but this one.
     seeds: Vec<host::HostId>,
+    /// Whether the directory has yet to say who is there.
+    waits: bool,
     done: bool,
     asked: Option<Asked>,
     /// Hash from which the table is still missing.
@@ -47,6 +49,7 @@
         let seeds = addresses.iter().copied().map(host::HostId::new).filter(|&h| h != id);
         Self {
             seeds: seeds.collect(),
+            waits: false,
             done: false,
             asked: None,
             cursor: 0,
@@ -100,7 +103,7 @@
             return;
         }
         let alone = self.now.since(self.join.progress) >= detect::millis(self.settings.alone_ms);
-        if self.join.seeds.is_empty() || alone {
+        if (self.join.seeds.is_empty() && !self.join.waits) || alone {
             self.finish_join(standing::Event::Alone);
             return;
         }
@@ -112,6 +115,28 @@
         }
     }
 
+    /// Makes a host that starts wait for the directory before it believes to be alone.
+    pub fn await_directory(&mut self) {
+        self.join.waits = true;
+    }
+
+    /// Takes the hosts that the directory lists. A host that has joined tells itself to those it
+    /// does not know, so that two parts of a mesh which lost each other come together again.
+    pub(super) fn listed(&mut self, hosts: &[host::HostId]) {
+        self.join.waits = false;
+        let others = hosts.iter().copied().filter(|&host| host != self.id);
+        if !self.join.done {
+            self.join.seeds = others.collect();
+            self.run_join();
+            return;
+        }
+        let strangers: Vec<host::HostId> =
+            others.filter(|&host| self.table.get(host).is_none()).collect();
+        for host in strangers {
+            self.send_digest(host, wire::Prefix::default());
+        }
+    }
+
     fn ask_page(&mut self) {
         let seed = self.join.seeds.choose(&mut self.rng).copied();
         if let Some(peer) = self.join.instead.take().or(seed) {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -20,6 +20,7 @@
 use crate::view;
 
 mod detect;
+pub mod directory;
 mod gossip;
 mod join;
 mod probe;
@@ -75,6 +76,8 @@
     Local(Option<Arc<view::Upstream>>),
     /// The process is in another stage.
     Stage(node::Stage),
+    /// Hosts that the directory lists.
+    Listed(Vec<host::HostId>),
     /// Time has passed.
     Tick,
 }
@@ -234,6 +237,7 @@
                 self.stage = stage;
                 self.update();
             }
+            Event::Listed(hosts) => self.listed(&hosts),
             Event::Tick => {}
         }
     }
--- a/src/member/repair.rs
+++ b/src/member/repair.rs
@@ -67,7 +67,7 @@
         self.join.is_done() && since >= period && (settled || since >= period * OVERDUE)
     }
 
-    fn send_digest(&mut self, to: host::HostId, prefix: wire::Prefix) {
+    pub(super) fn send_digest(&mut self, to: host::HostId, prefix: wire::Prefix) {
         let children = self.table.digests(prefix).map(|(digest, _)| digest);
         self.send(to, wire::Body::Digest { prefix, children });
     }
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -14,6 +14,7 @@
 use crate::context;
 use crate::host;
 use crate::member;
+use crate::member::directory;
 use crate::member::wire;
 use crate::mesh;
 use crate::node;
@@ -50,9 +51,10 @@
 /// # Errors
 ///
 /// Fails when the socket can't be made.
-pub async fn run(
+pub async fn run<D: directory::Directory>(
     ctx: context::Context,
     settings: Arc<configs::Node>,
+    directory: D,
     wiring: Wiring,
 ) -> Result<(), member::Error> {
     let address = settings.bound().member_addr();
@@ -60,9 +62,15 @@
     let socket = bound.map_err(|source| member::Error::Bind { address, source })?;
     let incarnation = ctx.clock.unix_millis();
     let seed = ctx.seed_for("member");
+    let host = settings.host();
+    let mut member = member::Member::new(&settings, seed, incarnation, ctx.now());
+    if directory.is_shared() {
+        member.await_directory();
+    }
     let duty = Duty {
         seal: seal::Seal::new(&settings.mesh, &settings.key),
-        member: member::Member::new(&settings, seed, incarnation, ctx.now()),
+        member,
+        search: directory::Search::start(directory.clone(), host, &settings.member),
         published: clock::Instant::ZERO,
         buffer: vec![0; wire::MOST_BYTES + 1],
         ctx,
@@ -70,6 +78,7 @@
         wiring,
     };
     duty.run().await;
+    directory::leave(&directory, host).await;
     Ok(())
 }
 
@@ -80,6 +89,7 @@
     socket: net::UdpSocket,
     wiring: Wiring,
     member: member::Member,
+    search: directory::Search,
     /// When the view was last published.
     published: clock::Instant,
     buffer: Vec<u8>,
@@ -110,6 +120,7 @@
             }),
             () = changed(&mut wiring.applied) => member::Event::Applied(self.stamp()),
             () = changed(&mut wiring.local) => member::Event::Local(self.upstream()),
+            hosts = self.search.next() => member::Event::Listed(hosts),
             received = self.socket.recv_from(&mut self.buffer) => self.read(received),
             () = rest => member::Event::Tick,
         }
--- a/src/mesh/check.rs
+++ b/src/mesh/check.rs
@@ -22,10 +22,15 @@
 #[cfg(test)]
 mod tests;
 
-/// The format this build knows.
-pub const FORMAT: u32 = 1;
+/// The newest format this build knows.
+pub const FORMAT: u32 = 3;
 
-/// Largest file of format 1, in bytes.
+/// The first format, which says team for organisation. Its rules are frozen.
+///
+/// 2 was never given out: the frozen verdicts of format 1 refuse it.
+pub const FIRST: u32 = 1;
+
+/// Largest file, in bytes.
 pub const LIMIT_BYTES: usize = 1 << 20;
 
 /// Checks the file `body` and converts it.
@@ -41,15 +46,15 @@
     }
     let mut faults = Vec::new();
     let root = text::read(body, &mut faults).map_err(single)?;
-    shape::format(&root).map_err(|fault| fault::Faults::new(vec![fault]))?;
-    shape::check(&root, &mut faults);
-    let draft = items::Draft::read(&root, &mut faults);
+    let format = shape::format(&root).map_err(|fault| fault::Faults::new(vec![fault]))?;
+    shape::check(&root, format, &mut faults);
+    let draft = items::Draft::read(&root, format, &mut faults);
     links::check(&draft, &mut faults);
     overlap::check(&draft, &mut faults);
     if !faults.is_empty() {
         return Err(fault::Faults::new(faults));
     }
-    build::build(root).map_err(single)
+    build::build(root, format).map_err(single)
 }
 
 fn single(problem: fault::Problem) -> fault::Faults {
--- a/src/mesh/check/links.rs
+++ b/src/mesh/check/links.rs
@@ -1,12 +1,14 @@
 //! References between items: each must lead to an item, a route's also within its own service.
 
+use crate::mesh::check;
 use crate::mesh::check::items;
 use crate::mesh::fault;
 
 /// Adds every reference of `draft` that leads nowhere to `faults`.
 pub fn check(draft: &items::Draft<'_>, faults: &mut Vec<fault::Fault>) {
+    let organisation = if draft.format == check::FIRST { "team" } else { "organisation" };
     for service in draft.services.iter() {
-        follow(&service, "team", &draft.teams, faults);
+        follow(&service, organisation, &draft.organisations, faults);
     }
     for upstream in draft.upstreams.iter() {
         follow(&upstream, "service", &draft.services, faults);
@@ -25,12 +27,31 @@
     if let Some(kinds) = service.and_then(|s| draft.kinds.get(s.index)) {
         follow(route, "kind", kinds, faults);
     }
+    check_split(draft, route, faults);
     let upstream = follow(route, "upstream", &draft.upstreams, faults);
     if let (Some(service), Some(upstream)) = (service, upstream) {
         check_owner(route, &service, &upstream, faults);
     }
 }
 
+/// The parts of a split route must lead to services, and one of them must have a weight.
+fn check_split(
+    draft: &items::Draft<'_>,
+    route: &items::Item<'_, '_>,
+    faults: &mut Vec<fault::Fault>,
+) {
+    let split = items::List::read_unnamed(route.value, &route.pointer(), "split");
+    for part in split.iter() {
+        follow(&part, "service", &draft.services, faults);
+    }
+    let weightless = |part: &items::Item<'_, '_>| part.value.get("weight") == Some(&0.into());
+    if !split.is_empty() && split.iter().all(|part| weightless(&part)) {
+        let reason = "no part of the split has a weight".to_owned();
+        let fault = fault::Fault::new(&split.pointer, fault::Problem::WrongValue { reason });
+        faults.push(fault);
+    }
+}
+
 /// The upstream a route names must be one of the route's own service.
 fn check_owner(
     route: &items::Item<'_, '_>,
--- a/src/mesh/check/tests.rs
+++ b/src/mesh/check/tests.rs
@@ -48,7 +48,7 @@
 }
 
 #[rstest]
-#[case::unknown_field("/teams/0/colour", json!(1), &[("/teams/0/colour", "unknown_field")])]
+#[case::unknown_field("/organisations/0/colour", json!(1), &[("/organisations/0/colour", "unknown_field")])]
 #[case::unknown_root_field("/a~1b", json!(1), &[("/a~01b", "unknown_field")])]
 #[case::wrong_type("/services/0/queue", json!("9"), &[("/services/0/queue", "wrong_type")])]
 #[case::fraction("/services/0/queue", json!(1.5), &[("/services/0/queue", "wrong_type")])]
@@ -61,7 +61,7 @@
 )]
 #[case::format("/format", json!(2), &[("/format", "wrong_format")])]
 #[case::format_of_text("/format", json!("1"), &[("/format", "wrong_type")])]
-#[case::team("/services/1/team", json!("nobody"), &[("/services/1/team", "dangling_reference")])]
+#[case::organisation("/services/1/organisation", json!("nobody"), &[("/services/1/organisation", "dangling_reference")])]
 #[case::kind_of_other("/routes/0/kind", json!("isbn"), &[("/routes/0/kind", "dangling_reference")])]
 #[case::service("/routes/0/service", json!("x"), &[("/routes/0/service", "dangling_reference")])]
 #[case::upstream("/routes/0/upstream", json!("x"), &[("/routes/0/upstream", "dangling_reference")])]
@@ -85,8 +85,8 @@
 #[case::overlap_every("/routes/2/methods", json!([]), &[("/routes/3", "overlap")])]
 #[case::method("/routes/0/methods", json!(["TRACE"]), &[("/routes/0/methods/0", "wrong_choice")])]
 #[case::repeated("/routes/0/methods", json!(["GET", "GET"]), &[("/routes/0/methods", "repeated_item")])]
-#[case::text("/teams/0/name", json!("A b"), &[("/services/0/team", "dangling_reference"), ("/teams/0/name", "wrong_text")])]
-#[case::slash_at_end("/routes/0/path", json!("/titles/"), &[("/routes/0/path", "wrong_text")])]
+#[case::text("/organisations/0/name", json!("A b"), &[("/organisations/0/name", "wrong_text"), ("/services/0/organisation", "dangling_reference")])]
+#[case::two_slashes_at_end("/routes/0/path", json!("/titles//"), &[("/routes/0/path", "wrong_text")])]
 #[case::dots("/routes/0/path", json!("/a/../b"), &[("/routes/0/path", "wrong_text")])]
 #[case::no_kinds(
     "/services/0/kinds",
--- a/src/mesh/find.rs
+++ b/src/mesh/find.rs
@@ -100,7 +100,8 @@
 
 impl Paths {
     fn add(&mut self, route: &mesh::Route, key: mesh::RouteKey) {
-        let path = SmolStr::new(route.path.trim_end_matches('/'));
+        let root = route.path == "/";
+        let path = if root { SmolStr::default() } else { route.path.clone() };
         self.longest = self.longest.max(path.len());
         self.routes.entry(path).or_default().push((Methods::of(&route.methods), key));
     }
@@ -109,13 +110,23 @@
     fn longest(&self, path: &str) -> Option<&[(Methods, mesh::RouteKey)]> {
         let mut end = path.len();
         loop {
-            if end <= self.longest
-                && let Some(routes) = self.routes.get(&path[..end])
-            {
+            if let Some(routes) = self.get(&path[..end]) {
                 return Some(routes);
             }
-            end = path[..end].rfind('/')?;
+            let slash = path[..end].rfind('/')?;
+            let below = (slash + 1 < end).then(|| self.get(&path[..=slash])).flatten();
+            if below.is_some() {
+                return below;
+            }
+            end = slash;
+        }
+    }
+
+    fn get(&self, path: &str) -> Option<&[(Methods, mesh::RouteKey)]> {
+        if path.len() > self.longest {
+            return None;
         }
+        self.routes.get(path).map(Vec::as_slice)
     }
 }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -14,9 +14,9 @@
 pub mod fault;
 pub mod find;
 
-/// Key of a [`Team`] in its mesh.
+/// Key of a [`Organisation`] in its mesh.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TeamKey(pub u16);
+pub struct OrganisationKey(pub u16);
 
 /// Key of a [`Service`] in its mesh.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -34,9 +34,9 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RouteKey(pub u16);
 
-/// A team, charged for the calls its services serve.
+/// An organisation, charged for the calls its services serve.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Team {
+pub struct Organisation {
     /// Unique name.
     pub name: SmolStr,
 }
@@ -59,8 +59,8 @@
 pub struct Service {
     /// Unique name.
     pub name: SmolStr,
-    /// Team that is charged.
-    pub team: TeamKey,
+    /// Organisation that is charged.
+    pub organisation: OrganisationKey,
     /// Longest a call may take when the caller names no deadline.
     pub timeout: time::Duration,
     /// Calls that may wait at each upstream's node for a slot.
@@ -84,6 +84,36 @@
     pub idempotent: bool,
     /// Largest request body accepted, in bytes.
     pub body: u64,
+    /// Rank among the kinds of the service; 0 is the most urgent.
+    pub priority: u8,
+    /// Longest a call may take; `None` leaves it to the service.
+    pub timeout: Option<time::Duration>,
+    /// Time within which an answer has its full worth; `None` leaves it to the service's objective.
+    pub latency: Option<time::Duration>,
+    /// Most upstreams one call may be sent to, at least 1; `None` leaves it to the node's settings.
+    pub attempts: Option<u8>,
+}
+
+/// One part of a split route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// Service that serves this part of the calls.
+    pub service: ServiceKey,
+    /// Share of the calls, in proportion to the other parts.
+    pub weight: u32,
+}
+
+/// What callers may send, and how long they may take; `None` leaves a limit to the node's settings.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub head: Option<usize>,
+    /// Largest body of a request, in bytes, whatever its kind allows.
+    pub body: Option<u64>,
+    /// Longest a head may take to arrive.
+    pub arrival: Option<time::Duration>,
+    /// Longest a connection may stay idle.
+    pub idle: Option<time::Duration>,
 }
 
 /// A class of upstreams of one service: limits that hold for each of its upstreams.
@@ -108,7 +138,8 @@
     pub name: SmolStr,
     /// Host header it matches, without port and in lower case; `None` matches every one.
     pub host: Option<SmolStr>,
-    /// Path prefix it matches, whole segments only.
+    /// Path prefix it matches, whole segments only; with a slash at its end it matches only what
+    /// lies below it.
     pub path: SmolStr,
     /// Methods it matches; empty matches every one.
     pub methods: Vec<http::Method>,
@@ -118,6 +149,9 @@
     pub kind: KindKey,
     /// Class whose upstreams run its calls; `None` allows every upstream of the service.
     pub class: Option<ClassKey>,
+    /// Services that share its calls by weight; empty when `service` serves them all. Invariant:
+    /// the weights are not all zero.
+    pub split: Vec<Part>,
 }
 
 /// A whole configuration.
@@ -126,8 +160,12 @@
 /// type; the arenas are not changed afterwards.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Mesh {
-    /// Arena of teams.
-    pub teams: Vec<Team>,
+    /// Number of the file's format.
+    pub format: u32,
+    /// What callers may send.
+    pub limits: Limits,
+    /// Arena of organisations.
+    pub organisations: Vec<Organisation>,
     /// Arena of services.
     pub services: Vec<Service>,
     /// Arena of kinds.
@@ -141,9 +179,9 @@
 }
 
 impl Mesh {
-    /// The team of `key`, a key of this mesh.
-    pub fn team(&self, key: TeamKey) -> &Team {
-        &self.teams[usize::from(key.0)]
+    /// The organisation of `key`, a key of this mesh.
+    pub fn organisation(&self, key: OrganisationKey) -> &Organisation {
+        &self.organisations[usize::from(key.0)]
     }
 
     /// The service of `key`, a key of this mesh.
@@ -156,6 +194,23 @@
         &self.kinds[usize::from(key.0)]
     }
 
+    /// Longest a call of the kind `key` may take.
+    pub fn timeout(&self, key: KindKey) -> time::Duration {
+        let kind = self.kind(key);
+        kind.timeout.unwrap_or(self.service(kind.service).timeout)
+    }
+
+    /// Time within which an answer to a call of the kind `key` has its full worth.
+    pub fn latency(&self, key: KindKey) -> time::Duration {
+        let kind = self.kind(key);
+        kind.latency.unwrap_or(self.service(kind.service).objectives.latency)
+    }
+
+    /// Largest body of a call of the kind `key`, in bytes.
+    pub fn body(&self, key: KindKey) -> u64 {
+        self.limits.body.unwrap_or(u64::MAX).min(self.kind(key).body)
+    }
+
     /// The class of `key`, a key of this mesh.
     pub fn class(&self, key: ClassKey) -> &Class {
         &self.classes[usize::from(key.0)]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,10 +2,13 @@
 
 use std::net;
 
+use smol_str::SmolStr;
+
 use crate::view;
 
 pub mod duty;
 pub mod life;
+pub mod ports;
 pub mod shell;
 
 #[cfg(test)]
@@ -28,6 +31,8 @@
 pub struct Local {
     /// Where it takes calls (HTTP/1.1).
     pub address: net::SocketAddr,
+    /// Which of the upstreams that ever ran there it is; empty when it gives itself no name.
+    pub instance: SmolStr,
     /// What it announced, within the limits of its class.
     pub upstream: view::Upstream,
 }
--- /dev/null
+++ b/src/node/ports.rs
@@ -0,0 +1,56 @@
+//! What differs between the places a node runs in.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::configs;
+use crate::logs;
+use crate::member::directory;
+use crate::proxy;
+use crate::traffic;
+
+/// The services around a node and how they speak.
+pub trait Ports: Clone + fmt::Debug + Send + 'static {
+    /// The log service.
+    type Log: logs::Service;
+    /// Where hosts find one another.
+    type Directory: directory::Directory;
+
+    /// A client of the log service whose bytes count into `traffic`.
+    fn log(&self, settings: &configs::Node, traffic: Arc<traffic::Traffic>) -> Self::Log;
+
+    /// The directory of hosts.
+    fn directory(
+        &self,
+        settings: &configs::Node,
+        traffic: Arc<traffic::Traffic>,
+    ) -> Self::Directory;
+
+    /// How callers and upstreams speak.
+    fn dialect(&self) -> proxy::Dialect;
+}
+
+/// The product's own protocols.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Own;
+
+impl Ports for Own {
+    type Log = logs::http::Client;
+    type Directory = directory::Fixed;
+
+    fn log(&self, settings: &configs::Node, traffic: Arc<traffic::Traffic>) -> Self::Log {
+        logs::http::Client::new(&settings.log, traffic)
+    }
+
+    fn directory(
+        &self,
+        settings: &configs::Node,
+        _traffic: Arc<traffic::Traffic>,
+    ) -> Self::Directory {
+        directory::Fixed::new(&settings.join)
+    }
+
+    fn dialect(&self) -> proxy::Dialect {
+        proxy::Dialect::default()
+    }
+}
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -16,6 +16,7 @@
 use crate::node;
 use crate::node::duty;
 use crate::node::life;
+use crate::node::ports;
 use crate::proxy;
 use crate::ring;
 use crate::spread;
@@ -31,7 +32,7 @@
 const TALLIES: usize = 16;
 
 /// The log service as the duties use it.
-type Log = logs::reach::Watched<logs::http::Client>;
+type Log<P> = logs::reach::Watched<<P as ports::Ports>::Log>;
 
 /// A request for a planned stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,12 +56,16 @@
     ///
     /// The operating system gives no thread. A duty that can't bind its address ends with an
     /// error, which [`Node::run`] gives.
-    pub fn start(ctx: context::Context, settings: configs::Node) -> Result<Self, duty::Error> {
+    pub fn start<P: ports::Ports>(
+        ctx: context::Context,
+        settings: configs::Node,
+        ports: P,
+    ) -> Result<Self, duty::Error> {
         let limits = life::Limits {
             settle: time::Duration::from_millis(settings.stop.settle_ms),
             drain: time::Duration::from_millis(settings.stop.drain_ms),
         };
-        let wires = Wires::new(ctx, settings);
+        let wires = Wires::new(ctx, settings, ports);
         let stage = wires.stage.clone();
         let (calls, others) = wires.start()?;
         Ok(Self { clock: ctx.clock, stage, calls, others, limits })
@@ -111,7 +116,8 @@
 }
 
 /// The ends of everything that joins the duties of one node.
-struct Wires {
+struct Wires<P> {
+    ports: P,
     ctx: context::Context,
     settings: Arc<configs::Node>,
     traffic: Arc<traffic::Traffic>,
@@ -122,11 +128,12 @@
     stage: watch::Sender<node::Stage>,
 }
 
-impl Wires {
-    fn new(ctx: context::Context, settings: configs::Node) -> Self {
+impl<P: ports::Ports> Wires<P> {
+    fn new(ctx: context::Context, settings: configs::Node, ports: P) -> Self {
         let traffic = Arc::new(traffic::Traffic::default());
         let (told, reach) = watch::channel(logs::reach::Reach::default());
         Self {
+            ports,
             ctx,
             settings: Arc::new(settings),
             traffic,
@@ -138,8 +145,8 @@
     }
 
     /// A client of the log service; each duty has its own.
-    fn log(&self) -> Log {
-        let client = logs::http::Client::new(&self.settings.log, Arc::clone(&self.traffic));
+    fn log(&self) -> Log<P> {
+        let client = self.ports.log(&self.settings, Arc::clone(&self.traffic));
         logs::reach::Watched::new(client, self.ctx.clock, Arc::clone(&self.told))
     }
 
@@ -199,21 +206,23 @@
             stage: self.stage.subscribe(),
             tallies: tallies_in,
             claims,
+            dialect: self.ports.dialect(),
         })?;
         Ok((calls, vec![member, spread, ledger, admin]))
     }
 
     fn member(&self, wiring: member::shell::Wiring) -> Result<duty::Duty, duty::Error> {
         let (ctx, settings) = (self.ctx, Arc::clone(&self.settings));
-        duty::Duty::spawn("member", move || member::shell::run(ctx, settings, wiring))
+        let directory = self.ports.directory(&settings, Arc::clone(&self.traffic));
+        duty::Duty::spawn("member", move || member::shell::run(ctx, settings, directory, wiring))
     }
 
-    fn spread(&self, wiring: spread::shell::Wiring<Log>) -> Result<duty::Duty, duty::Error> {
+    fn spread(&self, wiring: spread::shell::Wiring<Log<P>>) -> Result<duty::Duty, duty::Error> {
         let (ctx, settings) = (self.ctx, Arc::clone(&self.settings));
         duty::Duty::spawn("spread", move || spread::shell::run(ctx, settings, wiring))
     }
 
-    fn ledger(&self, wiring: claim::shell::Wiring<Log>) -> Result<duty::Duty, duty::Error> {
+    fn ledger(&self, wiring: claim::shell::Wiring<Log<P>>) -> Result<duty::Duty, duty::Error> {
         let (ctx, settings) = (self.ctx, Arc::clone(&self.settings));
         duty::Duty::spawn("ledger", move || claim::shell::run(ctx, settings, wiring))
     }
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -63,7 +63,7 @@
     };
     let service = mesh::Service {
         name: SmolStr::new_static("shop"),
-        team: mesh::TeamKey(0),
+        organisation: mesh::OrganisationKey(0),
         timeout: time::Duration::from_secs(1),
         queue: 9,
         retries: 10,
--- a/src/proxy/ask.rs
+++ b/src/proxy/ask.rs
@@ -4,6 +4,7 @@
 
 use http::header;
 
+use crate::proxy::dialect;
 use crate::proxy::headers;
 use crate::proxy::refuse;
 use crate::retry;
@@ -56,6 +57,7 @@
     pub fn read(
         mut parts: http::request::Parts,
         most: usize,
+        dialect: &dialect::Dialect,
         id: impl FnOnce() -> header::HeaderValue,
     ) -> Result<Self, refuse::Refusal> {
         const TOO_LONG: refuse::Refusal = refuse::Refusal {
@@ -72,18 +74,19 @@
             return Err(TOO_LONG);
         }
         let host = host(&parts.uri, map, parts.version).ok_or(MALFORMED)?;
-        let left = number(map, headers::DEADLINE)?.map(time::Duration::from_millis);
+        let left = number(map, dialect.left.as_str())?.map(time::Duration::from_millis);
         let depth = small(number(map, headers::DEPTH)?.unwrap_or(0));
         let outer = small(number(map, headers::ATTEMPT)?.unwrap_or(1));
         let key = single(map, headers::IDEMPOTENCY_KEY).ok_or(MALFORMED)?;
-        let known = single(map, headers::REQUEST_ID).ok_or(MALFORMED)?;
+        let known = single(map, dialect.id.as_str()).ok_or(MALFORMED)?;
         strip(map);
+        map.remove(&dialect.left);
         map.remove(header::HOST);
         map.remove(header::CONTENT_LENGTH);
         let mut id = known.unwrap_or_else(id);
         // Each call has its own: it would only push others out of the tables of HTTP/2.
         id.set_sensitive(true);
-        map.insert(headers::REQUEST_ID, id.clone());
+        map.insert(&dialect.id, id.clone());
         let headers = parts.headers;
         Ok(Self { method: parts.method, path, host, headers, left, depth, outer, key, id })
     }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -35,14 +35,18 @@
     request: http::Request<Incoming>,
 ) -> http::Response<body::Reply> {
     let (parts, incoming) = request.into_parts();
-    let ask = ask::Ask::read(parts, state.settings.proxy.path_bytes, || state.id());
+    let ask = ask::Ask::read(parts, state.settings.proxy.path_bytes, &state.dialect, || state.id());
     let (id, result) = match ask {
-        Ok(ask) => (Some(ask.id.clone()), serve(&state, ask, incoming).await),
+        Ok(mut ask) => {
+            state.sign(&mut ask.headers);
+            (Some(ask.id.clone()), serve(&state, ask, incoming).await)
+        }
         Err(refusal) => (None, Err(refusal)),
     };
-    let mut answer = result.map_or_else(|refusal| refusal.answer(), ran);
+    let mut answer = result
+        .map_or_else(|refusal| refusal.answer(state.dialect.verbose), |answer| ran(&state, answer));
     if let Some(id) = id {
-        answer.headers_mut().insert(headers::REQUEST_ID, id);
+        answer.headers_mut().insert(&state.dialect.id, id);
     }
     if state.draining() {
         let close = header::HeaderValue::from_static("close");
@@ -51,7 +55,13 @@
     answer
 }
 
-fn ran(mut answer: http::Response<body::Reply>) -> http::Response<body::Reply> {
+fn ran<C>(
+    state: &state::State<C>,
+    mut answer: http::Response<body::Reply>,
+) -> http::Response<body::Reply> {
+    if !state.dialect.verbose {
+        return answer;
+    }
     let ran = header::HeaderValue::from_static(headers::RAN);
     answer.headers_mut().insert(headers::OUTCOME, ran);
     answer
@@ -64,12 +74,13 @@
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let flight = Some(state.flights.enter());
     let started = state.ctx.now();
-    if state.draining() {
+    if state.closed() {
         return Err(refuse::Refusal::not_run(retry::Reason::Draining).again(state.pause()));
     }
     let applied = state.applied();
     let route = find(state, &applied, &ask)?;
     let kind = applied.mesh.route(route).kind;
+    let service = state.splitter.borrow_mut().next(applied.mesh.route(route));
     let count = count::Pending::new(
         state.ctx,
         Rc::clone(&state.tally),
@@ -78,9 +89,8 @@
         started,
     );
     let mut hold = guard::Hold { flight, count: Some(count), ..guard::Hold::default() };
-    let timeout = applied.mesh.service(applied.mesh.route(route).service).timeout;
-    let deadline = started + ask.left.unwrap_or(timeout);
-    let limit = applied.mesh.kind(kind).body;
+    let deadline = started + longest(&applied.mesh, kind, ask.left);
+    let limit = applied.mesh.body(kind);
     let intake = match intake(state, incoming, limit, deadline).await {
         Ok(intake) => intake,
         Err(refusal) => {
@@ -90,7 +100,7 @@
             return Err(refusal);
         }
     };
-    let job = job::Job { ask, intake, applied, route, deadline };
+    let job = job::Job { ask, intake, applied, route, service, deadline };
     let key = job.ask.key.clone().filter(|_| !job.kind().idempotent);
     let Some(key) = key else { return job::run(state, &job, hold).await };
     // A keyed call goes on when its caller leaves: the caller may come back for its answer.
@@ -115,6 +125,13 @@
 }
 
 /// Reads a small body whole, until the deadline at most.
+/// Longest a call of `kind` may take when its caller waits for `left`.
+fn longest(mesh: &mesh::Mesh, kind: mesh::KindKey, left: Option<time::Duration>) -> time::Duration {
+    let timeout = mesh.timeout(kind);
+    let bound = mesh.kind(kind).timeout.unwrap_or(time::Duration::MAX);
+    left.map_or(timeout, |left| left.min(bound))
+}
+
 async fn intake<C: claim::Claims>(
     state: &state::State<C>,
     incoming: Incoming,
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -37,6 +37,8 @@
     pub applied: Arc<mesh::Applied>,
     /// Its route in that configuration.
     pub route: mesh::RouteKey,
+    /// The service that serves it, one of those the route allows.
+    pub service: mesh::ServiceKey,
     /// When the caller gives up.
     pub deadline: clock::Instant,
 }
@@ -60,19 +62,20 @@
 
     /// Service of the call.
     pub fn service(&self) -> &mesh::Service {
-        self.applied.mesh.service(self.route().service)
+        self.applied.mesh.service(self.service)
     }
 
     fn class(&self) -> Option<&mesh::Class> {
-        self.route().class.map(|c| self.applied.mesh.class(c))
+        let class = self.route().class.filter(|_| self.route().split.is_empty());
+        class.map(|c| self.applied.mesh.class(c))
     }
 
     /// What to pick, in the keys of the configuration that the picker's table was built from.
     /// `None` when a newer configuration no longer has it.
     fn target(&self, current: &Arc<mesh::Applied>) -> Option<pick::Target> {
-        let route = self.route();
         if Arc::ptr_eq(&self.applied, current) {
-            return Some(pick::Target { service: route.service, class: route.class });
+            let class = self.class().and(self.route().class);
+            return Some(pick::Target { service: self.service, class });
         }
         let mesh = &current.mesh;
         let service = mesh.services.iter().position(|s| s.name == self.service().name)?;
@@ -91,26 +94,37 @@
         owner::Order {
             service: &self.service().name,
             class: self.class().map(|c| c.name.as_str()),
-            weight: self.kind().weight,
+            weight: rank(self.kind()),
             deadline: self.deadline,
         }
     }
 
     /// The request of attempt number `attempt`.
-    fn request(&self, attempt: u8) -> http::Request<upload::Upload> {
+    fn request(&self, attempt: u8, verbose: bool) -> http::Request<upload::Upload> {
         let mut request = http::Request::new(self.intake.attempt());
         *request.method_mut() = self.ask.method.clone();
         *request.uri_mut() = http::Uri::from(self.ask.path.clone());
         let mut map = self.ask.headers.clone();
-        let attempt = u16::from(attempt.max(self.ask.outer));
-        map.insert(headers::ATTEMPT, header::HeaderValue::from(attempt));
-        let depth = u16::from(self.ask.depth.saturating_add(1));
-        map.insert(headers::DEPTH, header::HeaderValue::from(depth));
+        if verbose {
+            let attempt = u16::from(attempt.max(self.ask.outer));
+            map.insert(headers::ATTEMPT, header::HeaderValue::from(attempt));
+            let depth = u16::from(self.ask.depth.saturating_add(1));
+            map.insert(headers::DEPTH, header::HeaderValue::from(depth));
+        }
         *request.headers_mut() = map;
         request
     }
 }
 
+/// Weight of a call of `kind` in the owner's queue: the more urgent kinds first, and among kinds of
+/// one priority the heavier ones.
+fn rank(kind: &mesh::Kind) -> u32 {
+    /// Bits for the weight within one priority; the largest weight of a configuration fits.
+    const WEIGHT_BITS: u32 = 20;
+    let urgency = u32::from(u8::MAX - kind.priority);
+    (urgency << WEIGHT_BITS) | kind.weight.min((1 << WEIGHT_BITS) - 1)
+}
+
 /// Makes attempts until one is answered or nothing else may be tried.
 ///
 /// # Errors
@@ -159,7 +173,7 @@
     let call = retry::Call {
         idempotent: job.kind().idempotent,
         attempt,
-        attempts: state.settings.call.attempts,
+        attempts: job.kind().attempts.unwrap_or(state.settings.call.attempts),
         depth: job.ask.depth,
         outer: job.ask.outer,
         deadline: job.deadline,
@@ -188,7 +202,7 @@
         return Err(Failed { refusal, host: None });
     };
     hold.start(state.ctx, &state.picker, choice);
-    let mut request = job.request(attempt);
+    let mut request = job.request(attempt, state.dialect.verbose);
     let result = if choice.host == state.me {
         inner::name_host(&mut request, job.ask.host.as_ref());
         owner::run(state, &job.order(), request, hold).await
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -22,6 +22,7 @@
 use crate::proxy::headers;
 use crate::proxy::upload;
 use crate::seal;
+use crate::socket;
 
 /// Path of the first request on each connection.
 const HELLO: &str = "/hello";
@@ -128,7 +129,7 @@
 
     async fn connect(&self, host: host::HostId) -> Result<Sender, Error> {
         let stream = TcpStream::connect(host.inner_addr()).await?;
-        stream.set_nodelay(true)?;
+        socket::tune(&stream)?;
         let proxy = &self.settings.proxy;
         let (mut send, conn) = http2::Builder::new(Here)
             .timer(TokioTimer::new())
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,9 +8,12 @@
 
 pub mod ask;
 pub mod body;
+pub mod caller;
 pub mod count;
+pub mod dialect;
 pub mod entry;
 pub mod error;
+pub mod frame;
 pub mod guard;
 pub mod headers;
 pub mod held;
@@ -25,9 +28,11 @@
 pub mod serve;
 pub mod shell;
 pub mod slots;
+pub mod split;
 pub mod state;
 pub mod trip;
 pub mod upload;
 pub mod wire;
 
+pub use dialect::Dialect;
 pub use error::Error;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -12,6 +12,7 @@
 use crate::node;
 use crate::proxy::ask;
 use crate::proxy::body;
+use crate::proxy::dialect;
 use crate::proxy::guard;
 use crate::proxy::headers;
 use crate::proxy::pool;
@@ -63,21 +64,25 @@
     mut request: http::Request<upload::Upload>,
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let local = find(state, order)?;
+    find(state, order)?;
     let slot = state.slots.enter(order.weight, latest(state.ctx.now(), order.deadline)).await;
     hold.slot = Some(slot.map_err(|r| refuse::Refusal::not_run(r.reason).again(r.retry_after))?);
+    // The upstream may have gone while the call waited, and a suspended host wakes late.
+    let local = find(state, order)?;
+    let left = order.deadline.since(state.ctx.now());
+    if left.as_millis() == 0 {
+        return Err(refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause()));
+    }
     let end = state.timer(order.deadline);
     let method = request.method().clone();
-    let id = request.headers().get(headers::REQUEST_ID).cloned();
-    let left = order.deadline.since(state.ctx.now()).as_millis();
-    let left = u64::try_from(left).unwrap_or(u64::MAX);
-    request.headers_mut().insert(headers::DEADLINE, header::HeaderValue::from(left));
+    let id = request.headers().get(&state.dialect.id).cloned();
+    address(&state.dialect, &local, left, request.headers_mut());
     let (lease, answer) = send(state, &local, request, end).await?;
-    if is_shed(&answer) {
+    if state.dialect.is_unrun(answer.status(), answer.headers()) {
         drain(answer, lease, end).await;
         return Err(refuse::Refusal::not_run(retry::Reason::UpstreamShed));
     }
-    check(&method, id.as_ref(), &answer)?;
+    check(&state.dialect, &method, id.as_ref(), &answer)?;
     let (mut parts, incoming) = answer.into_parts();
     ask::strip(&mut parts.headers);
     if method != http::Method::HEAD && parts.status != http::StatusCode::NOT_MODIFIED {
@@ -111,7 +116,7 @@
     let wanted = upstream.service == order.service
         && order.class.is_none_or(|class| upstream.class == class)
         && upstream.phase != view::Phase::Draining
-        && !state.draining();
+        && !state.closed();
     if wanted { Ok((**local).clone()) } else { Err(GONE) }
 }
 
@@ -141,10 +146,23 @@
     Err(refuse::Refusal::not_run(retry::Reason::Unreachable))
 }
 
-/// Whether the upstream says, in its documented way, that it did not run the call.
-fn is_shed<B>(answer: &http::Response<B>) -> bool {
-    answer.status() == http::StatusCode::SERVICE_UNAVAILABLE
-        && answer.headers().get(headers::UPSTREAM).is_some_and(|v| v == headers::SHED)
+/// Writes the headers that only the upstream's own node can give.
+fn address(
+    dialect: &dialect::Dialect,
+    local: &node::Local,
+    left: Duration,
+    map: &mut header::HeaderMap,
+) {
+    if !dialect.verbose {
+        map.remove(headers::DEADLINE);
+    }
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    map.insert(&dialect.left, header::HeaderValue::from(left));
+    let Some(name) = &dialect.instance else { return };
+    map.remove(name);
+    if let Ok(instance) = header::HeaderValue::from_str(&local.instance) {
+        map.insert(name, instance);
+    }
 }
 
 /// Reads a shed answer to its end, so that the connection can be used again.
@@ -161,14 +179,16 @@
 
 /// Whether `answer` belongs to this call and tells where it ends.
 fn check(
+    dialect: &dialect::Dialect,
     method: &http::Method,
     id: Option<&header::HeaderValue>,
     answer: &http::Response<hyper::body::Incoming>,
 ) -> Result<(), refuse::Refusal> {
-    let echo = answer.headers().get(headers::REQUEST_ID);
-    let crossed = echo.is_some() && echo != id;
+    let echo = answer.headers().get(&dialect.id);
+    let crossed = echo != id && (echo.is_some() || dialect.proof.is_some());
     let upgraded = answer.status().is_informational();
-    if crossed || upgraded || !is_framed(method, answer) {
+    let foreign = !dialect.is_proven(answer.headers());
+    if crossed || foreign || upgraded || !is_framed(method, answer) {
         return Err(refuse::Refusal::unknown(retry::Reason::Malformed));
     }
     Ok(())
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -16,6 +16,7 @@
 use tokio::task;
 
 use crate::proxy::upload;
+use crate::socket;
 
 /// Largest head of an answer, in bytes.
 const HEAD_BYTES: usize = 65_536;
@@ -119,7 +120,7 @@
 
 async fn open(address: net::SocketAddr) -> io::Result<Conn> {
     let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
+    socket::tune(&stream)?;
     let stream = stream.into_std()?;
     let probe = stream.try_clone()?;
     let stream = TcpStream::from_std(stream)?;
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -1,12 +1,11 @@
 //! Listeners and the connections they accept.
 
 use std::cell::Cell;
-use std::convert;
 use std::net;
 use std::rc::Rc;
 use std::time;
 
-use hyper::server::conn::{http1, http2};
+use hyper::server::conn::http2;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
@@ -14,11 +13,13 @@
 use tokio::task;
 
 use crate::claim;
-use crate::proxy::entry;
+use crate::proxy::caller;
 use crate::proxy::error;
+use crate::proxy::frame;
 use crate::proxy::links;
 use crate::proxy::peer;
 use crate::proxy::state;
+use crate::socket;
 
 /// Pause after a failed accept: the process is out of descriptors.
 const PAUSE: time::Duration = time::Duration::from_millis(10);
@@ -94,40 +95,26 @@
     }
 }
 
-async fn caller<C: claim::Claims>(
-    state: Rc<state::State<C>>,
-    stream: TcpStream,
-    mut closing: Closing,
-) {
-    let proxy = &state.settings.proxy;
-    if stream.set_nodelay(true).is_err() {
+/// Serves the connection of one caller.
+async fn caller<C: claim::Claims>(state: Rc<state::State<C>>, stream: TcpStream, closing: Closing) {
+    if let Err(error) = socket::tune(&stream) {
+        log::debug!("a connection of a caller ended at once: {error}");
         return;
     }
-    let answers = service::service_fn(|request| {
-        let answer = entry::call(Rc::clone(&state), request);
-        async { Ok::<_, convert::Infallible>(answer.await) }
-    });
-    let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(time::Duration::from_millis(proxy.head_ms))
-        .max_buf_size(proxy.head_bytes)
-        .max_headers(proxy.head_count)
-        .serve_connection(TokioIo::new(stream), answers);
-    let mut conn = std::pin::pin!(conn);
-    let late = async {
-        // A closed channel means the same as `true`.
-        let _ = closing.wait_for(|c| *c).await;
-        tokio::time::sleep(LATE).await;
-    };
-    let result = tokio::select! {
-        result = conn.as_mut() => result,
-        () = late => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
-        }
-    };
-    if let Err(error) = result {
-        log::debug!("connection of a caller ended: {error}");
+    let bounds = bounds(&state);
+    caller::run(state, stream, bounds, closing).await;
+}
+
+/// What a caller's connection may send, as the configuration and the settings say when it opens.
+fn bounds<C: claim::Claims>(state: &state::State<C>) -> caller::Bounds {
+    let limits = state.applied().mesh.limits;
+    let proxy = &state.settings.proxy;
+    let arrival = limits.arrival.unwrap_or(time::Duration::from_millis(proxy.head_ms));
+    let head = limits.head.unwrap_or(proxy.head_bytes);
+    caller::Bounds {
+        idle: limits.idle.unwrap_or(arrival),
+        arrival,
+        head: frame::Limits { head, fields: proxy.head_count },
     }
 }
 
@@ -137,7 +124,7 @@
     mut closing: Closing,
 ) {
     let proxy = &state.settings.proxy;
-    if stream.set_nodelay(true).is_err() {
+    if socket::tune(&stream).is_err() {
         return;
     }
     let known = Rc::new(Cell::new(false));
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -13,6 +13,7 @@
 use crate::context;
 use crate::mesh;
 use crate::node;
+use crate::proxy::dialect;
 use crate::proxy::error;
 use crate::proxy::serve;
 use crate::proxy::state;
@@ -45,6 +46,8 @@
     pub tallies: ring::Sender<usage::Delta>,
     /// Claims of idempotency keys.
     pub claims: C,
+    /// How callers and upstreams speak.
+    pub dialect: dialect::Dialect,
 }
 
 /// Ends a task when dropped.
@@ -69,7 +72,7 @@
     wiring: Wiring<C>,
 ) -> Result<(), error::Error> {
     let state = Rc::new(state::State::new(ctx, settings, &wiring));
-    let callers = serve::listen(state.settings.bound().call_addr()).await?;
+    let callers = serve::listen(state.settings.call_addr()).await?;
     let nodes = serve::listen(state.settings.bound().inner_addr()).await?;
     let (close, closing) = watch::channel(false);
     state.rebuild(Arc::clone(&wiring.applied.borrow()), &wiring.view.borrow());
@@ -111,6 +114,8 @@
     stage: &mut watch::Receiver<node::Stage>,
 ) {
     until(stage, node::Stage::Drain).await;
+    tokio::time::sleep(time::Duration::from_millis(state.settings.proxy.serve_ms)).await;
+    state.close();
     state.slots.drain();
     tokio::time::sleep(time::Duration::from_millis(state.settings.proxy.linger_ms)).await;
     state.flights.idle().await;
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -100,6 +100,11 @@
         self.handle(admit::Event::Drain);
     }
 
+    /// Admits calls again after [`Self::drain`].
+    pub fn resume(&self) {
+        self.handle(admit::Event::Resume);
+    }
+
     /// The upstream's load.
     pub fn load(&self) -> admit::Load {
         self.gate.borrow().load()
--- /dev/null
+++ b/src/proxy/split.rs
@@ -0,0 +1,69 @@
+//! Split routes: each part gets its share of the calls by turns, so that the shares come out right
+//! in any stretch of calls and not only on average.
+
+use std::collections;
+
+use smol_str::SmolStr;
+
+use crate::mesh;
+
+#[cfg(test)]
+mod tests;
+
+/// The turns of each split route, by its name.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    turns: collections::HashMap<SmolStr, Turns>,
+}
+
+/// How far each part is behind its share.
+///
+/// Invariants: as long as `parts`; the credits add up to zero between two turns.
+#[derive(Debug)]
+struct Turns {
+    parts: Vec<mesh::Part>,
+    credits: Vec<i64>,
+}
+
+impl Splitter {
+    /// The service that serves the next call of `route`.
+    pub fn next(&mut self, route: &mesh::Route) -> mesh::ServiceKey {
+        if route.split.is_empty() {
+            return route.service;
+        }
+        let known = self.turns.get_mut(&route.name);
+        if let Some(turns) = known.filter(|turns| turns.parts == route.split) {
+            return turns.next().unwrap_or(route.service);
+        }
+        let mut turns = Turns::new(&route.split);
+        let next = turns.next().unwrap_or(route.service);
+        self.turns.insert(route.name.clone(), turns);
+        next
+    }
+
+    /// Forgets the routes that `mesh` does not have.
+    pub fn retain(&mut self, mesh: &mesh::Mesh) {
+        let split = mesh.routes.iter().filter(|r| !r.split.is_empty());
+        let names: collections::HashSet<&SmolStr> = split.map(|r| &r.name).collect();
+        self.turns.retain(|name, _| names.contains(name));
+    }
+}
+
+impl Turns {
+    fn new(parts: &[mesh::Part]) -> Self {
+        Self { parts: parts.to_vec(), credits: vec![0; parts.len()] }
+    }
+
+    /// Smooth weighted round robin: every part earns its weight, the richest is chosen and pays
+    /// for all. With weights 90 and 10 every stretch of ten calls has one of the second part.
+    fn next(&mut self) -> Option<mesh::ServiceKey> {
+        let total: i64 = self.parts.iter().map(|p| i64::from(p.weight)).sum();
+        for (credit, part) in self.credits.iter_mut().zip(&self.parts) {
+            *credit += i64::from(part.weight);
+        }
+        let weighty = |&i: &usize| self.parts[i].weight > 0;
+        let richest = (0..self.parts.len()).filter(weighty).max_by_key(|&i| self.credits[i])?;
+        self.credits[richest] -= total;
+        Some(self.parts[richest].service)
+    }
+}
--- /dev/null
+++ b/src/proxy/split/tests.rs
@@ -0,0 +1,57 @@
+use rstest::rstest;
+
+use crate::mesh;
+use crate::proxy::split;
+
+fn route(weights: &[u32]) -> mesh::Route {
+    let part = |(i, &weight): (u16, &u32)| mesh::Part { service: mesh::ServiceKey(i), weight };
+    mesh::Route {
+        name: "split".into(),
+        host: None,
+        path: "/split/".into(),
+        methods: Vec::new(),
+        service: mesh::ServiceKey(0),
+        kind: mesh::KindKey(0),
+        class: None,
+        split: (0..).zip(weights).map(part).collect(),
+    }
+}
+
+/// How many of `calls` each part of a route with these weights gets.
+fn shares(weights: &[u32], calls: usize) -> Vec<usize> {
+    let (route, mut splitter) = (route(weights), split::Splitter::default());
+    let mut counts = vec![0; weights.len()];
+    for _ in 0..calls {
+        counts[usize::from(splitter.next(&route).0)] += 1;
+    }
+    counts
+}
+
+#[rstest]
+#[case::most_and_few(&[90, 10], 30, &[27, 3])]
+#[case::even(&[1, 1, 1], 9, &[3, 3, 3])]
+#[case::none_for_a_part(&[5, 0], 7, &[7, 0])]
+#[case::first_weightless(&[0, 5], 7, &[0, 7])]
+#[case::short_stretch(&[50, 30, 20], 10, &[5, 3, 2])]
+fn each_part_gets_its_share(
+    #[case] weights: &[u32],
+    #[case] calls: usize,
+    #[case] wanted: &[usize],
+) {
+    assert_eq!(shares(weights, calls), wanted);
+}
+
+#[test]
+fn a_route_that_is_not_split_keeps_its_service() {
+    let (route, mut splitter) = (route(&[]), split::Splitter::default());
+    assert_eq!(splitter.next(&route), mesh::ServiceKey(0));
+}
+
+#[test]
+fn new_weights_begin_anew() {
+    let mut splitter = split::Splitter::default();
+    splitter.next(&route(&[90, 10]));
+    let turned = route(&[10, 90]);
+    let first: Vec<u16> = (0..10).map(|_| splitter.next(&turned).0).collect();
+    assert_eq!(first.iter().filter(|&&s| s == 1).count(), 9);
+}
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -18,12 +18,14 @@
 use crate::mesh;
 use crate::node;
 use crate::pick;
+use crate::proxy::dialect;
 use crate::proxy::guard;
 use crate::proxy::held;
 use crate::proxy::links;
 use crate::proxy::pool;
 use crate::proxy::shell;
 use crate::proxy::slots;
+use crate::proxy::split;
 use crate::retry;
 use crate::seal;
 use crate::usage;
@@ -66,6 +68,12 @@
     /// Tags of the mesh.
     pub seal: seal::Seal,
     /// Start of the identities of calls made here.
+    /// How callers and upstreams speak.
+    pub dialect: dialect::Dialect,
+    /// Turns of the split routes.
+    pub splitter: RefCell<split::Splitter>,
+    /// Whether a stop has gone so far that no new call is taken.
+    closed: Cell<bool>,
     prefix: u64,
     /// Number of the next call that needs one.
     next: Cell<u64>,
@@ -106,13 +114,35 @@
             flights: Rc::default(),
             tally: Rc::default(),
             seal,
+            dialect: wiring.dialect.clone(),
+            splitter: RefCell::default(),
+            closed: Cell::new(false),
             prefix: ctx.seed_for("call"),
             next: Cell::new(0),
             settings,
         }
     }
 
-    /// Whether new calls are refused.
+    /// Whether new calls are refused: a planned stop has begun and its time to serve is over.
+    pub fn closed(&self) -> bool {
+        self.closed.get() || (self.settings.proxy.serve_ms == 0 && self.draining())
+    }
+
+    /// Refuses new calls from now on.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
+    /// Adds to the headers of a call what this node vouches for: the service it comes from.
+    pub fn sign(&self, map: &mut header::HeaderMap) {
+        let Some(caller) = &self.dialect.caller else { return };
+        map.remove(caller);
+        if let Ok(service) = header::HeaderValue::from_str(&self.settings.service) {
+            map.insert(caller, service);
+        }
+    }
+
+    /// Whether a planned stop has begun.
     pub fn draining(&self) -> bool {
         *self.stage.borrow() >= node::Stage::Drain
     }
@@ -172,6 +202,7 @@
         self.picker.borrow_mut().rebuild(view, &applied.mesh, self.ctx.now());
         let names = |name: &SmolStr| applied.mesh.services.iter().any(|s| s.name == *name);
         self.budgets.borrow_mut().retain(|name, _| names(name));
+        self.splitter.borrow_mut().retain(&applied.mesh);
         self.applied.replace(applied);
         self.limit();
     }
@@ -181,10 +212,22 @@
         let local = self.local.borrow().clone();
         let address = local.as_ref().map(|l| l.address);
         self.pool.tidy(address);
-        self.slots.limit(local.map_or_else(
+        self.slots.limit(local.as_ref().map_or_else(
             || crate::admit::Limits { slots: 0, connections: 0, queue: 0 },
             |local| self.limits(&local.upstream),
         ));
+        self.let_in(local.as_deref());
+    }
+
+    /// Sends those who wait for an upstream that is leaving elsewhere, and lets calls in again for
+    /// the next one.
+    fn let_in(&self, local: Option<&node::Local>) {
+        let leaving = local.is_some_and(|l| l.upstream.phase == view::Phase::Draining);
+        if leaving || self.closed() {
+            self.slots.drain();
+        } else {
+            self.slots.resume();
+        }
     }
 
     fn limits(&self, upstream: &view::Upstream) -> crate::admit::Limits {
--- a/src/spread/confirm.rs
+++ b/src/spread/confirm.rs
@@ -41,6 +41,10 @@
             let follows = publish.base == held && mesh::check::check(&publish.body).is_ok();
             follows.then(|| version::Version::new(record.offset + 1))
         }
+        record::Record::Settled(_) => {
+            let version = version::Version::new(record.offset + 1);
+            (version > held).then_some(version)
+        }
         record::Record::Snapshot(snapshot) => {
             Some(snapshot.stamp.version).filter(|&version| version > held)
         }
--- a/src/standin/small.rs
+++ b/src/standin/small.rs
@@ -20,6 +20,7 @@
 use crate::mesh;
 use crate::mesh::fault;
 use crate::node::duty;
+use crate::node::ports;
 use crate::node::shell;
 use crate::ring;
 use crate::standin;
@@ -137,7 +138,7 @@
         let host = self.hosts[index].clone();
         let id = host::HostId::new(host.listen);
         let context = context::Context::system();
-        let node = shell::Node::start(context, self.node_settings(settings, index));
+        let node = shell::Node::start(context, self.node_settings(settings, index), ports::Own);
         let node = node.map_err(|e| Error::Node(id, e))?;
         let (stop, stops) = ring::bounded(STOPS);
         self.nodes.push((id, stop, tokio::spawn(node.run(stops))));
--- a/src/usage/mod.rs
+++ b/src/usage/mod.rs
@@ -1,6 +1,6 @@
-//! Usage by team and kind.
+//! Usage by organisation and kind.
 //!
-//! The entry of a call counts it, once, when it has answered. Each team is charged for the calls
+//! The entry of a call counts it, once, when it has answered. Each organisation is charged for the calls
 //! its services served whole, each worth its kind's weight.
 
 use std::time;
@@ -60,8 +60,8 @@
 pub struct Count<'a> {
     /// Service that was called.
     pub service: &'a SmolStr,
-    /// Team that is charged.
-    pub team: &'a SmolStr,
+    /// Organisation that is charged.
+    pub organisation: &'a SmolStr,
     /// Kind of the call.
     pub kind: &'a SmolStr,
     /// Worth of one call of the kind.
@@ -86,7 +86,7 @@
         let service = mesh.service(kind.service);
         Self {
             service: &service.name,
-            team: &mesh.team(service.team).name,
+            organisation: &mesh.organisation(service.organisation).name,
             kind: &kind.name,
             weight: kind.weight,
             outcome,
@@ -101,8 +101,8 @@
 /// The weight is part of it: a configuration that changes a weight begins a new row.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Label {
-    /// Team that is charged.
-    pub team: SmolStr,
+    /// Organisation that is charged.
+    pub organisation: SmolStr,
     /// Service that was called.
     pub service: SmolStr,
     /// Kind of the calls.
--- a/src/usage/sum.rs
+++ b/src/usage/sum.rs
@@ -1,4 +1,4 @@
-//! Charges by team, kind and period, from the `usage` stream.
+//! Charges by organisation, kind and period, from the `usage` stream.
 
 use std::collections;
 
@@ -13,8 +13,8 @@
 pub struct Charge {
     /// When the period began, in milliseconds since the Unix epoch.
     pub since_unix_ms: u64,
-    /// Team that is charged.
-    pub team: SmolStr,
+    /// Organisation that is charged.
+    pub organisation: SmolStr,
     /// Service that was called.
     pub service: SmolStr,
     /// Kind of the calls.
@@ -74,11 +74,11 @@
         self.unread
     }
 
-    /// The charges, by period, team, service and kind.
+    /// The charges, by period, organisation, service and kind.
     pub fn charges(&self) -> Vec<Charge> {
         let charge = |((since, label), served): (&(u64, crate::usage::Label), &u64)| Charge {
             since_unix_ms: *since,
-            team: label.team.clone(),
+            organisation: label.organisation.clone(),
             service: label.service.clone(),
             kind: label.kind.clone(),
             weight: label.weight,
--- a/src/usage/tally.rs
+++ b/src/usage/tally.rs
@@ -30,7 +30,7 @@
     /// Counts one call.
     pub fn record(&mut self, count: &usage::Count<'_>) {
         let label = usage::Label {
-            team: count.team.clone(),
+            organisation: count.organisation.clone(),
             service: count.service.clone(),
             kind: count.kind.clone(),
             weight: count.weight,
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -10,12 +10,12 @@
 use crate::usage::tally;
 
 fn count(outcome: usage::Outcome, millis: u64) -> usage::Count<'static> {
-    static TEAM: SmolStr = SmolStr::new_static("guests");
+    static ORGANISATION: SmolStr = SmolStr::new_static("guests");
     static SERVICE: SmolStr = SmolStr::new_static("shop");
     static KIND: SmolStr = SmolStr::new_static("buy");
     usage::Count {
         service: &SERVICE,
-        team: &TEAM,
+        organisation: &ORGANISATION,
         kind: &KIND,
         weight: 5,
         outcome,
--- /dev/null
+++ b/tests/calls/ahead.rs
@@ -0,0 +1,141 @@
+//! Requests that a caller sends before the answers to those before them.
+
+use std::time;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+use crate::fake;
+use crate::fake::Step;
+use crate::rig;
+
+/// How long the upstream of these tests takes for a request whose id begins with `slow`.
+const SLOW: time::Duration = time::Duration::from_millis(300);
+
+fn get(id: &str, more: &str) -> String {
+    format!("GET /browse HTTP/1.1\r\nhost: shop.test\r\nx-request-id: {id}\r\n{more}\r\n")
+}
+
+/// Answers at once, or after [`SLOW`] when the request's id begins with `slow`.
+fn script(seen: &fake::Seen) -> Vec<Step> {
+    let mut steps = fake::echo(seen);
+    if seen.header("x-request-id").starts_with("slow") {
+        steps.insert(0, Step::Wait(SLOW));
+    }
+    steps
+}
+
+async fn started() -> (fake::Fake, Vec<rig::Node>) {
+    let fake = fake::Fake::start(script).await;
+    let nodes = rig::nodes(&[Some(fake.address), None], &rig::Claims::default()).await;
+    (fake, nodes)
+}
+
+/// Sends `bytes` on a connection of its own and reads until `end` has come.
+async fn send(node: &rig::Node, bytes: &str, end: &str) -> String {
+    let mut stream = TcpStream::connect(node.id.call_addr()).await.unwrap();
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    read(&mut stream, end).await
+}
+
+async fn read(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = Vec::new();
+    let limit = tokio::time::Instant::now() + rig::PATIENCE;
+    while !String::from_utf8_lossy(&text).contains(end) {
+        let more = tokio::time::timeout_at(limit, stream.read_buf(&mut text)).await;
+        if more.expect("answers in time").unwrap_or(0) == 0 {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// The ids of the answers in `text`, in their order.
+fn ids(text: &str) -> Vec<&str> {
+    let lines = text.lines().filter_map(|l| l.split_once(": "));
+    lines.filter(|(name, _)| *name == "x-request-id").map(|(_, id)| id).collect()
+}
+
+#[test]
+fn requests_sent_ahead_run_side_by_side_and_are_answered_in_order() {
+    rig::run(async {
+        let (_fake, nodes) = started().await;
+        let wanted = ["slow-1", "slow-2", "quick", "slow-3"];
+        for node in &nodes {
+            let requests: String = wanted.iter().map(|id| get(id, "")).collect();
+            let start = time::Instant::now();
+            let text = send(node, &requests, "answer to slow-3").await;
+            assert_eq!(ids(&text), wanted, "{text}");
+            assert!(start.elapsed() < SLOW * 2, "one after the other: {:?}", start.elapsed());
+        }
+    });
+}
+
+#[test]
+fn a_request_behind_the_last_one_is_not_taken() {
+    rig::run(async {
+        let (fake, nodes) = started().await;
+        let requests = [get("one", ""), get("slow-last", "connection: close\r\n"), get("no", "")];
+        let mut stream = TcpStream::connect(nodes[0].id.call_addr()).await.unwrap();
+        stream.write_all(requests.concat().as_bytes()).await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        assert_eq!(ids(&text), ["one", "slow-last"], "{text}");
+        assert_eq!(fake.runs("no"), 0);
+    });
+}
+
+#[test]
+fn a_broken_answer_ends_the_connection_and_does_not_look_whole() {
+    rig::run(async {
+        let cut = |seen: &fake::Seen| match seen.header("x-request-id").as_str() {
+            "cut" => {
+                let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n";
+                vec![Step::Write([head, &"a".repeat(100_000)].concat().into()), Step::Close]
+            }
+            _ => script(seen),
+        };
+        let fake = fake::Fake::start(cut).await;
+        let nodes = rig::nodes(&[Some(fake.address)], &rig::Claims::default()).await;
+        let text =
+            send(&nodes[0], &[get("cut", ""), get("behind", "")].concat(), "answer to behind")
+                .await;
+        assert!(text.len() < 200_000, "{}", text.len());
+        assert!(!text.contains("behind"));
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_takes_its_requests_with_it() {
+    rig::run(async {
+        let gone = |seen: &fake::Seen| match seen.header("x-request-id").as_str() {
+            "left-1" | "left-2" => vec![Step::Gone],
+            _ => script(seen),
+        };
+        let fake = fake::Fake::start(gone).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let mut stream = TcpStream::connect(nodes[0].id.call_addr()).await.unwrap();
+        let requests = [get("left-1", ""), get("left-2", "")].concat();
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        rig::until(|| fake.seen().len() == 2).await;
+        drop(stream);
+        rig::until(|| fake.seen().iter().all(|seen| seen.gone)).await;
+    });
+}
+
+#[test]
+fn a_refused_upload_is_answered_though_its_body_is_still_on_its_way() {
+    rig::run(async {
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[Some(fake.address)], &rig::Claims::default()).await;
+        let mut stream = TcpStream::connect(nodes[0].id.call_addr()).await.unwrap();
+        let head = "POST /nowhere HTTP/1.1\r\nhost: shop.test\r\ncontent-length: 500000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let text = read(&mut stream, "no-route").await;
+        assert!(text.starts_with("HTTP/1.1 404 "), "{text}");
+        stream.write_all(&vec![b'a'; 500_000]).await.unwrap();
+        stream.write_all(get("next", "").as_bytes()).await.unwrap();
+        let text = read(&mut stream, "answer to next").await;
+        assert!(ids(&text).contains(&"next"), "the connection goes on: {text}");
+    });
+}
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Calls through nodes' call paths in one process, with raw upstreams that misbehave.
 
+mod ahead;
 mod answers;
 mod drain;
 mod fake;
