feat(node): serve on while callers learn that a stopping node is not ready

Cause: a node that got SIGTERM refused new calls and had its upstream marked as leaving at once. Callers turn away only after two answers that it is not ready (2 s), and where nodes restart one after the other every 1.0 to 1.3 s, three upstreams of thirteen were out at a time.

Ruled out: a flag beside the stages (tried first; two sources for one state).

--- a/src/configs/proxy.rs
+++ b/src/configs/proxy.rs
@@ -47,9 +47,6 @@
     pub held_bytes: usize,
     /// Least time for which a draining node still answers calls, in milliseconds.
     pub linger_ms: u64,
-    /// Time for which a stopping node still takes new calls, in milliseconds: callers are sent
-    /// elsewhere only once they have seen that it is not ready.
-    pub serve_ms: u64,
     /// Wait suggested to refused callers where nothing better is known, in milliseconds.
     pub retry_ms: u64,
     /// Time between two hand-overs of usage counts, in milliseconds.
@@ -77,7 +74,6 @@
             held_count: 4096,
             held_bytes: 8_388_608,
             linger_ms: 500,
-            serve_ms: 0,
             retry_ms: 1000,
             tally_ms: 250,
         }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -277,7 +277,7 @@
     /// What this host says of its upstream.
     fn upstream(&self) -> Option<Arc<view::Upstream>> {
         let local = self.local.as_ref()?;
-        if self.stage == node::Stage::Run || local.phase == view::Phase::Draining {
+        if self.stage < node::Stage::Drain || local.phase == view::Phase::Draining {
             return Some(Arc::clone(local));
         }
         Some(Arc::new(view::Upstream {
--- a/src/node/life.rs
+++ b/src/node/life.rs
@@ -21,6 +21,8 @@
 /// How long a planned stop may take.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
+    /// How long a node serves on after it was asked to stop.
+    pub serve: time::Duration,
     /// Least time in [`node::Stage::Drain`], so that the news of the drain reaches the others.
     pub settle: time::Duration,
     /// Most time in [`node::Stage::Drain`]; what is still in flight then is cut.
@@ -42,9 +44,26 @@
 )]
 impl Life {
     #[state]
-    fn running(event: &Event, now: &mut clock::Instant) -> Outcome<State> {
+    fn running(&self, event: &Event, now: &mut clock::Instant) -> Outcome<State> {
         match event {
-            Event::Stop => Transition(State::draining(*now)),
+            Event::Stop if self.limits.serve.is_zero() => Transition(State::draining(*now)),
+            Event::Stop => Transition(State::leaving(*now)),
+            Event::Idle | Event::Tick => Handled,
+        }
+    }
+
+    /// Not ready, but serving as before.
+    #[state]
+    fn leaving(
+        &self,
+        since: &clock::Instant,
+        event: &Event,
+        now: &mut clock::Instant,
+    ) -> Outcome<State> {
+        let over = now.since(*since) >= self.limits.serve;
+        match event {
+            Event::Stop => Transition(State::ended()),
+            Event::Idle | Event::Tick if over => Transition(State::draining(*now)),
             Event::Idle | Event::Tick => Handled,
         }
     }
@@ -90,6 +109,7 @@
         self.inner.handle_with_context(&event, &mut now);
         match self.inner.state() {
             State::Running {} => node::Stage::Run,
+            State::Leaving { .. } => node::Stage::Leave,
             State::Draining { .. } => node::Stage::Drain,
             State::Ended {} => node::Stage::End,
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -20,6 +20,9 @@
     /// Serves.
     #[default]
     Run,
+    /// A planned stop has begun: the node says that it is not ready and serves on, since callers
+    /// turn to others only once they have seen that.
+    Leave,
     /// Refuses new work and finishes what is in flight.
     Drain,
     /// Every duty ends.
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -62,6 +62,7 @@
         ports: P,
     ) -> Result<Self, duty::Error> {
         let limits = life::Limits {
+            serve: time::Duration::from_millis(settings.stop.serve_ms),
             settle: time::Duration::from_millis(settings.stop.settle_ms),
             drain: time::Duration::from_millis(settings.stop.drain_ms),
         };
@@ -99,7 +100,7 @@
 
     /// Whether a duty has ended that should not have.
     fn broken(&self, stage: node::Stage) -> bool {
-        let calls = stage == node::Stage::Run && self.calls.ended();
+        let calls = stage < node::Stage::Drain && self.calls.ended();
         calls || self.others.iter().any(duty::Duty::ended)
     }
 
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -48,7 +48,7 @@
     if let Some(id) = id {
         answer.headers_mut().insert(&state.dialect.id, id);
     }
-    if state.draining() {
+    if state.leaving() {
         let close = header::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
@@ -74,7 +74,7 @@
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let flight = Some(state.flights.enter());
     let started = state.ctx.now();
-    if state.closed() {
+    if state.draining() {
         return Err(refuse::Refusal::not_run(retry::Reason::Draining).again(state.pause()));
     }
     let applied = state.applied();
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -116,7 +116,7 @@
     let wanted = upstream.service == order.service
         && order.class.is_none_or(|class| upstream.class == class)
         && upstream.phase != view::Phase::Draining
-        && !state.closed();
+        && !state.draining();
     if wanted { Ok((**local).clone()) } else { Err(GONE) }
 }
 
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -114,8 +114,6 @@
     stage: &mut watch::Receiver<node::Stage>,
 ) {
     until(stage, node::Stage::Drain).await;
-    tokio::time::sleep(time::Duration::from_millis(state.settings.proxy.serve_ms)).await;
-    state.close();
     state.slots.drain();
     tokio::time::sleep(time::Duration::from_millis(state.settings.proxy.linger_ms)).await;
     state.flights.idle().await;
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -72,8 +72,6 @@
     pub dialect: dialect::Dialect,
     /// Turns of the split routes.
     pub splitter: RefCell<split::Splitter>,
-    /// Whether a stop has gone so far that no new call is taken.
-    closed: Cell<bool>,
     prefix: u64,
     /// Number of the next call that needs one.
     next: Cell<u64>,
@@ -116,23 +114,12 @@
             seal,
             dialect: wiring.dialect.clone(),
             splitter: RefCell::default(),
-            closed: Cell::new(false),
             prefix: ctx.seed_for("call"),
             next: Cell::new(0),
             settings,
         }
     }
 
-    /// Whether new calls are refused: a planned stop has begun and its time to serve is over.
-    pub fn closed(&self) -> bool {
-        self.closed.get() || (self.settings.proxy.serve_ms == 0 && self.draining())
-    }
-
-    /// Refuses new calls from now on.
-    pub fn close(&self) {
-        self.closed.set(true);
-    }
-
     /// Adds to the headers of a call what this node vouches for: the service it comes from.
     pub fn sign(&self, map: &mut header::HeaderMap) {
         let Some(caller) = &self.dialect.caller else { return };
@@ -143,6 +130,11 @@
     }
 
     /// Whether a planned stop has begun.
+    pub fn leaving(&self) -> bool {
+        *self.stage.borrow() >= node::Stage::Leave
+    }
+
+    /// Whether new calls are refused.
     pub fn draining(&self) -> bool {
         *self.stage.borrow() >= node::Stage::Drain
     }
@@ -223,7 +215,7 @@
     /// the next one.
     fn let_in(&self, local: Option<&node::Local>) {
         let leaving = local.is_some_and(|l| l.upstream.phase == view::Phase::Draining);
-        if leaving || self.closed() {
+        if leaving || self.draining() {
             self.slots.drain();
         } else {
             self.slots.resume();
