--- a/src/configs/call.rs
+++ b/src/configs/call.rs
@@ -23,6 +23,9 @@
     /// Time after which half of what an upstream's last answer told is forgotten, in
     /// milliseconds.
     pub load_half_ms: u64,
+    /// Bytes of a call and its answer for which it is worth one more service time of waiting to
+    /// stay in the own availability zone; 0 where bytes between zones cost nothing.
+    pub cross_bytes: u32,
 }
 
 impl Default for Call {
@@ -36,6 +39,7 @@
             eject_most_ms: 30_000,
             slow_factor: 3,
             load_half_ms: 5,
+            cross_bytes: 0,
         }
     }
 }
--- a/src/configs/limits.rs
+++ b/src/configs/limits.rs
@@ -50,6 +50,7 @@
     limit("/call/eject_most_ms", 1, HOUR_MS),
     limit("/call/slow_factor", 2, 100),
     limit("/call/load_half_ms", 1, 60_000),
+    limit("/call/cross_bytes", 0, GIGABYTE),
     limit("/claim/group_ms", 1, 1000),
     limit("/claim/partitions", 1, 1024),
     limit("/claim/window_s", 1, WEEK_S),
--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -41,6 +41,16 @@
     pub class: Option<mesh::ClassKey>,
 }
 
+/// What a call costs that goes to another availability zone, as the share of an upstream's slots
+/// that it is worth waiting for at home. 1 is one service time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Toll(pub f32);
+
+impl Toll {
+    /// Crossing costs nothing.
+    pub const FREE: Toll = Toll(0.0);
+}
+
 /// The upstream picked for one attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Choice {
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -11,6 +11,10 @@
 use crate::retry;
 use crate::view;
 
+/// Share of an upstream's slots and queue from which on a further call is likely to be refused. What
+/// is known of a queue is some milliseconds old, in which one in ten of its places fills.
+const BRIM: f32 = 0.9;
+
 /// Share of its full size that an upstream gets when it starts.
 const COLD_SHARE: f32 = 0.1;
 
@@ -82,6 +86,8 @@
     health: view::Health,
     phase: view::Phase,
     slots: u16,
+    /// Calls that may wait at its node.
+    queue: u16,
     /// When warming began and how long it takes, in microseconds.
     warming: Option<(clock::Instant, f32)>,
     outstanding: u16,
@@ -101,6 +107,7 @@
             health: view::Health::Alive,
             phase: view::Phase::Serving,
             slots: 0,
+            queue: 0,
             warming: None,
             outstanding: 0,
             told: None,
@@ -115,6 +122,7 @@
         host: &view::Host,
         upstream: &view::Upstream,
         most: u16,
+        queue: u16,
         warmup: time::Duration,
         now: clock::Instant,
     ) {
@@ -128,6 +136,7 @@
         self.listed = true;
         self.health = host.health;
         self.slots = upstream.slots.min(most);
+        self.queue = queue;
         self.phase = upstream.phase;
         self.warming = match upstream.phase {
             view::Phase::Warming => {
@@ -189,6 +198,13 @@
         (self.calls(rules, now) + 1.0) / self.worth(now)
     }
 
+    /// Whether one more call would find the queue at its node full, or next to it.
+    pub(super) fn brims(&self, rules: &Rules, now: clock::Instant) -> bool {
+        let slots = self.told.map_or(self.slots, |t| t.slots.min(self.slots));
+        let room = f32::from(slots) + f32::from(self.queue);
+        self.calls(rules, now) + 1.0 > room * BRIM
+    }
+
     /// Whether calls may go to it at all.
     pub(super) fn is_open(&self) -> bool {
         self.listed && self.phase != view::Phase::Draining && self.slots > 0
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -17,6 +17,10 @@
 /// Fullness from which on a call is expected to wait.
 const WAITS: f32 = 1.0;
 
+/// What a likely refusal weighs, in service times: as much as the toll of a light call. A zone that
+/// would refuse what another one can serve sends it there; heavy calls are worth less than the way.
+const REFUSAL: f32 = 2.0;
+
 /// One call in this many takes no heed of the distance, so that upstreams which are not in use
 /// are known for comparison.
 const EXPLORE: u32 = 200;
@@ -72,7 +76,21 @@
         now: clock::Instant,
         avoid: &[host::HostId],
     ) -> Option<pick::Choice> {
-        let usual = self.pick_usual(target, now, avoid);
+        self.pick_far(target, pick::Toll::FREE, now, avoid)
+    }
+
+    /// The same for a call that pays `toll` outside its own availability zone.
+    ///
+    /// Heavy calls stay where they are until waiting there costs more than the way; light ones with
+    /// long work are what leaves a zone that is full.
+    pub fn pick_far(
+        &mut self,
+        target: pick::Target,
+        toll: pick::Toll,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> Option<pick::Choice> {
+        let usual = self.pick_usual(target, toll, now, avoid);
         let (index, tier) = usual.or_else(|| self.pick_any(target, avoid))?;
         let host = self.table.peers[index as usize].host();
         Some(pick::Choice { host, key: self.table.key(index), near: tier == 0, target })
@@ -103,17 +121,23 @@
     fn pick_usual(
         &mut self,
         target: pick::Target,
+        toll: pick::Toll,
         now: clock::Instant,
         avoid: &[host::HostId],
     ) -> Option<(u32, usize)> {
         let mut best: Option<(u32, usize, f32)> = None;
-        let first = usize::from(self.rng.random_ratio(1, EXPLORE));
+        // A heavy call is too dear to be sent away only to see what it is like there.
+        let light = toll.0 < WAITS;
+        let first = usize::from(light && self.rng.random_ratio(1, EXPLORE));
         for tier in (first..table::TIERS).chain(0..first) {
             let Some((index, fullness)) = self.pick_tier(target, tier, now, avoid) else {
                 continue;
             };
-            if best.is_none_or(|(_, _, least)| fullness < least) {
-                best = Some((index, tier, fullness));
+            let brims = self.table.peers[index as usize].brims(&self.rules, now);
+            let refusal = if brims { REFUSAL } else { 0.0 };
+            let cost = fullness + refusal + if tier == 0 { 0.0 } else { toll.0 };
+            if best.is_none_or(|(_, _, least)| cost < least) {
+                best = Some((index, tier, cost));
             }
             if best.is_some_and(|(_, _, least)| least <= WAITS) {
                 break;
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -158,7 +158,7 @@
                 }
                 let index = self.index(host.id);
                 let peer = &mut self.peers[index as usize];
-                peer.update(host, upstream, class.slots, class.warmup, now);
+                peer.update(host, upstream, class.slots, service.queue, class.warmup, now);
                 let tier = tier(&host.place, place);
                 self.classes[key].push(index, tier);
                 self.services[usize::from(class.service.0)].push(index, tier);
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -328,3 +328,47 @@
         }
     }
 }
+
+/// How many calls of `toll` leave a zone whose one upstream is taken up `full` times over.
+fn crossed(toll: pick::Toll, full: u16) -> usize {
+    let mut picker = picker(serving(&["a", "b", "b"]));
+    for _ in 0..9 * full {
+        let choice = picker.pick_far(SHOP, pick::Toll(1000.0), at(0), &[]).expect("a choice");
+        picker.started(choice, at(0));
+    }
+    (0..100).filter(|_| !picker.pick_far(SHOP, toll, at(0), &[]).expect("a choice").near).count()
+}
+
+#[rstest]
+#[case::light_leaves_a_full_zone(0.2, 1, 100)]
+#[case::heavy_waits_in_it(2.0, 1, 0)]
+#[case::heavy_leaves_when_the_wait_costs_more(2.0, 3, 100)]
+#[case::heavy_is_not_sent_to_explore(2.0, 0, 0)]
+fn a_toll_weighs_waiting_against_the_way(
+    #[case] toll: f32,
+    #[case] full: u16,
+    #[case] wanted: usize,
+) {
+    assert_eq!(crossed(pick::Toll(toll), full), wanted);
+}
+
+#[test]
+fn a_heavy_call_leaves_a_zone_without_upstreams() {
+    let mut picker = picker(serving(&["b"]));
+    assert!(picker.pick_far(SHOP, pick::Toll(1000.0), at(0), &[]).is_some());
+}
+
+/// A zone whose queue is about to overflow refuses what the next zone can serve.
+#[rstest]
+#[case::light(1.3, 1)]
+#[case::heavy(15.0, 0)]
+fn a_zone_about_to_refuse_sends_light_calls_away(#[case] toll: f32, #[case] wanted: usize) {
+    let mut picker = picker(serving(&["a", "b", "b"]));
+    let queue = shop().services[0].queue;
+    for _ in 0..9 + queue {
+        let choice = picker.pick_far(SHOP, pick::Toll(1000.0), at(0), &[]).expect("a choice");
+        picker.started(choice, at(0));
+    }
+    let choice = picker.pick_far(SHOP, pick::Toll(toll), at(0), &[]).expect("a choice");
+    assert_eq!(usize::from(!choice.near), wanted);
+}
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use http::header;
+use hyper::body::Body as _;
 
 use crate::claim;
 use crate::clock;
@@ -195,8 +196,9 @@
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, Failed> {
     let now = state.ctx.now();
+    let toll = toll(state, job);
     let target = job.target(&state.applied.borrow());
-    let choice = target.and_then(|t| state.picker.borrow_mut().pick(t, now, avoid));
+    let choice = target.and_then(|t| state.picker.borrow_mut().pick_far(t, toll, now, avoid));
     let Some(choice) = choice else {
         let refusal = refuse::Refusal::not_run(retry::Reason::NoUpstream);
         return Err(Failed { refusal, host: None });
@@ -209,12 +211,27 @@
     } else {
         remote(state, job, choice.host, request, hold).await
     };
+    if let Ok(answer) = &result {
+        let bytes = answer.body().size_hint();
+        let bytes = bytes.exact().unwrap_or(bytes.lower());
+        state.sizes.borrow_mut().note(&job.kind().name, bytes);
+    }
     result.map_err(|mut refusal| {
         refusal.outcome = truth(hold.failed(refusal.outcome), job.intake.fault());
         Failed { refusal, host: Some(choice.host) }
     })
 }
 
+/// What it costs to send the call to another availability zone, in units of [`pick::Toll`].
+fn toll<C: claim::Claims>(state: &state::State<C>, job: &Job) -> pick::Toll {
+    let cheap = u64::from(state.settings.call.cross_bytes);
+    if cheap == 0 {
+        return pick::Toll::FREE;
+    }
+    let bytes = job.intake.bytes() + state.sizes.borrow().expect(&job.kind().name);
+    pick::Toll(bytes as f32 / cheap as f32)
+}
+
 /// A body that ended early is the reason for whatever followed from it.
 fn truth(outcome: retry::Outcome, fault: Option<retry::Reason>) -> retry::Outcome {
     match (outcome, fault) {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -27,6 +27,7 @@
 pub mod refuse;
 pub mod serve;
 pub mod shell;
+pub mod sizes;
 pub mod slots;
 pub mod split;
 pub mod state;
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -24,6 +24,7 @@
 use crate::proxy::links;
 use crate::proxy::pool;
 use crate::proxy::shell;
+use crate::proxy::sizes;
 use crate::proxy::slots;
 use crate::proxy::split;
 use crate::retry;
@@ -70,6 +71,8 @@
     /// Start of the identities of calls made here.
     /// How callers and upstreams speak.
     pub dialect: dialect::Dialect,
+    /// Sizes of the answers to each kind of call.
+    pub sizes: RefCell<sizes::Sizes>,
     /// Turns of the split routes.
     pub splitter: RefCell<split::Splitter>,
     prefix: u64,
@@ -113,6 +116,7 @@
             tally: Rc::default(),
             seal,
             dialect: wiring.dialect.clone(),
+            sizes: RefCell::default(),
             splitter: RefCell::default(),
             prefix: ctx.seed_for("call"),
             next: Cell::new(0),
@@ -195,6 +199,9 @@
         let names = |name: &SmolStr| applied.mesh.services.iter().any(|s| s.name == *name);
         self.budgets.borrow_mut().retain(|name, _| names(name));
         self.splitter.borrow_mut().retain(&applied.mesh);
+        let kinds: collections::HashSet<&SmolStr> =
+            applied.mesh.kinds.iter().map(|k| &k.name).collect();
+        self.sizes.borrow_mut().retain(|kind| kinds.contains(kind));
         self.applied.replace(applied);
         self.limit();
     }
--- a/src/proxy/upload.rs
+++ b/src/proxy/upload.rs
@@ -102,6 +102,18 @@
         }
     }
 
+    /// Bytes of the body, as far as they are known.
+    pub fn bytes(&self) -> u64 {
+        match self {
+            Intake::Kept(bytes) => bytes.len() as u64,
+            Intake::Stream(source) => {
+                let source = source.borrow();
+                let rest = source.rest.size_hint();
+                source.head.len() as u64 + rest.exact().unwrap_or(rest.lower())
+            }
+        }
+    }
+
     /// Whether another attempt can have the body from its start.
     pub fn repeats(&self) -> bool {
         match self {
