--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -227,6 +227,7 @@
         self.local.send_if_modified(|held| {
             let changed = held.as_deref() != local.as_ref();
             if changed {
+                tell(local.as_ref());
                 *held = local.map(Arc::new);
             }
             changed
@@ -301,3 +302,17 @@
         scatter::gather(&hosts, limits, |host| ask::json(host.admin_addr(), path, limit)).await
     }
 }
+
+/// Logs what the node believes of its upstream from now on.
+fn tell(local: Option<&node::Local>) {
+    let Some(local) = local else { return log::info!("no upstream is beside this node") };
+    let upstream = &local.upstream;
+    log::info!(
+        instance = local.instance.as_str(),
+        service = upstream.service.as_str(),
+        phase:? = upstream.phase,
+        slots = upstream.slots,
+        connections = upstream.connections;
+        "the upstream beside this node has changed"
+    );
+}
--- a/src/cli/logging.rs
+++ b/src/cli/logging.rs
@@ -1,15 +1,17 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines: those of a node on standard output, those of other commands on standard
+//! error.
 //!
 //! Each line is one object: `ts` (UTC, RFC 3339 with milliseconds), `level`, `target`, `msg`, and
 //! the record's key-values beside them. A key that has one of these four names gets an underscore
 //! at its end. `RUST_LOG` sets the levels; the default is `info`.
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::panic;
 
 use log::kv;
 use serde_json::Value;
 
+pub mod sink;
 #[cfg(test)]
 mod tests;
 
@@ -18,12 +20,27 @@
 const TARGET: &str = "target";
 const MSG: &str = "msg";
 
-/// Starts the logger of this process; panics of any thread are logged too. A later call changes
-/// nothing.
+/// Starts the logger of a command, which writes to standard error; panics of any thread are logged
+/// too. A later call changes nothing.
 pub fn init() {
+    start(env_logger::Target::Stderr);
+}
+
+/// Starts the logger of a node, which writes to standard output and never waits for it.
+///
+/// # Errors
+///
+/// The thread that writes can't be started.
+pub fn serve() -> io::Result<sink::Sink> {
+    let sink = sink::Sink::start(io::stdout())?;
+    start(env_logger::Target::Pipe(Box::new(sink.clone())));
+    Ok(sink)
+}
+
+fn start(target: env_logger::Target) {
     let filter = env_logger::Env::default().default_filter_or("info");
     let mut builder = env_logger::Builder::from_env(filter);
-    builder.format(|out, record| {
+    builder.target(target).format(|out, record| {
         let ts = out.timestamp_millis().to_string();
         writeln!(out, "{}", line(&ts, record))
     });
--- a/src/cli/logging/tests.rs
+++ b/src/cli/logging/tests.rs
@@ -34,3 +34,34 @@
     let line = line(&[(key, value)]);
     assert_eq!((&line[field], &line["msg"]), (&wanted, &json!("two\nlines")));
 }
+
+/// An output that nobody reads until it is told to go on.
+struct Stuck(std::sync::mpsc::Receiver<()>, std::sync::mpsc::Sender<Vec<u8>>);
+
+impl std::io::Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        // The sender goes when the test is over.
+        let _ = self.0.recv();
+        let _ = self.1.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_does_not_read_holds_nobody_up_and_hears_what_it_missed() {
+    let ((go, wait), (out, written)) = (std::sync::mpsc::channel(), std::sync::mpsc::channel());
+    let mut sink = logging::sink::Sink::start(Stuck(wait, out)).expect("a thread");
+    for number in 0..10_000 {
+        std::io::Write::write_all(&mut sink, format!("{number}\n").as_bytes()).expect("room");
+    }
+    drop(go);
+    sink.flush_lines();
+    let text: Vec<u8> = written.try_iter().flatten().collect();
+    let text = String::from_utf8(text).expect("text");
+    assert!(text.starts_with("0\n"));
+    assert!(text.contains("log lines were dropped"), "{}", text.len());
+}
--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -42,10 +42,12 @@
 /// Settings that can't be used, a duty that failed.
 pub fn run_with<P: ports::Ports>(path: &path::Path, ports: P) -> Result<(), exit::Failure> {
     let settings = configs::load(path).map_err(|e| exit::Failure::Input(e.into()))?;
-    logging::init();
+    let lines = logging::serve().map_err(|e| exit::Failure::Refused(e.into()))?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| exit::Failure::Refused(e.into()))?;
-    runtime.block_on(serve(path, settings, ports))
+    let result = runtime.block_on(serve(path, settings, ports));
+    lines.flush_lines();
+    result
 }
 
 async fn serve<P: ports::Ports>(
--- a/src/logs/reach.rs
+++ b/src/logs/reach.rs
@@ -61,6 +61,9 @@
             let after = reach.after(success, unix_ms);
             let changed = after != *reach;
             *reach = after;
+            if changed {
+                log::info!(reachable = success; "the log service has changed");
+            }
             changed
         });
     }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -21,6 +21,7 @@
 use crate::proxy::keyed;
 use crate::proxy::refuse;
 use crate::proxy::state;
+use crate::proxy::trace;
 use crate::proxy::upload;
 use crate::proxy::wire;
 use crate::retry;
@@ -35,6 +36,7 @@
     request: http::Request<Incoming>,
 ) -> http::Response<body::Reply> {
     let (parts, incoming) = request.into_parts();
+    let (began, version) = (state.ctx.now(), state.applied.borrow().stamp.version);
     let ask = ask::Ask::read(parts, state.settings.proxy.path_bytes, &state.dialect, || state.id());
     let (id, result) = match ask {
         Ok(mut ask) => {
@@ -43,6 +45,11 @@
         }
         Err(refusal) => (None, Err(refusal)),
     };
+    if let (Some(id), Err(refusal)) = (&id, &result) {
+        let now = state.ctx.now();
+        let ended = trace::Ended { id, refusal, version, took: now.since(began) };
+        state.trace.ended(&ended, now);
+    }
     let mut answer = result
         .map_or_else(|refusal| refusal.answer(state.dialect.verbose), |answer| ran(&state, answer));
     if let Some(id) = id {
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -20,6 +20,7 @@
 use crate::proxy::owner;
 use crate::proxy::refuse;
 use crate::proxy::state;
+use crate::proxy::trace;
 use crate::proxy::upload;
 use crate::proxy::wire;
 use crate::retry;
@@ -151,7 +152,9 @@
             // That nobody else is left tells less than why the attempt before failed.
             failed.refusal = before.unwrap_or(failed.refusal);
         }
-        match decide(state, job, attempt, &failed) {
+        let decision = decide(state, job, attempt, &failed);
+        tell(state, job, attempt, &failed, &decision);
+        match decision {
             retry::Decision::Again { avoid: host } => avoid.extend(host),
             retry::Decision::Final { outcome, retry_after } => {
                 if let Some(count) = hold.count.take() {
@@ -187,6 +190,28 @@
     state.budget(job.service(), |budget| retry::next(&call, failed.refusal.outcome, budget, now))
 }
 
+/// Logs an attempt that failed and what follows from it.
+fn tell<C: claim::Claims>(
+    state: &state::State<C>,
+    job: &Job,
+    number: u8,
+    failed: &Failed,
+    decision: &retry::Decision,
+) {
+    let now = state.ctx.now();
+    let attempt = trace::Attempt {
+        id: &job.ask.id,
+        route: &job.route().name,
+        service: &job.service().name,
+        host: failed.host,
+        number,
+        outcome: failed.refusal.outcome,
+        again: matches!(decision, retry::Decision::Again { .. }),
+        left: job.deadline.since(now),
+    };
+    state.trace.attempt(&attempt, now);
+}
+
 /// Makes one attempt.
 async fn once<C: claim::Claims>(
     state: &Rc<state::State<C>>,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -31,6 +31,7 @@
 pub mod slots;
 pub mod split;
 pub mod state;
+pub mod trace;
 pub mod trip;
 pub mod upload;
 pub mod wire;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -17,7 +17,9 @@
 use crate::proxy::headers;
 use crate::proxy::pool;
 use crate::proxy::refuse;
+use crate::proxy::slots;
 use crate::proxy::state;
+use crate::proxy::trace;
 use crate::proxy::upload;
 use crate::proxy::wire;
 use crate::retry;
@@ -66,7 +68,7 @@
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     find(state, order)?;
     let slot = state.slots.enter(order.weight, latest(state.ctx.now(), order.deadline)).await;
-    hold.slot = Some(slot.map_err(|r| refuse::Refusal::not_run(r.reason).again(r.retry_after))?);
+    hold.slot = Some(slot.map_err(|refused| turn(state, order, &request, refused))?);
     // The upstream may have gone while the call waited, and a suspended host wakes late.
     let local = find(state, order)?;
     let left = order.deadline.since(state.ctx.now());
@@ -146,6 +148,25 @@
     Err(refuse::Refusal::not_run(retry::Reason::Unreachable))
 }
 
+/// Refuses a call that the gate did not let in, and logs what the gate held.
+fn turn<C: claim::Claims>(
+    state: &state::State<C>,
+    order: &Order<'_>,
+    request: &http::Request<upload::Upload>,
+    refused: slots::Refused,
+) -> refuse::Refusal {
+    let now = state.ctx.now();
+    let turned = trace::Turned {
+        id: request.headers().get(&state.dialect.id),
+        reason: refused.reason,
+        load: state.slots.load(),
+        left: order.deadline.since(now),
+        after: refused.retry_after,
+    };
+    state.trace.turned(&turned, now);
+    refuse::Refusal::not_run(refused.reason).again(refused.retry_after)
+}
+
 /// Writes the headers that only the upstream's own node can give.
 fn address(
     dialect: &dialect::Dialect,
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -27,6 +27,7 @@
 use crate::proxy::sizes;
 use crate::proxy::slots;
 use crate::proxy::split;
+use crate::proxy::trace;
 use crate::retry;
 use crate::seal;
 use crate::usage;
@@ -73,6 +74,8 @@
     pub dialect: dialect::Dialect,
     /// Sizes of the answers to each kind of call.
     pub sizes: RefCell<sizes::Sizes>,
+    /// Log lines of single calls.
+    pub trace: trace::Trace,
     /// Turns of the split routes.
     pub splitter: RefCell<split::Splitter>,
     prefix: u64,
@@ -117,6 +120,7 @@
             seal,
             dialect: wiring.dialect.clone(),
             sizes: RefCell::default(),
+            trace: trace::Trace::default(),
             splitter: RefCell::default(),
             prefix: ctx.seed_for("call"),
             next: Cell::new(0),
--- /dev/null
+++ b/src/proxy/trace/tests.rs
@@ -0,0 +1,16 @@
+use crate::clock;
+use crate::proxy::trace;
+
+/// Lines that are let through of `count` in one second, and what the next second's first tells.
+fn lines(count: u32) -> (usize, Option<u64>) {
+    let trace = trace::Trace::default();
+    let first = clock::Instant::from_millis(5000);
+    let let_in = (0..count).filter(|_| trace.admit(first).is_some()).count();
+    (let_in, trace.admit(clock::Instant::from_millis(6000)))
+}
+
+#[test]
+fn lines_are_bounded_and_what_is_left_out_is_told() {
+    assert_eq!(lines(trace::LINES), (200, Some(0)));
+    assert_eq!(lines(trace::LINES + 50), (200, Some(50)));
+}
