perf(admit): send refused calls back apart and after the backlog; bound the last flush of a node

Cause: calls refused together were told the same wait and came back together; a node that ended while the store was away waited three seconds for its last usage counts, past its grace time.

Ruled out: longer waits than the backlog needs (a caller's time is up first).

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -201,7 +201,7 @@
         actions: &mut Vec<admit::Action>,
     ) {
         let wait = self.service.wait(self.queue.len(), self.width.get(), self.stuck(now));
-        let retry_after = wait.max(LEAST_WAIT);
+        let retry_after = spread(wait.max(LEAST_WAIT), waiter.ticket);
         actions.push(admit::Action::Refuse { ticket: waiter.ticket, reason, retry_after });
     }
 
@@ -245,3 +245,14 @@
 fn count(len: usize) -> u16 {
     u16::try_from(len).unwrap_or(u16::MAX)
 }
+
+/// A time between one and two times `wait`, by the call's ticket: calls that are refused together
+/// must not come back together, and none before the backlog that kept it out is gone.
+fn spread(wait: time::Duration, ticket: admit::Ticket) -> time::Duration {
+    /// Steps of the spread.
+    const STEPS: u64 = 16;
+    /// Distance of two neighbours, prime to the number of steps.
+    const STRIDE: u64 = 7;
+    let step = u32::try_from(ticket.0.wrapping_mul(STRIDE) % STEPS).unwrap_or_default();
+    wait + wait * step / u32::try_from(STEPS).unwrap_or(1)
+}
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -405,3 +405,23 @@
     let crowded = [(6, retry::Reason::Full)];
     assert_eq!(refused(&bench.arrive_for(6, BROWSE, 110, 1000, 100)), crowded);
 }
+
+#[test]
+fn refused_calls_are_told_to_come_back_apart_and_after_the_backlog() {
+    let mut bench = Bench::new(1, 1);
+    bench.arrive(0, BROWSE, 10_000, 0);
+    bench.end(0, 100);
+    bench.arrive(1, BROWSE, 10_000, 100);
+    bench.arrive(2, BROWSE, 10_000, 100);
+    let mut times = collections::BTreeSet::new();
+    for ticket in 3..11 {
+        let actions = bench.arrive(ticket, BROWSE, 10_000, 100);
+        let [admit::Action::Refuse { retry_after, .. }] = actions[..] else {
+            panic!("not refused: {actions:?}");
+        };
+        assert!(retry_after >= time::Duration::from_millis(200), "{retry_after:?}");
+        assert!(retry_after <= time::Duration::from_millis(400), "{retry_after:?}");
+        times.insert(retry_after);
+    }
+    assert_eq!(times.len(), 8, "{times:?}");
+}
--- a/src/claim/shell.rs
+++ b/src/claim/shell.rs
@@ -27,8 +27,8 @@
 /// Inputs taken at once, so that what they cause shares frames and appends.
 const BURST: usize = 256;
 
-/// Longest the duty goes on after the end of the process, to bring usage into the log.
-const FLUSH: time::Duration = time::Duration::from_secs(3);
+/// Longest rest of the ledger; what it waits for wakes it before.
+const REST: time::Duration = time::Duration::from_secs(3);
 
 /// What joins the ledger's duty to the others.
 #[derive(Debug)]
@@ -140,6 +140,7 @@
         inputs,
         traffic: Arc::clone(&wiring.traffic),
     };
+    let flush = time::Duration::from_millis(settings.stop.flush_ms);
     let acceptor = task::spawn_local(serve::accept(listener, shared.clone()));
     let metrics = ledger::Metrics::new(&wiring.metrics);
     let state = ledger::Ledger::new(ctx, &settings, wiring.log, shared, metrics);
@@ -151,7 +152,7 @@
         view: wiring.view,
         stage: wiring.stage,
     };
-    serve_all(ctx, state, ends).await;
+    serve_all(ctx, state, ends, flush).await;
     acceptor.abort();
     Ok(())
 }
@@ -170,6 +171,7 @@
     ctx: context::Context,
     mut state: ledger::Ledger<L>,
     mut ends: Ends,
+    flush: time::Duration,
 ) {
     let mut claims = Vec::new();
     let mut releases = Vec::new();
@@ -177,7 +179,7 @@
     let mut end: Option<clock::Instant> = None;
     ends.view.mark_changed();
     loop {
-        let wake = state.wake().since(ctx.now()).min(FLUSH);
+        let wake = state.wake().since(ctx.now()).min(REST);
         tokio::select! {
             1.. = ends.claims.recv_many(&mut claims, BURST) => {}
             1.. = ends.releases.recv_many(&mut releases, BURST) => {}
@@ -185,7 +187,7 @@
             Some(delta) = ends.deltas.recv() => state.count(&delta),
             Ok(()) = ends.view.changed() => ends.view.mark_changed(),
             _ = ends.stage.wait_for(|&s| s == node::Stage::End), if end.is_none() => {
-                end = Some(ctx.now() + FLUSH);
+                end = Some(ctx.now() + flush);
             }
             () = tokio::time::sleep(wake) => {}
         }
--- a/src/configs/limits.rs
+++ b/src/configs/limits.rs
@@ -113,6 +113,7 @@
     limit("/stop/serve_ms", 0, 60_000),
     limit("/stop/settle_ms", 0, 60_000),
     limit("/stop/drain_ms", 0, HOUR_MS),
+    limit("/stop/flush_ms", 0, 60_000),
     limit("/usage/flush_ms", 10, HOUR_MS),
     limit("/usage/group_ms", 10, HOUR_MS),
     limit("/usage/writers", 1, 16),
--- a/src/configs/stop.rs
+++ b/src/configs/stop.rs
@@ -13,10 +13,13 @@
     pub settle_ms: u64,
     /// Most time given to calls in flight, in milliseconds.
     pub drain_ms: u64,
+    /// Longest that a node which ends waits until its last usage counts stand in the log, in
+    /// milliseconds.
+    pub flush_ms: u64,
 }
 
 impl Default for Stop {
     fn default() -> Self {
-        Self { serve_ms: 0, settle_ms: 500, drain_ms: 30_000 }
+        Self { serve_ms: 0, settle_ms: 500, drain_ms: 30_000, flush_ms: 3000 }
     }
 }
