--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -190,7 +190,7 @@
         match record::decode(body, self.rules.newest()) {
             Ok(record::Record::Publish(publish)) => self.publish(publish),
             Ok(record::Record::Snapshot(snapshot)) => self.snapshot(offset, unix_millis, snapshot),
-            Ok(record::Record::Settled(settled)) => self.settle(unix_millis, settled),
+            Ok(record::Record::Settled(settled)) => self.settle(settled),
             Err(record::Error::Format(format)) => {
                 self.gap = Some(self.next);
                 Verdict::Newer { format }
@@ -249,7 +249,7 @@
     }
 
     /// Takes a file that the log service accepted; it needs none of the records before it.
-    fn settle(&mut self, unix_millis: u64, settled: record::Settled) -> Verdict<R::Faults> {
+    fn settle(&mut self, settled: record::Settled) -> Verdict<R::Faults> {
         let version = version::Version::new(self.next);
         let stamp = version::Stamp { version, digest: version::Digest::of(&settled.body) };
         let mesh = match self.rules.check(settled.format, &settled.body) {
@@ -257,7 +257,8 @@
             Err(faults) => return Verdict::Invalid { faults },
         };
         self.gap = None;
-        self.anchor = Some(Anchor { through: self.next, unix_millis });
+        // The log service keeps what it accepted: no snapshot is needed for those who come later.
+        self.anchor = None;
         self.current = Some(Accepted { stamp, format: settled.format, body: settled.body, mesh });
         Verdict::Accepted(stamp)
     }
--- a/src/member/directory.rs
+++ b/src/member/directory.rs
@@ -11,9 +11,17 @@
 use crate::configs;
 use crate::host;
 
+#[cfg(test)]
+mod tests;
+
 /// Hosts that were found and have not been taken up yet.
 const FOUND: usize = 4;
 
+/// How often the wait after a failure doubles. With 200 ms at first it grows to 1.6 s: a host is
+/// listed within two seconds of the directory's return, and asks it five times in place of forty
+/// in eight seconds without it.
+const MOST_DOUBLED: u32 = 3;
+
 /// Longest a leaving host may take to strike itself off.
 const LEAVE: time::Duration = time::Duration::from_millis(400);
 
@@ -119,6 +127,16 @@
     retry: time::Duration,
 }
 
+impl Pace {
+    /// Wait after `failures` rounds in a row that did not succeed.
+    fn wait(self, failures: u32) -> time::Duration {
+        match failures.checked_sub(1) {
+            None => self.again,
+            Some(before) => (self.retry * (1 << before.min(MOST_DOUBLED))).min(self.again),
+        }
+    }
+}
+
 async fn search<D: Directory>(
     directory: &D,
     host: host::HostId,
@@ -126,6 +144,7 @@
     found: &mpsc::Sender<Vec<host::HostId>>,
 ) {
     let mut listed = false;
+    let mut failures = 0;
     loop {
         if !listed {
             match directory.enter(host).await {
@@ -133,19 +152,20 @@
                 Err(error) => log::warn!(error:% = error; "could not list this host"),
             }
         }
-        let wait = match directory.hosts().await {
+        let looked = match directory.hosts().await {
             Ok(hosts) => {
                 if found.send(hosts).await.is_err() {
                     return;
                 }
-                if listed { pace.again } else { pace.retry }
+                true
             }
             Err(error) => {
                 log::warn!(error:% = error; "could not look for other hosts");
-                pace.retry
+                false
             }
         };
-        tokio::time::sleep(wait).await;
+        failures = if listed && looked { 0 } else { failures + 1 };
+        tokio::time::sleep(pace.wait(failures)).await;
     }
 }
 
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -135,8 +135,12 @@
     end: time::Instant,
 ) -> Result<(pool::Lease, http::Response<hyper::body::Incoming>), refuse::Refusal> {
     for _ in 0..TRIES {
-        let lease = time::timeout_at(end, state.pool.take(local.address)).await;
-        let lease = lease.map_err(|_| refuse::Refusal::not_run(retry::Reason::TooLate))?;
+        // A host that is gone without a word never refuses a connection: the call would wait for
+        // one until its deadline, where another upstream could still serve it.
+        let soon = time::Instant::now() + Duration::from_millis(state.settings.proxy.connect_ms);
+        let lease = time::timeout_at(soon.min(end), state.pool.take(local.address)).await;
+        let late = if soon < end { retry::Reason::Unreachable } else { retry::Reason::TooLate };
+        let lease = lease.map_err(|_| refuse::Refusal::not_run(late))?;
         let mut lease = lease.map_err(|_| refuse::Refusal::not_run(retry::Reason::Unreachable))?;
         let answer = time::timeout_at(end, lease.send(request)).await;
         let answer = answer.map_err(|_| refuse::Refusal::unknown(retry::Reason::Timeout))?;
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -62,3 +62,31 @@
         assert_eq!(ask(&mut lease).await, "answer 1");
     });
 }
+
+#[test]
+fn an_upstream_that_takes_no_connection_is_given_up_soon() {
+    rig::run(async {
+        let fake = fake::Fake::start(fake::echo).await;
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind((std::net::Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+        let silent = socket.listen(1).unwrap();
+        let address = silent.local_addr().unwrap();
+        // Nobody accepts: the next connection waits like one to a host that is gone.
+        let mut kept = Vec::new();
+        let limit = time::Duration::from_millis(100);
+        while let Ok(Ok(stream)) =
+            tokio::time::timeout(limit, tokio::net::TcpStream::connect(address)).await
+        {
+            kept.push(stream);
+        }
+        let upstreams = [Some(address), Some(fake.address), None];
+        let nodes = rig::nodes(&upstreams, &rig::Claims::default()).await;
+        for number in 0..6 {
+            let began = time::Instant::now();
+            let request = rig::request("GET", "/browse", &format!("soon-{number}"));
+            let answer = rig::call(&nodes[2], request, b"").await;
+            assert_eq!(answer.status, 200);
+            assert!(began.elapsed() < time::Duration::from_millis(900), "{:?}", began.elapsed());
+        }
+    });
+}
--- a/tests/fold/main.rs
+++ b/tests/fold/main.rs
@@ -2,5 +2,6 @@
 
 mod follow;
 mod history;
+mod settled;
 mod snapshot;
 mod verdict;
