--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -91,9 +91,11 @@
 
     /// Whether the head of an upstream's answer says that the call has not run.
     pub fn is_unrun(&self, status: http::StatusCode, map: &header::HeaderMap) -> bool {
-        let other = self.instance.is_some() && status == http::StatusCode::MISDIRECTED_REQUEST;
-        let Some(value) = map.get(&self.unrun) else { return other };
-        !self.verbose || (status == http::StatusCode::SERVICE_UNAVAILABLE && value == headers::SHED)
+        let elsewhere = self.instance.is_some() && status == http::StatusCode::MISDIRECTED_REQUEST;
+        let Some(value) = map.get(&self.unrun) else { return elsewhere };
+        let shed = status == http::StatusCode::SERVICE_UNAVAILABLE && value == headers::SHED;
+        // The product's own mark has other values, too; elsewhere its presence is what counts.
+        shed || !self.verbose
     }
 
     /// Whether an answer with these headers is an upstream's own.
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -66,3 +66,39 @@
     let missing: Vec<_> = names.iter().filter(|n| !text.contains(&format!("fn {n}("))).collect();
     assert!(missing.is_empty(), "no such tests: {missing:?}");
 }
+
+/// Sources of the product, which must not know the platform's names.
+fn sources(dir: &path::Path, found: &mut Vec<path::PathBuf>) {
+    for entry in fs::read_dir(dir).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+#[rstest]
+fn names_of_the_platform_stay_in_its_folder() {
+    let names = [
+        "attempt-id",
+        "timeout-ms",
+        "caller-service",
+        "expected-instance",
+        "not-executed",
+        "server-signature",
+        "log-append",
+        "log-newest",
+        "keyed.op",
+        "heartbeataddr",
+    ];
+    let mut found = Vec::new();
+    sources(&path::Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), &mut found);
+    assert!(found.len() > 100, "the sources are there");
+    for path in found {
+        let text = fs::read_to_string(&path).unwrap().to_lowercase();
+        let name = names.iter().find(|name| text.contains(*name));
+        assert_eq!(name, None, "{} names what belongs to platform/", path.display());
+    }
+}
