fix(cli): let the last lines of a log wait for room in a full ring

Cause: the flush at the end of a process gave up at once when the ring was full, so that its last lines were lost just when there were many; the test that fills the ring failed in one of two runs. Ruled out: a longer wait for the answer (the marker never got into the ring).

--- a/src/cli/logging/sink.rs
+++ b/src/cli/logging/sink.rs
@@ -19,6 +19,9 @@
 /// Longest that a process which ends waits for its last lines.
 const FLUSH: time::Duration = time::Duration::from_millis(300);
 
+/// Pause before a full ring is tried again.
+const FULL: time::Duration = time::Duration::from_millis(2);
+
 /// What goes through the ring.
 enum Item {
     Line(Vec<u8>),
@@ -51,10 +54,17 @@
     /// Waits a short time until what was written before is out.
     pub fn flush_lines(&self) {
         let (done, wait) = mpsc::sync_channel(1);
-        if self.items.try_send(Item::Flush(done)).is_ok() {
-            // Without an answer in time the reader of the log does not read.
-            let _ = wait.recv_timeout(FLUSH);
+        let end = time::Instant::now() + FLUSH;
+        let mut item = Item::Flush(done);
+        while let Err(mpsc::TrySendError::Full(back)) = self.items.try_send(item) {
+            if time::Instant::now() >= end {
+                return;
+            }
+            item = back;
+            thread::sleep(FULL);
         }
+        // Without an answer in time the reader of the log does not read.
+        let _ = wait.recv_timeout(end.saturating_duration_since(time::Instant::now()));
     }
 }
 
