test(member): run the duty on a local set, as the node does

Cause: the duty now starts a task of its own for its search in the directory; the test ran it without the set that every duty of a node has. The tests themselves are unchanged.

--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -73,7 +73,8 @@
         let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let context = context::Context::system();
         let directory = member::directory::Fixed::new(&settings.join);
-        runtime.block_on(member::shell::run(context, Arc::new(settings), directory, wiring))
+        let duty = member::shell::run(context, Arc::new(settings), directory, wiring);
+        tokio::task::LocalSet::new().block_on(&runtime, duty)
     };
     let id = host::HostId::new(address(index));
     Duty { id, view, stage, applied, heard, traffic, _local, thread: thread::spawn(run) }
