fix(proxy): reset the upstream's connection of a call that is given up

Ruled out: a connection that was still opening (it is bounded to 250 ms), a later send (the call's task had ended).

--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -137,6 +137,18 @@
     Ok(Conn { send, probe, address, task: task.abort_handle() })
 }
 
+impl Drop for Lease {
+    /// A call that was given up takes back what its upstream has not read: an orderly close would
+    /// deliver it, seconds later where packets were lost, and the upstream would begin to run it.
+    fn drop(&mut self) {
+        let Some(conn) = &self.conn else { return };
+        let socket = socket2::SockRef::from(&conn.probe);
+        if let Err(error) = socket.set_linger(Some(time::Duration::ZERO)) {
+            log::debug!(error:% = error; "a connection to the upstream closes in order");
+        }
+    }
+}
+
 impl Lease {
     /// Sends a call.
     ///
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -90,3 +90,28 @@
         }
     });
 }
+
+#[test]
+fn a_call_that_is_given_up_takes_back_what_the_upstream_has_not_read() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (given_up, wait) = std::sync::mpsc::channel();
+    let upstream = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        // It reads only after the caller has left.
+        wait.recv().unwrap();
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).map(|_| bytes)
+    });
+    rig::run(async {
+        let nodes = rig::nodes(&[None, Some(address)], &rig::Claims::default()).await;
+        let request = rig::request("GET", "/browse", "left");
+        let call = rig::call(&nodes[0], request, b"");
+        let left = tokio::time::timeout(time::Duration::from_millis(200), call).await;
+        assert!(left.is_err(), "the upstream does not answer");
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+        given_up.send(()).unwrap();
+    });
+    let read = upstream.join().unwrap();
+    assert!(read.is_err(), "the upstream was given the call: {read:?}");
+}
