--- a/src/proxy/inner.rs
+++ b/src/proxy/inner.rs
@@ -58,20 +58,22 @@
         map.insert(headers::CLASS, text(class)?);
     }
     map.insert(headers::WEIGHT, header::HeaderValue::from(order.weight));
-    let left = u64::try_from(order.deadline.since(now).as_millis()).unwrap_or(u64::MAX);
-    let mut left = header::HeaderValue::from(left);
-    // It is new each time: it would only push others out of the table of known headers.
-    left.set_sensitive(true);
-    map.insert(headers::DEADLINE, left);
+    map.insert(headers::DEADLINE, left(order.deadline, now));
     if order.target < order.deadline {
-        let left = u64::try_from(order.target.since(now).as_millis()).unwrap_or(u64::MAX);
-        let mut left = header::HeaderValue::from(left);
-        left.set_sensitive(true);
-        map.insert(headers::TARGET, left);
+        map.insert(headers::TARGET, left(order.target, now));
     }
     Ok(())
 }
 
+/// Milliseconds from `now` until `until`.
+fn left(until: clock::Instant, now: clock::Instant) -> header::HeaderValue {
+    let millis = u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX);
+    let mut left = header::HeaderValue::from(millis);
+    // It is new each time: it would only push others out of the table of known headers.
+    left.set_sensitive(true);
+    left
+}
+
 /// Sets the header that names the host to an upstream.
 pub fn name_host(request: &mut http::Request<upload::Upload>, host: Option<&http::uri::Authority>) {
     let host = host.map_or("", http::uri::Authority::as_str);
@@ -178,7 +180,7 @@
 ) -> Option<http::Request<upload::Upload>> {
     let key = u128::from_le_bytes(name.key.0);
     let uri = format!("http://{NO_HOST}{HELD}{key:032x}/{:016x}/{print}", name.number);
-    let left = u64::try_from(deadline.since(now).as_millis()).unwrap_or(u64::MAX);
+    let left = left(deadline, now);
     let request = http::Request::builder().uri(uri).header(headers::DEADLINE, left);
     request.body(upload::Upload::Kept(None)).ok()
 }
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -124,7 +124,8 @@
     mut closing: Closing,
 ) {
     let proxy = &state.settings.proxy;
-    if socket::tune(&stream).is_err() {
+    if let Err(error) = socket::tune(&stream) {
+        log::debug!("a connection of a node ended at once: {error}");
         return;
     }
     let known = Rc::new(Cell::new(false));
