perf(admit): judge each call by the service time of its own kind

Cause: the gate predicted with one mean for all kinds. On the grown second site calls of 41 ms with a target of 150 share upstreams with uploads of 200, so the gate turned them away as late although they would have been in time; each refusal fails the call that made it. Ruled out: their priority (it is above that of the calls beside them, read from the refusals' lines).

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -23,6 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Run {
     ticket: admit::Ticket,
+    kind: admit::Kind,
     since: clock::Instant,
 }
 
@@ -61,8 +62,8 @@
         actions: &mut Vec<admit::Action>,
     ) {
         match event {
-            admit::Event::Arrive { ticket, weight, target, deadline } => {
-                let waiter = queue::Waiter { ticket, weight, target, deadline };
+            admit::Event::Arrive { ticket, kind, weight, target, deadline } => {
+                let waiter = queue::Waiter { ticket, kind, weight, target, deadline };
                 self.arrive(waiter, now, actions);
             }
             admit::Event::Ended { ticket } => self.end(ticket, now),
@@ -90,9 +91,13 @@
     ///
     /// A waiter is refused while its caller still listens, so that "not run" is what it hears.
     pub fn wake(&self) -> Option<clock::Instant> {
-        let earliest = self.queue.earliest()?.as_micros();
-        let least = u64::try_from(self.service.least().as_micros()).unwrap_or(u64::MAX);
-        Some(clock::Instant::from_micros(earliest.saturating_sub(least)))
+        self.queue.iter().map(|w| self.latest(w)).min()
+    }
+
+    /// When `waiter` has to start at the latest.
+    fn latest(&self, waiter: &queue::Waiter) -> clock::Instant {
+        let least = u64::try_from(self.service.least(waiter.kind).as_micros()).unwrap_or(u64::MAX);
+        clock::Instant::from_micros(waiter.deadline.as_micros().saturating_sub(least))
     }
 
     /// Whether the gate drains and nothing runs any more.
@@ -134,8 +139,7 @@
 
     /// Whether a call that comes in at `place` would probably be answered after its target.
     fn is_late(&self, place: usize, waiter: &queue::Waiter, now: clock::Instant) -> bool {
-        let wait = self.service.wait(place, self.width.get(), self.stuck(now));
-        now + wait + self.service.usual() >= waiter.target
+        now + self.wait(place, now) + self.service.usual(waiter.kind) >= waiter.target
     }
 
     /// Refuses waiters there is no room or no time for and gives free slots to the others.
@@ -150,7 +154,7 @@
         }
         while self.has_slot() {
             let Some(waiter) = self.queue.first() else { break };
-            if self.service.misses(waiter.deadline, time::Duration::ZERO, now) {
+            if self.service.misses(waiter.kind, waiter.deadline, time::Duration::ZERO, now) {
                 self.refuse(waiter, retry::Reason::TooLate, now, actions);
             } else {
                 self.run(waiter, now, actions);
@@ -163,15 +167,40 @@
 
     /// Takes out a waiter that can't make its deadline.
     fn lost(&mut self, now: clock::Instant) -> Option<queue::Waiter> {
-        let (service, width, stuck) = (self.service, self.width.get(), self.stuck(now));
-        self.queue.take(|place, waiter| {
-            service.misses(waiter.deadline, service.wait(place, width, stuck), now)
+        let (width, stuck) = (self.turns(), self.stuck(now));
+        let mut work = self.rest(stuck);
+        let service = &self.service;
+        self.queue.take(|waiter| {
+            let wait = work / width;
+            work += service.usual(waiter.kind).max(stuck);
+            service.misses(waiter.kind, waiter.deadline, wait, now)
         })
     }
 
     fn is_hopeless(&self, place: usize, waiter: &queue::Waiter, now: clock::Instant) -> bool {
-        let wait = self.service.wait(place, self.width.get(), self.stuck(now));
-        self.service.misses(waiter.deadline, wait, now)
+        self.service.misses(waiter.kind, waiter.deadline, self.wait(place, now), now)
+    }
+
+    /// Time until a slot is free for a call that comes in at `place`, counted from 0.
+    fn wait(&self, place: usize, now: clock::Instant) -> time::Duration {
+        let stuck = self.stuck(now);
+        let ahead = self.queue.iter().take(place);
+        let ahead: time::Duration = ahead.map(|w| self.service.usual(w.kind).max(stuck)).sum();
+        (self.rest(stuck) + ahead) / self.turns()
+    }
+
+    /// Mean service time of the calls that run.
+    ///
+    /// `stuck` is a lower bound on it when calls hang and nothing is measured.
+    fn rest(&self, stuck: time::Duration) -> time::Duration {
+        let work: time::Duration = self.running.iter().map(|r| self.service.usual(r.kind)).sum();
+        let calls = u32::try_from(self.running.len().max(1)).unwrap_or(u32::MAX);
+        (work / calls).max(stuck)
+    }
+
+    /// Slots that the waiters share, at least one.
+    fn turns(&self) -> u32 {
+        u32::try_from(self.width.get().max(1)).unwrap_or(u32::MAX)
     }
 
     /// How long no slot has changed hands.
@@ -189,7 +218,7 @@
         now: clock::Instant,
         actions: &mut Vec<admit::Action>,
     ) {
-        self.running.push(Run { ticket: waiter.ticket, since: now });
+        self.running.push(Run { ticket: waiter.ticket, kind: waiter.kind, since: now });
         actions.push(admit::Action::Run { ticket: waiter.ticket });
     }
 
@@ -200,14 +229,14 @@
         now: clock::Instant,
         actions: &mut Vec<admit::Action>,
     ) {
-        let wait = self.service.wait(self.queue.len(), self.width.get(), self.stuck(now));
+        let wait = self.wait(self.queue.len(), now);
         let retry_after = spread(wait.max(LEAST_WAIT), waiter.ticket);
         actions.push(admit::Action::Refuse { ticket: waiter.ticket, reason, retry_after });
     }
 
     fn end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
         if let Some(run) = self.leave(ticket) {
-            self.service.note(now.since(run.since));
+            self.service.note(run.kind, now.since(run.since));
             self.width.ended();
         }
     }
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -24,6 +24,10 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub u64);
 
+/// Names a kind of calls at its gate; kinds share what is measured of them.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Kind(pub u16);
+
 /// Limits of a gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -50,6 +54,8 @@
     Arrive {
         /// Its name.
         ticket: Ticket,
+        /// Its kind.
+        kind: Kind,
         /// Weight of its kind; a heavier call goes first.
         weight: u32,
         /// Until when an answer has its full worth; the deadline where that makes no difference.
--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -9,6 +9,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiter {
     pub(super) ticket: admit::Ticket,
+    pub(super) kind: admit::Kind,
     pub(super) weight: u32,
     pub(super) target: clock::Instant,
     pub(super) deadline: clock::Instant,
@@ -50,14 +51,14 @@
         self.waiters.remove(index)
     }
 
-    /// Takes out the first waiter, from the front, of which `lost(place, waiter)` holds.
-    pub(super) fn take(&mut self, lost: impl Fn(usize, &Waiter) -> bool) -> Option<Waiter> {
-        let index = self.waiters.iter().enumerate().position(|(i, w)| lost(i, w))?;
-        self.waiters.remove(index)
+    /// The waiters from front to back.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiter> {
+        self.waiters.iter()
     }
 
-    /// The earliest deadline of a waiter.
-    pub(super) fn earliest(&self) -> Option<clock::Instant> {
-        self.waiters.iter().map(|w| w.deadline).min()
+    /// Takes out the first waiter, from the front, of which `lost` holds.
+    pub(super) fn take(&mut self, lost: impl FnMut(&Waiter) -> bool) -> Option<Waiter> {
+        let index = self.waiters.iter().position(lost)?;
+        self.waiters.remove(index)
     }
 }
--- a/src/admit/service.rs
+++ b/src/admit/service.rs
@@ -1,66 +1,75 @@
-//! The service time that a gate measures.
+//! The service times that a gate measures, for each kind of calls.
 
 use std::time;
 
+use crate::admit;
 use crate::clock;
 
 /// Weight of a new measurement: one in this many.
 const SMOOTHING: u32 = 8;
 
 /// A call is refused for its own run's sake only when its deadline leaves less than the mean
-/// service time divided by this: kinds differ, and only the hopeless are to be turned away.
+/// service time of its kind divided by this: only the hopeless are to be turned away.
 const HOPELESS: u32 = 2;
 
-/// Mean service time, smoothed.
-#[derive(Clone, Copy, Debug, Default)]
+/// Smoothed mean; `None` until a call has ended.
+type Mean = Option<time::Duration>;
+
+/// Mean service times.
+///
+/// Kinds differ by an order of magnitude: judged by the mean of all, a call of 40 ms that has to be
+/// answered within 150 would be refused because the calls beside it take 200.
+#[derive(Clone, Debug, Default)]
 pub(super) struct Service {
-    /// `None` until a call has ended.
-    mean: Option<time::Duration>,
+    all: Mean,
+    /// By kind, as far as calls of it have ended.
+    kinds: Vec<Mean>,
 }
 
 impl Service {
-    /// Notes that a call ran for `took`.
-    pub(super) fn note(&mut self, took: time::Duration) {
-        self.mean = Some(match self.mean {
-            None => took,
-            Some(mean) => (mean * (SMOOTHING - 1) + took) / SMOOTHING,
-        });
+    /// Notes that a call of `kind` ran for `took`.
+    pub(super) fn note(&mut self, kind: admit::Kind, took: time::Duration) {
+        let index = usize::from(kind.0);
+        if index >= self.kinds.len() {
+            self.kinds.resize(index + 1, None);
+        }
+        mix(&mut self.kinds[index], took);
+        mix(&mut self.all, took);
     }
 
-    /// The mean in microseconds; 0 before a call has ended.
+    /// The mean of all kinds in microseconds; 0 before a call has ended.
     pub(super) fn micros(&self) -> u32 {
-        let mean = self.mean.unwrap_or_default();
+        let mean = self.all.unwrap_or_default();
         u32::try_from(mean.as_micros()).unwrap_or(u32::MAX)
     }
 
-    /// Time until a slot of `width` is free for the waiter at `place`, counted from 0.
-    ///
-    /// `stuck` is how long no slot has changed hands: a lower bound on the service time when
-    /// calls hang and nothing is measured.
-    pub(super) fn wait(&self, place: usize, width: usize, stuck: time::Duration) -> time::Duration {
-        let each = self.mean.unwrap_or_default().max(stuck);
-        let turns = u32::try_from(place + 1).unwrap_or(u32::MAX);
-        let width = u32::try_from(width.max(1)).unwrap_or(u32::MAX);
-        each.saturating_mul(turns) / width
-    }
-
-    /// Time that a call takes as a rule.
-    pub(super) fn usual(&self) -> time::Duration {
-        self.mean.unwrap_or_default()
+    /// Time that a call of `kind` takes as a rule: that of all kinds while its own is not known,
+    /// zero before any call has ended.
+    pub(super) fn usual(&self, kind: admit::Kind) -> time::Duration {
+        let own = self.kinds.get(usize::from(kind.0)).copied().flatten();
+        own.or(self.all).unwrap_or_default()
     }
 
-    /// The shortest run worth a slot.
-    pub(super) fn least(&self) -> time::Duration {
-        self.mean.unwrap_or_default() / HOPELESS
+    /// The shortest run of `kind` that is worth a slot.
+    pub(super) fn least(&self, kind: admit::Kind) -> time::Duration {
+        self.usual(kind) / HOPELESS
     }
 
-    /// Whether a call that gets its slot after `wait` is sure to miss `deadline`.
+    /// Whether a call of `kind` that gets its slot after `wait` is sure to miss `deadline`.
     pub(super) fn misses(
         &self,
+        kind: admit::Kind,
         deadline: clock::Instant,
         wait: time::Duration,
         now: clock::Instant,
     ) -> bool {
-        now + wait + self.least() >= deadline
+        now + wait + self.least(kind) >= deadline
     }
 }
+
+fn mix(mean: &mut Mean, took: time::Duration) {
+    *mean = Some(match *mean {
+        None => took,
+        Some(mean) => (mean * (SMOOTHING - 1) + took) / SMOOTHING,
+    });
+}
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -13,6 +13,9 @@
 const BROWSE: u32 = 1;
 const ORDER: u32 = 10;
 
+/// Kind of the calls where it makes no difference.
+const PLAIN: admit::Kind = admit::Kind(0);
+
 fn at(millis: u64) -> clock::Instant {
     clock::Instant::from_millis(millis)
 }
@@ -47,9 +50,22 @@
         target: u64,
         deadline: u64,
         now: u64,
+    ) -> Vec<admit::Action> {
+        self.arrive_of(PLAIN, ticket, weight, target, deadline, now)
+    }
+
+    /// The same for a call of `kind`.
+    fn arrive_of(
+        &mut self,
+        kind: admit::Kind,
+        ticket: u64,
+        weight: u32,
+        target: u64,
+        deadline: u64,
+        now: u64,
     ) -> Vec<admit::Action> {
         let (ticket, target, deadline) = (admit::Ticket(ticket), at(target), at(deadline));
-        self.tell(admit::Event::Arrive { ticket, weight, target, deadline }, now)
+        self.tell(admit::Event::Arrive { ticket, kind, weight, target, deadline }, now)
     }
 
     fn end(&mut self, ticket: u64, now: u64) -> Vec<admit::Action> {
@@ -395,6 +411,24 @@
     assert!(late * 4 < timely, "{late} in time without targets, {timely} with them");
 }
 
+/// Nine slots, most of them taken by uploads of 250 ms; short calls of 40 ms have 150 ms.
+#[test]
+fn a_short_call_is_judged_by_its_own_kind() {
+    const LONG: admit::Kind = admit::Kind(1);
+    const SHORT: admit::Kind = admit::Kind(2);
+    let mut bench = Bench::new(9, 16);
+    bench.arrive_of(SHORT, 0, BROWSE, 1000, 1000, 0);
+    bench.end(0, 40);
+    (1..10).for_each(|n| drop(bench.arrive_of(LONG, n, BROWSE, 2000, 2000, 40)));
+    (1..10).for_each(|n| drop(bench.end(n, 290)));
+    (10..19).for_each(|n| drop(bench.arrive_of(LONG, n, BROWSE, 2000, 2000, 290)));
+    let crowd = (19..22).map(|n| bench.arrive_of(SHORT, n, BROWSE, 440, 790, 290));
+    assert_eq!(crowd.flatten().collect::<Vec<_>>(), []);
+    assert_eq!(bench.arrive_of(SHORT, 22, BROWSE, 440, 790, 290), [], "45 ms in, 40 ms to run");
+    let late = bench.arrive_of(LONG, 23, BROWSE, 440, 790, 290);
+    assert_eq!(refused(&late), [(23, retry::Reason::Full)], "it takes 250 ms by itself");
+}
+
 #[test]
 fn a_call_that_would_come_late_waits_while_nobody_else_does() {
     let mut bench = Bench::new(3, 9);
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -208,8 +208,9 @@
         let one = &self.calls[call];
         let ticket = admit::Ticket(call as u64 * TICKETS + u64::from(attempt));
         let deadline = one.since + one.kind.patience();
-        let weight = one.kind.weight();
-        self.gate(at, admit::Event::Arrive { ticket, weight, target: deadline, deadline });
+        let (kind, weight) = (one.kind.number(), one.kind.weight());
+        let arrive = admit::Event::Arrive { ticket, kind, weight, target: deadline, deadline };
+        self.gate(at, arrive);
     }
 
     /// Tells a gate and does what it wants.
--- a/src/bench/policies/setup.rs
+++ b/src/bench/policies/setup.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 
+use crate::admit;
 use crate::bench::policies::case;
 use crate::host;
 use crate::mesh;
@@ -55,6 +56,14 @@
 }
 
 impl Kind {
+    /// Its number at the gates.
+    pub(super) const fn number(self) -> admit::Kind {
+        match self {
+            Self::Browse => admit::Kind(0),
+            Self::Order => admit::Kind(1),
+        }
+    }
+
     /// Worth of one call served whole.
     pub(super) const fn weight(self) -> u32 {
         match self {
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -36,6 +36,8 @@
 
 /// Between nodes: service of the call. A request without it is no call.
 pub const SERVICE: &str = "dandelionspool-service";
+/// Between nodes: name of the call's kind.
+pub const KIND: &str = "dandelionspool-kind";
 /// Between nodes: weight of the call's kind.
 pub const WEIGHT: &str = "dandelionspool-weight";
 /// Milliseconds until a call loses part of its worth, between nodes.
--- a/src/proxy/inner.rs
+++ b/src/proxy/inner.rs
@@ -57,6 +57,7 @@
     if let Some(class) = order.class {
         map.insert(headers::CLASS, text(class)?);
     }
+    map.insert(headers::KIND, text(order.kind)?);
     map.insert(headers::WEIGHT, header::HeaderValue::from(order.weight));
     map.insert(headers::DEADLINE, left(order.deadline, now));
     if order.target < order.deadline {
@@ -93,6 +94,7 @@
     for name in [
         headers::SERVICE,
         headers::CLASS,
+        headers::KIND,
         headers::WEIGHT,
         headers::TARGET,
         header::CONTENT_LENGTH.as_str(),
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -98,6 +98,7 @@
         owner::Order {
             service: &self.service().name,
             class: self.class().map(|c| c.name.as_str()),
+            kind: &self.kind().name,
             weight: rank(self.kind()),
             target: self.target,
             deadline: self.deadline,
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -47,6 +47,8 @@
     pub service: &'a str,
     /// Class that the upstream must have; `None` allows every one.
     pub class: Option<&'a str>,
+    /// Name of the call's kind; empty where the entry told none.
+    pub kind: &'a str,
     /// Weight of the call's kind.
     pub weight: u32,
     /// Until when an answer has its full worth.
@@ -69,9 +71,13 @@
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     find(state, order)?;
-    let slot =
-        state.slots.enter(order.weight, order.target, latest(state.ctx.now(), order.deadline));
-    let slot = slot.await;
+    let wish = slots::Wish {
+        kind: order.kind,
+        weight: order.weight,
+        target: order.target,
+        deadline: latest(state.ctx.now(), order.deadline),
+    };
+    let slot = state.slots.enter(&wish).await;
     hold.slot = Some(slot.map_err(|refused| turn(state, order, &request, refused))?);
     // The upstream may have gone while the call waited, and a suspended host wakes late.
     let local = find(state, order)?;
@@ -166,6 +172,7 @@
     let now = state.ctx.now();
     let turned = trace::Turned {
         id: request.headers().get(&state.dialect.id),
+        kind: order.kind,
         reason: refused.reason,
         load: state.slots.load(),
         left: order.deadline.since(now),
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -79,6 +79,7 @@
     let text = |name| parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
     let service = text(headers::SERVICE).ok_or(MALFORMED)?;
     let class = text(headers::CLASS);
+    let kind = text(headers::KIND).unwrap_or_default();
     let weight = ask::number(&parts.headers, headers::WEIGHT)?.ok_or(MALFORMED)?;
     let left = ask::number(&parts.headers, headers::DEADLINE)?.ok_or(MALFORMED)?;
     let target = ask::number(&parts.headers, headers::TARGET)?.unwrap_or(left);
@@ -86,6 +87,7 @@
     let order = owner::Order {
         service: &service,
         class: class.as_deref(),
+        kind: &kind,
         weight: u32::try_from(weight).map_err(|_| MALFORMED)?,
         target: now + time::Duration::from_millis(target),
         deadline: now + time::Duration::from_millis(left),
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time;
 
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
 use crate::admit;
@@ -25,6 +26,40 @@
     pub retry_after: time::Duration,
 }
 
+/// What a call needs at the gate.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Name of its kind.
+    pub kind: &'a str,
+    /// Weight of its kind.
+    pub weight: u32,
+    /// Until when an answer has its full worth.
+    pub target: clock::Instant,
+    /// When the gate has to have decided.
+    pub deadline: clock::Instant,
+}
+
+/// Names of kinds, numbered in the order in which they were first seen.
+#[derive(Debug, Default)]
+struct Kinds(Vec<SmolStr>);
+
+impl Kinds {
+    /// Most kinds told apart. A service has a handful; every one that comes later counts as the
+    /// last, so that entries can't make a node keep more than this.
+    const MOST: usize = 64;
+
+    fn number(&mut self, name: &str) -> admit::Kind {
+        let known = self.0.iter().position(|k| k == name);
+        let index = known.unwrap_or_else(|| {
+            if self.0.len() < Self::MOST {
+                self.0.push(SmolStr::new(name));
+            }
+            self.0.len() - 1
+        });
+        admit::Kind(u16::try_from(index).unwrap_or(u16::MAX))
+    }
+}
+
 /// The gate and the calls that wait at it.
 #[derive(Debug)]
 pub struct Slots {
@@ -32,6 +67,7 @@
     gate: RefCell<admit::Gate>,
     waiters: RefCell<collections::HashMap<admit::Ticket, oneshot::Sender<Verdict>>>,
     next: Cell<u64>,
+    kinds: RefCell<Kinds>,
     /// Kept to save an allocation for each event.
     actions: RefCell<Vec<admit::Action>>,
 }
@@ -53,6 +89,7 @@
             gate: RefCell::new(admit::Gate::new(limits)),
             waiters: RefCell::default(),
             next: Cell::new(0),
+            kinds: RefCell::default(),
             actions: RefCell::default(),
         }
     }
@@ -62,18 +99,15 @@
     /// # Errors
     ///
     /// The gate's refusal.
-    pub async fn enter(
-        self: &Rc<Self>,
-        weight: u32,
-        target: clock::Instant,
-        deadline: clock::Instant,
-    ) -> Result<Slot, Refused> {
+    pub async fn enter(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Slot, Refused> {
+        let &Wish { weight, target, deadline, .. } = wish;
+        let kind = self.kinds.borrow_mut().number(wish.kind);
         let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
         let (sender, mut receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
         // From here on, leaving early takes the call off the gate.
         let slot = Slot { slots: Rc::clone(self), ticket, ended: false };
-        self.handle(admit::Event::Arrive { ticket, weight, target, deadline });
+        self.handle(admit::Event::Arrive { ticket, kind, weight, target, deadline });
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
         }
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -68,6 +68,8 @@
 pub struct Turned<'a> {
     /// Name of the call, if it has one.
     pub id: Option<&'a header::HeaderValue>,
+    /// Its kind.
+    pub kind: &'a str,
     /// Why.
     pub reason: retry::Reason,
     /// What the gate held.
@@ -134,6 +136,7 @@
         let Some(skipped) = self.admit(now) else { return };
         log::info!(
             id = turned.id.map(text).unwrap_or_default(),
+            kind = turned.kind,
             reason = turned.reason.as_str(),
             running = turned.load.running,
             waiting = turned.load.waiting,
