perf(proxy): let long bodies take turns on a thin link, before they ask for a slot

Cause: on hosts with 5 to 6.5 Mbit/s uploads from dozens of nodes came in side by side with 256 KiB under way each; whatever else had to pass the link waited for seconds, calls that upstreams make first of all, and slots were held by bodies on their way. Windows now hold what a link carries in 20 ms, few bodies are read at once, and they are read before the call asks for a slot; what the gate would refuse is refused before its body. Ruled out: processor (0.006 cores at the most), slots (60% taken).

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -62,10 +62,7 @@
         actions: &mut Vec<admit::Action>,
     ) {
         match event {
-            admit::Event::Arrive { ticket, kind, weight, target, deadline } => {
-                let waiter = queue::Waiter { ticket, kind, weight, target, deadline };
-                self.arrive(waiter, now, actions);
-            }
+            admit::Event::Arrive(call) => self.arrive(call, now, actions),
             admit::Event::Ended { ticket } => self.end(ticket, now),
             admit::Event::Cancelled { ticket } => self.cancel(ticket),
             admit::Event::Shed { ticket } => self.shed(ticket),
@@ -95,7 +92,7 @@
     }
 
     /// When `waiter` has to start at the latest.
-    fn latest(&self, waiter: &queue::Waiter) -> clock::Instant {
+    fn latest(&self, waiter: &admit::Call) -> clock::Instant {
         let least = u64::try_from(self.service.least(waiter.kind).as_micros()).unwrap_or(u64::MAX);
         clock::Instant::from_micros(waiter.deadline.as_micros().saturating_sub(least))
     }
@@ -105,31 +102,40 @@
         self.draining && self.running.is_empty()
     }
 
-    fn arrive(
-        &mut self,
-        waiter: queue::Waiter,
-        now: clock::Instant,
-        actions: &mut Vec<admit::Action>,
-    ) {
-        if self.draining {
-            return self.refuse(waiter, retry::Reason::Draining, now, actions);
+    fn arrive(&mut self, call: admit::Call, now: clock::Instant, actions: &mut Vec<admit::Action>) {
+        match self.doubt(&call, now) {
+            Some(reason) => self.refuse(call, reason, now, actions),
+            None if self.has_slot() => self.run(call, now, actions),
+            None => self.queue.insert(call),
         }
-        if self.width.get() == 0 {
-            return self.refuse(waiter, retry::Reason::NoUpstream, now, actions);
-        }
-        if waiter.deadline <= now {
-            return self.refuse(waiter, retry::Reason::TooLate, now, actions);
-        }
-        if self.has_slot() {
-            return self.run(waiter, now, actions);
-        }
-        if self.is_hopeless(self.queue.place(waiter.weight), &waiter, now) {
-            return self.refuse(waiter, retry::Reason::TooLate, now, actions);
+    }
+
+    /// What becomes of `call` if it comes now; `None` when it would wait.
+    pub fn preview(&self, call: &admit::Call, now: clock::Instant) -> Option<admit::Action> {
+        match self.doubt(call, now) {
+            Some(reason) => Some(self.refusal(call.ticket, reason, now)),
+            None => self.has_slot().then_some(admit::Action::Run { ticket: call.ticket }),
         }
-        if self.is_crowded() && self.is_late(self.queue.place(waiter.weight), &waiter, now) {
-            return self.refuse(waiter, retry::Reason::Full, now, actions);
+    }
+
+    /// Why `call` can't be let in, if it can't.
+    fn doubt(&self, call: &admit::Call, now: clock::Instant) -> Option<retry::Reason> {
+        let place = self.queue.place(call.weight);
+        if self.draining {
+            Some(retry::Reason::Draining)
+        } else if self.width.get() == 0 {
+            Some(retry::Reason::NoUpstream)
+        } else if call.deadline <= now {
+            Some(retry::Reason::TooLate)
+        } else if self.has_slot() {
+            None
+        } else if self.is_hopeless(place, call, now) {
+            Some(retry::Reason::TooLate)
+        } else if self.is_crowded() && self.is_late(place, call, now) {
+            Some(retry::Reason::Full)
+        } else {
+            None
         }
-        self.queue.insert(waiter);
     }
 
     /// Whether enough calls wait already to keep every slot busy.
@@ -138,7 +144,7 @@
     }
 
     /// Whether a call that comes in at `place` would probably be answered after its target.
-    fn is_late(&self, place: usize, waiter: &queue::Waiter, now: clock::Instant) -> bool {
+    fn is_late(&self, place: usize, waiter: &admit::Call, now: clock::Instant) -> bool {
         now + self.wait(place, now) + self.service.usual(waiter.kind) >= waiter.target
     }
 
@@ -166,7 +172,7 @@
     }
 
     /// Takes out a waiter that can't make its deadline.
-    fn lost(&mut self, now: clock::Instant) -> Option<queue::Waiter> {
+    fn lost(&mut self, now: clock::Instant) -> Option<admit::Call> {
         let (width, stuck) = (self.turns(), self.stuck(now));
         let mut work = self.rest(stuck);
         let service = &self.service;
@@ -177,7 +183,7 @@
         })
     }
 
-    fn is_hopeless(&self, place: usize, waiter: &queue::Waiter, now: clock::Instant) -> bool {
+    fn is_hopeless(&self, place: usize, waiter: &admit::Call, now: clock::Instant) -> bool {
         self.service.misses(waiter.kind, waiter.deadline, self.wait(place, now), now)
     }
 
@@ -212,26 +218,30 @@
         !self.draining && self.running.len() < self.width.get()
     }
 
-    fn run(
-        &mut self,
-        waiter: queue::Waiter,
-        now: clock::Instant,
-        actions: &mut Vec<admit::Action>,
-    ) {
+    fn run(&mut self, waiter: admit::Call, now: clock::Instant, actions: &mut Vec<admit::Action>) {
         self.running.push(Run { ticket: waiter.ticket, kind: waiter.kind, since: now });
         actions.push(admit::Action::Run { ticket: waiter.ticket });
     }
 
     fn refuse(
         &self,
-        waiter: queue::Waiter,
+        waiter: admit::Call,
         reason: retry::Reason,
         now: clock::Instant,
         actions: &mut Vec<admit::Action>,
     ) {
+        actions.push(self.refusal(waiter.ticket, reason, now));
+    }
+
+    fn refusal(
+        &self,
+        ticket: admit::Ticket,
+        reason: retry::Reason,
+        now: clock::Instant,
+    ) -> admit::Action {
         let wait = self.wait(self.queue.len(), now);
-        let retry_after = spread(wait.max(LEAST_WAIT), waiter.ticket);
-        actions.push(admit::Action::Refuse { ticket: waiter.ticket, reason, retry_after });
+        let retry_after = spread(wait.max(LEAST_WAIT), ticket);
+        admit::Action::Refuse { ticket, reason, retry_after }
     }
 
     fn end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -28,6 +28,21 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Kind(pub u16);
 
+/// A call at its gate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// Its name.
+    pub ticket: Ticket,
+    /// Its kind.
+    pub kind: Kind,
+    /// Weight of its kind; a heavier call goes first.
+    pub weight: u32,
+    /// Until when an answer has its full worth; the deadline where that makes no difference.
+    pub target: clock::Instant,
+    /// When its caller gives up.
+    pub deadline: clock::Instant,
+}
+
 /// Limits of a gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -51,18 +66,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
     /// A call came in.
-    Arrive {
-        /// Its name.
-        ticket: Ticket,
-        /// Its kind.
-        kind: Kind,
-        /// Weight of its kind; a heavier call goes first.
-        weight: u32,
-        /// Until when an answer has its full worth; the deadline where that makes no difference.
-        target: clock::Instant,
-        /// When its caller gives up.
-        deadline: clock::Instant,
-    },
+    Arrive(Call),
     /// A call that ran has ended by itself and its slot is free.
     Ended {
         /// Its name.
--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -3,24 +3,13 @@
 use std::collections;
 
 use crate::admit;
-use crate::clock;
 
-/// A call that waits.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Waiter {
-    pub(super) ticket: admit::Ticket,
-    pub(super) kind: admit::Kind,
-    pub(super) weight: u32,
-    pub(super) target: clock::Instant,
-    pub(super) deadline: clock::Instant,
-}
-
-/// Waiters in the order they will run.
+/// admit::Calls in the order they will run.
 ///
 /// Invariant: weights never rise from front to back; equal weights stand in order of arrival.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    waiters: collections::VecDeque<Waiter>,
+    waiters: collections::VecDeque<admit::Call>,
 }
 
 impl Queue {
@@ -29,7 +18,7 @@
         self.waiters.partition_point(|w| w.weight >= weight)
     }
 
-    pub(super) fn insert(&mut self, waiter: Waiter) {
+    pub(super) fn insert(&mut self, waiter: admit::Call) {
         self.waiters.insert(self.place(waiter.weight), waiter);
     }
 
@@ -37,27 +26,27 @@
         self.waiters.len()
     }
 
-    pub(super) fn first(&mut self) -> Option<Waiter> {
+    pub(super) fn first(&mut self) -> Option<admit::Call> {
         self.waiters.pop_front()
     }
 
     /// Takes out the waiter that would run last.
-    pub(super) fn last(&mut self) -> Option<Waiter> {
+    pub(super) fn last(&mut self) -> Option<admit::Call> {
         self.waiters.pop_back()
     }
 
-    pub(super) fn remove(&mut self, ticket: admit::Ticket) -> Option<Waiter> {
+    pub(super) fn remove(&mut self, ticket: admit::Ticket) -> Option<admit::Call> {
         let index = self.waiters.iter().position(|w| w.ticket == ticket)?;
         self.waiters.remove(index)
     }
 
     /// The waiters from front to back.
-    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiter> {
+    pub(super) fn iter(&self) -> impl Iterator<Item = &admit::Call> {
         self.waiters.iter()
     }
 
     /// Takes out the first waiter, from the front, of which `lost` holds.
-    pub(super) fn take(&mut self, lost: impl FnMut(&Waiter) -> bool) -> Option<Waiter> {
+    pub(super) fn take(&mut self, lost: impl FnMut(&admit::Call) -> bool) -> Option<admit::Call> {
         let index = self.waiters.iter().position(lost)?;
         self.waiters.remove(index)
     }
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -65,7 +65,8 @@
         now: u64,
     ) -> Vec<admit::Action> {
         let (ticket, target, deadline) = (admit::Ticket(ticket), at(target), at(deadline));
-        self.tell(admit::Event::Arrive { ticket, kind, weight, target, deadline }, now)
+        let call = admit::Call { ticket, kind, weight, target, deadline };
+        self.tell(admit::Event::Arrive(call), now)
     }
 
     fn end(&mut self, ticket: u64, now: u64) -> Vec<admit::Action> {
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -209,8 +209,8 @@
         let ticket = admit::Ticket(call as u64 * TICKETS + u64::from(attempt));
         let deadline = one.since + one.kind.patience();
         let (kind, weight) = (one.kind.number(), one.kind.weight());
-        let arrive = admit::Event::Arrive { ticket, kind, weight, target: deadline, deadline };
-        self.gate(at, arrive);
+        let call = admit::Call { ticket, kind, weight, target: deadline, deadline };
+        self.gate(at, admit::Event::Arrive(call));
     }
 
     /// Tells a gate and does what it wants.
--- a/src/configs/proxy.rs
+++ b/src/configs/proxy.rs
@@ -22,11 +22,16 @@
     pub path_bytes: usize,
     /// Request bodies up to this size are kept for another attempt, in bytes.
     pub keep_bytes: u64,
+    /// Bytes that all bodies held for another attempt may take up; others stream.
+    pub kept_bytes: u64,
     /// Answers up to this size are read whole before their first byte goes out, in bytes.
     pub whole_bytes: u64,
     /// Longest an unused connection to the upstream is kept, in milliseconds; below the
     /// upstream's own limit.
     pub idle_ms: u64,
+    /// Rate of this host's link, in megabits a second; 0 where it is not known. Long bodies take
+    /// turns on it.
+    pub link_mbps: f64,
     /// Window of each stream between nodes, in bytes: what a stalled call may take up.
     pub stream_bytes: u32,
     /// Window of each connection between nodes, in bytes.
@@ -63,8 +68,10 @@
             head_count: 100,
             path_bytes: 8192,
             keep_bytes: 65_536,
+            kept_bytes: 33_554_432,
             whole_bytes: 65_536,
             idle_ms: 10_000,
+            link_mbps: 0.0,
             stream_bytes: 262_144,
             link_bytes: 2_097_152,
             link_calls: 1024,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -132,7 +132,6 @@
     route.ok_or(refuse::Refusal::not_run(retry::Reason::NoRoute))
 }
 
-/// Reads a small body whole, until the deadline at most.
 /// Longest a call of `kind` may take when its caller waits for `left`.
 fn longest(mesh: &mesh::Mesh, kind: mesh::KindKey, left: Option<time::Duration>) -> time::Duration {
     let timeout = mesh.timeout(kind);
@@ -140,6 +139,7 @@
     left.map_or(timeout, |left| left.min(bound))
 }
 
+/// Reads a small body whole, until the deadline at most.
 async fn intake<C: claim::Claims>(
     state: &state::State<C>,
     incoming: Incoming,
@@ -150,7 +150,9 @@
         return Err(refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause()));
     }
     let wire = wire::Wire::new(incoming, wire::Carrier::Plain);
-    let read = upload::Intake::read(wire, state.settings.proxy.keep_bytes, limit);
+    let bounds = state.bounds(limit);
+    let mut pace = upload::AtOnce;
+    let read = upload::Intake::read(wire, &bounds, &mut pace);
     match tokio::time::timeout_at(state.timer(deadline), read).await {
         Ok(intake) => intake.map_err(refuse::Refusal::not_run),
         Err(_) => Err(refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause())),
--- /dev/null
+++ b/src/proxy/inflow.rs
@@ -0,0 +1,116 @@
+//! Long bodies from other nodes take turns on this host's link.
+//!
+//! A thin link that carries many bodies at once delays everything else on it by all that their
+//! senders have under way: some hundred kilobytes take a second at 5 Mbit/s. So each body may have
+//! only a small window under way, and few bodies are read at once. The link stays busy, and what is
+//! short waits for a few windows at most.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
+use hyper::body::Frame;
+use tokio::sync;
+use tokio::time;
+
+use crate::configs;
+use crate::proxy::error;
+use crate::proxy::upload;
+use crate::proxy::wire;
+
+#[cfg(test)]
+mod tests;
+
+/// How long the link may be taken up by bytes that are under way: an eighth of the shortest target
+/// that calls have (150 ms), and ten times the way between two availability zones.
+const UNDER_WAY: Duration = Duration::from_millis(20);
+
+/// Bodies read at once at the least, so that one slow sender doesn't leave the link idle.
+const LEAST_TURNS: usize = 2;
+
+/// Smallest window of a body, in bytes: with less, a sender 5 ms away can't fill a link of
+/// 20 Mbit/s.
+const LEAST_WINDOW: u32 = 16_384;
+
+/// A sender that is silent for as long gives up its turn until it goes on.
+const STALL: Duration = Duration::from_millis(50);
+
+const BITS_PER_BYTE: f64 = 8.0;
+
+/// How a link is shared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Plan {
+    /// Bytes of one body that may be under way.
+    pub window: u32,
+    /// Bodies that are read at once.
+    pub turns: usize,
+}
+
+impl Plan {
+    /// The plan for the link of `settings`; one whose rate is not known has no turns to wait for.
+    pub fn new(settings: &configs::proxy::Proxy) -> Self {
+        if settings.link_mbps <= 0.0 {
+            return Self { window: settings.stream_bytes, turns: sync::Semaphore::MAX_PERMITS };
+        }
+        let rate = settings.link_mbps * 1e6 / BITS_PER_BYTE;
+        let bytes = rate * UNDER_WAY.as_secs_f64();
+        let share = (bytes / LEAST_TURNS as f64) as u32;
+        let window = share.clamp(LEAST_WINDOW, settings.stream_bytes.max(LEAST_WINDOW));
+        let turns = (bytes / f64::from(window)) as usize;
+        Self { window, turns: turns.max(LEAST_TURNS) }
+    }
+}
+
+/// The turns on one link.
+#[derive(Debug)]
+pub struct Inflow {
+    plan: Plan,
+    turns: sync::Semaphore,
+}
+
+/// One body's place on the link. It holds a turn only while its bytes come in.
+#[derive(Debug)]
+pub struct Turn<'a> {
+    inflow: &'a Inflow,
+    permit: Option<sync::SemaphorePermit<'a>>,
+}
+
+impl Inflow {
+    /// Turns as `plan` says.
+    pub fn new(plan: Plan) -> Self {
+        Self { plan, turns: sync::Semaphore::new(plan.turns) }
+    }
+
+    /// A place for one body; it waits when the body is read.
+    pub const fn turn(&self) -> Turn<'_> {
+        Turn { inflow: self, permit: None }
+    }
+}
+
+impl Turn<'_> {
+    /// Waits for a turn if `rest` needs one.
+    async fn enter(&mut self, rest: &wire::Wire) {
+        let short =
+            rest.size_hint().upper().is_some_and(|n| n <= u64::from(self.inflow.plan.window));
+        if short || self.permit.is_some() {
+            return;
+        }
+        // The semaphore is never closed; without a permit the body is read all the same.
+        self.permit = self.inflow.turns.acquire().await.ok();
+    }
+}
+
+impl upload::Pace for Turn<'_> {
+    async fn next(&mut self, rest: &mut wire::Wire) -> Option<Result<Frame<Bytes>, error::Broken>> {
+        self.enter(rest).await;
+        if self.permit.is_none() {
+            return rest.frame().await;
+        }
+        if let Ok(frame) = time::timeout(STALL, rest.frame()).await {
+            return frame;
+        }
+        self.permit = None;
+        rest.frame().await
+    }
+}
--- /dev/null
+++ b/src/proxy/inflow/tests.rs
@@ -0,0 +1,25 @@
+use rstest::rstest;
+
+use crate::configs;
+use crate::proxy::inflow;
+
+#[rstest]
+#[case::thin(5.0, 16_384, 2)]
+#[case::middling(100.0, 125_000, 2)]
+#[case::wide(1000.0, 262_144, 9)]
+fn a_link_is_shared_by_what_it_carries_in_a_moment(
+    #[case] mbps: f64,
+    #[case] window: u32,
+    #[case] turns: usize,
+) {
+    let settings = configs::proxy::Proxy { link_mbps: mbps, ..configs::proxy::Proxy::default() };
+    assert_eq!(inflow::Plan::new(&settings), inflow::Plan { window, turns });
+}
+
+#[test]
+fn a_link_of_unknown_rate_is_left_alone() {
+    let settings = configs::proxy::Proxy::default();
+    let plan = inflow::Plan::new(&settings);
+    assert_eq!(plan.window, settings.stream_bytes);
+    assert!(plan.turns > usize::from(u16::MAX));
+}
--- a/src/proxy/keyed.rs
+++ b/src/proxy/keyed.rs
@@ -176,8 +176,8 @@
     hasher.update(&[0]);
     hasher.update(job.ask.path.as_str().as_bytes());
     hasher.update(&[0]);
-    if let upload::Intake::Kept(bytes) = &job.intake {
-        hasher.update(bytes);
+    if let upload::Intake::Kept(kept) = &job.intake {
+        hasher.update(&kept.bytes);
     }
     hasher.finalize()
 }
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -71,14 +71,8 @@
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     find(state, order)?;
-    let wish = slots::Wish {
-        kind: order.kind,
-        weight: order.weight,
-        target: order.target,
-        deadline: latest(state.ctx.now(), order.deadline),
-    };
-    let slot = state.slots.enter(&wish).await;
-    hold.slot = Some(slot.map_err(|refused| turn(state, order, &request, refused))?);
+    let slot = state.slots.enter(&wish(state, order)).await;
+    hold.slot = Some(slot.map_err(|refused| turn(state, order, request.headers(), refused))?);
     // The upstream may have gone while the call waited, and a suspended host wakes late.
     let local = find(state, order)?;
     let left = order.deadline.since(state.ctx.now());
@@ -107,9 +101,34 @@
     Ok(http::Response::from_parts(parts, reply))
 }
 
+/// Refuses a call that would find no room now, before its body is read.
+///
+/// # Errors
+///
+/// What [`run`] would answer.
+pub fn preview<C: claim::Claims>(
+    state: &state::State<C>,
+    order: &Order<'_>,
+    headers: &header::HeaderMap,
+) -> Result<(), refuse::Refusal> {
+    find(state, order)?;
+    let preview = state.slots.preview(&wish(state, order));
+    preview.map_err(|refused| turn(state, order, headers, refused))
+}
+
+/// What a call asks of the gate.
+fn wish<'a, C: claim::Claims>(state: &state::State<C>, order: &Order<'a>) -> slots::Wish<'a> {
+    slots::Wish {
+        kind: order.kind,
+        weight: order.weight,
+        target: order.target,
+        deadline: latest(state.ctx.now(), order.deadline),
+    }
+}
+
 /// Until when a call that came at `now` may wait for its slot: a little before its deadline, so
 /// that the word that it did not run comes back in time.
-fn latest(now: clock::Instant, deadline: clock::Instant) -> clock::Instant {
+pub fn latest(now: clock::Instant, deadline: clock::Instant) -> clock::Instant {
     let left = deadline.since(now);
     let margin = (left / MARGIN_SHARE).clamp(LEAST_MARGIN, MOST_MARGIN);
     now + left.saturating_sub(margin)
@@ -166,12 +185,12 @@
 fn turn<C: claim::Claims>(
     state: &state::State<C>,
     order: &Order<'_>,
-    request: &http::Request<upload::Upload>,
+    headers: &header::HeaderMap,
     refused: slots::Refused,
 ) -> refuse::Refusal {
     let now = state.ctx.now();
     let turned = trace::Turned {
-        id: request.headers().get(&state.dialect.id),
+        id: headers.get(&state.dialect.id),
         kind: order.kind,
         reason: refused.reason,
         load: state.slots.load(),
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::header;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 
 use crate::claim;
@@ -92,12 +93,33 @@
         target: now + time::Duration::from_millis(target),
         deadline: now + time::Duration::from_millis(left),
     };
-    // The entry has checked the size against the kind.
-    let intake = upload::Intake::stream(wire::Wire::new(incoming, wire::Carrier::Inner), u64::MAX);
+    let intake = intake(state, &order, &parts, incoming).await?;
     let request = inner::unwrap(parts, intake.attempt())?;
     owner::run(state, &order, request, &mut hold).await
 }
 
+/// Takes in a body before its call asks for a slot, so that no slot waits for a link. A call that
+/// would be refused is refused before its body takes up the link.
+async fn intake<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    order: &owner::Order<'_>,
+    parts: &http::request::Parts,
+    incoming: Incoming,
+) -> Result<upload::Intake, refuse::Refusal> {
+    let wire = wire::Wire::new(incoming, wire::Carrier::Inner);
+    if !wire.is_end_stream() {
+        owner::preview(state, order, &parts.headers)?;
+    }
+    // The entry has checked the size against the kind.
+    let bounds = state.bounds(u64::MAX);
+    let mut turn = state.inflow.turn();
+    let read = upload::Intake::read(wire, &bounds, &mut turn);
+    let end = state.timer(owner::latest(state.ctx.now(), order.deadline));
+    let late = refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause());
+    let intake = tokio::time::timeout_at(end, read).await.map_err(|_| late)?;
+    intake.map_err(refuse::Refusal::not_run)
+}
+
 /// The held answer of a call that came in here.
 async fn held<C: claim::Claims>(
     state: &state::State<C>,
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -16,6 +16,7 @@
 use crate::proxy::caller;
 use crate::proxy::error;
 use crate::proxy::frame;
+use crate::proxy::inflow;
 use crate::proxy::links;
 use crate::proxy::peer;
 use crate::proxy::state;
@@ -135,9 +136,10 @@
         let stranger = stranger.clone();
         async move { answer.await.inspect_err(|_| stranger.send_modify(|s| *s = true)) }
     });
+    let plan = inflow::Plan::new(proxy);
     let conn = http2::Builder::new(links::Here)
         .timer(TokioTimer::new())
-        .initial_stream_window_size(proxy.stream_bytes)
+        .initial_stream_window_size(plan.window)
         .initial_connection_window_size(proxy.link_bytes)
         .max_concurrent_streams(proxy.link_calls)
         .max_header_list_size(u32::try_from(proxy.head_bytes).unwrap_or(u32::MAX))
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -39,25 +39,35 @@
     pub deadline: clock::Instant,
 }
 
-/// Names of kinds, numbered in the order in which they were first seen.
+/// Numbers of kinds at the gate.
 #[derive(Debug, Default)]
-struct Kinds(Vec<SmolStr>);
+struct Kinds {
+    names: Vec<SmolStr>,
+    /// Number that the next new kind gets once all are given out.
+    next: usize,
+}
 
 impl Kinds {
-    /// Most kinds told apart. A service has a handful; every one that comes later counts as the
-    /// last, so that entries can't make a node keep more than this.
+    /// Most kinds told apart. A service has a handful; a new one takes the number of the one that
+    /// has had its own for longest, so that a node's memory stays bounded however many
+    /// configurations it sees.
     const MOST: usize = 64;
 
     fn number(&mut self, name: &str) -> admit::Kind {
-        let known = self.0.iter().position(|k| k == name);
-        let index = known.unwrap_or_else(|| {
-            if self.0.len() < Self::MOST {
-                self.0.push(SmolStr::new(name));
-            }
-            self.0.len() - 1
-        });
+        let known = self.names.iter().position(|k| k == name);
+        let index = known.unwrap_or_else(|| self.add(name));
         admit::Kind(u16::try_from(index).unwrap_or(u16::MAX))
     }
+
+    fn add(&mut self, name: &str) -> usize {
+        let index = self.next;
+        self.next = (index + 1) % Self::MOST;
+        match self.names.get_mut(index) {
+            Some(old) => *old = SmolStr::new(name),
+            None => self.names.push(SmolStr::new(name)),
+        }
+        index
+    }
 }
 
 /// The gate and the calls that wait at it.
@@ -107,7 +117,8 @@
         self.waiters.borrow_mut().insert(ticket, sender);
         // From here on, leaving early takes the call off the gate.
         let slot = Slot { slots: Rc::clone(self), ticket, ended: false };
-        self.handle(admit::Event::Arrive { ticket, kind, weight, target, deadline });
+        let call = admit::Call { ticket, kind, weight, target, deadline };
+        self.handle(admit::Event::Arrive(call));
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
         }
@@ -125,6 +136,24 @@
         }
     }
 
+    /// What [`Self::enter`] would say to a call that came now.
+    ///
+    /// # Errors
+    ///
+    /// The gate's refusal.
+    pub fn preview(&self, wish: &Wish<'_>) -> Result<(), Refused> {
+        let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
+        let kind = self.kinds.borrow_mut().number(wish.kind);
+        let &Wish { weight, target, deadline, .. } = wish;
+        let call = admit::Call { ticket, kind, weight, target, deadline };
+        match self.gate.borrow().preview(&call, self.ctx.now()) {
+            Some(admit::Action::Refuse { reason, retry_after, .. }) => {
+                Err(Refused { reason, retry_after })
+            }
+            Some(admit::Action::Run { .. }) | None => Ok(()),
+        }
+    }
+
     /// Takes in a change of the limits.
     pub fn limit(&self, limits: admit::Limits) {
         self.handle(admit::Event::Limits(limits));
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -21,13 +21,16 @@
 use crate::proxy::dialect;
 use crate::proxy::guard;
 use crate::proxy::held;
+use crate::proxy::inflow;
 use crate::proxy::links;
 use crate::proxy::pool;
+use crate::proxy::room;
 use crate::proxy::shell;
 use crate::proxy::sizes;
 use crate::proxy::slots;
 use crate::proxy::split;
 use crate::proxy::trace;
+use crate::proxy::upload;
 use crate::retry;
 use crate::seal;
 use crate::usage;
@@ -69,7 +72,6 @@
     pub tally: Rc<RefCell<usage::Tally>>,
     /// Tags of the mesh.
     pub seal: seal::Seal,
-    /// Start of the identities of calls made here.
     /// How callers and upstreams speak.
     pub dialect: dialect::Dialect,
     /// Sizes of the answers to each kind of call.
@@ -78,6 +80,11 @@
     pub trace: trace::Trace,
     /// Turns of the split routes.
     pub splitter: RefCell<split::Splitter>,
+    /// Memory for bodies of requests.
+    pub room: Rc<room::Room>,
+    /// Turns of long bodies from other nodes.
+    pub inflow: inflow::Inflow,
+    /// Start of the identities of calls made here.
     prefix: u64,
     /// Number of the next call that needs one.
     next: Cell<u64>,
@@ -122,6 +129,8 @@
             sizes: RefCell::default(),
             trace: trace::Trace::default(),
             splitter: RefCell::default(),
+            room: Rc::new(room::Room::new(proxy.kept_bytes)),
+            inflow: inflow::Inflow::new(inflow::Plan::new(proxy)),
             prefix: ctx.seed_for("call"),
             next: Cell::new(0),
             settings,
@@ -162,6 +171,11 @@
         time::Duration::from_millis(self.settings.proxy.retry_ms)
     }
 
+    /// How much of a body may be held that may have `limit` bytes.
+    pub fn bounds(&self, limit: u64) -> upload::Bounds<'_> {
+        upload::Bounds { keep: self.settings.proxy.keep_bytes, limit, room: &self.room }
+    }
+
     /// A number that no other call of this process has. Its start is random, so that a process
     /// whose incarnation is not known yet doesn't repeat the numbers of the one before.
     pub fn number(&self) -> u64 {
--- a/src/proxy/upload.rs
+++ b/src/proxy/upload.rs
@@ -2,6 +2,7 @@
 //! pressure.
 
 use std::cell::RefCell;
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task;
@@ -12,6 +13,7 @@
 use hyper::body::{Frame, SizeHint};
 
 use crate::proxy::error;
+use crate::proxy::room;
 use crate::proxy::wire;
 use crate::retry;
 
@@ -19,11 +21,50 @@
 #[derive(Debug)]
 pub enum Intake {
     /// Read whole.
-    Kept(Bytes),
+    Kept(Kept),
     /// Too large to keep.
     Stream(Rc<RefCell<Source>>),
 }
 
+/// A body that was read whole.
+#[derive(Debug, Default)]
+pub struct Kept {
+    /// The body.
+    pub bytes: Bytes,
+    /// Its share of the memory for bodies; an empty one has none.
+    _share: Option<room::Share>,
+}
+
+/// Brings the parts of a body in one after the other.
+pub trait Pace {
+    /// The next part of `rest`, when it may come in.
+    fn next(
+        &mut self,
+        rest: &mut wire::Wire,
+    ) -> impl Future<Output = Option<Result<Frame<Bytes>, error::Broken>>>;
+}
+
+/// Each part comes in as soon as it is there.
+#[derive(Clone, Copy, Debug)]
+pub struct AtOnce;
+
+impl Pace for AtOnce {
+    async fn next(&mut self, rest: &mut wire::Wire) -> Option<Result<Frame<Bytes>, error::Broken>> {
+        rest.frame().await
+    }
+}
+
+/// How much of a body may be held.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds<'a> {
+    /// Largest body that is read whole, in bytes.
+    pub keep: u64,
+    /// Largest body, in bytes.
+    pub limit: u64,
+    /// Memory for all bodies that are read whole.
+    pub room: &'a Rc<room::Room>,
+}
+
 /// A body that streams.
 #[derive(Debug)]
 pub struct Source {
@@ -49,26 +90,35 @@
 }
 
 impl Intake {
-    /// Reads a body up to `keep` bytes; a longer one streams.
+    /// Reads a body up to `bounds.keep` bytes; a longer one streams, and so does one that there is
+    /// no room for.
     ///
     /// # Errors
     ///
-    /// [`retry::Reason::TooLarge`] when it is known to be larger than `limit` bytes,
+    /// [`retry::Reason::TooLarge`] when it is known to be larger than `bounds.limit` bytes,
     /// [`retry::Reason::Cut`] when it ends early.
-    pub async fn read(mut rest: wire::Wire, keep: u64, limit: u64) -> Result<Self, retry::Reason> {
+    pub async fn read<P: Pace>(
+        mut rest: wire::Wire,
+        bounds: &Bounds<'_>,
+        pace: &mut P,
+    ) -> Result<Self, retry::Reason> {
+        let &Bounds { keep, limit, room } = bounds;
         if rest.is_end_stream() {
-            return Ok(Self::Kept(Bytes::new()));
+            return Ok(Self::Kept(Kept::default()));
         }
         let sized = rest.size_hint().exact();
         if sized.is_some_and(|n| n > limit) {
             return Err(retry::Reason::TooLarge);
         }
         let mut head = BytesMut::new();
-        if sized.is_none_or(|n| n <= keep) {
+        let share =
+            if sized.is_none_or(|n| n <= keep) { room.take(sized.unwrap_or(keep)) } else { None };
+        if let Some(mut share) = share {
             while head.len() as u64 <= keep {
-                let frame = rest.frame().await.transpose();
+                let frame = pace.next(&mut rest).await.transpose();
                 let Some(frame) = frame.map_err(|_| retry::Reason::Cut)? else {
-                    return Ok(Self::Kept(head.freeze()));
+                    share.shrink(head.len() as u64);
+                    return Ok(Self::Kept(Kept { bytes: head.freeze(), _share: Some(share) }));
                 };
                 let Ok(data) = frame.into_data() else { continue };
                 head.extend_from_slice(&data);
@@ -82,22 +132,12 @@
         Ok(Self::Stream(Rc::new(RefCell::new(source))))
     }
 
-    /// A body that streams without any of it read.
-    pub fn stream(rest: wire::Wire, limit: u64) -> Self {
-        if rest.is_end_stream() {
-            return Self::Kept(Bytes::new());
-        }
-        let head = Bytes::new();
-        let source = Source { head, rest, taken: false, seen: 0, limit, fault: None };
-        Self::Stream(Rc::new(RefCell::new(source)))
-    }
-
     /// The body for one attempt.
     ///
     /// Invariant: at most one attempt of a streaming body is under way at a time.
     pub fn attempt(&self) -> Upload {
         match self {
-            Intake::Kept(bytes) => Upload::Kept(Some(bytes.clone())),
+            Intake::Kept(kept) => Upload::Kept(Some(kept.bytes.clone())),
             Intake::Stream(source) => Upload::Stream(Rc::clone(source), false),
         }
     }
@@ -105,7 +145,7 @@
     /// Bytes of the body, as far as they are known.
     pub fn bytes(&self) -> u64 {
         match self {
-            Intake::Kept(bytes) => bytes.len() as u64,
+            Intake::Kept(kept) => kept.bytes.len() as u64,
             Intake::Stream(source) => {
                 let source = source.borrow();
                 let rest = source.rest.size_hint();
