fix(admit): learn an upstream's width from shed answers, unless it sheds at random

Cause: the gate had the means to learn that an upstream runs fewer calls than it announces, but nobody told it of shed answers; and told, it would have shrunk to one call beside an upstream that sheds half of all calls whatever runs.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -24,6 +24,8 @@
 struct Run {
     ticket: admit::Ticket,
     kind: admit::Kind,
+    /// Calls that ran already when it began.
+    others: usize,
     since: clock::Instant,
 }
 
@@ -219,7 +221,8 @@
     }
 
     fn run(&mut self, waiter: admit::Call, now: clock::Instant, actions: &mut Vec<admit::Action>) {
-        self.running.push(Run { ticket: waiter.ticket, kind: waiter.kind, since: now });
+        let (ticket, kind, others) = (waiter.ticket, waiter.kind, self.running.len());
+        self.running.push(Run { ticket, kind, others, since: now });
         actions.push(admit::Action::Run { ticket: waiter.ticket });
     }
 
@@ -247,7 +250,7 @@
     fn end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
         if let Some(run) = self.leave(ticket) {
             self.service.note(run.kind, now.since(run.since));
-            self.width.ended();
+            self.width.ended(run.others);
         }
     }
 
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -185,6 +185,59 @@
     assert_eq!(refused(&bench.tell(admit::Event::Limits(limits), 1)), gone);
 }
 
+/// Nine slots and no queue: a call comes each millisecond, half of them are shed whatever runs, and
+/// the others take 20 ms.
+#[test]
+fn an_upstream_that_sheds_at_random_keeps_its_width() {
+    let mut bench = Bench::new(9, 0);
+    let mut running = collections::VecDeque::new();
+    let mut served = 0;
+    for now in 0..2000 {
+        while let Some(ticket) = running.front().copied().filter(|ticket| ticket + 20 <= now) {
+            running.pop_front();
+            bench.end(ticket, now);
+            served += 1;
+        }
+        if bench.arrive(now, BROWSE, 1_000_000, now) != [run(now)] {
+            continue;
+        }
+        if now * 37 % 101 % 2 == 0 {
+            bench.tell(admit::Event::Shed { ticket: admit::Ticket(now) }, now);
+        } else {
+            running.push_back(now);
+        }
+    }
+    let width = bench.gate.load().slots;
+    assert!(width >= 7, "{width} of 9 slots are used");
+    assert!(served > 700, "{served} calls served");
+}
+
+/// An upstream that ran nine calls at once and then no more than three sheds what is too much; it is
+/// found out within some full turns.
+#[test]
+fn an_upstream_that_loses_slots_is_found_out() {
+    let mut bench = Bench::new(9, 0);
+    let mut running = collections::VecDeque::new();
+    let mut sheds = 0;
+    for now in 0..2000 {
+        while let Some(ticket) = running.front().copied().filter(|ticket| ticket + 20 <= now) {
+            running.pop_front();
+            bench.end(ticket, now);
+        }
+        if bench.arrive(now, BROWSE, 1_000_000, now) != [run(now)] {
+            continue;
+        }
+        if now > 1000 && running.len() >= 3 {
+            sheds += 1;
+            bench.tell(admit::Event::Shed { ticket: admit::Ticket(now) }, now);
+        } else {
+            running.push_back(now);
+        }
+    }
+    assert_eq!(bench.gate.load().slots, 3);
+    assert!(sheds < 120, "{sheds} calls were shed");
+}
+
 #[test]
 fn an_upstream_that_sheds_below_its_slots_gets_fewer_calls_and_more_again_later() {
     let mut bench = Bench::new(4, 0);
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -86,6 +86,9 @@
     let (lease, answer) = send(state, &local, request, end).await?;
     if state.dialect.is_unrun(answer.status(), answer.headers()) {
         drain(answer, lease, end).await;
+        if let Some(slot) = hold.slot.take() {
+            slot.shed();
+        }
         return Err(refuse::Refusal::not_run(retry::Reason::UpstreamShed));
     }
     check(&state.dialect, &method, id.as_ref(), &answer)?;
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -199,6 +199,12 @@
         self.ended = true;
         self.slots.handle(admit::Event::Ended { ticket: self.ticket });
     }
+
+    /// The upstream shed the call.
+    pub fn shed(mut self) {
+        self.ended = true;
+        self.slots.handle(admit::Event::Shed { ticket: self.ticket });
+    }
 }
 
 impl Drop for Slot {
