perf(admit): of equally urgent waiters, let the one go first that has to start sooner

Cause: calls that upstreams make are as urgent as uploads on the second site and stood behind them in order of arrival: 40 ms of work with 150 ms to its target behind 200 ms with 800. Figures: in virtual time the short call runs next in place of third (the new test).

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -108,7 +108,7 @@
         match self.doubt(&call, now) {
             Some(reason) => self.refuse(call, reason, now, actions),
             None if self.has_slot() => self.run(call, now, actions),
-            None => self.queue.insert(call),
+            None => self.queue.insert(self.place(&call), call),
         }
     }
 
@@ -120,9 +120,18 @@
         }
     }
 
+    /// Where `call` would stand in the queue.
+    fn place(&self, call: &admit::Call) -> usize {
+        self.queue.place(call, |call| {
+            let usual = self.service.usual(call.kind).as_micros();
+            let usual = u64::try_from(usual).unwrap_or(u64::MAX);
+            clock::Instant::from_micros(call.target.as_micros().saturating_sub(usual))
+        })
+    }
+
     /// Why `call` can't be let in, if it can't.
     fn doubt(&self, call: &admit::Call, now: clock::Instant) -> Option<retry::Reason> {
-        let place = self.queue.place(call.weight);
+        let place = self.place(call);
         if self.draining {
             Some(retry::Reason::Draining)
         } else if self.width.get() == 0 {
--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -1,25 +1,42 @@
-//! The calls that wait for a slot, heaviest first, then oldest first.
+//! The calls that wait for a slot: heaviest first; among those, each kind oldest first, and of two
+//! kinds the call that has to start sooner.
 
 use std::collections;
 
 use crate::admit;
+use crate::clock;
 
-/// admit::Calls in the order they will run.
+/// Calls in the order they will run.
 ///
-/// Invariant: weights never rise from front to back; equal weights stand in order of arrival.
+/// Invariant: weights never rise from front to back; calls of one kind and weight stand in order of
+/// arrival.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     waiters: collections::VecDeque<admit::Call>,
 }
 
 impl Queue {
-    /// Where a newcomer of `weight` would stand.
-    pub(super) fn place(&self, weight: u32) -> usize {
-        self.waiters.partition_point(|w| w.weight >= weight)
+    /// Where `call` would stand, if it came in now; `start` tells until when a call has to start for
+    /// its answer to come before its target.
+    ///
+    /// A short call with a close target goes before long ones that can wait, until these have to
+    /// start too: nobody is overtaken for ever.
+    pub(super) fn place(
+        &self,
+        call: &admit::Call,
+        start: impl Fn(&admit::Call) -> clock::Instant,
+    ) -> usize {
+        let sooner = start(call);
+        let yields = |other: &&admit::Call| {
+            let peers = other.weight == call.weight && other.kind != call.kind;
+            other.weight < call.weight || (peers && sooner < start(other))
+        };
+        self.waiters.len() - self.waiters.iter().rev().take_while(yields).count()
     }
 
-    pub(super) fn insert(&mut self, waiter: admit::Call) {
-        self.waiters.insert(self.place(waiter.weight), waiter);
+    /// Puts `call` at `place`.
+    pub(super) fn insert(&mut self, place: usize, call: admit::Call) {
+        self.waiters.insert(place, call);
     }
 
     pub(super) fn len(&self) -> usize {
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -483,6 +483,27 @@
     assert_eq!(refused(&late), [(23, retry::Reason::Full)], "it takes 250 ms by itself");
 }
 
+/// Uploads of 200 ms with 800 ms to their target wait when a call of 40 ms comes that has 150 ms;
+/// it goes first, until an upload has to start as well.
+#[test]
+fn a_call_that_has_to_start_sooner_goes_before_others_of_its_weight() {
+    const LONG: admit::Kind = admit::Kind(1);
+    const SHORT: admit::Kind = admit::Kind(2);
+    let mut bench = Bench::new(1, 16);
+    bench.arrive_of(SHORT, 0, BROWSE, 1000, 1000, 0);
+    bench.end(0, 40);
+    bench.arrive_of(LONG, 1, BROWSE, 2000, 2000, 40);
+    bench.end(1, 240);
+    bench.arrive_of(LONG, 2, BROWSE, 1040, 5000, 240);
+    bench.arrive_of(LONG, 3, BROWSE, 1040, 5000, 240);
+    bench.arrive_of(LONG, 4, BROWSE, 1041, 5000, 241);
+    bench.arrive_of(SHORT, 5, BROWSE, 590, 590, 250);
+    assert_eq!(bench.end(2, 440), [run(5)]);
+    assert_eq!(bench.end(5, 480), [run(3)]);
+    bench.arrive_of(SHORT, 6, BROWSE, 910, 1200, 760);
+    assert_eq!(bench.end(3, 780), [run(4)], "it has to start at 841, the short one at 870");
+}
+
 #[test]
 fn a_call_that_would_come_late_waits_while_nobody_else_does() {
     let mut bench = Bench::new(3, 9);
