feat(proxy): log a sample of served calls, and answer before a planned stop ends

One call in 64 is logged at each node that it passes, chosen by its id: how long it waited, ran and took.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -45,10 +45,8 @@
         }
         Err(refusal) => (None, Err(refusal)),
     };
-    if let (Some(id), Err(refusal)) = (&id, &result) {
-        let now = state.ctx.now();
-        let ended = trace::Ended { id, refusal, version, took: now.since(began) };
-        state.trace.ended(&ended, now);
+    if let Some(id) = &id {
+        tell(&state, id, &result, version, began);
     }
     let mut answer = result
         .map_or_else(|refusal| refusal.answer(state.dialect.verbose), |answer| ran(&state, answer));
@@ -62,6 +60,25 @@
     answer
 }
 
+/// Logs how a call ended that came at `began`, while `version` was in force.
+fn tell<C: claim::Claims>(
+    state: &state::State<C>,
+    id: &header::HeaderValue,
+    result: &Result<http::Response<body::Reply>, refuse::Refusal>,
+    version: version::Version,
+    began: clock::Instant,
+) {
+    let now = state.ctx.now();
+    let took = now.since(began);
+    match result {
+        Ok(answer) => {
+            let served = trace::Served { id, status: answer.status(), version, took };
+            state.trace.served(&served, now);
+        }
+        Err(refusal) => state.trace.ended(&trace::Ended { id, refusal, version, took }, now),
+    }
+}
+
 fn ran<C>(
     state: &state::State<C>,
     mut answer: http::Response<body::Reply>,
@@ -96,7 +113,7 @@
         started,
     );
     let mut hold = guard::Hold { flight, count: Some(count), ..guard::Hold::default() };
-    let deadline = started + longest(&applied.mesh, kind, ask.left);
+    let deadline = state.deadline(started + longest(&applied.mesh, kind, ask.left));
     let target = applied.mesh.kind(kind).latency.map_or(deadline, |latency| started + latency);
     let limit = applied.mesh.body(kind);
     let intake = match intake(state, incoming, limit, deadline).await {
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -71,11 +71,13 @@
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     find(state, order)?;
+    let came = state.ctx.now();
     let slot = state.slots.enter(&wish(state, order)).await;
     hold.slot = Some(slot.map_err(|refused| turn(state, order, request.headers(), refused))?);
     // The upstream may have gone while the call waited, and a suspended host wakes late.
     let local = find(state, order)?;
-    let left = order.deadline.since(state.ctx.now());
+    let began = state.ctx.now();
+    let left = order.deadline.since(began);
     if left.as_millis() == 0 {
         return Err(refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause()));
     }
@@ -101,6 +103,18 @@
     hold.head(parts.status, Some(state.slots.load()));
     let wire = wire::Wire::new(incoming, wire::Carrier::Plain);
     let reply = body::Reply::read(wire, state.settings.proxy.whole_bytes, end, hold).await?;
+    if let Some(id) = &id {
+        let now = state.ctx.now();
+        let ran = trace::Ran {
+            id,
+            kind: order.kind,
+            waited: began.since(came),
+            ran: now.since(began),
+            load: state.slots.load(),
+            left: order.deadline.since(now),
+        };
+        state.trace.ran(&ran, now);
+    }
     Ok(http::Response::from_parts(parts, reply))
 }
 
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -79,6 +79,7 @@
     let followers = [
         spawn(follow_tables(Rc::clone(&state), wiring.applied.clone(), wiring.view.clone())),
         spawn(follow_local(Rc::clone(&state))),
+        spawn(follow_stop(Rc::clone(&state), wiring.stage.clone())),
         spawn(keep_house(Rc::clone(&state), wiring.tallies.clone())),
     ];
     let mut callers = spawn(serve::callers(Rc::clone(&state), callers, closing.clone()));
@@ -108,6 +109,15 @@
     let _ = stage.wait_for(|s| *s >= least).await;
 }
 
+/// Bounds the calls that come after a planned stop has begun.
+async fn follow_stop<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    mut stage: watch::Receiver<node::Stage>,
+) {
+    until(&mut stage, node::Stage::Leave).await;
+    state.leave();
+}
+
 /// Waits until the process drains, callers had time to learn it, and nothing is in flight.
 async fn drained<C: claim::Claims>(
     state: &Rc<state::State<C>>,
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -36,6 +36,10 @@
 use crate::usage;
 use crate::view;
 
+/// Time before the end of a planned stop in which answers still reach their callers. A call that
+/// may take longer than the process lives would end without an answer.
+const LAST_ANSWERS: time::Duration = time::Duration::from_millis(200);
+
 /// What the calls of one node share.
 pub struct State<C> {
     /// Time and randomness.
@@ -84,6 +88,8 @@
     pub room: Rc<room::Room>,
     /// Turns of long bodies from other nodes.
     pub inflow: inflow::Inflow,
+    /// When the last answers have to be on their way; `None` until a planned stop begins.
+    pub last: Cell<Option<clock::Instant>>,
     /// Start of the identities of calls made here.
     prefix: u64,
     /// Number of the next call that needs one.
@@ -131,6 +137,7 @@
             splitter: RefCell::default(),
             room: Rc::new(room::Room::new(proxy.kept_bytes)),
             inflow: inflow::Inflow::new(inflow::Plan::new(proxy)),
+            last: Cell::new(None),
             prefix: ctx.seed_for("call"),
             next: Cell::new(0),
             settings,
@@ -146,6 +153,18 @@
         }
     }
 
+    /// A planned stop has begun: calls that come from now on are answered before the process ends.
+    pub fn leave(&self) {
+        let stop = &self.settings.stop;
+        let left = time::Duration::from_millis(stop.serve_ms + stop.drain_ms);
+        self.last.set(Some(self.ctx.now() + left.saturating_sub(LAST_ANSWERS)));
+    }
+
+    /// The deadline of a call whose caller waits until `wish`.
+    pub fn deadline(&self, wish: clock::Instant) -> clock::Instant {
+        self.last.get().map_or(wish, |last| last.min(wish))
+    }
+
     /// Whether a planned stop has begun.
     pub fn leaving(&self) -> bool {
         *self.stage.borrow() >= node::Stage::Leave
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -1,6 +1,8 @@
 //! Log lines of decisions about single calls, with the inputs that decided them.
 
 use std::cell::Cell;
+use std::hash;
+use std::hash::{Hash as _, Hasher as _};
 use std::time;
 
 use http::header;
@@ -18,6 +20,9 @@
 /// Most lines a second. Each costs some microseconds; 200 of them are a thousandth of a core.
 const LINES: u32 = 200;
 
+/// One call in this many that are served is logged, at every node that it passes.
+const SAMPLE: u64 = 64;
+
 const SECOND: time::Duration = time::Duration::from_secs(1);
 
 /// Bounds the lines of one node. What is left out is counted and said with the next line.
@@ -80,6 +85,44 @@
     pub after: time::Duration,
 }
 
+/// A call that its upstream answered, at its entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Served<'a> {
+    /// Its name.
+    pub id: &'a header::HeaderValue,
+    /// What the upstream answered.
+    pub status: http::StatusCode,
+    /// Version that the node ran when the call came.
+    pub version: version::Version,
+    /// Time since the call came.
+    pub took: time::Duration,
+}
+
+/// A call that ran, at its upstream's own node.
+#[derive(Clone, Copy, Debug)]
+pub struct Ran<'a> {
+    /// Its name.
+    pub id: &'a header::HeaderValue,
+    /// Its kind.
+    pub kind: &'a str,
+    /// Time for which it waited for a slot.
+    pub waited: time::Duration,
+    /// Time from then on until its answer was read.
+    pub ran: time::Duration,
+    /// What the gate held when it had ended.
+    pub load: admit::Load,
+    /// Time left for the call.
+    pub left: time::Duration,
+}
+
+/// Whether the call `id` is logged although it was served. Every node decides the same, so that its
+/// whole path is there.
+pub fn samples(id: &header::HeaderValue) -> bool {
+    let mut hasher = hash::DefaultHasher::new();
+    id.as_bytes().hash(&mut hasher);
+    hasher.finish().is_multiple_of(SAMPLE)
+}
+
 impl Trace {
     /// Lines left out since the last one, if one more may be written now.
     fn admit(&self, now: clock::Instant) -> Option<u64> {
@@ -112,6 +155,45 @@
         );
     }
 
+    /// The answer of an upstream, at the call's entry, if the call is one of the sample.
+    pub fn served(&self, served: &Served<'_>, now: clock::Instant) {
+        if !samples(served.id) {
+            return;
+        }
+        let Some(skipped) = self.admit(now) else { return };
+        log::info!(
+            id = text(served.id),
+            status = served.status.as_u16(),
+            version = served.version.number(),
+            took_ms = millis(served.took),
+            sample = SAMPLE,
+            skipped;
+            "an upstream answered a call"
+        );
+    }
+
+    /// A run at the upstream, if the call is one of the sample.
+    pub fn ran(&self, ran: &Ran<'_>, now: clock::Instant) {
+        if !samples(ran.id) {
+            return;
+        }
+        let Some(skipped) = self.admit(now) else { return };
+        log::info!(
+            id = text(ran.id),
+            kind = ran.kind,
+            waited_ms = millis(ran.waited),
+            ran_ms = millis(ran.ran),
+            running = ran.load.running,
+            waiting = ran.load.waiting,
+            slots = ran.load.slots,
+            service_us = ran.load.service,
+            left_ms = millis(ran.left),
+            sample = SAMPLE,
+            skipped;
+            "the upstream ran a call"
+        );
+    }
+
     /// An attempt without an answer, at the call's entry.
     pub fn attempt(&self, attempt: &Attempt<'_>, now: clock::Instant) {
         let Some(skipped) = self.admit(now) else { return };
--- a/src/proxy/trace/tests.rs
+++ b/src/proxy/trace/tests.rs
@@ -1,3 +1,5 @@
+use http::header;
+
 use crate::clock;
 use crate::proxy::trace;
 
@@ -14,3 +16,11 @@
     assert_eq!(lines(trace::LINES), (200, Some(0)));
     assert_eq!(lines(trace::LINES + 50), (200, Some(50)));
 }
+
+#[test]
+fn every_node_samples_the_same_calls() {
+    let id = |n: u64| header::HeaderValue::from_str(&format!("{n:016x}")).expect("a header value");
+    let sampled = (0..6400).filter(|&n| trace::samples(&id(n))).count();
+    assert!((50..200).contains(&sampled), "{sampled} of 6400 calls");
+    assert_eq!(sampled, (0..6400).filter(|&n| trace::samples(&id(n))).count());
+}
