perf(pick): keep bytes off thin links by staying on the own host

Cause: an upload of 60 kB takes up a link of 6.5 Mbit/s for 74 ms; a fifth of them came in at a host whose own upstream could have run them. The own host is now a distance of its own, and others cost the time that the call's bytes take up a link, in service times. Calls that upstreams make still lose 40 to 240 ms on the way to hosts that uploads come in to.

--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -41,14 +41,34 @@
     pub class: Option<mesh::ClassKey>,
 }
 
-/// What a call costs that goes to another availability zone, as the share of an upstream's slots
-/// that it is worth waiting for at home. 1 is one service time.
+/// What a call costs on its way, as the share of an upstream's slots that it is worth waiting for
+/// nearer by. 1 is one service time.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Toll(pub f32);
+pub struct Toll {
+    /// To another availability zone.
+    pub cross: f32,
+    /// Time that its bytes take up the link of a host, in microseconds; a call that stays on its
+    /// host takes up none.
+    pub link: f32,
+}
 
 impl Toll {
-    /// Crossing costs nothing.
-    pub const FREE: Toll = Toll(0.0);
+    /// No way costs anything.
+    pub const FREE: Toll = Toll { cross: 0.0, link: 0.0 };
+
+    /// The toll of a call to an upstream in `tier` whose service time, in microseconds, is
+    /// `service`.
+    fn of(&self, tier: usize, service: Option<f32>) -> f32 {
+        /// Service time of an upstream that has answered no call yet, in microseconds: in the
+        /// middle of those of the users' services, 15 to 290 ms.
+        const USUAL: f32 = 100_000.0;
+        let link = self.link / service.unwrap_or(USUAL);
+        match tier {
+            0 => 0.0,
+            table::AWAY => link,
+            _ => link + self.cross,
+        }
+    }
 }
 
 /// The upstream picked for one attempt.
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -31,7 +31,7 @@
 /// is nothing else, so that a mass fault never leaves a call without a candidate.
 #[derive(Debug)]
 pub struct Picker<P = pick::Cheapest> {
-    place: view::Place,
+    stand: table::Stand,
     policy: P,
     rules: peer::Rules,
     rng: rngs::SmallRng,
@@ -55,7 +55,7 @@
         seed: u64,
     ) -> Self {
         Self {
-            place,
+            stand: table::Stand { place, host: None },
             policy,
             rules: peer::Rules::new(settings),
             rng: rngs::SmallRng::seed_from_u64(seed),
@@ -63,9 +63,16 @@
         }
     }
 
+    /// Tells `host`, the entry's own, apart from others of its zone: calls that stay on it pay
+    /// nothing for the way.
+    pub fn at(mut self, host: host::HostId) -> Self {
+        self.stand.host = Some(host);
+        self
+    }
+
     /// Takes in a new view or mesh; what is known of hosts that stay is kept.
     pub fn rebuild(&mut self, view: &view::View, mesh: &mesh::Mesh, now: clock::Instant) {
-        self.table.rebuild(view, mesh, &self.place, now);
+        self.table.rebuild(view, mesh, &self.stand, now);
     }
 
     /// Chooses the upstream for an attempt, none of `avoid` unless there is nothing else; `None`
@@ -93,7 +100,7 @@
         let usual = self.pick_usual(target, toll, now, avoid);
         let (index, tier) = usual.or_else(|| self.pick_any(target, avoid))?;
         let host = self.table.peers[index as usize].host();
-        Some(pick::Choice { host, key: self.table.key(index), near: tier == 0, target })
+        Some(pick::Choice { host, key: self.table.key(index), near: tier < table::FAR, target })
     }
 
     /// Notes that an attempt at `choice` has started.
@@ -127,19 +134,20 @@
     ) -> Option<(u32, usize)> {
         let mut best: Option<(u32, usize, f32)> = None;
         // A heavy call is too dear to be sent away only to see what it is like there.
-        let light = toll.0 < WAITS;
-        let first = usize::from(light && self.rng.random_ratio(1, EXPLORE));
+        let light = toll.cross < WAITS;
+        let explores = light && self.rng.random_ratio(1, EXPLORE);
+        let first = if explores { table::FAR } else { 0 };
         for tier in (first..table::TIERS).chain(0..first) {
             let Some((index, fullness)) = self.pick_tier(target, tier, now, avoid) else {
                 continue;
             };
-            let brims = self.table.peers[index as usize].brims(&self.rules, now);
-            let refusal = if brims { REFUSAL } else { 0.0 };
-            let cost = fullness + refusal + if tier == 0 { 0.0 } else { toll.0 };
+            let peer = &self.table.peers[index as usize];
+            let refusal = if peer.brims(&self.rules, now) { REFUSAL } else { 0.0 };
+            let cost = fullness + refusal + toll.of(tier, peer.service());
             if best.is_none_or(|(_, _, least)| cost < least) {
                 best = Some((index, tier, cost));
             }
-            if best.is_some_and(|(_, _, least)| least <= WAITS) {
+            if tier >= table::AWAY && best.is_some_and(|(_, _, least)| least <= WAITS) {
                 break;
             }
         }
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -9,8 +9,34 @@
 use crate::pick::peer;
 use crate::view;
 
-/// How many distances are told apart: own availability zone, own region, elsewhere.
-pub(super) const TIERS: usize = 3;
+/// How many distances are told apart: own host, own availability zone, own region, elsewhere.
+pub(super) const TIERS: usize = 4;
+
+/// The first distance that is not the own host.
+pub(super) const AWAY: usize = 1;
+
+/// The first distance beyond the own availability zone.
+pub(super) const FAR: usize = 2;
+
+/// Where the entry stands.
+#[derive(Clone, Debug)]
+pub(super) struct Stand {
+    pub(super) place: view::Place,
+    /// Its host, if that is told apart from others of the zone.
+    pub(super) host: Option<host::HostId>,
+}
+
+impl Stand {
+    fn tier(&self, other: &view::Host) -> usize {
+        let (theirs, ours) = (&other.place, &self.place);
+        match (theirs.region == ours.region, theirs.zone == ours.zone) {
+            (true, true) if self.host == Some(other.id) => 0,
+            (true, true) => AWAY,
+            (true, false) => FAR,
+            (false, _) => FAR + 1,
+        }
+    }
+}
 
 /// Place at which a policy that goes round a list stands.
 #[derive(Clone, Copy, Debug, Default)]
@@ -145,7 +171,7 @@
         &mut self,
         view: &view::View,
         mesh: &mesh::Mesh,
-        place: &view::Place,
+        stand: &Stand,
         now: clock::Instant,
     ) {
         self.reset(mesh);
@@ -159,7 +185,7 @@
                 let index = self.index(host.id);
                 let peer = &mut self.peers[index as usize];
                 peer.update(host, upstream, class.slots, service.queue, class.warmup, now);
-                let tier = tier(&host.place, place);
+                let tier = stand.tier(host);
                 self.classes[key].push(index, tier);
                 self.services[usize::from(class.service.0)].push(index, tier);
             }
@@ -217,11 +243,3 @@
     let (_, median, _) = values.select_nth_unstable_by(middle, f32::total_cmp);
     Some(*median)
 }
-
-fn tier(theirs: &view::Place, ours: &view::Place) -> usize {
-    match (theirs.region == ours.region, theirs.zone == ours.zone) {
-        (true, true) => 0,
-        (true, false) => 1,
-        (false, _) => 2,
-    }
-}
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -329,11 +329,43 @@
     }
 }
 
+fn crossing(cross: f32) -> pick::Toll {
+    pick::Toll { cross, ..pick::Toll::FREE }
+}
+
+/// Share of 100 calls that stay on the entry's own host, with `busy` of its nine slots taken, when
+/// their bytes take `link_ms` on the link of another one.
+fn kept(link_ms: f32, busy: u16) -> usize {
+    let settings = configs::call::Call::default();
+    let mut picker = pick::Picker::new(place("a"), &settings, 7).at(id(1));
+    rebuild(&mut picker, serving(&["a", "a", "a"]), 0);
+    let toll = pick::Toll { cross: 0.0, link: link_ms * 1000.0 };
+    let heavy = pick::Toll { cross: 0.0, link: 1e9 };
+    for _ in 0..busy {
+        let choice = picker.pick_far(SHOP, heavy, at(0), &[]).expect("a choice");
+        picker.started(choice, at(0));
+    }
+    let pick = |picker: &mut pick::Picker| picker.pick_far(SHOP, toll, at(0), &[]).map(|c| c.host);
+    (0..100).filter(|_| pick(&mut picker) == Some(id(1))).count()
+}
+
+#[rstest]
+#[case::heavy_stays(74.0, 6, 100)]
+#[case::heavy_leaves_a_full_host(74.0, 9, 0)]
+#[case::light_goes_where_more_is_free(1.0, 1, 0)]
+fn bytes_that_would_take_up_a_link_stay_on_the_host(
+    #[case] link_ms: f32,
+    #[case] busy: u16,
+    #[case] wanted: usize,
+) {
+    assert_eq!(kept(link_ms, busy), wanted);
+}
+
 /// How many calls of `toll` leave a zone whose one upstream is taken up `full` times over.
 fn crossed(toll: pick::Toll, full: u16) -> usize {
     let mut picker = picker(serving(&["a", "b", "b"]));
     for _ in 0..9 * full {
-        let choice = picker.pick_far(SHOP, pick::Toll(1000.0), at(0), &[]).expect("a choice");
+        let choice = picker.pick_far(SHOP, crossing(1000.0), at(0), &[]).expect("a choice");
         picker.started(choice, at(0));
     }
     (0..100).filter(|_| !picker.pick_far(SHOP, toll, at(0), &[]).expect("a choice").near).count()
@@ -349,13 +381,13 @@
     #[case] full: u16,
     #[case] wanted: usize,
 ) {
-    assert_eq!(crossed(pick::Toll(toll), full), wanted);
+    assert_eq!(crossed(crossing(toll), full), wanted);
 }
 
 #[test]
 fn a_heavy_call_leaves_a_zone_without_upstreams() {
     let mut picker = picker(serving(&["b"]));
-    assert!(picker.pick_far(SHOP, pick::Toll(1000.0), at(0), &[]).is_some());
+    assert!(picker.pick_far(SHOP, crossing(1000.0), at(0), &[]).is_some());
 }
 
 /// A zone whose queue is about to overflow refuses what the next zone can serve.
@@ -366,9 +398,9 @@
     let mut picker = picker(serving(&["a", "b", "b"]));
     let queue = shop().services[0].queue;
     for _ in 0..9 + queue {
-        let choice = picker.pick_far(SHOP, pick::Toll(1000.0), at(0), &[]).expect("a choice");
+        let choice = picker.pick_far(SHOP, crossing(1000.0), at(0), &[]).expect("a choice");
         picker.started(choice, at(0));
     }
-    let choice = picker.pick_far(SHOP, pick::Toll(toll), at(0), &[]).expect("a choice");
+    let choice = picker.pick_far(SHOP, crossing(toll), at(0), &[]).expect("a choice");
     assert_eq!(usize::from(!choice.near), wanted);
 }
--- a/src/proxy/inflow.rs
+++ b/src/proxy/inflow.rs
@@ -62,6 +62,13 @@
     }
 }
 
+/// Time for which `bytes` take up the link of `settings`, in microseconds; 0 where its rate is not
+/// known.
+pub fn link_time(settings: &configs::proxy::Proxy, bytes: u64) -> f32 {
+    let mbps = settings.link_mbps;
+    if mbps <= 0.0 { 0.0 } else { (bytes as f64 * BITS_PER_BYTE / mbps) as f32 }
+}
+
 /// The turns on one link.
 #[derive(Debug)]
 pub struct Inflow {
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -16,6 +16,7 @@
 use crate::proxy::body;
 use crate::proxy::guard;
 use crate::proxy::headers;
+use crate::proxy::inflow;
 use crate::proxy::inner;
 use crate::proxy::owner;
 use crate::proxy::refuse;
@@ -251,14 +252,12 @@
     })
 }
 
-/// What it costs to send the call to another availability zone, in units of [`pick::Toll`].
+/// What the call costs on its way.
 fn toll<C: claim::Claims>(state: &state::State<C>, job: &Job) -> pick::Toll {
     let cheap = u64::from(state.settings.call.cross_bytes);
-    if cheap == 0 {
-        return pick::Toll::FREE;
-    }
     let bytes = job.intake.bytes() + state.sizes.borrow().expect(&job.kind().name);
-    pick::Toll(bytes as f32 / cheap as f32)
+    let cross = if cheap == 0 { 0.0 } else { bytes as f32 / cheap as f32 };
+    pick::Toll { cross, link: inflow::link_time(&state.settings.proxy, bytes) }
 }
 
 /// A body that ended early is the reason for whatever followed from it.
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -105,7 +105,10 @@
     ) -> Self {
         let me = host::HostId::new(settings.listen);
         let place = view::Place { region: settings.region.clone(), zone: settings.zone.clone() };
-        let picker = pick::Picker::new(place, &settings.call, ctx.seed_for("pick"));
+        let mut picker = pick::Picker::new(place, &settings.call, ctx.seed_for("pick"));
+        if settings.proxy.link_mbps > 0.0 {
+            picker = picker.at(me);
+        }
         let seal = seal::Seal::new(&settings.mesh, &settings.key);
         let proxy = &settings.proxy;
         let limits = held::Limits {
