perf(proxy): count the wait for a link in an upstream's load; end stops on time

Cause: entries saw free slots at hosts whose links had seconds of uploads before them. The load now tells the wait for the link as calls that wait as long; a call that stays on its host pays no such wait. A stopping node waited up to two seconds for connections to close although its time was over; it also logs each stage of its life now.

--- a/src/admit/load.rs
+++ b/src/admit/load.rs
@@ -16,6 +16,19 @@
     pub service: u32,
 }
 
+impl Load {
+    /// The same with a further wait of `micros` before a call gets its slot, told as calls that
+    /// wait.
+    pub fn and_wait(mut self, micros: f32) -> Self {
+        if self.service > 0 {
+            let calls = micros * f32::from(self.slots) / self.service as f32;
+            // A float that is out of range ends at the bound.
+            self.waiting = self.waiting.saturating_add(calls as u16);
+        }
+        self
+    }
+}
+
 /// A text that is no load.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("not a load: running/waiting/slots/service expected")]
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -275,6 +275,16 @@
     assert_eq!("7/3/9/1/2".parse::<admit::Load>(), Err(admit::Malformed));
 }
 
+#[test]
+fn a_wait_before_the_gate_is_told_as_calls_that_wait() {
+    let load = admit::Load { running: 7, waiting: 3, slots: 9, service: 100_000 };
+    assert_eq!(load.and_wait(0.0), load);
+    assert_eq!(load.and_wait(200_000.0).waiting, 3 + 18);
+    assert_eq!(load.and_wait(f32::MAX).waiting, u16::MAX);
+    let fresh = admit::Load { service: 0, ..load };
+    assert_eq!(fresh.and_wait(200_000.0), fresh, "nothing to compare it with");
+}
+
 /// What happens next; numbers pick among the calls that are there.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -86,7 +86,9 @@
                 () = tokio::time::sleep(LOOK) => self.look(),
             };
             let stage = life.handle(event, self.clock.now());
-            self.stage.send_if_modified(|old| std::mem::replace(old, stage) != stage);
+            if self.stage.send_if_modified(|old| std::mem::replace(old, stage) != stage) {
+                log::info!(stage:? = stage; "the stage of the node has changed");
+            }
             if stage == node::Stage::End || self.broken(stage) {
                 break;
             }
--- a/src/proxy/inflow.rs
+++ b/src/proxy/inflow.rs
@@ -5,6 +5,7 @@
 //! only a small window under way, and few bodies are read at once. The link stays busy, and what is
 //! short waits for a few windows at most.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -74,6 +75,8 @@
 pub struct Inflow {
     plan: Plan,
     turns: sync::Semaphore,
+    /// Bytes of bodies that have begun to come in and are not there yet.
+    ahead: Cell<u64>,
 }
 
 /// One body's place on the link. It holds a turn only while its bytes come in.
@@ -81,21 +84,36 @@
 pub struct Turn<'a> {
     inflow: &'a Inflow,
     permit: Option<sync::SemaphorePermit<'a>>,
+    /// Bytes of it that count as ahead.
+    left: u64,
 }
 
 impl Inflow {
     /// Turns as `plan` says.
     pub fn new(plan: Plan) -> Self {
-        Self { plan, turns: sync::Semaphore::new(plan.turns) }
+        Self { plan, turns: sync::Semaphore::new(plan.turns), ahead: Cell::new(0) }
     }
 
-    /// A place for one body; it waits when the body is read.
-    pub const fn turn(&self) -> Turn<'_> {
-        Turn { inflow: self, permit: None }
+    /// A place for a body of `bytes`, as far as that is known; it waits when the body is read.
+    pub fn turn(&self, bytes: u64) -> Turn<'_> {
+        self.ahead.set(self.ahead.get() + bytes);
+        Turn { inflow: self, permit: None, left: bytes }
+    }
+
+    /// Bytes that come in before those of a body that begins now.
+    pub const fn ahead(&self) -> u64 {
+        self.ahead.get()
     }
 }
 
 impl Turn<'_> {
+    /// Counts `bytes` as there.
+    fn note(&mut self, bytes: u64) {
+        let there = bytes.min(self.left);
+        self.left -= there;
+        self.inflow.ahead.set(self.inflow.ahead.get() - there);
+    }
+
     /// Waits for a turn if `rest` needs one.
     async fn enter(&mut self, rest: &wire::Wire) {
         let short =
@@ -108,8 +126,24 @@
     }
 }
 
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.note(u64::MAX);
+    }
+}
+
 impl upload::Pace for Turn<'_> {
     async fn next(&mut self, rest: &mut wire::Wire) -> Option<Result<Frame<Bytes>, error::Broken>> {
+        let frame = self.read(rest).await;
+        if let Some(Ok(frame)) = &frame {
+            self.note(frame.data_ref().map_or(0, |data| data.len() as u64));
+        }
+        frame
+    }
+}
+
+impl Turn<'_> {
+    async fn read(&mut self, rest: &mut wire::Wire) -> Option<Result<Frame<Bytes>, error::Broken>> {
         self.enter(rest).await;
         if self.permit.is_none() {
             return rest.frame().await;
--- a/src/proxy/inflow/tests.rs
+++ b/src/proxy/inflow/tests.rs
@@ -23,3 +23,18 @@
     assert_eq!(plan.window, settings.stream_bytes);
     assert!(plan.turns > usize::from(u16::MAX));
 }
+
+#[test]
+fn bodies_on_their_way_are_counted_until_they_are_there_or_given_up() {
+    let inflow = inflow::Inflow::new(inflow::Plan { window: 4096, turns: 4 });
+    let mut first = inflow.turn(60_000);
+    let second = inflow.turn(40_000);
+    assert_eq!(inflow.ahead(), 100_000);
+    first.note(50_000);
+    assert_eq!(inflow.ahead(), 50_000);
+    first.note(50_000);
+    assert_eq!(inflow.ahead(), 40_000, "more than was announced");
+    drop(second);
+    drop(first);
+    assert_eq!(inflow.ahead(), 0);
+}
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -62,7 +62,7 @@
         Ok(answer) => ran(answer),
         Err(refusal) => refused(&refusal),
     };
-    let load = state.slots.load().to_string();
+    let load = state.load().to_string();
     if let Ok(mut load) = header::HeaderValue::from_str(&load) {
         load.set_sensitive(true);
         answer.headers_mut().insert(headers::LOAD, load);
@@ -112,7 +112,8 @@
     }
     // The entry has checked the size against the kind.
     let bounds = state.bounds(u64::MAX);
-    let mut turn = state.inflow.turn();
+    let size = wire.size_hint();
+    let mut turn = state.inflow.turn(size.exact().unwrap_or(size.lower()));
     let read = upload::Intake::read(wire, &bounds, &mut turn);
     let end = state.timer(owner::latest(state.ctx.now(), order.deadline));
     let late = refuse::Refusal::not_run(retry::Reason::TooLate).again(state.pause());
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -86,14 +86,16 @@
     let mut nodes = spawn(serve::nodes(Rc::clone(&state), nodes, closing));
     let mut stage = wiring.stage;
     let mut over = stage.clone();
+    let closed = async {
+        drained(&state, &mut stage).await;
+        close.send_replace(true);
+        let both = async { tokio::join!(&mut callers.0, &mut nodes.0) };
+        // Connections still open then carry no call.
+        let _ = tokio::time::timeout(CLOSE, both).await;
+    };
     tokio::select! {
         () = until(&mut over, node::Stage::End) => {}
-        () = drained(&state, &mut stage) => {
-            close.send_replace(true);
-            let both = async { tokio::join!(&mut callers.0, &mut nodes.0) };
-            // Connections still open then carry no call.
-            let _ = tokio::time::timeout(CLOSE, both).await;
-        }
+        () = closed => {}
     }
     drop(followers);
     state.tally.borrow_mut().hand(&wiring.tallies);
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+use crate::admit;
 use crate::claim;
 use crate::clock;
 use crate::configs;
@@ -198,6 +199,13 @@
         upload::Bounds { keep: self.settings.proxy.keep_bytes, limit, room: &self.room }
     }
 
+    /// The load of the upstream beside this node, as others are to see it: the wait for the host's
+    /// link counts as calls that wait as long for a slot.
+    pub fn load(&self) -> admit::Load {
+        let wait = inflow::link_time(&self.settings.proxy, self.inflow.ahead());
+        self.slots.load().and_wait(wait)
+    }
+
     /// A number that no other call of this process has. Its start is random, so that a process
     /// whose incarnation is not known yet doesn't repeat the numbers of the one before.
     pub fn number(&self) -> u64 {
@@ -252,7 +260,7 @@
         let address = local.as_ref().map(|l| l.address);
         self.pool.tidy(address);
         self.slots.limit(local.as_ref().map_or_else(
-            || crate::admit::Limits { slots: 0, connections: 0, queue: 0 },
+            || admit::Limits { slots: 0, connections: 0, queue: 0 },
             |local| self.limits(&local.upstream),
         ));
         self.let_in(local.as_deref());
@@ -269,10 +277,10 @@
         }
     }
 
-    fn limits(&self, upstream: &view::Upstream) -> crate::admit::Limits {
+    fn limits(&self, upstream: &view::Upstream) -> admit::Limits {
         let applied = self.applied.borrow();
         let service = applied.mesh.services.iter().find(|s| s.name == upstream.service);
-        crate::admit::Limits {
+        admit::Limits {
             slots: upstream.slots,
             connections: upstream.connections,
             queue: service.map_or(0, |s| s.queue),
