perf(proxy): tell who is shed when a slot is free

Cause: a call that its upstream shed was told to come back after a second, the default, however many slots were free: with half of the calls shed at random every second call came after its target.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -251,9 +251,13 @@
         reason: retry::Reason,
         now: clock::Instant,
     ) -> admit::Action {
-        let wait = self.wait(self.queue.len(), now);
-        let retry_after = spread(wait.max(LEAST_WAIT), ticket);
-        admit::Action::Refuse { ticket, reason, retry_after }
+        admit::Action::Refuse { ticket, reason, retry_after: self.pause(ticket, now) }
+    }
+
+    /// How long `ticket` should stay away: until those who wait have had their turn, and a part
+    /// longer that differs from call to call.
+    pub fn pause(&self, ticket: admit::Ticket, now: clock::Instant) -> time::Duration {
+        spread(self.wait(self.queue.len(), now).max(LEAST_WAIT), ticket)
     }
 
     fn end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -275,6 +275,17 @@
     assert_eq!("7/3/9/1/2".parse::<admit::Load>(), Err(admit::Malformed));
 }
 
+#[test]
+fn who_is_shed_beside_free_slots_may_come_back_soon() {
+    let mut bench = Bench::new(9, 16);
+    bench.arrive(0, BROWSE, 10_000, 0);
+    bench.end(0, 90);
+    (1..9).for_each(|ticket| drop(bench.arrive(ticket, BROWSE, 10_000, 90)));
+    let pause = bench.gate.pause(admit::Ticket(9), at(90));
+    assert!(pause >= time::Duration::from_millis(10), "{pause:?}");
+    assert!(pause <= time::Duration::from_millis(20), "{pause:?}");
+}
+
 #[test]
 fn a_wait_before_the_gate_is_told_as_calls_that_wait() {
     let load = admit::Load { running: 7, waiting: 3, slots: 9, service: 100_000 };
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -91,7 +91,9 @@
         if let Some(slot) = hold.slot.take() {
             slot.shed();
         }
-        return Err(refuse::Refusal::not_run(retry::Reason::UpstreamShed));
+        // Without a time of its own the caller would wait a second for a slot that is free now.
+        let refusal = refuse::Refusal::not_run(retry::Reason::UpstreamShed);
+        return Err(refusal.again(state.slots.pause()));
     }
     check(&state.dialect, &method, id.as_ref(), &answer)?;
     let (mut parts, incoming) = answer.into_parts();
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -169,6 +169,12 @@
         self.handle(admit::Event::Resume);
     }
 
+    /// When a place may be free for a call that was let in and then shed.
+    pub fn pause(&self) -> time::Duration {
+        let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
+        self.gate.borrow().pause(ticket, self.ctx.now())
+    }
+
     /// The upstream's load.
     pub fn load(&self) -> admit::Load {
         self.gate.borrow().load()
