feat(soak): play series of faults on the real programs and check what callers and upstreams saw

A crate of its own: a seed gives a series of kills, stops, pauses, crashes, drains, broken ways, outages of the log and publications that overlap; callers keep their connections; the judge compares what they were told with what upstreams ran.

--- /dev/null
+++ b/soak/src/args.rs
@@ -0,0 +1,30 @@
+//! The command line: which seeds are played, and how large a round is.
+
+use bpaf::Bpaf;
+
+use crate::series;
+
+/// Arguments of `dandelionspool-soak`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+pub struct Args {
+    /// First seed
+    #[bpaf(argument("SEED"), fallback(1))]
+    pub from: u64,
+    /// How many seeds to play, one after the other
+    #[bpaf(argument("COUNT"), fallback(1))]
+    pub seeds: u64,
+    /// Hosts of the fleet, each with a node and an upstream
+    #[bpaf(argument("COUNT"), fallback(5))]
+    pub hosts: usize,
+    /// Time over which faults begin, in seconds
+    #[bpaf(argument("SECONDS"), fallback(8))]
+    pub seconds: u64,
+}
+
+impl Args {
+    /// How large a round is.
+    pub const fn shape(&self) -> series::Shape {
+        series::Shape { hosts: self.hosts, length_ms: self.seconds * 1000 }
+    }
+}
