perf(proxy): read eight bodies at once on a thin link

Cause: a sender whose own link is busy holds a turn and fills less than its share; with four turns uploads waited 327 to 1583 ms on their way while the receiving link had room.

--- a/src/proxy/inflow.rs
+++ b/src/proxy/inflow.rs
@@ -27,11 +27,11 @@
 /// that calls have (150 ms), and ten times the way between two availability zones.
 const UNDER_WAY: Duration = Duration::from_millis(20);
 
-/// Bodies read at once at the least, so that one slow sender doesn't leave the link idle.
-const LEAST_TURNS: usize = 4;
+/// Bodies read at once at the least, so that slow senders don't leave the link idle.
+const LEAST_TURNS: usize = 8;
 
 /// Smallest window of a body, in bytes. Each body sends as much before it has a turn; four of them
-/// fill a link of 6.5 Mbit/s over 20 ms.
+/// fill a link of 6.5 Mbit/s over 20 ms, and half of the senders may be slower than that.
 const LEAST_WINDOW: u32 = 4096;
 
 /// A sender that is silent for as long gives up its turn until it goes on.
