fix(proxy): never tell a call not to have run when an attempt before may have

The last word now keeps the doubt of any attempt. Ruled out: the upstream's node; its refusal was true for the attempt it got. Test: a_call_that_may_have_run_is_not_told_not_to_have, (503, not-run) before, (502, unknown) after.

--- a/soak/src/act.rs
+++ b/soak/src/act.rs
@@ -20,6 +20,12 @@
 /// what it ran is read before the kill takes it along.
 const CRASH_PAUSE: time::Duration = time::Duration::from_millis(60);
 
+/// Longest that an upstream takes to start on a busy machine.
+const START: time::Duration = time::Duration::from_secs(5);
+
+/// Time between two looks at one that starts.
+const LOOK: time::Duration = time::Duration::from_millis(20);
+
 /// Time in which a drained upstream has ended: its grace and a little more.
 const DRAIN_PAUSE: time::Duration = time::Duration::from_millis(900);
 
@@ -89,16 +95,16 @@
             Act::Drain(host) => {
                 if self.leaving.iter().all(|(_, other)| *other != host) {
                     self.leaving.push((time::Instant::now() + DRAIN_PAUSE, host));
-                    fleet.control(host, &json!({ "drain": true })).await?;
+                    control(fleet, host, json!({ "drain": true })).await?;
                 }
                 Ok(())
             }
-            Act::Slow(host, ms) => Ok(fleet.control(host, &json!({ "slow_ms": ms })).await?),
+            Act::Slow(host, ms) => control(fleet, host, json!({ "slow_ms": ms })).await,
             Act::Shed(host, percent) => {
-                Ok(fleet.control(host, &json!({ "shed": share(percent) })).await?)
+                control(fleet, host, json!({ "shed": share(percent) })).await
             }
             Act::Garble(host, percent) => {
-                Ok(fleet.control(host, &json!({ "cut": share(percent) })).await?)
+                control(fleet, host, json!({ "cut": share(percent) })).await
             }
             Act::Break(host, net) => {
                 self.broken.insert(host, net);
@@ -125,7 +131,7 @@
         if self.leaving.iter().any(|(_, other)| *other == host) {
             return Ok(());
         }
-        fleet.control(host, &json!({ "dead": "refuse" })).await?;
+        control(fleet, host, json!({ "dead": "refuse" })).await?;
         tokio::time::sleep(CRASH_PAUSE).await;
         self.renew(fleet, host).await
     }
@@ -142,7 +148,7 @@
 
     /// Keeps what an upstream ran and starts another one in its place.
     async fn renew(&mut self, fleet: &mut fleet::Fleet, host: usize) -> Result<(), Error> {
-        self.records.push(fleet.record(host).await?);
+        self.records.push(record(fleet, host).await?);
         absent(fleet.kill(host, fleet::Part::Upstream))?;
         Ok(fleet.restart(host, fleet::Part::Upstream)?)
     }
@@ -154,6 +160,38 @@
     }
 }
 
+/// What the upstream of `host` ran.
+///
+/// # Errors
+///
+/// It does not answer within the time that a start takes.
+pub async fn record(fleet: &fleet::Fleet, host: usize) -> Result<record::Record, Error> {
+    started(|| fleet.record(host)).await
+}
+
+async fn control(
+    fleet: &fleet::Fleet,
+    host: usize,
+    change: serde_json::Value,
+) -> Result<(), Error> {
+    started(|| fleet.control(host, &change)).await
+}
+
+/// Asks an upstream until it answers: one that has just been started may not listen yet.
+async fn started<T, F>(ask: impl Fn() -> F) -> Result<T, Error>
+where
+    F: Future<Output = Result<T, fleet::Error>>,
+{
+    let until = time::Instant::now() + START;
+    loop {
+        match ask().await {
+            Err(fleet::Error::Http(_)) if time::Instant::now() < until => {}
+            other => return Ok(other?),
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// A process that is not there, since another fault of the series took it, is no error.
 fn absent(done: Result<(), fleet::Error>) -> Result<(), Error> {
     match done {
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -52,7 +52,7 @@
     breaches.extend(watch.await?);
     let mut records = player.records;
     for host in 0..shape.hosts {
-        records.push(fleet.record(host).await?);
+        records.push(act::record(&fleet, host).await?);
     }
     breaches.extend(judge::judge(&series, &tally.told, &records));
     let served = tally.told.iter().filter(|t| t.outcome == load::Outcome::Served).count();
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -145,6 +145,7 @@
     let mut avoid = Vec::new();
     let mut attempt = 1;
     let mut before = None;
+    let mut doubt = None;
     loop {
         let mut failed = match once(state, job, attempt, &avoid, &mut hold).await {
             Ok(answer) => {
@@ -157,11 +158,14 @@
             // That nobody else is left tells less than why the attempt before failed.
             failed.refusal = before.unwrap_or(failed.refusal);
         }
+        doubt = doubt.or(uncertain(failed.refusal.outcome));
         let decision = decide(state, job, attempt, &failed);
         tell(state, job, attempt, &failed, &decision);
         match decision {
             retry::Decision::Again { avoid: host } => avoid.extend(host),
             retry::Decision::Final { outcome, retry_after } => {
+                // A last attempt that did not run says nothing of one before it that may have.
+                let outcome = doubt.map_or(outcome, retry::Outcome::Unknown);
                 if let Some(count) = hold.count.take() {
                     count.ended(outcome);
                 }
@@ -173,6 +177,14 @@
     }
 }
 
+/// Why nobody can say whether an attempt ran, if that is so.
+const fn uncertain(outcome: retry::Outcome) -> Option<retry::Reason> {
+    match outcome {
+        retry::Outcome::Unknown(reason) => Some(reason),
+        retry::Outcome::NotRun(_) | retry::Outcome::Ran => None,
+    }
+}
+
 fn decide<C: claim::Claims>(
     state: &state::State<C>,
     job: &Job,
--- a/tests/calls/answers.rs
+++ b/tests/calls/answers.rs
@@ -183,6 +183,28 @@
     });
 }
 
+/// The first attempt may have run, the second one did not: of the call nobody can say that it did
+/// not run.
+#[test]
+fn a_call_that_may_have_run_is_not_told_not_to_have() {
+    rig::run(async {
+        let tries = Cell::new(0);
+        let script = move |_: &fake::Seen| {
+            let shed = "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\n\
+                        content-length: 0\r\n\r\n";
+            match tries.replace(tries.get() + 1) {
+                0 => vec![Step::Close],
+                _ => vec![Step::Write(shed.into())],
+            }
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let answer = rig::call(&nodes[0], rig::request("GET", "/browse", "r1"), b"").await;
+        assert!(fake.runs("r1") > 1, "it was tried again");
+        assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
+    });
+}
+
 #[test]
 fn an_upstream_can_not_speak_for_the_mesh() {
     rig::run(async {
