fix(admin): let a ring end although its refusals are counted

Cause: the metrics kept a sender of each ring, so the last counts of the call path were waited for until a time limit: 1.5 s at the end of each planned stop, after the calls had ended (stage lines of fourteen nodes: End to the end of the process 1.50 s in each). Nodes that needed their whole drain were killed past their grace. Test: metrics_keep_no_ring_open, which does not compile before and waits for ever if the metrics hold the sender.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -49,8 +49,8 @@
     }
 
     /// Adds the count of items that `ring` refused because it was full.
-    pub fn ring<T: Send + 'static>(&self, name: &'static str, ring: &ring::Sender<T>) {
-        self.collect(Ring { name, sender: ring.clone() });
+    pub fn ring<T>(&self, name: &'static str, ring: &ring::Sender<T>) {
+        self.collect(Ring { name, refusals: ring.refusals() });
     }
 
     /// All metrics in the OpenMetrics text format.
@@ -68,20 +68,15 @@
 }
 
 /// Refusals of one ring.
-struct Ring<T> {
+#[derive(Debug)]
+struct Ring {
     name: &'static str,
-    sender: ring::Sender<T>,
-}
-
-impl<T> fmt::Debug for Ring<T> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Ring").field("name", &self.name).finish_non_exhaustive()
-    }
+    refusals: ring::Refusals,
 }
 
-impl<T: Send + 'static> collector::Collector for Ring<T> {
+impl collector::Collector for Ring {
     fn encode(&self, mut encoder: encoding::DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
-        let counter = counter::ConstCounter::new(self.sender.refused());
+        let counter = counter::ConstCounter::new(self.refusals.get());
         let help = "Items that a full ring between two threads refused";
         let name = format!("ring_{}_refused", self.name);
         let metric = encoder.encode_descriptor(&name, help, None, counter.metric_type())?;
--- a/src/admin/tests.rs
+++ b/src/admin/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the operators' port.
 
 mod announce;
+mod metrics;
 mod report;
 mod served;
 
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -43,9 +43,21 @@
         self.inner.send(item).await.map_err(|e| Refused(e.0))
     }
 
-    /// How many items were refused so far.
-    pub fn refused(&self) -> u64 {
-        self.refused.load(atomic::Ordering::Relaxed)
+    /// The count of items that the ring refuses.
+    pub fn refusals(&self) -> Refusals {
+        Refusals(Arc::clone(&self.refused))
+    }
+}
+
+/// How many items a ring has refused. It does not keep the ring open: a reader that waits for the
+/// last sender to end still sees it end.
+#[derive(Clone, Debug)]
+pub struct Refusals(Arc<atomic::AtomicU64>);
+
+impl Refusals {
+    /// Items refused so far.
+    pub fn get(&self) -> u64 {
+        self.0.load(atomic::Ordering::Relaxed)
     }
 }
 
--- a/src/usage/tests.rs
+++ b/src/usage/tests.rs
@@ -43,7 +43,7 @@
     assert_eq!(deltas, 2);
     assert_eq!(got.calls, [1; usage::OUTCOMES.len()]);
     assert_eq!(got.slow, 1);
-    assert_eq!(sender.refused(), 4);
+    assert_eq!(sender.refusals().get(), 4);
 }
 
 #[test]
