--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -14,6 +14,7 @@
 pub mod publish;
 pub mod report;
 pub mod status;
+pub mod trace;
 
 /// Distributes configuration to the proxies of a service mesh.
 #[derive(Bpaf, Clone, Debug)]
@@ -37,6 +38,9 @@
     /// Show what the mesh runs, as seen from one node
     #[bpaf(command)]
     Status(#[bpaf(external(status::args))] status::Args),
+    /// Show the path of one call from the logs of many nodes
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace::args))] trace::Args),
 }
 
 /// Runs the command line of this process.
@@ -52,5 +56,6 @@
         Command::Publish(args) => publish::run(&args),
         Command::Report(args) => report::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Trace(args) => trace::run(&args),
     }
 }
