--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -102,3 +102,28 @@
         assert_eq!(name, None, "{} names what belongs to platform/", path.display());
     }
 }
+
+/// Messages of the log lines in `text` that are written by default: the first literal of each macro.
+fn messages(text: &str) -> impl Iterator<Item = String> + '_ {
+    let macros = ["log::error!(", "log::warn!(", "log::info!("];
+    let calls = macros.into_iter().flat_map(move |name| text.split(name).skip(1));
+    calls.filter_map(|call| call.split('"').nth(1)).map(str::to_owned)
+}
+
+#[rstest]
+fn the_page_of_log_lines_names_exactly_those_that_are_written() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut found = Vec::new();
+    sources(&root.join("src"), &mut found);
+    let apart = ["src/bench", "src/standin", "src/bin"].map(|dir| root.join(dir));
+    let test = |path: &path::Path| path.components().any(|c| c.as_os_str() == "tests");
+    found.retain(|path| !apart.iter().any(|dir| path.starts_with(dir)) && !test(path));
+    let texts: Vec<_> = found.iter().map(|path| fs::read_to_string(path).unwrap()).collect();
+    let written: collections::BTreeSet<_> = texts.iter().flat_map(|t| messages(t)).collect();
+    let page = read("docs/LOGS.md");
+    let (lines, _) = page.split_once("| field |").unwrap();
+    let mut listed = table_names(lines);
+    listed.remove("msg");
+    assert!(written.len() > 40);
+    assert_eq!(listed, written);
+}
