fix(proxy): answer the calls under way before a planned stop ends

Only calls that came after the request were bounded. Test: a_call_is_answered_before_a_stop_ends, the case the_call_comes_first: the call's own 5 s before (its deadline alone bounded it), under 0.85 s after.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -30,6 +30,9 @@
 /// Most calls of the mesh that may lead to one another.
 const MOST_DEPTH: u8 = 16;
 
+/// What a call is told that is still under way when the node ends.
+const LEFT: refuse::Refusal = refuse::Refusal::unknown(retry::Reason::Timeout);
+
 /// Answers a caller's request.
 pub async fn call<C: claim::Claims>(
     state: Rc<state::State<C>>,
@@ -41,7 +44,12 @@
     let (id, result) = match ask {
         Ok(mut ask) => {
             state.sign(&mut ask.headers);
-            (Some(ask.id.clone()), serve(&state, ask, incoming).await)
+            let id = ask.id.clone();
+            let result = tokio::select! {
+                result = serve(&state, ask, incoming) => result,
+                () = state.last_moment() => Err(LEFT),
+            };
+            (Some(id), result)
         }
         Err(refusal) => (None, Err(refusal)),
     };
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -157,11 +157,23 @@
         }
     }
 
-    /// A planned stop has begun: calls that come from now on are answered before the process ends.
-    pub fn leave(&self) {
+    /// A planned stop has begun: calls are answered before the process ends. Gives the moment when
+    /// the last answers have to be on their way.
+    pub fn leave(&self) -> clock::Instant {
         let stop = &self.settings.stop;
         let left = time::Duration::from_millis(stop.serve_ms + stop.drain_ms);
-        self.last.set(Some(self.ctx.now() + left.saturating_sub(LAST_ANSWERS)));
+        let last = self.ctx.now() + left.saturating_sub(LAST_ANSWERS);
+        let last = self.last.get().unwrap_or(last);
+        self.last.set(Some(last));
+        last
+    }
+
+    /// Waits until the last answers have to be on their way; for ever while no stop begins.
+    pub async fn last_moment(&self) {
+        let mut stage = self.stage.clone();
+        // A closed channel means that the process ends.
+        let _ = stage.wait_for(|stage| *stage >= node::Stage::Leave).await;
+        tokio::time::sleep_until(self.timer(self.leave())).await;
     }
 
     /// The deadline of a call whose caller waits until `wish`.
