feat(admin): tell the lives of an upstream apart, and keep what holds from foreign words

Cause: an upstream may start again under its name, its sequence counting anew, with born telling the start. An announcement with a field that was not known was refused, a lower sequence was taken for a late one, and what had been learned of the life before (service times, width, ejection, connections) was kept. Ruled out: the time of day (it jumps); the life's start on the wire between nodes (8 bytes a record, a number of the life within its node does with 1). After: lives are ordered by start, then sequence; a new life clears what was learned here and at other nodes, and calls of the old one end at once.

--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -140,6 +140,7 @@
         phase: view::Phase::Serving,
         slots: SLOTS,
         connections: SLOTS,
+        life: 0,
     }
 }
 
--- a/benches/pick.rs
+++ b/benches/pick.rs
@@ -34,6 +34,7 @@
         phase: view::Phase::Serving,
         slots: 9,
         connections: 120,
+        life: 0,
     };
     view::Host {
         id: host::HostId::new(net::SocketAddr::from(([127, 0, high, low], 7100))),
@@ -71,6 +72,7 @@
             service: mesh::ServiceKey(number),
             slots: 9,
             connections: 120,
+            life: 0,
             warmup: time::Duration::from_secs(10),
         });
     }
--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -8,7 +8,7 @@
 use std::net;
 use std::time;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use smol_str::SmolStr;
 
 use crate::clock;
@@ -39,8 +39,9 @@
 }
 
 /// What an upstream says of itself.
+///
+/// Fields that are not named here are ignored: upstreams may say more than a node knows of.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// Service it serves.
     pub service: SmolStr,
@@ -69,6 +70,23 @@
     /// the instance does not count.
     #[serde(default)]
     pub sequence: u64,
+    /// When this life of the instance began, in milliseconds since the Unix epoch; `None` where it
+    /// doesn't say. Compared with other lives of the instance alone, never with a clock.
+    #[serde(default, deserialize_with = "given", skip_serializing_if = "Option::is_none")]
+    pub born: Option<u64>,
+}
+
+/// What an upstream says when it withdraws.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+pub struct Withdrawal {
+    /// The life that ends, as in [`Announcement::born`].
+    #[serde(default, deserialize_with = "given")]
+    pub born: Option<u64>,
+}
+
+/// A number that has to be one where it is given.
+fn given<'de, D: Deserializer<'de>>(number: D) -> Result<Option<u64>, D::Error> {
+    u64::deserialize(number).map(Some)
 }
 
 const fn unlimited() -> u16 {
@@ -108,6 +126,9 @@
     /// It comes from an instance that has gone, or before a later one of the same instance.
     #[error("the instance has gone, or has announced itself anew since; nothing changes")]
     Stale,
+    /// It names no upstream that could be used, while another announcement holds that does.
+    #[error("the configuration has no such upstream, and another one holds; nothing changes")]
+    Foreign,
 }
 
 impl Fault {
@@ -118,7 +139,7 @@
 
     /// Whether the instance has nothing to mend: saying the same again would change nothing.
     pub const fn is_heard(self) -> bool {
-        self.pending() || matches!(self, Fault::Stale)
+        self.pending() || matches!(self, Fault::Foreign | Fault::Stale)
     }
 }
 
@@ -131,9 +152,25 @@
 struct Held {
     instance: SmolStr,
     announcement: Announcement,
+    life: u32,
     until: clock::Instant,
 }
 
+/// A life of an instance. Later lives compare greater; one that doesn't say when it began is taken
+/// for the first.
+type Born = Option<u64>;
+
+/// Any life of an instance that does not say when it begins.
+const EVERY: Born = Some(u64::MAX);
+
+/// An instance that has gone.
+#[derive(Debug)]
+struct Gone {
+    instance: SmolStr,
+    /// The last of its lives that is known to have ended.
+    born: Born,
+}
+
 /// The announcement that holds, if one does.
 #[derive(Debug)]
 pub struct Desk {
@@ -141,14 +178,19 @@
     lease: time::Duration,
     /// The last announcement.
     held: Option<Held>,
-    /// Instances that have gone, the latest last. Invariant: `held` is none of them.
-    gone: collections::VecDeque<SmolStr>,
+    /// Instances that have gone, the latest last. Invariant: `held` is a later life than any of
+    /// them.
+    gone: collections::VecDeque<Gone>,
+    /// Lives announced so far.
+    lives: u32,
+    /// The last life announced.
+    last: Option<(SmolStr, Born)>,
 }
 
 impl Desk {
     /// A desk on the host with address `host`; announcements hold for `lease`.
     pub const fn new(host: net::IpAddr, lease: time::Duration) -> Self {
-        Self { host, lease, held: None, gone: collections::VecDeque::new() }
+        Self { host, lease, held: None, gone: collections::VecDeque::new(), lives: 0, last: None }
     }
 
     /// Whether `peer` may announce: this host's own address or loopback.
@@ -174,39 +216,65 @@
         if announcement.slots == 0 || announcement.connections == 0 {
             return Err(Fault::Empty);
         }
-        if self.is_stale(instance, announcement.sequence) {
+        if self.is_stale(instance, &announcement) {
             return Err(Fault::Stale);
         }
         let found = class(&announcement, mesh).map(|_| ());
+        if found.is_err() && self.local(mesh).is_some() {
+            return Err(Fault::Foreign);
+        }
         let until = now + self.lease;
-        let held = Held { instance: instance.clone(), announcement, until };
+        let life = self.life(instance, announcement.born);
+        let held = Held { instance: instance.clone(), announcement, life, until };
         if let Some(old) = self.held.replace(held).filter(|old| old.instance != *instance) {
-            self.forget(old.instance);
+            self.forget(old.instance, EVERY);
         }
         found
     }
 
-    /// Takes the announcement of `instance` back, and every later one that it sent before.
-    pub fn withdraw(&mut self, instance: &SmolStr) {
-        self.held.take_if(|held| held.instance == *instance);
-        self.forget(instance.clone());
+    /// Takes back what the life of `instance` that `born` names has announced, and every later
+    /// announcement that it sent before; without `born`, the life that is known.
+    pub fn withdraw(&mut self, instance: &SmolStr, born: Option<u64>) {
+        let known = self.held.as_ref().filter(|held| held.instance == *instance);
+        let known = known.map(|held| held.announcement.born);
+        let ended = born.or(known.unwrap_or(EVERY));
+        self.held.take_if(|held| held.instance == *instance && held.announcement.born <= ended);
+        self.forget(instance.clone(), ended);
+    }
+
+    /// The number of the life of `instance` that began at `born`.
+    fn life(&mut self, instance: &SmolStr, born: Born) -> u32 {
+        let same = |(name, when): &(SmolStr, Born)| name == instance && *when == born;
+        if !self.last.as_ref().is_some_and(same) {
+            self.lives = self.lives.wrapping_add(1);
+            self.last = Some((instance.clone(), born));
+        }
+        self.lives
     }
 
-    fn is_stale(&self, instance: &SmolStr, sequence: u64) -> bool {
+    fn is_stale(&self, instance: &SmolStr, new: &Announcement) -> bool {
         let held = self.held.as_ref().filter(|held| held.instance == *instance);
-        let later = held.is_some_and(|held| held.announcement.sequence > sequence);
-        later || self.gone.contains(instance)
+        let later = held.is_some_and(|held| {
+            let old = &held.announcement;
+            (old.born, old.sequence) > (new.born, new.sequence)
+        });
+        later || self.gone.iter().any(|gone| gone.instance == *instance && gone.born >= new.born)
     }
 
-    /// Remembers that `instance` has gone. Upstreams without a name can't be told apart.
-    fn forget(&mut self, instance: SmolStr) {
-        if instance.is_empty() || self.gone.contains(&instance) {
+    /// Remembers that the lives of `instance` up to `born` have ended. Upstreams without a name can't
+    /// be told apart.
+    fn forget(&mut self, instance: SmolStr, born: Born) {
+        if instance.is_empty() {
+            return;
+        }
+        if let Some(gone) = self.gone.iter_mut().find(|gone| gone.instance == instance) {
+            gone.born = gone.born.max(born);
             return;
         }
         if self.gone.len() >= GONE {
             self.gone.pop_front();
         }
-        self.gone.push_back(instance);
+        self.gone.push_back(Gone { instance, born });
     }
 
     /// Drops the announcement when its lease has ended.
@@ -217,7 +285,7 @@
     /// The upstream as `mesh` allows it: within the limits of its class, and only if the mesh has
     /// its service and class.
     pub fn local(&self, mesh: &mesh::Mesh) -> Option<node::Local> {
-        let Held { instance, announcement, .. } = self.held.as_ref()?;
+        let Held { instance, announcement, life, .. } = self.held.as_ref()?;
         let class = class(announcement, mesh).ok()?;
         let upstream = view::Upstream {
             service: announcement.service.clone(),
@@ -225,6 +293,7 @@
             phase: announcement.phase(),
             slots: announcement.slots.min(class.slots),
             connections: announcement.connections.min(class.connections),
+            life: *life,
         };
         Some(node::Local { address: announcement.address, instance: instance.clone(), upstream })
     }
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -130,16 +130,16 @@
     if !state.admits(peer) {
         return reply::refuse(Refusal::Peer);
     }
-    if request.method() == http::Method::DELETE {
-        log::info!(instance:% = instance; "the upstream has withdrawn");
-        state.withdraw(instance);
-        return reply::empty();
-    }
+    let leaves = request.method() == http::Method::DELETE;
     let Some(body) = read(request.into_body()).await else {
         return reply::refuse(Refusal::Body);
     };
-    let Ok(announcement) = serde_json::from_slice::<announce::Announcement>(&body) else {
-        return reply::refuse(Refusal::Body);
+    if leaves {
+        return withdraw(state, instance, &body);
+    }
+    let announcement = match serde_json::from_slice::<announce::Announcement>(&body) {
+        Ok(announcement) => announcement,
+        Err(error) => return unreadable(instance, &error),
     };
     match state.announce(instance, announcement) {
         Ok(()) => reply::empty(),
@@ -149,6 +149,29 @@
     }
 }
 
+/// Takes a withdrawal, whose body may be missing.
+fn withdraw(state: &shell::State, instance: &SmolStr, body: &[u8]) -> Reply {
+    let withdrawal = match body {
+        [] => Ok(None),
+        body => serde_json::from_slice::<Option<announce::Withdrawal>>(body),
+    };
+    let withdrawal = withdrawal.map(Option::unwrap_or_default);
+    match withdrawal {
+        Ok(withdrawal) => {
+            log::info!(instance:% = instance, born:? = withdrawal.born; "the upstream has withdrawn");
+            state.withdraw(instance, withdrawal);
+            reply::empty()
+        }
+        Err(error) => unreadable(instance, &error),
+    }
+}
+
+/// Refuses what can't be read; the upstream that is known stays.
+fn unreadable(instance: &SmolStr, error: &serde_json::Error) -> Reply {
+    log::warn!(instance:% = instance, error:% = error; "what was said of an upstream can't be read");
+    reply::refuse(Refusal::Body)
+}
+
 async fn read(body: body::Incoming) -> Option<Bytes> {
     let collected = Limited::new(body, BODY_BYTES).collect().await.ok()?;
     Some(collected.to_bytes())
--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -215,8 +215,8 @@
     }
 
     /// Takes the announcement back.
-    pub fn withdraw(&self, instance: &SmolStr) {
-        self.desk.borrow_mut().withdraw(instance);
+    pub fn withdraw(&self, instance: &SmolStr, withdrawal: announce::Withdrawal) {
+        self.desk.borrow_mut().withdraw(instance, withdrawal.born);
         self.publish();
     }
 
@@ -309,6 +309,7 @@
     let upstream = &local.upstream;
     log::info!(
         instance = local.instance.as_str(),
+        life = upstream.life,
         service = upstream.service.as_str(),
         phase:? = upstream.phase,
         slots = upstream.slots,
--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -71,6 +71,7 @@
             admit::Event::Limits(limits) => self.limit(limits),
             admit::Event::Drain => self.drain(now, actions),
             admit::Event::Resume => self.draining = false,
+            admit::Event::Restart => self.restart(),
             admit::Event::Tick => {}
         }
         self.settle(now, actions);
@@ -278,6 +279,11 @@
         self.width.announce(&limits);
     }
 
+    fn restart(&mut self) {
+        self.width = width::Width::new(&self.limits);
+        self.service = service::Service::default();
+    }
+
     fn cancel(&mut self, ticket: admit::Ticket) {
         if self.leave(ticket).is_none() {
             self.queue.remove(ticket);
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -90,6 +90,8 @@
     Drain,
     /// Another upstream takes the place of the one that was leaving.
     Resume,
+    /// The upstream has started anew: what was learned of it says nothing of its next life.
+    Restart,
     /// Time passed; see [`Gate::wake`].
     Tick,
 }
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -257,6 +257,17 @@
     assert!(ticket > 13, "the width rises at once");
 }
 
+#[test]
+fn what_was_learned_of_an_upstream_ends_with_its_life() {
+    let mut bench = Bench::new(4, 9);
+    (1..=4).for_each(|ticket| drop(bench.arrive(ticket, BROWSE, 9000, 0)));
+    bench.tell(admit::Event::Shed { ticket: admit::Ticket(4) }, 1);
+    bench.end(3, 100);
+    assert_eq!((bench.gate.load().slots, bench.gate.load().service), (3, 100_000));
+    bench.tell(admit::Event::Restart, 101);
+    assert_eq!((bench.gate.load().slots, bench.gate.load().service), (4, 0));
+}
+
 #[test]
 fn connections_limit_what_runs_like_slots() {
     let limits = admit::Limits { slots: 9, connections: 2, queue: 0 };
--- a/src/bench/policies/setup.rs
+++ b/src/bench/policies/setup.rs
@@ -128,6 +128,7 @@
         phase: if cold { view::Phase::Warming } else { view::Phase::Serving },
         slots: SLOTS,
         connections: CONNECTIONS,
+        life: 0,
     };
     view::Host {
         id: id(index),
--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -318,6 +318,7 @@
         phase: u.phase,
         slots: u.slots,
         connections: u.connections,
+        life: u.life,
     });
     table::Record {
         incarnation: found.incarnation,
--- a/src/member/tests/table.rs
+++ b/src/member/tests/table.rs
@@ -31,6 +31,7 @@
         phase: view::Phase::Serving,
         slots: serial as u16,
         connections: incarnation as u16,
+        life: 0,
     };
     table::Record { incarnation, serial, place: place.into(), upstream: Some(upstream.into()) }
 }
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -121,6 +121,8 @@
     pub slots: u16,
     /// Connections it accepts.
     pub connections: u16,
+    /// Number of its life within that of its node.
+    pub life: u32,
 }
 
 /// What a host says of itself.
@@ -355,6 +357,7 @@
                 phase: upstream.phase,
                 slots: upstream.slots,
                 connections: upstream.connections,
+                life: upstream.life,
             }),
             None => None,
         };
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -80,6 +80,8 @@
 pub struct Peer {
     host: host::HostId,
     incarnation: u64,
+    /// Life of the upstream.
+    life: u32,
     generation: u32,
     /// In the current view and mesh.
     pub(super) listed: bool,
@@ -102,6 +104,7 @@
         Self {
             host,
             incarnation: 0,
+            life: 0,
             generation,
             listed: false,
             health: view::Health::Alive,
@@ -116,7 +119,7 @@
         }
     }
 
-    /// Takes in what the membership says; a new life of the host starts afresh.
+    /// Takes in what the membership says; a new life of the host or of its upstream starts afresh.
     pub(super) fn update(
         &mut self,
         host: &view::Host,
@@ -126,13 +129,14 @@
         warmup: time::Duration,
         now: clock::Instant,
     ) {
-        if self.incarnation != host.incarnation {
+        if (self.incarnation, self.life) != (host.incarnation, upstream.life) {
             self.told = None;
             self.service = 0;
             self.breaker = outlier::Breaker::new();
             self.warming = None;
         }
         self.incarnation = host.incarnation;
+        self.life = upstream.life;
         self.listed = true;
         self.health = host.health;
         self.slots = upstream.slots.min(most);
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -40,6 +40,7 @@
         phase,
         slots: 9,
         connections: 120,
+        life: 0,
     };
     view::Host {
         id: id(number),
@@ -404,3 +405,17 @@
     let choice = picker.pick_far(SHOP, crossing(toll), at(0), &[]).expect("a choice");
     assert_eq!(usize::from(!choice.near), wanted);
 }
+
+#[test]
+fn what_is_known_of_an_upstream_does_not_outlive_its_life() {
+    let mut picker = picker(vec![host(1, "a", view::Phase::Serving)]);
+    call(&mut picker, retry::Outcome::Ran, 0);
+    let choice = picker.pick(SHOP, at(1), &[]).expect("a choice");
+    assert_eq!(picker.peer(choice).expect("known").service(), Some(1000.0));
+    let mut again = host(1, "a", view::Phase::Warming);
+    let upstream = again.upstream.take().expect("an upstream");
+    again.upstream = Some(Arc::new(view::Upstream { life: 1, ..(*upstream).clone() }));
+    rebuild(&mut picker, vec![again], 2);
+    let choice = picker.pick(SHOP, at(2), &[]).expect("a choice");
+    assert_eq!(picker.peer(choice).expect("known").service(), None);
+}
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct Pool {
     idle: RefCell<Vec<Idle>>,
+    /// Tasks of the open connections, those in use among them.
+    tasks: RefCell<Vec<task::AbortHandle>>,
     /// Longest a connection stays idle.
     limit: time::Duration,
 }
@@ -64,7 +66,7 @@
 impl Pool {
     /// A pool that keeps a connection idle for at most `limit`.
     pub const fn new(limit: time::Duration) -> Self {
-        Self { idle: RefCell::new(Vec::new()), limit }
+        Self { idle: RefCell::new(Vec::new()), tasks: RefCell::new(Vec::new()), limit }
     }
 
     /// An idle connection to `address`, the most recently used one, or a new one.
@@ -79,6 +81,7 @@
             }
         }
         let conn = open(address).await?;
+        self.tasks.borrow_mut().push(conn.task.clone());
         Ok(Lease { conn: Some(conn), pool: Rc::clone(self) })
     }
 
@@ -90,11 +93,19 @@
     /// Closes the connections that have been idle for too long or don't lead to `address`.
     pub fn tidy(&self, address: Option<net::SocketAddr>) {
         let limit = self.limit;
+        self.tasks.borrow_mut().retain(|task| !task.is_finished());
         self.idle.borrow_mut().retain(|i| {
             Some(i.conn.address) == address && i.since.elapsed() < limit && !i.conn.send.is_closed()
         });
     }
 
+    /// Ends every connection, those in use too: their other end has started anew and answers nothing
+    /// that it was sent before.
+    pub fn sever(&self) {
+        self.idle.borrow_mut().clear();
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+    }
+
     fn pop(&self) -> Option<Conn> {
         let idle = self.idle.borrow_mut().pop()?;
         (idle.since.elapsed() < self.limit).then_some(idle.conn)
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -169,6 +169,11 @@
         self.handle(admit::Event::Resume);
     }
 
+    /// Forgets what was learned of the upstream, which has started anew.
+    pub fn restart(&self) {
+        self.handle(admit::Event::Restart);
+    }
+
     /// When a place may be free for a call that was let in and then shed.
     pub fn pause(&self) -> time::Duration {
         let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -83,6 +83,8 @@
     pub sizes: RefCell<sizes::Sizes>,
     /// Log lines of single calls.
     pub trace: trace::Trace,
+    /// The life of the upstream beside this node that was seen last.
+    life: Cell<Option<u32>>,
     /// Turns of the split routes.
     pub splitter: RefCell<split::Splitter>,
     /// Memory for bodies of requests.
@@ -138,6 +140,7 @@
             dialect: wiring.dialect.clone(),
             sizes: RefCell::default(),
             trace: trace::Trace::default(),
+            life: Cell::new(None),
             splitter: RefCell::default(),
             room: Rc::new(room::Room::new(proxy.kept_bytes)),
             inflow: inflow::Inflow::new(inflow::Plan::new(proxy)),
@@ -269,6 +272,9 @@
     /// Takes the limits of the upstream beside this node into use.
     pub fn limit(&self) {
         let local = self.local.borrow().clone();
+        if let Some(local) = &local {
+            self.greet(local.upstream.life);
+        }
         let address = local.as_ref().map(|l| l.address);
         self.pool.tidy(address);
         self.slots.limit(local.as_ref().map_or_else(
@@ -278,6 +284,16 @@
         self.let_in(local.as_deref());
     }
 
+    /// Takes the upstream for a new one when it is in another life than the one seen last. A call
+    /// that runs in a life which has ended would else hold its slot until its deadline.
+    fn greet(&self, life: u32) {
+        let before = self.life.replace(Some(life));
+        if before.is_some_and(|before| before != life) {
+            self.pool.sever();
+            self.slots.restart();
+        }
+    }
+
     /// Sends those who wait for an upstream that is leaving elsewhere, and lets calls in again for
     /// the next one.
     fn let_in(&self, local: Option<&node::Local>) {
--- a/src/view.rs
+++ b/src/view.rs
@@ -52,6 +52,8 @@
     pub slots: u16,
     /// Connections it accepts.
     pub connections: u16,
+    /// Number of its life within that of its node; another life knows nothing of the one before.
+    pub life: u32,
 }
 
 /// One host as seen from here.
--- a/tests/calls/drain.rs
+++ b/tests/calls/drain.rs
@@ -269,3 +269,33 @@
         assert!(nodes[1].tallies.recv().await.is_none(), "only the entry counts");
     });
 }
+
+/// An upstream that starts again behind a cut never answers what its life before was sent, and no
+/// reset says so.
+#[test]
+fn calls_of_a_life_that_has_ended_give_their_slots_back_at_once() {
+    rig::run(async {
+        let silent = |seen: &fake::Seen| match seen.header("x-request-id").as_str() {
+            "lost" => vec![Step::Gone],
+            _ => fake::echo(seen),
+        };
+        let fake = fake::Fake::start(silent).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes_with(&[None, Some(fake.address)], 1, &claims, |s| s).await;
+        let began = time::Instant::now();
+        let lost = rig::request("POST", "/orders", "lost");
+        let lost = lost.header("dandelionspool-deadline-ms", "4000");
+        let again = async {
+            rig::until(|| fake.runs("lost") == 1).await;
+            let upstream = view::Upstream { life: 1, ..rig::shop(1) };
+            let address = fake.address;
+            let local = node::Local { address, instance: Default::default(), upstream };
+            nodes[1].local.send_replace(Some(Arc::new(local)));
+            rig::call(&nodes[0], rig::request("POST", "/orders", "next"), b"").await
+        };
+        let (lost, next) = tokio::join!(rig::call(&nodes[0], lost, b""), again);
+        assert_eq!((lost.status, lost.outcome()), (502, "unknown"));
+        assert_eq!((next.outcome(), next.text()), ("ran", "answer to next"));
+        assert!(began.elapsed() < time::Duration::from_secs(3), "{:?}", began.elapsed());
+    });
+}
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -115,6 +115,7 @@
         phase: view::Phase::Serving,
         slots,
         connections: 20,
+        life: 0,
     }
 }
 
--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -53,6 +53,7 @@
         phase: view::Phase::Serving,
         slots: 9,
         connections: 130,
+        life: 0,
     };
     let local = node::Local { address: address(index), instance: Default::default(), upstream };
     let (applied, applied_rx) = watch::channel(Arc::default());
