feat(admit): work that has begun goes before new work

Hypothesis: calls of running calls first, refused only when their deadline can't be met. How: their identity begins with that of the call they are made for, which the node beside the upstream knows; without such a match a call is an ordinary one. Ruled out: the connection they come on and a header of the caller (neither tells them apart). Test: what_a_running_call_waits_for_runs_before_new_work, which fails when no call is taken for one of a running call.

--- a/benches/pick.rs
+++ b/benches/pick.rs
@@ -72,7 +72,7 @@
             service: mesh::ServiceKey(number),
             slots: 9,
             connections: 120,
-                warmup: time::Duration::from_secs(10),
+            warmup: time::Duration::from_secs(10),
         });
     }
     mesh
--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -143,7 +143,7 @@
             None
         } else if self.is_hopeless(place, call, now) {
             Some(retry::Reason::TooLate)
-        } else if self.is_crowded() && self.is_late(place, call, now) {
+        } else if !call.inner && self.is_crowded() && self.is_late(place, call, now) {
             Some(retry::Reason::Full)
         } else {
             None
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -37,6 +37,9 @@
     pub kind: Kind,
     /// Weight of its kind; a heavier call goes first.
     pub weight: u32,
+    /// Whether a call that runs already waits for it: work that has begun goes before new work,
+    /// whatever the weight, and is not refused for a target of its own.
+    pub inner: bool,
     /// Until when an answer has its full worth; the deadline where that makes no difference.
     pub target: clock::Instant,
     /// When its caller gives up.
@@ -54,6 +57,13 @@
     pub queue: u16,
 }
 
+impl Call {
+    /// Its place among calls of different importance; the greatest goes first.
+    pub(crate) const fn rank(&self) -> (bool, u32) {
+        (self.inner, self.weight)
+    }
+}
+
 impl Limits {
     /// Calls that may run at once.
     pub const fn width(&self) -> usize {
--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -1,4 +1,4 @@
-//! The calls that wait for a slot: heaviest first; among those, each kind oldest first, and of two
+//! The calls that wait for a slot: those that running calls wait for first, then the heaviest; among those, each kind oldest first, and of two
 //! kinds the call that has to start sooner.
 
 use std::collections;
@@ -8,7 +8,7 @@
 
 /// Calls in the order they will run.
 ///
-/// Invariant: weights never rise from front to back; calls of one kind and weight stand in order of
+/// Invariant: ranks never rise from front to back; calls of one kind and rank stand in order of
 /// arrival.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
@@ -28,8 +28,8 @@
     ) -> usize {
         let sooner = start(call);
         let yields = |other: &&admit::Call| {
-            let peers = other.weight == call.weight && other.kind != call.kind;
-            other.weight < call.weight || (peers && sooner < start(other))
+            let peers = other.rank() == call.rank() && other.kind != call.kind;
+            other.rank() < call.rank() || (peers && sooner < start(other))
         };
         self.waiters.len() - self.waiters.iter().rev().take_while(yields).count()
     }
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -65,7 +65,7 @@
         now: u64,
     ) -> Vec<admit::Action> {
         let (ticket, target, deadline) = (admit::Ticket(ticket), at(target), at(deadline));
-        let call = admit::Call { ticket, kind, weight, target, deadline };
+        let call = admit::Call { ticket, kind, weight, inner: false, target, deadline };
         self.tell(admit::Event::Arrive(call), now)
     }
 
@@ -268,6 +268,38 @@
     assert_eq!((bench.gate.load().slots, bench.gate.load().service), (4, 0));
 }
 
+/// A call that a running one waits for.
+fn inner(ticket: u64, target: u64, deadline: u64) -> admit::Event {
+    let (ticket, target, deadline) = (admit::Ticket(ticket), at(target), at(deadline));
+    let call = admit::Call { ticket, kind: PLAIN, weight: BROWSE, inner: true, target, deadline };
+    admit::Event::Arrive(call)
+}
+
+#[test]
+fn work_that_has_begun_goes_before_new_work() {
+    let mut bench = Bench::new(1, 2);
+    bench.arrive(1, BROWSE, 1000, 0);
+    bench.arrive(2, ORDER, 1000, 0);
+    bench.arrive(3, ORDER, 1000, 0);
+    assert_eq!(refused(&bench.tell(inner(4, 1000, 1000), 1)), [(3, retry::Reason::Full)]);
+    assert_eq!(bench.end(1, 10), [run(4)]);
+    assert_eq!(bench.end(4, 20), [run(2)]);
+}
+
+/// The call itself would be late by its own target, its caller's run would be lost without it.
+#[test]
+fn work_that_has_begun_is_refused_only_when_its_deadline_is_lost() {
+    let mut bench = Bench::new(1, 9);
+    bench.arrive(1, BROWSE, 10_000, 0);
+    bench.end(1, 100);
+    bench.arrive(2, BROWSE, 10_000, 100);
+    bench.arrive(3, BROWSE, 10_000, 100);
+    assert_eq!(refused(&bench.arrive_for(4, BROWSE, 150, 500, 100)), [(4, retry::Reason::Full)]);
+    assert_eq!(refused(&bench.tell(inner(5, 150, 500), 100)), []);
+    let too_late = [(6, retry::Reason::TooLate)];
+    assert_eq!(refused(&bench.tell(inner(6, 150, 200), 100)), too_late);
+}
+
 #[test]
 fn connections_limit_what_runs_like_slots() {
     let limits = admit::Limits { slots: 9, connections: 2, queue: 0 };
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -133,7 +133,8 @@
             return Err(refusal);
         }
     };
-    let job = job::Job { ask, intake, applied, route, service, target, deadline };
+    let inner = state.runs.makes(&ask.id);
+    let job = job::Job { ask, intake, applied, route, service, inner, target, deadline };
     let key = job.ask.key.clone().filter(|_| !job.kind().idempotent);
     let Some(key) = key else { return job::run(state, &job, hold).await };
     // A keyed call goes on when its caller leaves: the caller may come back for its answer.
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -12,6 +12,7 @@
 use crate::pick;
 use crate::proxy::count;
 use crate::proxy::pool;
+use crate::proxy::runs;
 use crate::proxy::slots;
 use crate::proxy::trip;
 use crate::retry;
@@ -67,6 +68,8 @@
     pub lease: Option<pool::Lease>,
     /// At the upstream's node: the slot.
     pub slot: Option<slots::Slot>,
+    /// At the upstream's node: the call's place among those that run.
+    pub run: Option<runs::Running>,
     /// At the entry: the attempt.
     pub trip: Option<trip::Trip>,
     /// At the entry: the count.
@@ -78,6 +81,7 @@
 impl Hold {
     /// The answer came to its end.
     pub fn whole(&mut self) {
+        self.run = None;
         if let Some(mut lease) = self.lease.take() {
             lease.finish();
         }
@@ -118,8 +122,7 @@
 
     /// The attempt ended without an answer; the call may get another one.
     pub fn failed(&mut self, outcome: retry::Outcome) -> retry::Outcome {
-        self.lease = None;
-        self.slot = None;
+        self.free();
         let Some(trip) = self.trip.take() else { return outcome };
         match outcome {
             retry::Outcome::Ran => outcome,
@@ -128,10 +131,16 @@
         }
     }
 
-    /// The answer was cut short.
-    pub fn broken(&mut self, reason: retry::Reason) {
+    /// Gives back what the call held of the upstream.
+    fn free(&mut self) {
+        self.run = None;
         self.lease = None;
         self.slot = None;
+    }
+
+    /// The answer was cut short.
+    pub fn broken(&mut self, reason: retry::Reason) {
+        self.free();
         if let Some(trip) = self.trip.take() {
             trip.end(retry::Event::Failed(reason));
         }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -40,6 +40,8 @@
 pub const KIND: &str = "dandelionspool-kind";
 /// Between nodes: weight of the call's kind.
 pub const WEIGHT: &str = "dandelionspool-weight";
+/// Between nodes: set when a call that runs already waits for this one.
+pub const INNER: &str = "dandelionspool-inner";
 /// Milliseconds until a call loses part of its worth, between nodes.
 pub const TARGET: &str = "dandelionspool-target-ms";
 /// Between nodes: class of upstreams that may run the call.
--- a/src/proxy/inner.rs
+++ b/src/proxy/inner.rs
@@ -59,6 +59,9 @@
     }
     map.insert(headers::KIND, text(order.kind)?);
     map.insert(headers::WEIGHT, header::HeaderValue::from(order.weight));
+    if order.inner {
+        map.insert(headers::INNER, header::HeaderValue::from_static("1"));
+    }
     map.insert(headers::DEADLINE, left(order.deadline, now));
     if order.target < order.deadline {
         map.insert(headers::TARGET, left(order.target, now));
@@ -96,6 +99,7 @@
         headers::CLASS,
         headers::KIND,
         headers::WEIGHT,
+        headers::INNER,
         headers::TARGET,
         header::CONTENT_LENGTH.as_str(),
     ] {
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -42,6 +42,8 @@
     pub route: mesh::RouteKey,
     /// The service that serves it, one of those the route allows.
     pub service: mesh::ServiceKey,
+    /// Whether a call that runs at the upstream beside this node makes it.
+    pub inner: bool,
     /// Until when an answer has its full worth.
     pub target: clock::Instant,
     /// When the caller gives up.
@@ -101,6 +103,7 @@
             class: self.class().map(|c| c.name.as_str()),
             kind: &self.kind().name,
             weight: rank(self.kind()),
+            inner: self.inner,
             target: self.target,
             deadline: self.deadline,
         }
@@ -195,7 +198,7 @@
         idempotent: job.kind().idempotent,
         attempt,
         attempts: job.kind().attempts.unwrap_or(state.settings.call.attempts),
-        depth: job.ask.depth,
+        depth: job.ask.depth.max(u8::from(job.inner)),
         outer: job.ask.outer,
         deadline: job.deadline,
         answered: 0,
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -51,6 +51,8 @@
     pub kind: &'a str,
     /// Weight of the call's kind.
     pub weight: u32,
+    /// Whether a call that runs already makes this one and waits for its answer.
+    pub inner: bool,
     /// Until when an answer has its full worth.
     pub target: clock::Instant,
     /// When the caller gives up.
@@ -84,6 +86,7 @@
     let end = state.timer(order.deadline);
     let method = request.method().clone();
     let id = request.headers().get(&state.dialect.id).cloned();
+    hold.run = id.clone().map(|id| state.runs.enter(id));
     address(&state.dialect, &local, left, request.headers_mut());
     let (lease, answer) = send(state, &local, request, end).await?;
     if state.dialect.is_unrun(answer.status(), answer.headers()) {
@@ -140,6 +143,7 @@
     slots::Wish {
         kind: order.kind,
         weight: order.weight,
+        inner: order.inner,
         target: order.target,
         deadline: latest(state.ctx.now(), order.deadline),
     }
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -90,6 +90,7 @@
         class: class.as_deref(),
         kind: &kind,
         weight: u32::try_from(weight).map_err(|_| MALFORMED)?,
+        inner: parts.headers.contains_key(headers::INNER),
         target: now + time::Duration::from_millis(target),
         deadline: now + time::Duration::from_millis(left),
     };
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -33,6 +33,8 @@
     pub kind: &'a str,
     /// Weight of its kind.
     pub weight: u32,
+    /// Whether a call that runs already waits for it.
+    pub inner: bool,
     /// Until when an answer has its full worth.
     pub target: clock::Instant,
     /// When the gate has to have decided.
@@ -110,14 +112,14 @@
     ///
     /// The gate's refusal.
     pub async fn enter(self: &Rc<Self>, wish: &Wish<'_>) -> Result<Slot, Refused> {
-        let &Wish { weight, target, deadline, .. } = wish;
+        let &Wish { weight, inner, target, deadline, .. } = wish;
         let kind = self.kinds.borrow_mut().number(wish.kind);
         let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
         let (sender, mut receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
         // From here on, leaving early takes the call off the gate.
         let slot = Slot { slots: Rc::clone(self), ticket, ended: false };
-        let call = admit::Call { ticket, kind, weight, target, deadline };
+        let call = admit::Call { ticket, kind, weight, inner, target, deadline };
         self.handle(admit::Event::Arrive(call));
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
@@ -144,8 +146,8 @@
     pub fn preview(&self, wish: &Wish<'_>) -> Result<(), Refused> {
         let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
         let kind = self.kinds.borrow_mut().number(wish.kind);
-        let &Wish { weight, target, deadline, .. } = wish;
-        let call = admit::Call { ticket, kind, weight, target, deadline };
+        let &Wish { weight, inner, target, deadline, .. } = wish;
+        let call = admit::Call { ticket, kind, weight, inner, target, deadline };
         match self.gate.borrow().preview(&call, self.ctx.now()) {
             Some(admit::Action::Refuse { reason, retry_after, .. }) => {
                 Err(Refused { reason, retry_after })
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -26,6 +26,7 @@
 use crate::proxy::links;
 use crate::proxy::pool;
 use crate::proxy::room;
+use crate::proxy::runs;
 use crate::proxy::shell;
 use crate::proxy::sizes;
 use crate::proxy::slots;
@@ -85,6 +86,8 @@
     pub trace: trace::Trace,
     /// The life of the upstream beside this node that was seen last.
     life: Cell<Option<u32>>,
+    /// Calls that run at the upstream beside this node.
+    pub runs: Rc<runs::Runs>,
     /// Turns of the split routes.
     pub splitter: RefCell<split::Splitter>,
     /// Memory for bodies of requests.
@@ -141,6 +144,7 @@
             sizes: RefCell::default(),
             trace: trace::Trace::default(),
             life: Cell::new(None),
+            runs: Rc::default(),
             splitter: RefCell::default(),
             room: Rc::new(room::Room::new(proxy.kept_bytes)),
             inflow: inflow::Inflow::new(inflow::Plan::new(proxy)),
--- a/tests/calls/slots.rs
+++ b/tests/calls/slots.rs
@@ -167,3 +167,40 @@
         }
     });
 }
+
+/// Two slots are taken, one of them by the call that makes the other; a caller's call came before.
+#[test]
+fn what_a_running_call_waits_for_runs_before_new_work() {
+    rig::run(async {
+        let script = |seen: &fake::Seen| match seen.header("x-request-id").as_str() {
+            "parent-0001" => {
+                [vec![Step::Wait(time::Duration::from_millis(500))], fake::echo(seen)].concat()
+            }
+            "before-0001" => {
+                [vec![Step::Wait(time::Duration::from_millis(150))], fake::echo(seen)].concat()
+            }
+            _ => fake::echo(seen),
+        };
+        let fake = fake::Fake::start(script).await;
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes_with(&[Some(fake.address), None], 2, &claims, |s| s).await;
+        let call = |node: usize, id: &str| {
+            let request = rig::request("POST", "/orders", id);
+            rig::call(&nodes[node], request.header("dandelionspool-deadline-ms", "3000"), b"")
+        };
+        let later = async {
+            rig::until(|| fake.runs("parent-0001") == 1 && fake.runs("before-0001") == 1).await;
+            let made = async {
+                tokio::time::sleep(time::Duration::from_millis(30)).await;
+                call(0, "parent-0001.1").await
+            };
+            tokio::join!(call(1, "caller-0001"), made)
+        };
+        let (_, _, (caller, made)) =
+            tokio::join!(call(0, "parent-0001"), call(0, "before-0001"), later);
+        assert_eq!((caller.outcome(), made.outcome()), ("ran", "ran"));
+        let order: Vec<String> =
+            fake.seen().iter().skip(2).map(|seen| seen.header("x-request-id")).collect();
+        assert_eq!(order, ["parent-0001.1", "caller-0001"]);
+    });
+}
