feat(cli): count from logs the calls without an answer, by second, route and reason

Cause: which calls are lost, when and why had to be worked out by hand; the line of a refused call named neither its service nor its target, and no line told calls of running calls from callers'. After: dandelionspool losses FILE... counts them; the lines carry service, inner and target_ms.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod local;
 pub mod logging;
+pub mod losses;
 pub mod node;
 pub mod publish;
 pub mod report;
@@ -26,6 +27,9 @@
     /// Run a whole small mesh in this process, on loopback
     #[bpaf(command)]
     Local(#[bpaf(external(local::args))] local::Args),
+    /// Count from logs the calls without an answer, by second, route and reason
+    #[bpaf(command)]
+    Losses(#[bpaf(external(losses::args))] losses::Args),
     /// Run the node beside an upstream
     #[bpaf(command)]
     Node(#[bpaf(external(node::args))] node::Args),
@@ -52,6 +56,7 @@
     match command {
         Command::Check(args) => check::run(&args),
         Command::Local(args) => local::run(&args),
+        Command::Losses(args) => losses::run(&args),
         Command::Node(args) => node::run(&args),
         Command::Publish(args) => publish::run(&args),
         Command::Report(args) => report::run(&args),
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -227,6 +227,7 @@
         number,
         outcome: failed.refusal.outcome,
         again: matches!(decision, retry::Decision::Again { .. }),
+        inner: job.inner,
         left: job.deadline.since(now),
     };
     state.trace.attempt(&attempt, now);
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -221,9 +221,12 @@
     let now = state.ctx.now();
     let turned = trace::Turned {
         id: headers.get(&state.dialect.id),
+        service: order.service,
         kind: order.kind,
+        inner: order.inner,
         reason: refused.reason,
         load: state.slots.load(),
+        target: order.target.since(now),
         left: order.deadline.since(now),
         after: refused.retry_after,
     };
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -64,6 +64,8 @@
     pub outcome: retry::Outcome,
     /// Whether another attempt follows.
     pub again: bool,
+    /// Whether a running call waits for it.
+    pub inner: bool,
     /// Time left for the call.
     pub left: time::Duration,
 }
@@ -73,12 +75,18 @@
 pub struct Turned<'a> {
     /// Name of the call, if it has one.
     pub id: Option<&'a header::HeaderValue>,
+    /// Service that it needs.
+    pub service: &'a str,
     /// Its kind.
     pub kind: &'a str,
+    /// Whether a running call waits for it.
+    pub inner: bool,
     /// Why.
     pub reason: retry::Reason,
     /// What the gate held.
     pub load: admit::Load,
+    /// Time left until its answer loses part of its worth.
+    pub target: time::Duration,
     /// Time left for the call.
     pub left: time::Duration,
     /// When it is told to come back.
@@ -207,6 +215,7 @@
             outcome = refuse::name(attempt.outcome),
             reason = reason(attempt.outcome),
             again = attempt.again,
+            inner = attempt.inner,
             left_ms = millis(attempt.left),
             skipped;
             "an attempt brought no answer"
@@ -218,12 +227,15 @@
         let Some(skipped) = self.admit(now) else { return };
         log::info!(
             id = turned.id.map(text).unwrap_or_default(),
+            service = turned.service,
             kind = turned.kind,
+            inner = turned.inner,
             reason = turned.reason.as_str(),
             running = turned.load.running,
             waiting = turned.load.waiting,
             slots = turned.load.slots,
             service_us = turned.load.service,
+            target_ms = millis(turned.target),
             left_ms = millis(turned.left),
             retry_after_ms = millis(turned.after),
             skipped;
