--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -130,6 +130,7 @@
         avoid: &[host::HostId],
     ) -> Option<(u32, usize)> {
         let mut best: Option<(u32, usize, f32)> = None;
+        let mut waits = true;
         // A heavy call is too dear to be sent away only to see what it is like there.
         let light = toll.cross < peer::WAITS;
         let explores = light && self.rng.random_ratio(1, EXPLORE);
@@ -140,11 +141,14 @@
             };
             let chosen = &self.table.peers[index as usize];
             let refusal = if chosen.brims(&self.rules, now) { REFUSAL } else { 0.0 };
-            let cost = there + refusal + toll.of(tier, chosen.service());
-            if best.is_none_or(|(_, _, least)| cost < least) {
-                best = Some((index, tier, cost));
+            let way = refusal + toll.of(tier, chosen.service());
+            if best.is_none_or(|(_, _, least)| there + way < least) {
+                best = Some((index, tier, there + way));
+                waits = chosen.fullness(&self.rules, now) + way > peer::WAITS;
             }
-            if tier >= table::AWAY && best.is_some_and(|(_, _, least)| least <= peer::WAITS) {
+            // While a slot is free nearby, even at a slow upstream, no call pays the way to a fast one
+            // farther off.
+            if tier >= table::AWAY && !waits {
                 break;
             }
         }
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -468,3 +468,35 @@
 fn an_upstream_that_was_slow_for_a_while_is_tried_again() {
     assert!(second(&mut uneven(3.0), false, 60_000) >= 16);
 }
+
+/// How many of `calls` calls that don't end leave a zone whose one upstream takes three times as long as
+/// the one of another zone.
+fn left_for_a_faster(calls: u16) -> usize {
+    let mut picker = picker(serving(&["a", "b"]));
+    for round in 0..100 {
+        let choice = picker.pick_far(SHOP, crossing(1.0), at(round), &[]).expect("a choice");
+        picker.started(choice, at(round));
+        let load = admit::Load { running: 0, waiting: 0, slots: 9, service: 1000 };
+        let latency = time::Duration::from_millis(1);
+        let outcome = retry::Outcome::Ran;
+        let report = pick::Report { outcome, load: Some(load), pace: Some(3.0), latency };
+        picker.ended(choice, &report, at(round));
+    }
+    let mut left = 0;
+    for _ in 0..calls {
+        let choice = picker.pick_far(SHOP, crossing(1.0), at(100), &[]).expect("a choice");
+        picker.started(choice, at(100));
+        left += usize::from(choice.host == id(2));
+    }
+    left
+}
+
+#[rstest]
+#[case::slots_are_free(9, 0)]
+#[case::none_is_free(13, 4)]
+fn calls_leave_a_slow_upstream_of_their_zone_only_when_they_would_wait(
+    #[case] calls: u16,
+    #[case] wanted: usize,
+) {
+    assert_eq!(left_for_a_faster(calls), wanted);
+}
