fix(proxy): only calls of callers earn further attempts

Cause: the budget of repeats of a service grew with the calls that upstreams make as well, which may be three times as many as callers' calls there, while what is allowed is a share of the latter. With a third of everything shed by all upstreams of a called service for 14 s, 276 repeats reached them where about 190 are allowed in 10 s (no rule broke; it was near). Left: calls made by a run that is itself a repeat count as repeats, too; the node does not know them. Test: only_calls_of_callers_earn_further_attempts, the second case fails before.

--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -152,7 +152,11 @@
     loop {
         let mut failed = match once(state, job, attempt, &avoid, &mut hold).await {
             Ok(answer) => {
-                state.budget(job.service(), retry::Budget::served);
+                // What is allowed at a service is a share of callers' calls; those of running calls may be
+                // three times as many and would let it be called again beyond that.
+                if !job.inner {
+                    state.budget(job.service(), retry::Budget::served);
+                }
                 return Ok(answer);
             }
             Err(failed) => failed,
--- a/tests/calls/slots.rs
+++ b/tests/calls/slots.rs
@@ -4,6 +4,7 @@
 
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use rstest::rstest;
 use tokio::net::TcpStream;
 
 use crate::fake;
@@ -204,3 +205,58 @@
         assert_eq!(order, ["parent-0001.1", "caller-0001"]);
     });
 }
+
+/// Two upstreams lose each call named so. The burst is used up first; then 50 calls are served, which
+/// earn ten more attempts at a fifth each. Calls of a running call are not a service's own load: were
+/// they to earn, a service could be called again far beyond the share of its callers.
+#[rstest]
+#[case::of_callers("caller", 8..=11)]
+#[case::of_a_running_call("parent-0001.", 0..=0)]
+fn only_calls_of_callers_earn_further_attempts(
+    #[case] served: &'static str,
+    #[case] wanted: std::ops::RangeInclusive<usize>,
+) {
+    rig::run(async {
+        let script = |seen: &fake::Seen| match seen.header("x-request-id").as_str() {
+            "parent-0001" => vec![Step::Wait(time::Duration::from_secs(4)), Step::Close],
+            id if id.starts_with("lost") => vec![Step::Close],
+            _ => fake::echo(seen),
+        };
+        let (one, two) = (fake::Fake::start(script).await, fake::Fake::start(script).await);
+        let claims = rig::Claims::default();
+        let upstreams = [Some(one.address), Some(two.address)];
+        let nodes = rig::nodes_with(&upstreams, 9, &claims, |s| s).await;
+        let call = async |id: String| {
+            let request = rig::request("POST", "/browse", &id);
+            rig::call(&nodes[0], request.header("dandelionspool-deadline-ms", "3000"), b"").await
+        };
+        let attempts = || {
+            let seen = [one.seen(), two.seen()].concat();
+            seen.iter().filter(|s| s.header("x-request-id").starts_with("lost")).count()
+        };
+        let lose = async |name: &str| {
+            let before = attempts();
+            for number in 0..30 {
+                call(format!("lost-{name}-{number}")).await;
+            }
+            attempts() - before - 30
+        };
+        let parent = async {
+            // Both nodes' upstreams run one of that name, so that the entry beside one knows it.
+            tokio::join!(call("parent-0001".to_owned()), call("parent-0001".to_owned()))
+        };
+        let counted = async {
+            rig::until(|| one.runs("parent-0001") >= 1).await;
+            lose("burst").await;
+            for number in 0..50 {
+                assert_eq!(call(format!("{served}{number:04}")).await.outcome(), "ran");
+            }
+            lose("after").await
+        };
+        let further = tokio::select! {
+            further = counted => further,
+            _ = parent => panic!("the calls take too long"),
+        };
+        assert!(wanted.contains(&further), "{further} further attempts");
+    });
+}
