fix(proxy): let the calls of a leaving instance go on beside the next one

Cause: read on the whole change: another instance in the place of one that leaves counted as a new life, which ended the calls of the old one. Only a new life of the same instance may. Ruled out: leaving the connections of a life that ended to their resets (behind a cut none comes). Test: calls_of_an_instance_that_leaves_go_on_beside_the_next_one.

--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -1,5 +1,5 @@
-//! The calls that wait for a slot: those that running calls wait for first, then the heaviest; among those, each kind oldest first, and of two
-//! kinds the call that has to start sooner.
+//! The calls that wait for a slot: first those that running calls wait for, then the heaviest; among
+//! those, each kind oldest first, and of two kinds the call that has to start sooner.
 
 use std::collections;
 use std::time;
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -88,8 +88,8 @@
     pub paces: RefCell<paces::Paces>,
     /// Log lines of single calls.
     pub trace: trace::Trace,
-    /// The life of the upstream beside this node that was seen last.
-    life: Cell<Option<u32>>,
+    /// The upstream beside this node that was seen last: its instance and life.
+    seen: RefCell<Option<(SmolStr, u32)>>,
     /// Calls that run at the upstream beside this node.
     pub runs: Rc<runs::Runs>,
     /// Turns of the split routes.
@@ -148,7 +148,7 @@
             sizes: RefCell::default(),
             paces: RefCell::default(),
             trace: trace::Trace::default(),
-            life: Cell::new(None),
+            seen: RefCell::default(),
             runs: Rc::default(),
             splitter: RefCell::default(),
             room: Rc::new(room::Room::new(proxy.kept_bytes)),
@@ -297,7 +297,7 @@
     pub fn limit(&self) {
         let local = self.local.borrow().clone();
         if let Some(local) = &local {
-            self.greet(local.upstream.life);
+            self.greet(local);
         }
         let address = local.as_ref().map(|l| l.address);
         self.pool.tidy(address);
@@ -308,14 +308,19 @@
         self.let_in(local.as_deref());
     }
 
-    /// Takes the upstream for a new one when it is in another life than the one seen last. A call
-    /// that runs in a life which has ended would else hold its slot until its deadline.
-    fn greet(&self, life: u32) {
-        let before = self.life.replace(Some(life));
-        if before.is_some_and(|before| before != life) {
+    /// Forgets what was learned of the upstream seen last when `local` is another one, or the same in
+    /// another life. Calls that ran in a life which has ended would hold their slots until their
+    /// deadline; those of another instance, which may be leaving, go on.
+    fn greet(&self, local: &node::Local) {
+        let now = (local.instance.clone(), local.upstream.life);
+        let Some((instance, life)) = self.seen.replace(Some(now)) else { return };
+        if life == local.upstream.life {
+            return;
+        }
+        if instance == local.instance {
             self.pool.sever();
-            self.slots.restart();
         }
+        self.slots.restart();
     }
 
     /// Sends those who wait for an upstream that is leaving elsewhere, and lets calls in again for
--- a/tests/calls/drain.rs
+++ b/tests/calls/drain.rs
@@ -299,3 +299,21 @@
         assert!(began.elapsed() < time::Duration::from_secs(3), "{:?}", began.elapsed());
     });
 }
+
+/// An upstream that leaves finishes what it has while the next one announces itself in its place.
+#[test]
+fn calls_of_an_instance_that_leaves_go_on_beside_the_next_one() {
+    rig::run(async {
+        let fake = fake::Fake::start(slowly).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let next = async {
+            rig::until(|| fake.runs("other") == 1).await;
+            let upstream = view::Upstream { life: 1, ..rig::shop(4) };
+            let local = node::Local { address: fake.address, instance: "next".into(), upstream };
+            nodes[1].local.send_replace(Some(Arc::new(local)));
+        };
+        let call = rig::call(&nodes[0], rig::request("POST", "/orders", "other"), b"");
+        let (answer, ()) = tokio::join!(call, next);
+        assert_eq!((answer.outcome(), answer.text()), ("ran", "answer to other"));
+    });
+}
