--- a/src/cli/losses.rs
+++ b/src/cli/losses.rs
@@ -2,13 +2,12 @@
 
 use std::collections;
 use std::fmt::{self, Write as _};
-use std::fs;
 use std::path;
 
 use bpaf::Bpaf;
 use serde_json::Value;
 
-use crate::cli::exit;
+use crate::cli::{exit, trace};
 
 #[cfg(test)]
 mod tests;
@@ -35,11 +34,7 @@
 pub fn run(args: &Args) -> Result<(), exit::Failure> {
     let mut losses = Losses::default();
     for file in &args.files {
-        let text = fs::read_to_string(file);
-        let text = text.map_err(|e| {
-            exit::Failure::Input(eyre::Report::new(e).wrap_err(file.display().to_string()))
-        })?;
-        losses.read(&text);
+        losses.read(&trace::read_log(file)?);
     }
     print!("{losses}");
     Ok(())
--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -38,10 +38,7 @@
 pub fn run(args: &Args) -> Result<(), exit::Failure> {
     let mut logs = Vec::new();
     for file in &args.files {
-        let text = fs::read_to_string(file);
-        let text = text.map_err(|e| {
-            exit::Failure::Input(eyre::Report::new(e).wrap_err(file.display().to_string()))
-        })?;
+        let text = read_log(file)?;
         logs.push(Log::read(&file.display().to_string(), &text, &args.id));
     }
     let text = path(&logs);
@@ -52,6 +49,17 @@
     Ok(())
 }
 
+/// The text of a node's log.
+///
+/// # Errors
+///
+/// The file can't be read.
+pub(super) fn read_log(file: &path::Path) -> Result<String, exit::Failure> {
+    fs::read_to_string(file).map_err(|e| {
+        exit::Failure::Input(eyre::Report::new(e).wrap_err(file.display().to_string()))
+    })
+}
+
 /// What one node's log says of a call.
 #[derive(Debug)]
 struct Log {
