refactor(pick): remove what the cost of a call made dead, and put a comment right

Cause: read on the whole change: since policies compare by cost, nothing calls Pool::fullness; and the comment on the mark for every life of an instance said something else than what it does. Ruled out: joining paces and sizes (one gives a ratio, the other a mean in whole bytes) and the two log commands' arguments (the shape of a file list only).

--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -160,7 +160,7 @@
 /// for the first.
 type Born = Option<u64>;
 
-/// Any life of an instance that does not say when it begins.
+/// Stands for every life of an instance, whenever it began.
 const EVERY: Born = Some(u64::MAX);
 
 /// An instance that has gone.
--- a/src/pick/pool.rs
+++ b/src/pick/pool.rs
@@ -42,11 +42,6 @@
         peer.is_usable(self.now) && !self.avoid.contains(&peer.host())
     }
 
-    /// Share of the slots at `place` taken with one more call, by the best knowledge there is.
-    pub fn fullness(&self, place: usize) -> f32 {
-        self.peer(place).fullness(self.rules, self.now)
-    }
-
     /// What a call would cost at `place`, in the usual service times of its kind.
     pub fn cost(&self, place: usize) -> f32 {
         self.peer(place).cost(self.inner, self.rules, self.now)
