feat(member): doubt hosts that are known from the directory alone

Cause: a host that can't strike itself off (a store that is slow or away) stays listed. A node that starts later took it for alive until probes found out, some ten seconds, and could leave the reading of the log to it.

Change: a host that only the directory names counts as suspect once the mesh did not name it to a node that joined, or two seconds later. Such hosts still get calls, so that a start of all hosts at once is served, but nobody counts on them as readers.

Tests: one that joins, one that starts beside all others; both failed before.

--- a/src/member/join.rs
+++ b/src/member/join.rs
@@ -17,6 +17,10 @@
 use crate::member::table;
 use crate::member::wire;
 
+/// Time for which a host is taken for what the directory says of it without being heard from. After a
+/// start of all of 295 hosts half of them are heard from within two seconds.
+const PRESUMED: time::Duration = time::Duration::from_secs(2);
+
 /// Hosts greeted of those that a look has found: one that answers tells of the others.
 const GREETED: usize = 8;
 
@@ -35,6 +39,10 @@
     /// Whether the directory has yet to say who is there.
     waits: bool,
     done: bool,
+    /// Whether the table was taken over from a host that had joined.
+    told: bool,
+    /// When hosts that are known from the directory alone come into doubt.
+    doubt: Option<clock::Instant>,
     asked: Option<Asked>,
     /// Hash from which the table is still missing.
     cursor: u32,
@@ -57,6 +65,8 @@
             seeds: seeds.collect(),
             waits: false,
             done: false,
+            told: false,
+            doubt: None,
             asked: None,
             cursor: 0,
             attempt: 0,
@@ -74,6 +84,11 @@
         (!self.done).then_some(due)
     }
 
+    /// When hosts that are known from the directory alone come into doubt, if there are any.
+    pub fn doubt(&self) -> Option<clock::Instant> {
+        self.doubt
+    }
+
     /// Whether the table was taken over.
     pub fn is_done(&self) -> bool {
         self.done
@@ -171,6 +186,21 @@
         };
         let change = self.table.merge(host, record, self.now);
         self.follow(host, change, rumors::Rank::Plain, gossip::Way::Page);
+        self.join.doubt.get_or_insert(self.now + PRESUMED);
+    }
+
+    /// Whether a host that is known from the directory alone is likely to be gone: the mesh did not
+    /// name it, or it was not heard from for a while. Such a host may still get calls, but nobody
+    /// counts on it for others: a node that came back counted on hosts that had left while the
+    /// directory could not be told, and left the reading of the log to them.
+    pub(super) fn doubts(&self, entry: &table::Entry) -> bool {
+        let late = self.now.since(entry.since) >= PRESUMED;
+        entry.record.serial == 0 && (self.join.told || late)
+    }
+
+    /// Publishes that hosts have come into doubt.
+    pub(super) fn run_doubt(&mut self) {
+        self.dirty |= self.join.doubt.take_if(|due| *due <= self.now).is_some();
     }
 
     /// Tells this host to a few that it did not know, so that two parts of a mesh which lost each other
@@ -237,7 +267,9 @@
 
     fn finish_join(&mut self, event: standing::Event) {
         self.join.done = true;
+        self.join.told = event == standing::Event::Joined;
         self.join.asked = None;
+        self.dirty = true;
         log::info!(hosts = self.table.present(), how:? = event; "joined the mesh");
         self.change_standing(event);
         // What was sent so far went to the hosts asked for pages.
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -177,7 +177,8 @@
     /// When the member wants a [`Event::Tick`] at the latest.
     pub fn wake(&self) -> clock::Instant {
         let mut wake = self.prober.wake().min(self.detect.wake());
-        for other in [self.zones.wake(), self.burst.wake(), self.join.wake()] {
+        let others = [self.zones.wake(), self.burst.wake(), self.join.wake(), self.join.doubt()];
+        for other in others {
             wake = other.map_or(wake, |w| w.min(wake));
         }
         wake
@@ -211,6 +212,7 @@
         let dark = self.zones.is_dark(&entry.record.place.zone) && id != self.id;
         let health = match entry.claim {
             _ if dark => view::Health::Unreachable,
+            None if self.doubts(entry) => view::Health::Suspect,
             None => view::Health::Alive,
             Some(wire::Claim::Suspect) => view::Health::Suspect,
             Some(wire::Claim::Dead | wire::Claim::Left) => view::Health::Unreachable,
@@ -244,6 +246,7 @@
 
     fn run_timers(&mut self) {
         self.run_join();
+        self.run_doubt();
         self.run_probes();
         self.run_detection();
         self.run_burst();
--- a/tests/member/cold.rs
+++ b/tests/member/cold.rs
@@ -28,10 +28,16 @@
 
 /// The hosts after they have started and looked into the directory.
 fn started(seed: u64) -> net::Net {
+    started_without(seed, &[])
+}
+
+/// The same where the hosts `gone` did not come back.
+fn started_without(seed: u64, gone: &[usize]) -> net::Net {
     let mut mesh = net::Net::with(HOSTS, seed, |settings| {
         settings.join.clear();
         settings.member.alone_ms = 700;
     });
+    gone.iter().for_each(|&index| mesh.kill(index));
     mesh.run(time::Duration::from_millis(50));
     for index in 0..HOSTS {
         mesh.handle(index, member::Event::Listed(listed()));
@@ -108,3 +114,31 @@
     });
     assert_eq!(incarnation, Some(Some(u64::MAX / 2 + 1)));
 }
+
+/// What host `index` takes host `other` for.
+fn health(mesh: &mut net::Net, index: usize, other: usize) -> Option<view::Health> {
+    let view = mesh.slots[index].member.as_mut()?.view();
+    view.host(net::id(other)).map(|host| host.health)
+}
+
+#[rstest]
+fn a_host_that_joins_counts_on_none_that_the_mesh_does_not_know() {
+    let mut mesh = net::Net::settled(20, 3);
+    let mut settings = net::settings(20);
+    settings.join.clear();
+    let late = mesh.add(settings);
+    let mut known = listed();
+    known.truncate(30);
+    mesh.handle(late, member::Event::Listed(known));
+    mesh.run(time::Duration::from_millis(700));
+    assert_eq!(health(&mut mesh, late, 25), Some(view::Health::Suspect));
+    assert_eq!(health(&mut mesh, late, 7), Some(view::Health::Alive));
+}
+
+#[rstest]
+fn hosts_that_are_not_heard_from_come_into_doubt() {
+    let mut mesh = started_without(1, &[9]);
+    assert_eq!(health(&mut mesh, 5, 9), Some(view::Health::Alive));
+    mesh.run(time::Duration::from_millis(2100));
+    assert_eq!(health(&mut mesh, 5, 9), Some(view::Health::Suspect));
+}
