--- a/src/spread/answer.rs
+++ b/src/spread/answer.rs
@@ -87,14 +87,14 @@
         }
         self.pull.aim(stamp.version);
         self.remember(stamp.version, way);
-        if !self.pull.busy() {
+        if !self.pull.busy(now) {
             self.fetch(host, now);
         }
     }
 
     fn fetch(&mut self, host: host::HostId, now: clock::Instant) {
         let limit = time::Duration::from_millis(self.settings.transfer_ms);
-        self.pull.fetching(host, now + limit);
+        self.pull.fetching(host, now, now + limit);
         let have = self.held().version;
         self.actions.push(Action::Fetch { host, have });
     }
@@ -182,7 +182,7 @@
 
     /// Asks `host` for what it holds.
     fn want(&mut self, host: host::HostId, now: clock::Instant) {
-        if self.pull.busy() {
+        if self.pull.busy(now) {
             return;
         }
         let wait = self.settings.retry().mul_f64(self.rng.random_range(0.75..1.25));
@@ -229,7 +229,7 @@
     pub(super) fn tick_pull(&mut self, now: clock::Instant) {
         match self.pull.state() {
             pull::State::Planned { host, due } if due <= now => self.want(host, now),
-            pull::State::Asked { host, due } | pull::State::Fetching { host, due }
+            pull::State::Asked { host, due } | pull::State::Fetching { host, due, .. }
                 if due <= now =>
             {
                 self.pull.failed(host);
--- a/src/spread/pull.rs
+++ b/src/spread/pull.rs
@@ -12,6 +12,11 @@
 /// Hosts remembered as tried for one version.
 const TRIED: usize = 8;
 
+/// Time that a transfer usually takes at most: 14 KB from a host with a tenth of a core. A host that
+/// has gone without a word holds one up for its whole limit of five seconds, in which newer versions
+/// were not asked for.
+const STALE: time::Duration = time::Duration::from_millis(500);
+
 /// Doublings of the delay between tries.
 const BACKOFF: u32 = 2;
 
@@ -38,6 +43,8 @@
     Fetching {
         /// Who serves it.
         host: host::HostId,
+        /// From when on another host that holds something newer is asked instead.
+        stale: clock::Instant,
         /// When it is given up.
         due: clock::Instant,
     },
@@ -113,9 +120,9 @@
         self.state = State::Asked { host, due };
     }
 
-    /// A transfer from `host` was begun.
-    pub const fn fetching(&mut self, host: host::HostId, due: clock::Instant) {
-        self.state = State::Fetching { host, due };
+    /// A transfer from `host` was begun at `now`, which may take until `due`.
+    pub fn fetching(&mut self, host: host::HostId, now: clock::Instant, due: clock::Instant) {
+        self.state = State::Fetching { host, stale: now + STALE, due };
     }
 
     /// `host` was asked in vain.
@@ -153,9 +160,9 @@
         matches!(self.state, State::Fetching { host, .. } if host == from)
     }
 
-    /// Whether a transfer is under way.
-    pub const fn busy(&self) -> bool {
-        matches!(self.state, State::Fetching { .. })
+    /// Whether a transfer is under way that may still succeed soon.
+    pub fn busy(&self, now: clock::Instant) -> bool {
+        matches!(self.state, State::Fetching { stale, .. } if now < stale)
     }
 
     /// When something is due next.
--- a/src/spread/tests/parts.rs
+++ b/src/spread/tests/parts.rs
@@ -135,6 +135,30 @@
     assert_eq!(node.held(), version::Stamp::default());
 }
 
+/// Host `from` announces version `number`; gives the host that is then asked for a transfer.
+fn announce(node: &mut Spread, from: u8, number: u64, millis: u64) -> Option<host::HostId> {
+    let stamp = parcel(number).stamp;
+    let datagram = Datagram::Announce { stamp, way: Way::Pass };
+    let actions = node.handle(Event::Datagram { host: id(from), datagram }, at(millis));
+    actions.iter().find_map(|action| match action {
+        Action::Fetch { host, .. } => Some(*host),
+        _ => None,
+    })
+}
+
+#[rstest]
+#[case::that_has_just_begun(100, None)]
+#[case::that_hangs(600, Some(id(2)))]
+fn a_transfer_that_hangs_holds_no_newer_version_up(
+    #[case] later: u64,
+    #[case] asked: Option<host::HostId>,
+) {
+    let mut node = node(0, 3, configs::spread::Spread::cascadia());
+    settle(&mut node, version::Version::NONE);
+    assert_eq!(announce(&mut node, 1, 5, 30_000), Some(id(1)));
+    assert_eq!(announce(&mut node, 2, 6, 30_000 + later), asked);
+}
+
 #[test]
 fn no_more_transfers_than_allowed_are_served() {
     let settings = configs::spread::Spread::cascadia();
