--- a/benches/fold.rs
+++ b/benches/fold.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
-use dandelionspool::fold::{Fold, record, rules};
+use dandelionspool::fold::{Fold, id, record, rules};
 use dandelionspool::version::Version;
 
 fn publish(base: u64, id: u8) -> Bytes {
     let body = fixture::file(Some(usize::from(id))).into();
-    let (base, id) = (Version::new(base), record::PublishId::new([id; 16]));
+    let (base, id) = (Version::new(base), id::PublishId::new([id; 16]));
     let publish = record::Publish { format: rules::NEWEST, base, id, body };
     record::encode(&record::Record::Publish(publish)).unwrap_or_default()
 }
--- a/src/bench/converge/source.rs
+++ b/src/bench/converge/source.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use crate::configs;
+use crate::fold::id;
 use crate::fold::record;
 use crate::logs::{self, Service as _, http};
 use crate::traffic;
@@ -73,7 +74,7 @@
         self.count += 1;
         self.file["services"][0]["timeout_ms"] = (2000 + self.count).into();
         let body = Bytes::from(serde_json::to_vec_pretty(&self.file)?);
-        let id = record::PublishId::derive(self.base, &body);
+        let id = id::PublishId::derive(self.base, &body);
         let publish = record::Publish { format: 1, base: self.base, id, body: body.clone() };
         let record = record::encode(&record::Record::Publish(publish))?;
         let offset = self.log.append(logs::streams::CONFIG, record).await?;
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -14,7 +14,7 @@
 use crate::cli::{exit, follow};
 use crate::configs;
 use crate::context;
-use crate::fold::{memory, record, rules, submit};
+use crate::fold::{id, memory, record, rules, submit};
 use crate::logs::http;
 use crate::mesh;
 use crate::version;
@@ -34,7 +34,7 @@
     /// Name of this publish, 32 hexadecimal digits; made from base and file when left out, so that
     /// the same command run again changes nothing
     #[bpaf(argument("HEX"), optional)]
-    pub publish_id: Option<record::PublishId>,
+    pub publish_id: Option<id::PublishId>,
     /// Milliseconds to keep trying while the log service fails
     #[bpaf(argument("MILLISECONDS"), fallback(10_000), display_fallback)]
     pub wait_ms: u64,
@@ -90,7 +90,7 @@
 pub fn run(args: &Args) -> Result<(), exit::Failure> {
     let file = read(args)?;
     let base = version::Version::new(args.base);
-    let id = args.publish_id.unwrap_or_else(|| record::PublishId::derive(base, &file));
+    let id = args.publish_id.unwrap_or_else(|| id::PublishId::derive(base, &file));
     let publish = record::Publish { format: rules::NEWEST, base, id, body: file };
     let answer = send(args, publish)?;
     conclude(args, id, answer)
@@ -121,7 +121,7 @@
     }))
 }
 
-fn conclude(args: &Args, id: record::PublishId, answer: Answer) -> Result<(), exit::Failure> {
+fn conclude(args: &Args, id: id::PublishId, answer: Answer) -> Result<(), exit::Failure> {
     let publish_id = id.to_string();
     let answer = match answer {
         Ok(answer) => answer,
--- a/src/fold/memory.rs
+++ b/src/fold/memory.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fold::record;
+use crate::fold::id;
 use crate::version;
 
 /// Publishes remembered. An older one that is repeated is judged again, which does no harm: what
@@ -30,17 +30,17 @@
 /// Invariant: at most [`LIMIT`] entries, in the order of the log, without duplicate ids.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Memory {
-    entries: collections::VecDeque<(record::PublishId, Outcome)>,
+    entries: collections::VecDeque<(id::PublishId, Outcome)>,
 }
 
 impl Memory {
     /// What became of the publish called `id`.
-    pub fn get(&self, id: record::PublishId) -> Option<Outcome> {
+    pub fn get(&self, id: id::PublishId) -> Option<Outcome> {
         self.entries.iter().find(|(other, _)| *other == id).map(|(_, outcome)| *outcome)
     }
 
     /// Remembers `outcome` and forgets the oldest one when there are too many.
-    pub fn put(&mut self, id: record::PublishId, outcome: Outcome) {
+    pub fn put(&mut self, id: id::PublishId, outcome: Outcome) {
         self.entries.push_back((id, outcome));
         if self.entries.len() > LIMIT {
             self.entries.pop_front();
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -13,6 +13,7 @@
 use crate::version;
 
 pub mod follow;
+pub mod id;
 pub mod memory;
 pub mod reader;
 pub mod record;
@@ -145,7 +146,7 @@
     }
 
     /// What became of the publish called `id`, while it is remembered.
-    pub fn outcome(&self, id: record::PublishId) -> Option<memory::Outcome> {
+    pub fn outcome(&self, id: id::PublishId) -> Option<memory::Outcome> {
         self.memory.get(id)
     }
 
--- a/src/fold/record.rs
+++ b/src/fold/record.rs
@@ -4,14 +4,13 @@
 //! Bytes without the mark are not ours. The format numbers the layout of the content and the rules
 //! for files alike, so that a build knows from the first 6 bytes whether it can judge the rest.
 
-use std::fmt;
 use std::io;
-use std::str;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::delta::{self, frame};
+use crate::fold::id;
 use crate::fold::memory;
 use crate::logs;
 use crate::version;
@@ -22,15 +21,6 @@
 /// Bytes before the content.
 const HEAD_BYTES: usize = MARK.len() + 2;
 
-/// Bytes of a publish id.
-const ID_BYTES: usize = 16;
-
-/// Names one publish, whose record may stand in the log more than once.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-pub struct PublishId([u8; ID_BYTES]);
-
 /// A file that is to become the next version.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Publish {
@@ -39,7 +29,7 @@
     /// Version it was made from.
     pub base: version::Version,
     /// Its name.
-    pub id: PublishId,
+    pub id: id::PublishId,
     /// The file.
     pub body: Bytes,
 }
@@ -102,7 +92,7 @@
 /// Content of formats from 1 on, with compressed bodies.
 #[derive(Deserialize, Serialize)]
 enum Content {
-    Publish { base: version::Version, id: PublishId, frame: Bytes },
+    Publish { base: version::Version, id: id::PublishId, frame: Bytes },
     Snapshot { stamp: version::Stamp, through: logs::Offset, memory: memory::Memory, frame: Bytes },
     Settled { frame: Bytes },
 }
@@ -178,42 +168,3 @@
             && self.stamp.digest == version::Digest::of(&self.body)
     }
 }
-
-impl PublishId {
-    /// The id of that name.
-    pub const fn new(bytes: [u8; ID_BYTES]) -> Self {
-        Self(bytes)
-    }
-
-    /// The id of publishing `file` as the successor of `base`: the same each time, so that a
-    /// command run twice is one publish.
-    pub fn derive(base: version::Version, file: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new_derive_key("dandelionspool publish id 1");
-        hasher.update(&base.number().to_le_bytes());
-        hasher.update(file);
-        let mut bytes = [0; ID_BYTES];
-        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..ID_BYTES]);
-        Self(bytes)
-    }
-}
-
-impl fmt::Display for PublishId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
-    }
-}
-
-/// The text is not 32 hexadecimal digits.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("a publish id has 32 hexadecimal digits")]
-pub struct ParseError;
-
-impl str::FromStr for PublishId {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, ParseError> {
-        let digits = text.len() == 2 * ID_BYTES && text.bytes().all(|b| b.is_ascii_hexdigit());
-        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits);
-        number.map(|n| Self(n.to_be_bytes())).ok_or(ParseError)
-    }
-}
--- a/src/fold/submit.rs
+++ b/src/fold/submit.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-use crate::fold::{follow, memory, record, rules};
+use crate::fold::{follow, id, memory, record, rules};
 use crate::logs::{self, Failure as _};
 use crate::version;
 
@@ -93,7 +93,7 @@
     }
 
     /// The verdict as far as the log tells it now.
-    fn answer(&self, id: record::PublishId, base: version::Version) -> Option<Answer> {
+    fn answer(&self, id: id::PublishId, base: version::Version) -> Option<Answer> {
         let repeated = !self.sent;
         if let Some(outcome) = self.follower.fold().outcome(id) {
             return Some(Answer { outcome, repeated });
--- a/src/spread/tests/parts.rs
+++ b/src/spread/tests/parts.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::configs;
 use crate::delta;
+use crate::fold::id;
 use crate::fold::record;
 use crate::host;
 use crate::logs;
@@ -198,7 +199,7 @@
 
 fn publish(base: u64, tag: u64) -> logs::Record {
     let (base, body) = (version::Version::new(base), fleet::file(tag));
-    let id = record::PublishId::derive(base, &body);
+    let id = id::PublishId::derive(base, &body);
     let publish = record::Publish { format: 1, base, id, body: body.into() };
     let body = record::encode(&record::Record::Publish(publish)).expect("encodes");
     logs::Record { offset: 0, unix_millis: 0, body }
--- a/src/spread/tests/source.rs
+++ b/src/spread/tests/source.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::fold::{self, record, rules};
+use crate::fold::{self, id, record, rules};
 use crate::logs;
 use crate::version;
 
@@ -48,7 +48,7 @@
 
     /// Appends a publication of `file`.
     pub fn append(&mut self, base: version::Version, file: &[u8], unix_millis: u64) {
-        let id = record::PublishId::derive(base, file);
+        let id = id::PublishId::derive(base, file);
         let body = Bytes::copy_from_slice(file);
         let publish = record::Publish { format: 1, base, id, body };
         let record = record::encode(&record::Record::Publish(publish)).expect("encodes");
--- a/src/standin/small.rs
+++ b/src/standin/small.rs
@@ -11,6 +11,7 @@
 
 use crate::configs;
 use crate::context;
+use crate::fold::id;
 use crate::fold::memory;
 use crate::fold::record;
 use crate::fold::rules;
@@ -190,7 +191,7 @@
     let client = logs::http::Client::new(&settings, Default::default());
     let seed = context::Context::system().seed_for("publish");
     let base = version::Version::NONE;
-    let id = record::PublishId::derive(base, &body);
+    let id = id::PublishId::derive(base, &body);
     let publish = record::Publish { format: rules::NEWEST, base, id, body };
     let submitter = submit::Submitter::new(client, rules::Builtin, PUBLISH, seed);
     let answer = submitter.submit(publish).await?;
--- a/tests/fold/history.rs
+++ b/tests/fold/history.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 
 use bytes::Bytes;
-use dandelionspool::fold::{self, Verdict, record, rules};
+use dandelionspool::fold::{self, Verdict, id, record, rules};
 use dandelionspool::logs;
 use dandelionspool::mesh;
 use dandelionspool::version::Version;
@@ -115,7 +115,7 @@
 
 /// A publish record.
 pub fn publish(format: u16, base: Version, id: [u8; 16], file: &[u8]) -> Bytes {
-    let id = record::PublishId::new(id);
+    let id = id::PublishId::new(id);
     let body = Bytes::copy_from_slice(file);
     record::encode(&record::Record::Publish(record::Publish { format, base, id, body })).unwrap()
 }
--- a/tests/fold/verdict.rs
+++ b/tests/fold/verdict.rs
@@ -2,7 +2,7 @@
 
 use crate::history::{self, History, NEWEST, OLDER, Toy};
 use bytes::Bytes;
-use dandelionspool::fold::{self, Verdict, record};
+use dandelionspool::fold::{self, Verdict, id, record};
 use dandelionspool::logs::{self, wire};
 use dandelionspool::version::Version;
 use proptest::prelude::*;
@@ -243,7 +243,7 @@
 fn a_file_too_large_is_not_encoded() {
     let body = Bytes::from(vec![0; dandelionspool::delta::FILE_BYTES + 1]);
     let publish =
-        record::Publish { format: 1, base: Version::NONE, id: record::PublishId::default(), body };
+        record::Publish { format: 1, base: Version::NONE, id: id::PublishId::default(), body };
     assert!(record::encode(&record::Record::Publish(publish)).is_err());
 }
 
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use dandelionspool::configs;
-use dandelionspool::fold::{follow, memory, record, rules, submit};
+use dandelionspool::fold::{follow, id, memory, record, rules, submit};
 use dandelionspool::logs::{self, Service as _, http};
 use dandelionspool::standin::log::{self, faults};
 use dandelionspool::version::Version;
@@ -34,7 +34,7 @@
 
 fn publish(base: u64, id: u8) -> record::Publish {
     let body = Bytes::from(std::fs::read(example()).unwrap());
-    let id = record::PublishId::new([id; 16]);
+    let id = id::PublishId::new([id; 16]);
     record::Publish { format: 1, base: Version::new(base), id, body }
 }
 
