fix(platform): names of ours that the pages' words never meet

Ruled out: renaming the one word alone, as slots, path or phase may come next on a page. The product's announcement keeps its names and takes the spellings with hyphens beside them.

--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -23,6 +23,7 @@
     /// Started a moment ago.
     Warming,
     /// Serves.
+    #[serde(alias = "in-service")]
     Serving,
     /// Finishes what it has and takes no new calls.
     Draining,
@@ -40,7 +41,9 @@
 
 /// What an upstream says of itself.
 ///
-/// Fields that are not named here are ignored: upstreams may say more than a node knows of.
+/// Fields that are not named here are ignored: upstreams may say more than a node knows of. Some
+/// names have a second spelling, with a hyphen, for a platform that uses the first for something
+/// else.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Announcement {
     /// Service it serves.
@@ -57,14 +60,16 @@
     #[serde(default)]
     pub version: SmolStr,
     /// Calls it runs at once.
+    #[serde(alias = "upstream-slots")]
     pub slots: u16,
     /// Connections it accepts; without it as many as its class allows.
     #[serde(default = "unlimited")]
     pub connections: u16,
     /// How far it is in its life.
+    #[serde(alias = "current-phase")]
     pub phase: Phase,
     /// For how much longer it is slow after its start, in milliseconds.
-    #[serde(default)]
+    #[serde(alias = "warmup-ms", default)]
     pub warmup_ms: u64,
     /// Grows with each announcement of one instance, so that one that comes late is known; 0 where
     /// the instance does not count.
--- a/src/admin/tests/announce.rs
+++ b/src/admin/tests/announce.rs
@@ -261,6 +261,21 @@
     assert_eq!((read.born, read.sequence), (Some(1_790_000_000_000), 4));
 }
 
+#[test]
+fn the_spellings_with_hyphens_say_the_same() {
+    let mut other = sent();
+    let fields = other.as_object_mut().expect("an object");
+    for (plain, hyphened) in
+        [("slots", "upstream-slots"), ("phase", "current-phase"), ("warmup_ms", "warmup-ms")]
+    {
+        let value = fields.remove(plain).expect(plain);
+        fields.insert(hyphened.to_owned(), value);
+    }
+    other["current-phase"] = serde_json::json!("in-service");
+    let read: Announcement = serde_json::from_value(other).expect("readable");
+    assert_eq!(read, serde_json::from_value(sent()).expect("readable"));
+}
+
 /// Any JSON value, a few levels deep.
 fn value() -> impl Strategy<Value = serde_json::Value> {
     let leaf = prop_oneof![
