refactor(proxy): what a refusal is stands apart from how it is answered

body imported refuse for the reasons, refuse imported body for the answer. The answer has a module of its own above both: one circle fewer (body, refuse).

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -20,6 +20,7 @@
 use crate::proxy::job;
 use crate::proxy::keyed;
 use crate::proxy::refuse;
+use crate::proxy::reply;
 use crate::proxy::state;
 use crate::proxy::trace;
 use crate::proxy::upload;
@@ -56,8 +57,10 @@
     if let Some(id) = &id {
         tell(&state, id, &result, version, began);
     }
-    let mut answer = result
-        .map_or_else(|refusal| refusal.answer(state.dialect.verbose), |answer| ran(&state, answer));
+    let mut answer = result.map_or_else(
+        |refusal| reply::answer(&refusal, state.dialect.verbose),
+        |answer| ran(&state, answer),
+    );
     if let Some(id) = id {
         answer.headers_mut().insert(&state.dialect.id, id);
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -27,6 +27,7 @@
 pub mod peer;
 pub mod pool;
 pub mod refuse;
+pub mod reply;
 pub mod room;
 pub mod runs;
 pub mod serve;
--- a/src/proxy/refuse.rs
+++ b/src/proxy/refuse.rs
@@ -1,11 +1,7 @@
-//! The answer of a call that has none of its upstream.
+//! Why a call has no answer of its upstream.
 
 use std::time;
 
-use bytes::Bytes;
-use http::header;
-
-use crate::proxy::body;
 use crate::proxy::headers;
 use crate::retry;
 
@@ -41,26 +37,6 @@
         self.retry_after = Some(after);
         self
     }
-
-    /// The answer, with the reason's name as its body.
-    pub fn answer(&self, verbose: bool) -> http::Response<body::Reply> {
-        let reason = self.outcome.reason().map_or("", retry::Reason::as_str);
-        let mut answer =
-            http::Response::new(body::Reply::whole(Bytes::from_static(reason.as_bytes())));
-        *answer.status_mut() = self.status;
-        let map = answer.headers_mut();
-        if verbose {
-            map.insert(headers::OUTCOME, header::HeaderValue::from_static(name(self.outcome)));
-            map.insert(headers::REASON, header::HeaderValue::from_static(reason));
-        }
-        map.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/plain"));
-        if let Some(after) = self.retry_after {
-            let whole = || header::HeaderValue::from(seconds(after));
-            let exact = (!verbose).then(|| fraction(after)).flatten();
-            map.insert(header::RETRY_AFTER, exact.unwrap_or_else(whole));
-        }
-        answer
-    }
 }
 
 /// The value of [`headers::OUTCOME`] for `outcome`.
@@ -101,13 +77,3 @@
         _ => http::StatusCode::BAD_GATEWAY,
     }
 }
-
-/// Whole seconds, rounded up, at least one: the unit of `Retry-After`.
-fn seconds(after: time::Duration) -> u64 {
-    (after.as_secs() + u64::from(after.subsec_nanos() > 0)).max(1)
-}
-
-/// Seconds with their fraction, for callers that read it.
-fn fraction(after: time::Duration) -> Option<header::HeaderValue> {
-    header::HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())).ok()
-}
