--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -126,6 +126,7 @@
             tallies: ring::bounded(4).0,
             claims: NoClaims,
             dialect: dandelionspool::proxy::Dialect::default(),
+            rollouts: Default::default(),
         };
         let (_keep, stage) = watch::channel(node::Stage::Run);
         let wiring = shell::Wiring { stage, ..wiring };
@@ -141,6 +142,8 @@
         slots: SLOTS,
         connections: SLOTS,
         life: 0,
+        version: Default::default(),
+        trial: Default::default(),
     }
 }
 
--- a/benches/pick.rs
+++ b/benches/pick.rs
@@ -13,6 +13,7 @@
 use dandelionspool::mesh;
 use dandelionspool::pick;
 use dandelionspool::retry;
+use dandelionspool::rollout;
 use dandelionspool::view;
 use smol_str::{SmolStr, format_smolstr};
 
@@ -35,6 +36,8 @@
         slots: 9,
         connections: 120,
         life: 0,
+        version: Default::default(),
+        trial: Default::default(),
     };
     view::Host {
         id: host::HostId::new(net::SocketAddr::from(([127, 0, high, low], 7100))),
@@ -81,7 +84,7 @@
 fn call(picker: &mut pick::Picker, number: u64) {
     let now = clock::Instant::from_micros(number * 40);
     let service = mesh::ServiceKey((number % u64::from(SERVICES)) as u16);
-    let target = pick::Target { service, class: None };
+    let target = pick::Target { service, class: None, side: rollout::Side::Any };
     let Some(choice) = picker.pick(hint::black_box(target), now, &[]) else { return };
     picker.started(choice, now);
     let load = admit::Load { running: 5, waiting: 0, slots: 9, service: 9000 };
--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::mesh;
 use crate::node;
+use crate::rollout;
 use crate::view;
 
 /// Life cycle of an upstream, as announced.
@@ -56,7 +57,7 @@
     /// Availability zone it believes to be in; for the logs alone.
     #[serde(default)]
     pub zone: SmolStr,
-    /// Version of its software; for the logs alone.
+    /// Version of its software, by which a roll-out tells it from others.
     #[serde(default)]
     pub version: SmolStr,
     /// Calls it runs at once.
@@ -299,6 +300,8 @@
             slots: announcement.slots.min(class.slots),
             connections: announcement.connections.min(class.connections),
             life: *life,
+            version: announcement.version.clone(),
+            trial: rollout::Trial::default(),
         };
         Some(node::Local { address: announcement.address, instance: instance.clone(), upstream })
     }
--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -21,6 +21,7 @@
 use crate::mesh;
 use crate::node;
 use crate::ring;
+use crate::rollout;
 use crate::traffic;
 use crate::usage;
 use crate::view;
@@ -41,6 +42,8 @@
     pub applied: watch::Receiver<Arc<mesh::Applied>>,
     /// The known hosts.
     pub view: watch::Receiver<Arc<view::View>>,
+    /// From the call path: what was seen of that upstream while its version is tried.
+    pub trial: watch::Receiver<rollout::Trial>,
     /// Where the upstream beside this node is put; `None` while there is none.
     pub local: watch::Sender<Option<Arc<node::Local>>>,
     /// Whether the log answers, see [`reach::Watched`].
@@ -66,6 +69,7 @@
     settings: configs::admin::Admin,
     applied: watch::Receiver<Arc<mesh::Applied>>,
     view: watch::Receiver<Arc<view::View>>,
+    trial: watch::Receiver<rollout::Trial>,
     local: watch::Sender<Option<Arc<node::Local>>>,
     reach: watch::Receiver<reach::Reach>,
     metrics: metrics::Metrics,
@@ -124,6 +128,7 @@
         settings: settings.admin.clone(),
         applied: wiring.applied,
         view: wiring.view,
+        trial: wiring.trial,
         local: wiring.local,
         reach: wiring.reach,
         metrics: wiring.metrics,
@@ -223,11 +228,16 @@
     /// Tells the other duties which upstream is beside this node.
     fn publish(&self) {
         let mesh = Arc::clone(&self.applied.borrow().mesh);
-        let local = self.desk.borrow().local(&mesh);
+        let mut local = self.desk.borrow().local(&mesh);
+        if let Some(local) = &mut local {
+            local.upstream.trial = *self.trial.borrow();
+        }
         self.local.send_if_modified(|held| {
             let changed = held.as_deref() != local.as_ref();
             if changed {
-                tell(local.as_ref());
+                if !is_like(held.as_deref(), local.as_ref()) {
+                    tell(local.as_ref());
+                }
                 *held = local.map(Arc::new);
             }
             changed
@@ -303,6 +313,14 @@
     }
 }
 
+/// Whether both are the same but for what was seen of their answers.
+fn is_like(old: Option<&node::Local>, new: Option<&node::Local>) -> bool {
+    let (Some(old), Some(new)) = (old, new) else { return old.is_none() && new.is_none() };
+    let mut seen = new.clone();
+    seen.upstream.trial = old.upstream.trial;
+    seen == *old
+}
+
 /// Logs what the node believes of its upstream from now on.
 fn tell(local: Option<&node::Local>) {
     let Some(local) = local else { return log::info!("no upstream is beside this node") };
@@ -311,6 +329,7 @@
         instance = local.instance.as_str(),
         life = upstream.life,
         service = upstream.service.as_str(),
+        version = upstream.version.as_str(),
         phase:? = upstream.phase,
         slots = upstream.slots,
         connections = upstream.connections;
--- a/src/admin/tests/served.rs
+++ b/src/admin/tests/served.rs
@@ -54,6 +54,7 @@
     let wiring = shell::Wiring {
         applied: applied_end,
         view: view_end,
+        trial: watch::Sender::default().subscribe(),
         local: local_end,
         reach: reach_end,
         tallies: tallies_end,
--- a/src/bench/policies/setup.rs
+++ b/src/bench/policies/setup.rs
@@ -11,6 +11,7 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::rollout;
 use crate::view;
 
 /// Upstreams; each has its host, which is an entry too.
@@ -41,7 +42,8 @@
 pub(super) const LEAD: u64 = 500_000;
 
 /// What every call asks for.
-pub(super) const TARGET: pick::Target = pick::Target { service: mesh::ServiceKey(0), class: None };
+pub(super) const TARGET: pick::Target =
+    pick::Target { service: mesh::ServiceKey(0), class: None, side: rollout::Side::Any };
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 const CONNECTIONS: u16 = 130;
@@ -129,6 +131,8 @@
         slots: SLOTS,
         connections: CONNECTIONS,
         life: 0,
+        version: Default::default(),
+        trial: Default::default(),
     };
     view::Host {
         id: id(index),
--- a/src/border/configuration.rs
+++ b/src/border/configuration.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
-#[doc = "A whole configuration, format 3."]
+#[doc = "A whole configuration, format 3 or 4."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
@@ -15,6 +15,9 @@
     #[doc = "Organisations that are charged."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub organisations: ::std::vec::Vec<Organisation>,
+    #[doc = "Orders to move services to other versions of their upstreams; format 4 and later."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub rollouts: ::std::vec::Vec<Rollout>,
     #[doc = "Routes from requests to services."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub routes: ::std::vec::Vec<Route>,
@@ -376,6 +379,19 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub upstream: ::std::option::Option<Name>,
 }
+#[doc = "An order to move a service to another version of its upstreams."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Rollout {
+    #[doc = "Number of the order; a later one for the same service has a higher one."]
+    pub order: ::std::num::NonZeroU64,
+    #[doc = "Name of the service."]
+    pub service: Name,
+    #[doc = "Version that the upstreams announce which are to serve in the end."]
+    pub version: ::std::string::String,
+    #[doc = "Time within which the move is to end, in milliseconds."]
+    pub within_ms: ::std::num::NonZeroU64,
+}
 #[doc = "A service."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
--- a/src/fold/rules.rs
+++ b/src/fold/rules.rs
@@ -19,7 +19,10 @@
 pub struct Builtin;
 
 /// The newest format this build knows.
-pub const NEWEST: u16 = 3;
+pub const NEWEST: u16 = 4;
+
+/// The newest format without orders of roll-outs.
+pub const PLAIN: u16 = 3;
 
 impl Rules for Builtin {
     type Faults = mesh::fault::Faults;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 //! | membership | [`member`] | [`member::shell`] |
 //! | distribution | [`spread`] | [`spread::shell`] |
 //! | calls | [`pick`], [`admit`], [`retry`] | [`proxy`] |
+//! | versions of upstreams | [`rollout`] | [`rollout::shell`], [`proxy`] |
 //! | at most once | [`claim`] | [`claim::shell`] |
 //! | charging and objectives | [`usage`], [`burn`] | [`admin`] |
 //!
@@ -45,6 +46,7 @@
 pub mod proxy;
 pub mod retry;
 pub mod ring;
+pub mod rollout;
 pub mod seal;
 pub mod socket;
 pub mod spread;
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -20,6 +20,8 @@
     pub const CONFIG: &str = "config";
     /// Claims of idempotency keys; a partition number follows.
     pub const CLAIMS: &str = "claims";
+    /// What became of roll-outs.
+    pub const ROLLOUTS: &str = "rollouts";
     /// Usage counts.
     pub const USAGE: &str = "usage";
 }
--- a/src/member/directory.rs
+++ b/src/member/directory.rs
@@ -51,7 +51,7 @@
     fn is_like(&self, other: &Self) -> bool {
         let lasting = |upstream: &view::Upstream| {
             let (service, class) = (upstream.service.clone(), upstream.class.clone());
-            (service, class, upstream.slots, upstream.connections)
+            (service, class, upstream.version.clone(), upstream.slots, upstream.connections)
         };
         let (ours, theirs) = (self.upstream.as_ref(), other.upstream.as_ref());
         self.place == other.place && ours.map(lasting) == theirs.map(lasting)
--- a/src/member/directory/search/tests.rs
+++ b/src/member/directory/search/tests.rs
@@ -100,7 +100,16 @@
 
 fn upstream(slots: u16, phase: view::Phase) -> Option<Arc<node::Local>> {
     let (service, class) = ("shop".into(), "shop".into());
-    let upstream = view::Upstream { service, class, phase, slots, connections: 9, life: 1 };
+    let upstream = view::Upstream {
+        service,
+        class,
+        phase,
+        slots,
+        connections: 9,
+        life: 1,
+        version: Default::default(),
+        trial: Default::default(),
+    };
     let address = (net::Ipv4Addr::new(10, 0, 0, 1), 80).into();
     Some(Arc::new(node::Local { address, instance: "i".into(), upstream }))
 }
--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -52,7 +52,9 @@
 /// How pressing a change from one announcement to the next is.
 pub fn rank(old: Option<&view::Upstream>, new: Option<&view::Upstream>) -> rumors::Rank {
     let takes = |u: Option<&view::Upstream>| u.is_some_and(|u| u.phase != view::Phase::Draining);
-    if takes(old) && !takes(new) { rumors::Rank::Urgent } else { rumors::Rank::Plain }
+    let bad = |u: Option<&view::Upstream>| u.is_some_and(|u| u.trial.condemned);
+    let urgent = (takes(old) && !takes(new)) || (bad(new) && !bad(old));
+    if urgent { rumors::Rank::Urgent } else { rumors::Rank::Plain }
 }
 
 impl member::Member {
@@ -319,6 +321,8 @@
         slots: u.slots,
         connections: u.connections,
         life: u.life,
+        version: datagram.name(u.version),
+        trial: u.trial.unwrap_or_default(),
     });
     table::Record {
         incarnation: found.incarnation,
--- a/src/member/tests/table.rs
+++ b/src/member/tests/table.rs
@@ -32,6 +32,8 @@
         slots: serial as u16,
         connections: incarnation as u16,
         life: 0,
+        version: Default::default(),
+        trial: Default::default(),
     };
     table::Record { incarnation, serial, place: place.into(), upstream: Some(upstream.into()) }
 }
--- a/src/member/tests/wire.rs
+++ b/src/member/tests/wire.rs
@@ -112,8 +112,7 @@
                 class: name(3),
                 phase: view::Phase::Serving,
                 slots: 9,
-                connections: 130, life: 0,
-            };
+                connections: 130, life: 0, version: Default::default(), trial: Default::default() };
             let account = (1_700_000_000_000 + i as u64, i as u32);
             packed += usize::from(packer.record(
                 host(7000 + i as u16),
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -10,6 +10,7 @@
 
 use crate::host;
 use crate::member;
+use crate::rollout;
 use crate::seal;
 use crate::version;
 use crate::view;
@@ -123,6 +124,10 @@
     pub connections: u16,
     /// Number of its life within that of its node.
     pub life: u32,
+    /// Index of its version among the names.
+    pub version: u8,
+    /// What its node has seen of it; `None` while its version is not tried.
+    pub trial: Option<rollout::Trial>,
 }
 
 /// What a host says of itself.
@@ -264,7 +269,8 @@
             check_name(record.zone)?;
             record.upstream.iter().try_for_each(|u| {
                 check_name(u.service)?;
-                check_name(u.class)
+                check_name(u.class)?;
+                check_name(u.version)
             })
         }
     }
@@ -358,6 +364,8 @@
                 slots: upstream.slots,
                 connections: upstream.connections,
                 life: upstream.life,
+                version: self.intern(&upstream.version)?,
+                trial: Some(upstream.trial).filter(|trial| trial.order > 0),
             }),
             None => None,
         };
--- a/src/mesh/check.rs
+++ b/src/mesh/check.rs
@@ -22,8 +22,11 @@
 #[cfg(test)]
 mod tests;
 
-/// The newest format this build knows.
-pub const FORMAT: u32 = 3;
+/// The newest format this build knows: the one before it with orders of roll-outs.
+pub const FORMAT: u32 = 4;
+
+/// The format without orders of roll-outs. Its rules are frozen.
+pub const PLAIN: u32 = 3;
 
 /// The first format, which says team for organisation. Its rules are frozen.
 ///
--- a/src/mesh/check/build.rs
+++ b/src/mesh/check/build.rs
@@ -12,6 +12,7 @@
 use crate::mesh::check;
 use crate::mesh::fault;
 use crate::mesh::find;
+use crate::rollout;
 
 const DAY: time::Duration = time::Duration::from_secs(24 * 60 * 60);
 
@@ -61,6 +62,7 @@
         file.services.iter().try_for_each(|s| self.service(s))?;
         file.upstreams.iter().try_for_each(|u| self.class(u))?;
         file.routes.iter().try_for_each(|r| self.route(r))?;
+        self.mesh.rollouts = file.rollouts.iter().map(rollout).collect();
         self.mesh.format = file.format;
         self.mesh.limits = file.limits.as_ref().map(limits).unwrap_or_default();
         self.mesh.index = find::Index::new(&self.mesh.routes);
@@ -156,6 +158,15 @@
     }
 }
 
+fn rollout(file: &configuration::Rollout) -> mesh::Rollout {
+    let order = rollout::Order {
+        number: file.order.get(),
+        version: SmolStr::new(&file.version),
+        within: time::Duration::from_millis(file.within_ms.get()),
+    };
+    mesh::Rollout { service: SmolStr::new(&*file.service), order }
+}
+
 fn objectives(file: &configuration::Objectives) -> mesh::Objectives {
     mesh::Objectives {
         availability: file.availability,
--- a/src/mesh/check/items.rs
+++ b/src/mesh/check/items.rs
@@ -21,6 +21,8 @@
     pub upstreams: List<'a>,
     /// Routes.
     pub routes: List<'a>,
+    /// Orders of roll-outs.
+    pub rollouts: List<'a>,
 }
 
 impl<'a> Draft<'a> {
@@ -39,6 +41,7 @@
             kinds,
             upstreams: List::read(root, "", "upstreams", faults),
             routes: List::read(root, "", "routes", faults),
+            rollouts: List::read_unnamed(root, "", "rollouts"),
         }
     }
 }
--- a/src/mesh/check/links.rs
+++ b/src/mesh/check/links.rs
@@ -1,5 +1,7 @@
 //! References between items: each must lead to an item, a route's also within its own service.
 
+use std::collections;
+
 use crate::mesh::check;
 use crate::mesh::check::items;
 use crate::mesh::fault;
@@ -16,6 +18,32 @@
     for route in draft.routes.iter() {
         check_route(draft, &route, faults);
     }
+    check_rollouts(draft, faults);
+}
+
+/// An order must name a service, each at most once, and a version; older formats know of none.
+fn check_rollouts(draft: &items::Draft<'_>, faults: &mut Vec<fault::Fault>) {
+    let rollouts = &draft.rollouts;
+    if draft.format < check::FORMAT {
+        if !rollouts.is_empty() {
+            faults.push(fault::Fault::new(&rollouts.pointer, fault::Problem::UnknownField));
+        }
+        return;
+    }
+    let mut seen = collections::HashSet::new();
+    for rollout in rollouts.iter() {
+        follow(&rollout, "service", &draft.services, faults);
+        let mut wrong = |field: &str, reason: &str| {
+            let problem = fault::Problem::WrongValue { reason: reason.to_owned() };
+            faults.push(fault::Fault::new(rollout.field(field), problem));
+        };
+        if rollout.text("version") == Some("") {
+            wrong("version", "a version has a name");
+        }
+        if rollout.text("service").is_some_and(|service| !seen.insert(service)) {
+            wrong("service", "the service has an order already");
+        }
+    }
 }
 
 fn check_route(
--- a/src/mesh/check/shape.rs
+++ b/src/mesh/check/shape.rs
@@ -22,7 +22,7 @@
     jsonschema::draft7::new(&schema).map_err(|e| e.to_string())
 }
 
-/// The format of a tree: [`check::FORMAT`] or [`check::FIRST`].
+/// The format of a tree: [`check::FORMAT`], [`check::PLAIN`] or [`check::FIRST`].
 ///
 /// A missing or non-numeric format is left to a schema: the newest one where the file says
 /// organisation, else that of the first format, whose verdicts on it are frozen.
@@ -33,9 +33,9 @@
 pub fn format(root: &Value) -> Result<u32, fault::Fault> {
     let Some(Value::Number(found)) = root.get("format") else {
         let newest = root.get("organisations").is_some();
-        return Ok(if newest { check::FORMAT } else { check::FIRST });
+        return Ok(if newest { check::PLAIN } else { check::FIRST });
     };
-    let known = [check::FIRST, check::FORMAT];
+    let known = [check::FIRST, check::PLAIN, check::FORMAT];
     let format = known.into_iter().find(|&known| found.as_u64() == Some(u64::from(known)));
     format.ok_or_else(|| {
         let problem =
--- a/src/mesh/check/tests.rs
+++ b/src/mesh/check/tests.rs
@@ -166,3 +166,42 @@
 fn a_whole_float_counts_as_an_integer() {
     assert_eq!(faults(br#"{"format":1.0}"#), expected(&[]));
 }
+
+/// Cóndor's file in `format` with `rollouts`.
+fn ordered(format: u32, rollouts: &Value) -> Vec<u8> {
+    let mut file: Value = serde_json::from_str(CONDOR).expect("an example is JSON");
+    file["format"] = json!(format);
+    file["rollouts"] = rollouts.clone();
+    file.to_string().into_bytes()
+}
+
+fn order(service: &str, version: &str) -> Value {
+    json!({ "order": 7, "service": service, "version": version, "within_ms": 12_000 })
+}
+
+#[rstest]
+#[case::sound(4, json!([order("catalogue", "v2"), order("manuscript", "v2")]), &[])]
+#[case::none(3, json!([]), &[])]
+#[case::older_format(3, json!([order("catalogue", "v2")]), &[("/rollouts", "unknown_field")])]
+#[case::nowhere(4, json!([order("x", "v2")]), &[("/rollouts/0/service", "dangling_reference")])]
+#[case::no_version(4, json!([order("catalogue", "")]), &[("/rollouts/0/version", "wrong_value")])]
+#[case::twice(
+    4,
+    json!([order("catalogue", "v2"), order("catalogue", "v3")]),
+    &[("/rollouts/1/service", "wrong_value")]
+)]
+fn orders_are_checked(
+    #[case] format: u32,
+    #[case] rollouts: Value,
+    #[case] wanted: &[(&str, &str)],
+) {
+    assert_eq!(faults(&ordered(format, &rollouts)), expected(wanted));
+}
+
+#[test]
+fn an_order_is_kept_as_it_is_written() {
+    let mesh = check::check(&ordered(4, &json!([order("catalogue", "v2")]))).expect("sound");
+    let [rollout] = &mesh.rollouts[..] else { panic!("one order: {:?}", mesh.rollouts) };
+    assert_eq!((rollout.order.number, rollout.order.version.as_str()), (7, "v2"));
+    assert_eq!(rollout.order.within, std::time::Duration::from_secs(12));
+}
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 
 use smol_str::SmolStr;
 
+use crate::rollout;
 use crate::version;
 
 pub mod check;
@@ -154,6 +155,15 @@
     pub split: Vec<Part>,
 }
 
+/// An order to move a service to another version of its upstreams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Rollout {
+    /// Name of the service: an order outlives the keys of one configuration.
+    pub service: SmolStr,
+    /// The order.
+    pub order: rollout::Order,
+}
+
 /// A whole configuration.
 ///
 /// Made by [`check::check`] alone. Invariants: every key held by an item indexes the arena of its
@@ -174,6 +184,8 @@
     pub classes: Vec<Class>,
     /// Arena of routes.
     pub routes: Vec<Route>,
+    /// Orders of roll-outs, at most one for a service.
+    pub rollouts: Vec<Rollout>,
     /// `routes` by host and path.
     index: find::Index,
 }
--- a/src/node/ports.rs
+++ b/src/node/ports.rs
@@ -7,6 +7,7 @@
 use crate::logs;
 use crate::member::directory;
 use crate::proxy;
+use crate::rollout::{status, stream};
 use crate::traffic;
 
 /// The services around a node and how they speak.
@@ -15,6 +16,8 @@
     type Log: logs::Service;
     /// Where hosts find one another.
     type Directory: directory::Directory;
+    /// Where the operator is told of roll-outs.
+    type Statuses: status::Statuses;
 
     /// A client of the log service whose bytes count into `traffic`.
     fn log(&self, settings: &configs::Node, traffic: Arc<traffic::Traffic>) -> Self::Log;
@@ -26,6 +29,9 @@
         traffic: Arc<traffic::Traffic>,
     ) -> Self::Directory;
 
+    /// Where the operator is told of roll-outs.
+    fn statuses(&self, settings: &configs::Node, traffic: Arc<traffic::Traffic>) -> Self::Statuses;
+
     /// How callers and upstreams speak.
     fn dialect(&self) -> proxy::Dialect;
 }
@@ -37,6 +43,7 @@
 impl Ports for Own {
     type Log = logs::http::Client;
     type Directory = directory::Fixed;
+    type Statuses = stream::Stream<logs::http::Client>;
 
     fn log(&self, settings: &configs::Node, traffic: Arc<traffic::Traffic>) -> Self::Log {
         logs::http::Client::new(&settings.log, traffic)
@@ -50,6 +57,10 @@
         directory::Fixed::new(&settings.join)
     }
 
+    fn statuses(&self, settings: &configs::Node, traffic: Arc<traffic::Traffic>) -> Self::Statuses {
+        stream::Stream::new(logs::http::Client::new(&settings.log, traffic))
+    }
+
     fn dialect(&self) -> proxy::Dialect {
         proxy::Dialect::default()
     }
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -19,6 +19,7 @@
 use crate::node::ports;
 use crate::proxy;
 use crate::ring;
+use crate::rollout;
 use crate::spread;
 use crate::traffic;
 
@@ -191,9 +192,20 @@
             stage: self.stage.subscribe(),
             traffic: Arc::clone(&self.traffic),
         })?;
+        let (beliefs, believed) = watch::channel(Vec::new());
+        let (said_in, said) = watch::channel(Default::default());
+        let (trial, tried) = watch::channel(Default::default());
+        let rollout = self.rollout(rollout::shell::Wiring {
+            statuses: self.ports.statuses(&self.settings, Arc::clone(&self.traffic)),
+            beliefs: believed,
+            said: said_in,
+            view: view.clone(),
+            stage: self.stage.subscribe(),
+        })?;
         let admin = self.admin(admin::shell::Wiring {
             applied: applied.clone(),
             view: view.clone(),
+            trial: tried,
             local: local_in,
             reach: self.reach.clone(),
             tallies,
@@ -210,8 +222,9 @@
             tallies: tallies_in,
             claims,
             dialect: self.ports.dialect(),
+            rollouts: rollout::shell::Ends { beliefs, said, trial },
         })?;
-        Ok((calls, vec![member, spread, ledger, admin]))
+        Ok((calls, vec![member, spread, ledger, admin, rollout]))
     }
 
     fn member(&self, wiring: member::shell::Wiring) -> Result<duty::Duty, duty::Error> {
@@ -235,6 +248,14 @@
         duty::Duty::spawn("admin", move || admin::shell::run(ctx, settings, wiring))
     }
 
+    fn rollout(
+        &self,
+        wiring: rollout::shell::Wiring<P::Statuses>,
+    ) -> Result<duty::Duty, duty::Error> {
+        let (ctx, me) = (self.ctx, self.settings.host());
+        duty::Duty::spawn("rollout", move || rollout::shell::run(ctx, me, wiring))
+    }
+
     fn calls(
         &self,
         wiring: proxy::shell::Wiring<claim::handle::Handle>,
--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -18,6 +18,7 @@
 use crate::host;
 use crate::mesh;
 use crate::retry;
+use crate::rollout;
 
 pub use self::peer::Peer;
 pub use self::picker::Picker;
@@ -39,6 +40,8 @@
     pub service: mesh::ServiceKey,
     /// Class whose upstreams run it; `None` allows every upstream of the service.
     pub class: Option<mesh::ClassKey>,
+    /// Which versions of them run it.
+    pub side: rollout::Side,
 }
 
 /// What a call costs on its way, as the share of an upstream's slots that it is worth waiting for
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -12,6 +12,7 @@
 use crate::pick::peer;
 use crate::pick::table;
 use crate::retry;
+use crate::rollout;
 use crate::view;
 
 /// What a likely refusal weighs, in service times: as much as the toll of a light call. A zone that
@@ -67,9 +68,20 @@
         self
     }
 
-    /// Takes in a new view or mesh; what is known of hosts that stay is kept.
+    /// Takes in a new view or mesh without roll-outs; what is known of hosts that stay is kept.
     pub fn rebuild(&mut self, view: &view::View, mesh: &mesh::Mesh, now: clock::Instant) {
-        self.table.rebuild(view, mesh, &self.stand, now);
+        self.rebuild_with(view, mesh, &rollout::Table::default(), now);
+    }
+
+    /// The same with the versions of upstreams told apart as `rollouts` says.
+    pub fn rebuild_with(
+        &mut self,
+        view: &view::View,
+        mesh: &mesh::Mesh,
+        rollouts: &rollout::Table,
+        now: clock::Instant,
+    ) {
+        self.table.rebuild(view, mesh, rollouts, &self.stand, now);
     }
 
     /// Chooses the upstream for an attempt, none of `avoid` unless there is nothing else; `None`
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -7,6 +7,7 @@
 use crate::mesh;
 use crate::pick;
 use crate::pick::peer;
+use crate::rollout;
 use crate::view;
 
 /// How many distances are told apart: own host, own availability zone, own region, elsewhere.
@@ -123,35 +124,76 @@
     pub(super) peers: Vec<pick::Peer>,
     free: Vec<u32>,
     by_host: collections::HashMap<host::HostId, u32>,
-    services: Vec<List>,
-    classes: Vec<List>,
+    services: Vec<Sides>,
+    classes: Vec<Sides>,
+}
+
+/// The upstreams of one service or class, by the versions that may run a call.
+#[derive(Clone, Debug, Default)]
+struct Sides {
+    any: List,
+    new: List,
+    old: List,
+}
+
+impl Sides {
+    const fn list(&self, side: rollout::Side) -> &List {
+        match side {
+            rollout::Side::Any => &self.any,
+            rollout::Side::New => &self.new,
+            rollout::Side::Old => &self.old,
+        }
+    }
+
+    const fn list_mut(&mut self, side: rollout::Side) -> &mut List {
+        match side {
+            rollout::Side::Any => &mut self.any,
+            rollout::Side::New => &mut self.new,
+            rollout::Side::Old => &mut self.old,
+        }
+    }
+
+    /// Adds a peer of the versions `side`.
+    fn push(&mut self, side: rollout::Side, index: u32, tier: usize) {
+        if side != rollout::Side::Any {
+            self.list_mut(side).push(index, tier);
+        }
+        self.any.push(index, tier);
+    }
+
+    fn clear(&mut self) {
+        self.any.clear();
+        self.new.clear();
+        self.old.clear();
+    }
 }
 
 impl Table {
     /// The list that serves `target`.
     pub(super) fn list(&self, target: pick::Target) -> Option<&List> {
-        match target.class {
+        let sides = match target.class {
             Some(class) => self.classes.get(usize::from(class.0)),
             None => self.services.get(usize::from(target.service.0)),
-        }
+        };
+        sides.map(|sides| sides.list(target.side))
     }
 
     /// The list that serves `target`, to move its turns.
     pub(super) fn list_mut(&mut self, target: pick::Target) -> Option<&mut List> {
-        match target.class {
+        let sides = match target.class {
             Some(class) => self.classes.get_mut(usize::from(class.0)),
             None => self.services.get_mut(usize::from(target.service.0)),
-        }
+        };
+        sides.map(|sides| sides.list_mut(target.side))
     }
 
     /// What the peers that serve `target` say.
     pub(super) fn crowd(&mut self, target: pick::Target, good: bool) -> peer::Crowd {
-        let lists = match target.class {
-            Some(_) => &mut self.classes,
-            None => &mut self.services,
+        let sides = match target.class {
+            Some(class) => self.classes.get_mut(usize::from(class.0)),
+            None => self.services.get_mut(usize::from(target.service.0)),
         };
-        let at = target.class.map_or(target.service.0, |c| c.0);
-        let list = lists.get_mut(usize::from(at));
+        let list = sides.map(|sides| sides.list_mut(target.side));
         list.map(|l| l.crowd(&self.peers, good)).unwrap_or_default()
     }
 
@@ -171,12 +213,14 @@
         &mut self,
         view: &view::View,
         mesh: &mesh::Mesh,
+        rollouts: &rollout::Table,
         stand: &Stand,
         now: clock::Instant,
     ) {
         self.reset(mesh);
         for (key, class) in mesh.classes.iter().enumerate() {
             let service = mesh.service(class.service);
+            let mut sides = rollouts.sides(&service.name, now);
             for host in view.upstreams(&service.name) {
                 let Some(upstream) = &host.upstream else { continue };
                 if upstream.class != class.name {
@@ -186,17 +230,18 @@
                 let peer = &mut self.peers[index as usize];
                 peer.update(host, upstream, class.slots, service.queue, class.warmup, now);
                 let tier = stand.tier(host);
-                self.classes[key].push(index, tier);
-                self.services[usize::from(class.service.0)].push(index, tier);
+                let Some(side) = sides.of(&upstream.version) else { continue };
+                self.classes[key].push(side, index, tier);
+                self.services[usize::from(class.service.0)].push(side, index, tier);
             }
         }
         self.sweep();
     }
 
     fn reset(&mut self, mesh: &mesh::Mesh) {
-        self.services.resize_with(mesh.services.len(), List::default);
-        self.classes.resize_with(mesh.classes.len(), List::default);
-        self.services.iter_mut().chain(&mut self.classes).for_each(List::clear);
+        self.services.resize_with(mesh.services.len(), Sides::default);
+        self.classes.resize_with(mesh.classes.len(), Sides::default);
+        self.services.iter_mut().chain(&mut self.classes).for_each(Sides::clear);
         self.peers.iter_mut().for_each(|p| p.listed = false);
     }
 
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -16,9 +16,11 @@
 use crate::mesh;
 use crate::pick;
 use crate::retry;
+use crate::rollout;
 use crate::view;
 
-const SHOP: pick::Target = pick::Target { service: mesh::ServiceKey(0), class: None };
+const SHOP: pick::Target =
+    pick::Target { service: mesh::ServiceKey(0), class: None, side: rollout::Side::Any };
 const GONE: retry::Outcome = retry::Outcome::NotRun(retry::Reason::Unreachable);
 
 fn at(millis: u64) -> clock::Instant {
@@ -41,6 +43,8 @@
         slots: 9,
         connections: 120,
         life: 0,
+        version: Default::default(),
+        trial: Default::default(),
     };
     view::Host {
         id: id(number),
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -25,6 +25,7 @@
 use crate::proxy::upload;
 use crate::proxy::wire;
 use crate::retry;
+use crate::rollout;
 
 /// Time an owner's last word may come after the deadline: it knows whether the call ran.
 const LAST_WORD: time::Duration = time::Duration::from_millis(5);
@@ -77,12 +78,12 @@
         class.map(|c| self.applied.mesh.class(c))
     }
 
-    /// What to pick, in the keys of the configuration that the picker's table was built from.
-    /// `None` when a newer configuration no longer has it.
-    fn target(&self, current: &Arc<mesh::Applied>) -> Option<pick::Target> {
+    /// What to pick for `side`, in the keys of the configuration that the picker's table was built
+    /// from. `None` when a newer configuration no longer has it.
+    fn target(&self, current: &Arc<mesh::Applied>, side: rollout::Side) -> Option<pick::Target> {
         if Arc::ptr_eq(&self.applied, current) {
             let class = self.class().and(self.route().class);
-            return Some(pick::Target { service: self.service, class });
+            return Some(pick::Target { service: self.service, class, side });
         }
         let mesh = &current.mesh;
         let service = mesh.services.iter().position(|s| s.name == self.service().name)?;
@@ -94,6 +95,7 @@
         Some(pick::Target {
             service: mesh::ServiceKey(key(service)?),
             class: class.and_then(key).map(mesh::ClassKey),
+            side,
         })
     }
 
@@ -245,11 +247,8 @@
     avoid: &[host::HostId],
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, Failed> {
-    let now = state.ctx.now();
     let toll = toll(state, job);
-    let target = job.target(&state.applied.borrow());
-    let choice = target.and_then(|t| state.picker.borrow_mut().pick_far(t, toll, now, avoid));
-    let Some(choice) = choice else {
+    let Some(choice) = choose(state, job, toll, avoid) else {
         let refusal = refuse::Refusal::not_run(retry::Reason::NoUpstream);
         return Err(Failed { refusal, host: None });
     };
@@ -261,6 +260,7 @@
     } else {
         remote(state, job, choice.host, request, hold).await
     };
+    note(state, job, choice.target.side, &result);
     if let Ok(answer) = &result {
         let bytes = answer.body().size_hint();
         let bytes = bytes.exact().unwrap_or(bytes.lower());
@@ -272,6 +272,38 @@
     })
 }
 
+/// The upstream for an attempt, of the versions whose turn it is.
+fn choose<C: claim::Claims>(
+    state: &state::State<C>,
+    job: &Job,
+    toll: pick::Toll,
+    avoid: &[host::HostId],
+) -> Option<pick::Choice> {
+    let (now, service) = (state.ctx.now(), &job.service().name);
+    let current = state.applied();
+    let pick = |side| {
+        let target = job.target(&current, side)?;
+        state.picker.borrow_mut().pick_far(target, toll, now, avoid)
+    };
+    let side = state.rollouts.next(service, now);
+    pick(side).or_else(|| pick(state.rollouts.instead(service, side)?))
+}
+
+/// Notes what the old version of a service answered while the service is moved to a new one.
+fn note<C: claim::Claims>(
+    state: &state::State<C>,
+    job: &Job,
+    side: rollout::Side,
+    result: &Result<http::Response<body::Reply>, refuse::Refusal>,
+) {
+    if side != rollout::Side::Old {
+        return;
+    }
+    if let Some(result) = state.evidence(&job.kind().name, result) {
+        state.rollouts.note_old(&job.service().name, result);
+    }
+}
+
 /// What the call costs on its way.
 fn toll<C: claim::Claims>(state: &state::State<C>, job: &Job) -> pick::Toll {
     let cheap = u64::from(state.settings.call.cross_bytes);
@@ -303,8 +335,9 @@
     if let Some(trip) = hold.trip.as_mut() {
         trip.load(answer.load);
     }
-    let (parts, incoming) = answer.result?.into_parts();
+    let (mut parts, incoming) = answer.result?.into_parts();
     if let Some(ran) = answer.ran {
+        parts.extensions.insert(ran);
         state.compare(&job.kind().name, parts.status, ran, hold);
     }
     hold.head(parts.status, answer.load);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -40,6 +40,7 @@
 pub mod trace;
 pub mod trip;
 pub mod upload;
+pub mod versions;
 pub mod wire;
 
 pub use dialect::Dialect;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -71,6 +71,22 @@
 ///
 /// The refusal says whether the call may have run.
 pub async fn run<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    order: &Order<'_>,
+    request: http::Request<upload::Upload>,
+    hold: &mut guard::Hold,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    let result = admit(state, order, request, hold).await;
+    if let Some(evidence) = state.evidence(order.kind, &result)
+        && let Ok(local) = find(state, order)
+    {
+        state.rollouts.note_own(&local.upstream, evidence);
+    }
+    result
+}
+
+/// The same without a look at what the answer says of the upstream's version.
+async fn admit<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     order: &Order<'_>,
     mut request: http::Request<upload::Upload>,
--- a/src/proxy/paces.rs
+++ b/src/proxy/paces.rs
@@ -32,6 +32,11 @@
         pace
     }
 
+    /// The mean of `kind`; `None` before a call of it was answered.
+    pub fn usual(&self, kind: &str) -> Option<time::Duration> {
+        self.means.get(kind).map(|&micros| time::Duration::from_secs_f32(micros / 1e6))
+    }
+
     /// Forgets the kinds that `known` does not name.
     pub fn retain(&mut self, known: impl Fn(&SmolStr) -> bool) {
         self.means.retain(|kind, _| known(kind));
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -152,7 +152,7 @@
 }
 
 fn refused(refusal: &refuse::Refusal) -> http::Response<body::Reply> {
-    let mut answer = reply::answer(&refusal, true);
+    let mut answer = reply::answer(refusal, true);
     if let Some(after) = refusal.retry_after {
         let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
         answer.headers_mut().insert(headers::RETRY, header::HeaderValue::from(millis));
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -18,6 +18,7 @@
 use crate::proxy::serve;
 use crate::proxy::state;
 use crate::ring;
+use crate::rollout;
 use crate::usage;
 use crate::view;
 
@@ -31,6 +32,10 @@
 /// thread.
 const REBUILD: time::Duration = time::Duration::from_millis(20);
 
+/// Time between two looks at the orders of roll-outs. Their shortest steps last some hundred
+/// milliseconds.
+const LOOK: time::Duration = time::Duration::from_millis(100);
+
 /// What joins the call path to the other duties.
 #[derive(Clone, Debug)]
 pub struct Wiring<C> {
@@ -48,6 +53,8 @@
     pub claims: C,
     /// How callers and upstreams speak.
     pub dialect: dialect::Dialect,
+    /// Roll-outs: what is believed here and what the mesh says.
+    pub rollouts: rollout::shell::Ends,
 }
 
 /// Ends a task when dropped.
@@ -79,6 +86,7 @@
     let followers = [
         spawn(follow_tables(Rc::clone(&state), wiring.applied.clone(), wiring.view.clone())),
         spawn(follow_local(Rc::clone(&state))),
+        spawn(follow_rollouts(Rc::clone(&state), wiring.rollouts.clone())),
         spawn(follow_stop(Rc::clone(&state), wiring.stage.clone())),
         spawn(keep_house(Rc::clone(&state), wiring.tallies.clone())),
     ];
@@ -161,6 +169,25 @@
     }
 }
 
+/// Takes the orders of roll-outs one look further at a time.
+async fn follow_rollouts<C: claim::Claims>(state: Rc<state::State<C>>, ends: rollout::shell::Ends) {
+    let mut look = tokio::time::interval(LOOK);
+    look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        look.tick().await;
+        if state.rollouts.is_idle(state.ctx.now()) {
+            continue;
+        }
+        let view = Arc::clone(&state.view.borrow());
+        state.rollouts.settle(&ends.said.borrow());
+        state.look(&view);
+        let beliefs = state.rollouts.beliefs();
+        ends.beliefs.send_if_modified(|old| std::mem::replace(old, beliefs.clone()) != beliefs);
+        let trial = state.rollouts.trial();
+        ends.trial.send_if_modified(|old| std::mem::replace(old, trial) != trial);
+    }
+}
+
 /// Hands over usage counts and closes what is no longer used.
 async fn keep_house<C: claim::Claims>(
     state: Rc<state::State<C>>,
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -19,6 +19,7 @@
 use crate::mesh;
 use crate::node;
 use crate::pick;
+use crate::proxy::body;
 use crate::proxy::dialect;
 use crate::proxy::guard;
 use crate::proxy::held;
@@ -27,6 +28,7 @@
 use crate::proxy::owner;
 use crate::proxy::paces;
 use crate::proxy::pool;
+use crate::proxy::refuse;
 use crate::proxy::returns;
 use crate::proxy::room;
 use crate::proxy::runs;
@@ -35,7 +37,9 @@
 use crate::proxy::slots;
 use crate::proxy::split;
 use crate::proxy::trace;
+use crate::proxy::trip;
 use crate::proxy::upload;
+use crate::proxy::versions;
 use crate::retry;
 use crate::seal;
 use crate::usage;
@@ -95,6 +99,8 @@
     pub runs: Rc<runs::Runs>,
     /// Callers that were refused and may come back.
     pub returns: RefCell<returns::Returns>,
+    /// Versions of upstreams in roll-outs.
+    pub rollouts: versions::Versions,
     /// Turns of the split routes.
     pub splitter: RefCell<split::Splitter>,
     /// Memory for bodies of requests.
@@ -154,6 +160,7 @@
             seen: RefCell::default(),
             returns: RefCell::default(),
             runs: Rc::default(),
+            rollouts: versions::Versions::default(),
             splitter: RefCell::default(),
             room: Rc::new(room::Room::new(proxy.kept_bytes)),
             inflow: inflow::Inflow::new(inflow::Plan::new(proxy)),
@@ -243,11 +250,35 @@
         ran: owner::Ran,
         hold: &mut guard::Hold,
     ) {
-        if let Some(trip) = hold.trip.as_mut().filter(|_| status.is_success()) {
+        // What a version that is tried takes says nothing of what is usual.
+        let usual = |trip: &&mut trip::Trip| status.is_success() && !trip.is_tried();
+        if let Some(trip) = hold.trip.as_mut().filter(usual) {
             trip.pace(self.paces.borrow_mut().note(kind, ran.0));
         }
     }
 
+    /// What the end of an attempt for `kind` says of the version that it went to; `None` where the
+    /// upstream had no part in it.
+    pub fn evidence(
+        &self,
+        kind: &str,
+        result: &Result<http::Response<body::Reply>, refuse::Refusal>,
+    ) -> Option<versions::Result> {
+        match result {
+            Ok(answer) => {
+                let ran = answer.extensions().get::<owner::Ran>();
+                let times = ran.map(|ran| ran.0).zip(self.paces.borrow().usual(kind));
+                Some(versions::Result { failed: answer.status().is_server_error(), times })
+            }
+            Err(refusal) => match refusal.outcome {
+                retry::Outcome::Unknown(
+                    retry::Reason::Cut | retry::Reason::Malformed | retry::Reason::Timeout,
+                ) => Some(versions::Result { failed: true, times: None }),
+                _ => None,
+            },
+        }
+    }
+
     /// A number that no other call of this process has. Its start is random, so that a process
     /// whose incarnation is not known yet doesn't repeat the numbers of the one before.
     pub fn number(&self) -> u64 {
@@ -285,7 +316,7 @@
 
     /// Takes a configuration and a view into use, both at once.
     pub fn rebuild(&self, applied: Arc<mesh::Applied>, view: &view::View) {
-        self.picker.borrow_mut().rebuild(view, &applied.mesh, self.ctx.now());
+        self.arrange(&applied.mesh, view);
         let names = |name: &SmolStr| applied.mesh.services.iter().any(|s| s.name == *name);
         self.budgets.borrow_mut().retain(|name, _| names(name));
         self.splitter.borrow_mut().retain(&applied.mesh);
@@ -297,6 +328,21 @@
         self.limit();
     }
 
+    /// Looks at the orders of roll-outs again, as time passes and evidence comes in.
+    pub fn look(&self, view: &view::View) {
+        let applied = self.applied();
+        self.arrange(&applied.mesh, view);
+    }
+
+    /// Sorts the upstreams of `view` by what orders of `mesh` allow.
+    fn arrange(&self, mesh: &mesh::Mesh, view: &view::View) {
+        let now = self.ctx.now();
+        self.rollouts.update(mesh, view, now);
+        self.rollouts.judge(self.local.borrow().as_ref().map(|local| &local.upstream));
+        let mut picker = self.picker.borrow_mut();
+        self.rollouts.with(|table| picker.rebuild_with(view, mesh, table, now));
+    }
+
     /// Takes the limits of the upstream beside this node into use.
     pub fn limit(&self) {
         let local = self.local.borrow().clone();
--- a/src/proxy/trip.rs
+++ b/src/proxy/trip.rs
@@ -8,6 +8,7 @@
 use crate::context;
 use crate::pick;
 use crate::retry;
+use crate::rollout;
 
 /// An attempt at a picked upstream. Dropped before its end, the caller has left.
 pub struct Trip {
@@ -44,6 +45,11 @@
         self.pace = Some(pace);
     }
 
+    /// Whether it goes to a version that is not proven.
+    pub fn is_tried(&self) -> bool {
+        self.choice.target.side == rollout::Side::New
+    }
+
     /// Takes in what happened.
     pub fn note(&mut self, event: retry::Event) {
         self.attempt.handle(event);
--- /dev/null
+++ b/src/rollout/stream.rs
@@ -0,0 +1,106 @@
+//! What is said of roll-outs, kept in a stream of the product's own log.
+
+use std::time;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::logs;
+use crate::rollout::status;
+
+/// Most records read at once.
+const BATCH: u32 = 256;
+
+/// Statuses as records of a stream; the last one of each service holds, the first end of an order stays.
+#[derive(Clone, Debug)]
+pub struct Stream<L> {
+    log: L,
+}
+
+/// Why the stream can't be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum Error<E> {
+    /// The log did not answer or refused.
+    #[error("the log did not take it")]
+    Log(#[source] E),
+    /// A status can't be written as JSON.
+    #[error("a status can't be written")]
+    Json(#[from] serde_json::Error),
+}
+
+/// A status as it is kept.
+#[derive(Debug, Deserialize, Serialize)]
+struct Record {
+    service: SmolStr,
+    version: SmolStr,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    Serving,
+    Completed,
+    RolledBack,
+}
+
+impl<L> Stream<L> {
+    /// Statuses kept in `log`.
+    pub const fn new(log: L) -> Self {
+        Self { log }
+    }
+}
+
+impl<L: logs::Service> status::Statuses for Stream<L> {
+    type Error = Error<L::Error>;
+
+    async fn read(&self) -> Result<status::Said, Self::Error> {
+        let mut said = status::Said::default();
+        loop {
+            let read =
+                self.log.read(logs::streams::ROLLOUTS, said.mark, BATCH, time::Duration::ZERO);
+            let batch = read.await.map_err(Error::Log)?;
+            for record in &batch.records {
+                said.mark = record.offset + 1;
+                match serde_json::from_slice::<Record>(&record.body) {
+                    Ok(record) => add(&mut said.list, record),
+                    Err(error) => {
+                        log::warn!(offset = record.offset, error:% = error; "a status of a roll-out can't be read");
+                    }
+                }
+            }
+            if batch.records.is_empty() || said.mark >= batch.next {
+                said.mark = batch.next;
+                return Ok(said);
+            }
+        }
+    }
+
+    /// The log has no conditional append: two hosts may say the same twice, which changes nothing.
+    async fn write(&self, status: &status::Status, _mark: u64) -> Result<bool, Self::Error> {
+        let state = match status.state {
+            status::State::Serving => State::Serving,
+            status::State::Completed => State::Completed,
+            status::State::RolledBack => State::RolledBack,
+        };
+        let (service, version) = (status.service.clone(), status.version.clone());
+        let body = serde_json::to_vec(&Record { service, version, state })?;
+        let appended = self.log.append(logs::streams::ROLLOUTS, body.into()).await;
+        appended.map(|_| true).map_err(Error::Log)
+    }
+}
+
+fn add(list: &mut Vec<status::Status>, record: Record) {
+    let state = match record.state {
+        State::Serving => status::State::Serving,
+        State::Completed => status::State::Completed,
+        State::RolledBack => status::State::RolledBack,
+    };
+    let status = status::Status { service: record.service, version: record.version, state };
+    let known = list.iter_mut().find(|known| known.service == status.service);
+    match known {
+        Some(known) if known.version == status.version && known.state.is_final() => {}
+        Some(known) => *known = status,
+        None => list.push(status),
+    }
+}
--- /dev/null
+++ b/src/rollout/tests.rs
@@ -0,0 +1,409 @@
+//! Tests of roll-outs in virtual time.
+
+use std::collections;
+use std::time;
+
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs;
+use rstest::rstest;
+
+use crate::clock;
+use crate::host;
+use crate::mesh;
+use crate::rollout;
+use crate::rollout::judge;
+use crate::rollout::plan;
+use crate::rollout::status;
+use crate::view;
+
+/// Entries of the modelled fleet.
+const ENTRIES: usize = 90;
+
+/// Calls a second for the service.
+const RATE: u64 = 1_900;
+
+/// Time for the move.
+const WITHIN: time::Duration = time::Duration::from_secs(12);
+
+/// Time until what one node has seen is known to all, a second and a half of gossip.
+const GOSSIP: u64 = 1_500;
+
+/// Time between two looks.
+const STEP: u64 = 20;
+
+/// Share of the calls and calls beside it that the users allow a bad version.
+const MOST_SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+
+/// What the new version is like.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Good,
+    /// As the old one, but slow in its first seconds, as every upstream that has just started.
+    Cold,
+    /// A share of bad answers from a moment on, in milliseconds.
+    Bad {
+        share: f64,
+        from: u64,
+    },
+    /// A share of bad answers on one route of four.
+    Route {
+        share: f64,
+    },
+    /// A share of bad answers at upstreams that run as many calls as the old ones.
+    Load {
+        share: f64,
+    },
+}
+
+/// How the move ended.
+#[derive(Debug)]
+struct Result {
+    /// What the first node to end it said.
+    stage: rollout::Stage,
+    /// When, in milliseconds.
+    at: u64,
+    /// Calls that the new version got, and all.
+    new: u64,
+    all: u64,
+    /// Calls that came later than five seconds after the 50th bad answer.
+    late: u64,
+}
+
+/// One node in the model.
+struct Entry {
+    plan: Option<rollout::Plan>,
+    /// When it learns of the order; `None` for one that never does.
+    learns: Option<u64>,
+    old: rollout::Evidence,
+    calls: u32,
+}
+
+fn at(millis: u64) -> clock::Instant {
+    clock::Instant::from_millis(millis)
+}
+
+/// Runs an order on a fleet of which `deaf` entries in a hundred never hear of it; `old` is the share of
+/// bad answers of the old version.
+fn run(kind: Kind, old: f64, deaf: usize, seed: u64) -> Result {
+    let mut rng = rngs::SmallRng::seed_from_u64(seed);
+    let learns = |i: usize, rng: &mut rngs::SmallRng| {
+        (i * 100 / ENTRIES >= deaf).then(|| rng.random_range(0..2_000))
+    };
+    let mut entries: Vec<Entry> = (0..ENTRIES)
+        .map(|i| Entry {
+            plan: None,
+            learns: learns(i, &mut rng),
+            old: rollout::Evidence::default(),
+            calls: 0,
+        })
+        .collect();
+    let mut seen = rollout::Evidence::default();
+    // What is known to all comes from this history of what was seen.
+    let mut history = collections::VecDeque::new();
+    let mut result = Result { stage: rollout::Stage::Trial, at: 0, new: 0, all: 0, late: 0 };
+    let mut fiftieth = None;
+    // Entries beside new upstreams tell what the old version answers; here the last three.
+    let mut shared = collections::VecDeque::new();
+    let mut condemned = None;
+    let end = u64::try_from(WITHIN.as_millis()).expect("some seconds");
+    for now in (0..end).step_by(usize::try_from(STEP).expect("small")) {
+        history.push_back((now, seen));
+        while history.len() > 1 && history[1].0 + GOSSIP <= now {
+            history.pop_front();
+        }
+        let known =
+            if history[0].0 + GOSSIP <= now { history[0].1 } else { rollout::Evidence::default() };
+        let tellers = entries.iter().rev().take(3).map(|entry| entry.old);
+        shared.push_back((now, tellers.fold(rollout::Evidence::default(), rollout::Evidence::and)));
+        while shared.len() > 1 && shared[1].0 + GOSSIP <= now {
+            shared.pop_front();
+        }
+        let control =
+            if shared[0].0 + GOSSIP <= now { shared[0].1 } else { rollout::Evidence::default() };
+        let told = condemned.is_some_and(|when| when + GOSSIP <= now);
+        for entry in &mut entries {
+            look(entry, (known, control), told, now);
+        }
+        if entries.iter().any(|e| e.plan.is_some_and(|plan| plan.has_condemned())) {
+            condemned.get_or_insert(now);
+        }
+        let mut ended = entries.iter().filter_map(|e| e.plan.map(|plan| plan.stage()));
+        let ended = ended.find(|s| status::State::from(*s).is_final());
+        if let (Some(stage), 0) = (ended, result.at) {
+            (result.stage, result.at) = (stage, now);
+        }
+        for _ in 0..RATE * STEP / 1000 {
+            let entry = &mut entries[rng.random_range(0..ENTRIES)];
+            entry.calls = (entry.calls + 617) % 1000;
+            let share = entry.plan.map_or(0, |plan| plan.share(at(now)));
+            result.all += 1;
+            if entry.calls >= share {
+                entry.old.note(rng.random_bool(old));
+                continue;
+            }
+            result.new += 1;
+            if fiftieth.is_some_and(|when| now > when + 5_000) {
+                result.late += 1;
+            }
+            let chance = chance(kind, old, now, share, &mut rng);
+            seen.note(rng.random_bool(chance));
+            if seen.bad >= 50 {
+                fiftieth.get_or_insert(now);
+            }
+        }
+    }
+    result
+}
+
+/// One look of an entry at its order.
+fn look(
+    entry: &mut Entry,
+    (new, old): (rollout::Evidence, rollout::Evidence),
+    condemned: bool,
+    now: u64,
+) {
+    if entry.learns.is_none_or(|when| when > now) {
+        return;
+    }
+    let plan = entry.plan.get_or_insert_with(|| rollout::Plan::new(WITHIN, at(now)));
+    let old = entry.old.and(old);
+    let known = plan::Known { new, old, condemned, ready: 288, serving: 288 };
+    plan.update(&known, at(now));
+}
+
+/// The chance that an answer of the new version is bad.
+fn chance(kind: Kind, old: f64, now: u64, share: u32, rng: &mut rngs::SmallRng) -> f64 {
+    let extra = match kind {
+        Kind::Good | Kind::Cold => 0.0,
+        Kind::Bad { share, from } if now >= from => share,
+        Kind::Bad { .. } => 0.0,
+        Kind::Route { share } => {
+            if rng.random_ratio(1, 4) {
+                share
+            } else {
+                0.0
+            }
+        }
+        // The few that are tried run as many calls as the old ones.
+        Kind::Load { share: bad } => {
+            if share > 0 {
+                bad
+            } else {
+                0.0
+            }
+        }
+    };
+    (old + extra).min(1.0)
+}
+
+#[rstest]
+#[case::failures(Kind::Bad { share: 0.3, from: 0 }, 0.05)]
+#[case::many_failures(Kind::Bad { share: 0.9, from: 0 }, 0.05)]
+#[case::late(Kind::Bad { share: 0.5, from: 4_000 }, 0.05)]
+#[case::one_route(Kind::Route { share: 0.8 }, 0.05)]
+#[case::under_load(Kind::Load { share: 0.4 }, 0.05)]
+#[case::beside_a_fault(Kind::Bad { share: 0.4, from: 0 }, 0.25)]
+fn a_bad_version_is_rolled_back_before_its_share_is_used_up(#[case] kind: Kind, #[case] old: f64) {
+    for seed in 0..20 {
+        for deaf in [0, 33] {
+            let result = run(kind, old, deaf, seed);
+            assert_eq!(result.stage, rollout::Stage::RolledBack, "seed {seed}: {result:?}");
+            let most = result.all as f64 * MOST_SHARE + SLACK;
+            assert!((result.new as f64) <= most, "seed {seed}: {result:?}");
+            assert_eq!(result.late, 0, "seed {seed}: {result:?}");
+        }
+    }
+}
+
+#[rstest]
+#[case::sound(Kind::Good, 0.02)]
+#[case::cold(Kind::Cold, 0.05)]
+#[case::in_an_overload(Kind::Good, 0.3)]
+fn a_good_version_is_completed_in_time(#[case] kind: Kind, #[case] old: f64) {
+    for seed in 0..50 {
+        let result = run(kind, old, 0, seed);
+        assert_eq!(result.stage, rollout::Stage::Completed, "seed {seed}: {result:?}");
+        assert!(time::Duration::from_millis(result.at) < WITHIN, "seed {seed}: {result:?}");
+    }
+}
+
+#[test]
+fn of_a_thousand_good_versions_none_is_condemned() {
+    let wrong = (0..1_000).filter(|&seed| {
+        let mut rng = rngs::SmallRng::seed_from_u64(seed);
+        let (mut new, mut old) = (rollout::Evidence::default(), rollout::Evidence::default());
+        (0..1_000).any(|_| {
+            new.note(rng.random_bool(0.06));
+            old.note(rng.random_bool(0.06));
+            judge::is_bad(new, old)
+        })
+    });
+    assert_eq!(wrong.count(), 0);
+}
+
+#[test]
+fn an_order_without_new_upstreams_is_rolled_back_before_its_time_is_over() {
+    let mut plan = rollout::Plan::new(WITHIN, at(0));
+    let (new, old) = (rollout::Evidence::default(), rollout::Evidence::default());
+    for now in (0..12_000).step_by(100) {
+        let known = plan::Known { new, old, condemned: false, ready: 0, serving: 40 };
+        plan.update(&known, at(now));
+    }
+    assert_eq!(plan.stage(), rollout::Stage::RolledBack);
+}
+
+#[test]
+fn the_old_version_gets_no_call_for_a_while_before_its_end() {
+    let mut plan = rollout::Plan::new(WITHIN, at(0));
+    let new = rollout::Evidence { answers: 400, bad: 4 };
+    let old = rollout::Evidence { answers: 150, bad: 2 };
+    let mut since = None;
+    for now in (0..12_000).step_by(100) {
+        let known = plan::Known { new, old, condemned: false, ready: 40, serving: 40 };
+        plan.update(&known, at(now));
+        if plan.share(at(now)) == 1000 {
+            since.get_or_insert(now);
+        }
+        if plan.stage() == rollout::Stage::Completed {
+            assert!(since.is_some_and(|since| now - since >= 1_000), "{since:?} {now}");
+            return;
+        }
+    }
+    panic!("not completed: {plan:?}");
+}
+
+proptest! {
+    #[test]
+    fn an_end_stays(
+        looks in prop::collection::vec((0u32..500, 0u32..500, any::<bool>(), 0u32..80, 0u32..80), 1..60),
+    ) {
+        let mut plan = rollout::Plan::new(WITHIN, at(0));
+        let mut end = None;
+        for (now, (answers, bad, condemned, ready, serving)) in (0..).step_by(200).zip(looks) {
+            let new = rollout::Evidence { answers, bad: bad.min(answers) };
+            let old = rollout::Evidence { answers: 100, bad: 3 };
+            plan.update(&plan::Known { new, old, condemned, ready, serving }, at(now));
+            let stage = plan.stage();
+            prop_assert!(end.is_none_or(|end| end == stage));
+            if status::State::from(stage).is_final() {
+                end = Some(stage);
+            }
+            prop_assert!(plan.share(at(now)) <= 1000);
+        }
+    }
+
+    #[test]
+    fn evidence_counts_no_more_bad_answers_than_answers(notes in prop::collection::vec(any::<bool>(), 0..200)) {
+        let mut seen = rollout::Evidence::default();
+        for bad in notes {
+            seen.note(bad);
+            prop_assert!(seen.bad <= seen.answers);
+            prop_assert!(seen.half().bad <= seen.half().answers);
+        }
+    }
+}
+
+fn belief(version: &str, stage: rollout::Stage) -> rollout::table::Belief {
+    let order = rollout::Order { number: 3, version: version.into(), within: WITHIN };
+    rollout::table::Belief { service: "shop".into(), order, stage }
+}
+
+#[rstest]
+#[case::nothing_yet(None, rollout::Stage::Trial, Some(status::State::Serving))]
+#[case::said(Some(("v2", status::State::Serving)), rollout::Stage::Trial, None)]
+#[case::completed(
+    Some(("v2", status::State::Serving)), rollout::Stage::Completed, Some(status::State::Completed)
+)]
+#[case::another_order(
+    Some(("v1", status::State::RolledBack)), rollout::Stage::Trial, Some(status::State::Serving)
+)]
+#[case::ended_otherwise(Some(("v2", status::State::RolledBack)), rollout::Stage::Completed, None)]
+#[case::late_to_the_order(Some(("v2", status::State::Completed)), rollout::Stage::Trial, None)]
+fn the_first_end_that_is_said_stays(
+    #[case] said: Option<(&str, status::State)>,
+    #[case] stage: rollout::Stage,
+    #[case] expected: Option<status::State>,
+) {
+    let list = said.into_iter().map(|(version, state)| status::Status {
+        service: "shop".into(),
+        version: version.into(),
+        state,
+    });
+    let said = status::Said { list: list.collect(), mark: 7 };
+    let next = status::next(&belief("v2", stage), &said);
+    assert_eq!(next.map(|status| status.state), expected);
+}
+
+fn host(n: u8, version: &str) -> view::Host {
+    let listen = std::net::SocketAddr::from(([10, 0, 0, n], 7000));
+    let place = view::Place { region: "r".into(), zone: "z".into() };
+    let upstream = view::Upstream {
+        service: "shop".into(),
+        class: "shop".into(),
+        phase: view::Phase::Serving,
+        slots: 4,
+        connections: 100,
+        life: 1,
+        version: version.into(),
+        trial: rollout::Trial::default(),
+    };
+    view::Host {
+        id: host::HostId::new(listen),
+        place: place.into(),
+        incarnation: 1,
+        health: view::Health::Alive,
+        upstream: Some(upstream.into()),
+    }
+}
+
+/// The sides of the upstreams of `versions`, in the order of their hosts, as `table` has them.
+fn sides(table: &rollout::Table, versions: &[&str], now: u64) -> Vec<Option<plan::Side>> {
+    let mut sides = table.sides("shop", at(now));
+    versions.iter().map(|version| sides.of(version)).collect()
+}
+
+/// A table that has seen the upstreams of `versions` at 1 s.
+fn seen(table: &mut rollout::Table, mesh: &mesh::Mesh, versions: &[&str], now: u64) {
+    let hosts = (1..).zip(versions).map(|(n, version)| host(n, version));
+    table.update(mesh, &view::View::new(hosts.collect()), at(now));
+}
+
+#[test]
+fn a_version_without_an_order_waits_beside_another_one() {
+    let (mut table, mesh) = (rollout::Table::default(), mesh::Mesh::default());
+    seen(&mut table, &mesh, &["v1", "v1"], 1_000);
+    let both = ["v1", "v1", "v2"];
+    seen(&mut table, &mesh, &both, 2_000);
+    let any = Some(plan::Side::Any);
+    assert_eq!(sides(&table, &both, 2_000), [any, any, None]);
+    assert!(!table.is_idle(at(11_000)), "it is looked at again");
+    assert_eq!(sides(&table, &both, 12_000), [any, any, any]);
+    assert!(table.is_idle(at(13_100)));
+}
+
+#[test]
+fn a_version_without_an_order_serves_where_no_other_is_left() {
+    let (mut table, mesh) = (rollout::Table::default(), mesh::Mesh::default());
+    seen(&mut table, &mesh, &["v1"], 1_000);
+    seen(&mut table, &mesh, &["v2", "v2"], 2_000);
+    assert_eq!(sides(&table, &["v2", "v2"], 2_000), [Some(plan::Side::Any); 2]);
+}
+
+#[test]
+fn an_unproven_version_is_tried_at_few_upstreams() {
+    let (mut table, mut mesh) = (rollout::Table::default(), mesh::Mesh::default());
+    let order = rollout::Order { number: 3, version: "v2".into(), within: WITHIN };
+    mesh.rollouts.push(mesh::Rollout { service: "shop".into(), order });
+    let versions = ["v1", "v2", "v2", "v2", "v2", "v2"];
+    seen(&mut table, &mesh, &versions, 1_000);
+    let (old, new) = (Some(plan::Side::Old), Some(plan::Side::New));
+    assert_eq!(sides(&table, &versions, 1_000), [old, new, new, new, None, None]);
+    let tried = (0..1_000).filter(|_| table.next("shop", at(1_000)) == plan::Side::New);
+    assert_eq!(tried.count(), 50);
+    table.settle("shop", "v2", rollout::Stage::RolledBack);
+    assert!((0..1_000).all(|_| table.next("shop", at(1_000)) == plan::Side::Old));
+    assert_eq!(table.instead("shop", plan::Side::Old), None, "not even where nothing else is left");
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::host;
+use crate::rollout;
 
 /// Where a host stands.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -54,6 +55,12 @@
     pub connections: u16,
     /// Number of its life within that of its node; another life knows nothing of the one before.
     pub life: u32,
+    /// Version of its software; empty where it tells none.
+    #[serde(default)]
+    pub version: SmolStr,
+    /// What its node has seen of it while its version was tried.
+    #[serde(default)]
+    pub trial: rollout::Trial,
 }
 
 /// One host as seen from here.
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -116,6 +116,8 @@
         slots,
         connections: 20,
         life: 0,
+        version: Default::default(),
+        trial: Default::default(),
     }
 }
 
@@ -203,6 +205,7 @@
         tallies: sender,
         claims: claims.clone(),
         dialect: proxy::Dialect::default(),
+        rollouts: Default::default(),
     };
     let ctx =
         context::Context { clock: clock::System::new(), seed: u64::from(id.member_addr().port()) };
--- a/tests/member/net.rs
+++ b/tests/member/net.rs
@@ -98,7 +98,16 @@
 pub fn upstream(index: usize, phase: view::Phase) -> view::Upstream {
     let service = smol_str::format_smolstr!("service-{}", index % 13);
     let class = smol_str::format_smolstr!("class-{}", index % 13);
-    view::Upstream { service, class, phase, slots: 9, connections: 130, life: 0 }
+    view::Upstream {
+        service,
+        class,
+        phase,
+        slots: 9,
+        connections: 130,
+        life: 0,
+        version: Default::default(),
+        trial: Default::default(),
+    }
 }
 
 impl Net {
--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -54,6 +54,8 @@
         slots: 9,
         connections: 130,
         life: 0,
+        version: Default::default(),
+        trial: Default::default(),
     };
     let local = node::Local { address: address(index), instance: Default::default(), upstream };
     let (applied, applied_rx) = watch::channel(Arc::default());
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -96,6 +96,7 @@
     let wiring = admin::shell::Wiring {
         applied,
         view,
+        trial: watch::Sender::default().subscribe(),
         local: watch::channel(None).0,
         reach,
         tallies,
