refactor(admin): what the connections share has a module of its own

server imported shell for the state, shell imported server to start it. Nothing else changes; the tests of admin and tests/reports.rs pass.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -12,6 +12,7 @@
 pub mod scatter;
 pub mod server;
 pub mod shell;
+pub mod state;
 pub mod status;
 pub mod whole;
 
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -18,7 +18,7 @@
 
 use crate::admin::announce;
 use crate::admin::reply::{self, Refusal, Reply};
-use crate::admin::shell;
+use crate::admin::state;
 
 /// Path below which an upstream announces itself by the name of its instance.
 const INSTANCES: &str = "/upstream/";
@@ -33,7 +33,7 @@
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// Accepts connections for ever, as many at once as `connections`.
-pub async fn accept(listener: TcpListener, state: Rc<shell::State>, connections: usize) {
+pub async fn accept(listener: TcpListener, state: Rc<state::State>, connections: usize) {
     let places = Arc::new(Semaphore::new(connections.max(1)));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
@@ -53,7 +53,7 @@
     }
 }
 
-async fn connection(stream: TcpStream, peer: net::SocketAddr, state: Rc<shell::State>) {
+async fn connection(stream: TcpStream, peer: net::SocketAddr, state: Rc<state::State>) {
     let handler = service::service_fn(move |request| {
         let state = Rc::clone(&state);
         async move { Ok::<_, std::convert::Infallible>(handle(&state, peer.ip(), request).await) }
@@ -67,7 +67,7 @@
 }
 
 async fn handle(
-    state: &shell::State,
+    state: &state::State,
     peer: net::IpAddr,
     request: http::Request<body::Incoming>,
 ) -> Reply {
@@ -94,7 +94,7 @@
     }
 }
 
-fn ready(state: &shell::State) -> Reply {
+fn ready(state: &state::State) -> Reply {
     let readiness = state.readiness();
     let status = if readiness.ready() {
         http::StatusCode::OK
@@ -104,14 +104,14 @@
     reply::json(status, &readiness)
 }
 
-async fn mesh_status(state: &shell::State) -> Reply {
+async fn mesh_status(state: &state::State) -> Reply {
     match state.mesh_status().await {
         Some(status) => reply::json(http::StatusCode::OK, &status),
         None => reply::refuse(Refusal::Busy),
     }
 }
 
-async fn mesh_burn(state: &shell::State) -> Reply {
+async fn mesh_burn(state: &state::State) -> Reply {
     match state.mesh_burn().await {
         Some(report) => reply::json(http::StatusCode::OK, &report),
         None => reply::refuse(Refusal::Busy),
@@ -119,7 +119,7 @@
 }
 
 async fn upstream(
-    state: &shell::State,
+    state: &state::State,
     peer: net::IpAddr,
     instance: &SmolStr,
     request: http::Request<body::Incoming>,
@@ -150,7 +150,7 @@
 }
 
 /// Takes a withdrawal, whose body may be missing.
-fn withdraw(state: &shell::State, instance: &SmolStr, body: &[u8]) -> Reply {
+fn withdraw(state: &state::State, instance: &SmolStr, body: &[u8]) -> Reply {
     let withdrawal = match body {
         [] => Ok(None),
         body => serde_json::from_slice::<Option<announce::Withdrawal>>(body),
--- /dev/null
+++ b/src/admin/state.rs
@@ -0,0 +1,205 @@
+//! What the connections of the operators' port share, and what they are told.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+use std::time;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+use tokio::sync::{Semaphore, watch};
+
+use crate::admin::{announce, ask, metrics, scatter, status, whole};
+use crate::burn::{book, report};
+use crate::clock::Clock as _;
+use crate::configs;
+use crate::context;
+use crate::host;
+use crate::logs::reach;
+use crate::mesh;
+use crate::node;
+use crate::rollout;
+use crate::traffic;
+use crate::view;
+
+/// Reports on the whole mesh made at once.
+pub(super) const REPORTS: usize = 2;
+
+/// What the connections of the port share.
+#[derive(Debug)]
+pub struct State {
+    pub(super) ctx: context::Context,
+    pub(super) host: host::HostId,
+    pub(super) place: view::Place,
+    pub(super) settings: configs::admin::Admin,
+    pub(super) applied: watch::Receiver<Arc<mesh::Applied>>,
+    pub(super) view: watch::Receiver<Arc<view::View>>,
+    pub(super) trial: watch::Receiver<rollout::Trial>,
+    pub(super) local: watch::Sender<Option<Arc<node::Local>>>,
+    pub(super) reach: watch::Receiver<reach::Reach>,
+    pub(super) metrics: metrics::Metrics,
+    pub(super) stage: watch::Receiver<node::Stage>,
+    pub(super) traffic: Arc<traffic::Traffic>,
+    pub(super) desk: RefCell<announce::Desk>,
+    pub(super) book: RefCell<book::Book>,
+    /// When the applied configuration was seen, in milliseconds since the Unix epoch.
+    pub(super) applied_unix_ms: Cell<Option<u64>>,
+    pub(super) reports: Semaphore,
+}
+
+/// Whether the node may take calls, and why not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Readiness {
+    /// It runs an accepted configuration.
+    pub configured: bool,
+    /// It is a member of the mesh, as far as it knows.
+    pub member: bool,
+    /// It is not being stopped.
+    pub running: bool,
+}
+
+impl Readiness {
+    /// Whether the node may take calls.
+    pub const fn ready(self) -> bool {
+        self.configured && self.member && self.running
+    }
+}
+
+impl State {
+    /// Whether `peer` may announce an upstream.
+    pub fn admits(&self, peer: std::net::IpAddr) -> bool {
+        self.desk.borrow().admits(peer)
+    }
+
+    /// Takes an announcement.
+    ///
+    /// # Errors
+    ///
+    /// Names what is wrong with it.
+    pub fn announce(
+        &self,
+        instance: &SmolStr,
+        announcement: announce::Announcement,
+    ) -> Result<(), announce::Fault> {
+        let mesh = Arc::clone(&self.applied.borrow().mesh);
+        let result = self.desk.borrow_mut().announce(instance, announcement, self.ctx.now(), &mesh);
+        self.publish();
+        result
+    }
+
+    /// Takes the announcement back.
+    pub fn withdraw(&self, instance: &SmolStr, withdrawal: announce::Withdrawal) {
+        self.desk.borrow_mut().withdraw(instance, withdrawal.born);
+        self.publish();
+    }
+
+    /// Tells the other duties which upstream is beside this node.
+    pub(super) fn publish(&self) {
+        let mesh = Arc::clone(&self.applied.borrow().mesh);
+        let mut local = self.desk.borrow().local(&mesh);
+        if let Some(local) = &mut local {
+            local.upstream.trial = *self.trial.borrow();
+        }
+        self.local.send_if_modified(|held| {
+            let changed = held.as_deref() != local.as_ref();
+            if changed {
+                if !is_like(held.as_deref(), local.as_ref()) {
+                    tell(local.as_ref());
+                }
+                *held = local.map(Arc::new);
+            }
+            changed
+        });
+    }
+
+    /// Whether the node may take calls.
+    pub fn readiness(&self) -> Readiness {
+        Readiness {
+            configured: self.applied.borrow().stamp.version.number() > 0,
+            member: self.view.borrow().standing == view::Standing::Member,
+            running: *self.stage.borrow() == node::Stage::Run,
+        }
+    }
+
+    /// All metrics as text.
+    pub fn metrics(&self) -> String {
+        self.metrics.encode()
+    }
+
+    /// The status of this node.
+    pub fn status(&self) -> status::Status {
+        let view = Arc::clone(&self.view.borrow());
+        let local = self.local.borrow().clone();
+        let source = status::Source {
+            host: self.host,
+            place: &self.place,
+            stamp: self.applied.borrow().stamp,
+            applied_unix_ms: self.applied_unix_ms.get(),
+            view: &view,
+            local: local.as_deref(),
+            log: *self.reach.borrow(),
+            ready: self.readiness().ready(),
+            traffic: &self.traffic,
+        };
+        source.status()
+    }
+
+    /// The status of the mesh; `None` when too many such reports are being made.
+    pub async fn mesh_status(&self) -> Option<whole::Mesh> {
+        let _place = self.reports.try_acquire().ok()?;
+        let mut gathered = self.gather::<status::Status>("/status").await;
+        gathered.answers.push(self.status());
+        let missing = gathered.missing.iter().map(|h| smol_str::format_smolstr!("{h}"));
+        let missing: Vec<SmolStr> = missing.collect();
+        Some(whole::mesh(&gathered.answers, missing, self.ctx.clock.unix_millis()))
+    }
+
+    /// What this node counted for the objectives of its configuration.
+    pub fn burn(&self) -> book::Page {
+        let mesh = Arc::clone(&self.applied.borrow().mesh);
+        self.book.borrow().page(&mesh, self.ctx.clock.unix_millis())
+    }
+
+    /// The report on service levels; `None` when too many such reports are being made.
+    pub async fn mesh_burn(&self) -> Option<report::Report> {
+        let _place = self.reports.try_acquire().ok()?;
+        let mut gathered = self.gather::<book::Page>("/burn").await;
+        gathered.answers.insert(0, self.burn());
+        let missing = gathered.missing.iter().map(|h| smol_str::format_smolstr!("{h}"));
+        Some(report::report(&gathered.answers, missing.collect()))
+    }
+
+    /// Asks all other nodes for `path`.
+    async fn gather<T: serde::de::DeserializeOwned>(&self, path: &str) -> scatter::Gathered<T> {
+        let hosts = scatter::others(&self.view.borrow(), self.host);
+        let limits = scatter::Limits {
+            width: usize::from(self.settings.scatter),
+            whole: time::Duration::from_millis(self.settings.report_ms),
+        };
+        let limit = time::Duration::from_millis(self.settings.answer_ms);
+        scatter::gather(&hosts, limits, |host| ask::json(host.admin_addr(), path, limit)).await
+    }
+}
+
+/// Whether both are the same but for what was seen of their answers.
+fn is_like(old: Option<&node::Local>, new: Option<&node::Local>) -> bool {
+    let (Some(old), Some(new)) = (old, new) else { return old.is_none() && new.is_none() };
+    let mut seen = new.clone();
+    seen.upstream.trial = old.upstream.trial;
+    seen == *old
+}
+
+/// Logs what the node believes of its upstream from now on.
+fn tell(local: Option<&node::Local>) {
+    let Some(local) = local else { return log::info!("no upstream is beside this node") };
+    let upstream = &local.upstream;
+    log::info!(
+        instance = local.instance.as_str(),
+        life = upstream.life,
+        service = upstream.service.as_str(),
+        version = upstream.version.as_str(),
+        phase:? = upstream.phase,
+        slots = upstream.slots,
+        connections = upstream.connections;
+        "the upstream beside this node has changed"
+    );
+}
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -76,7 +76,7 @@
     pub zone: SmolStr,
     /// Life of its process.
     pub incarnation: u64,
-    /// Whether it takes calls: see [`crate::admin::shell::Readiness`].
+    /// Whether it takes calls: see [`crate::admin::state::Readiness`].
     pub ready: bool,
     /// Number of the version it runs; 0 while it runs none.
     pub version: u64,
