fix(rollout): the end that the mesh has said holds at every node, and for its order alone

Cause, found on reading: a node that learned late of an order came to its own end, rolled back for want of time, and kept it although the mesh had said completed; its calls then had no upstream. A second order for the same version took over the end of the first. The mesh's word goes before the own end; the number of the order stands beside the status, in one append. Tests: the_end_that_the_mesh_says_goes_before_the_own_one, the_version_again; they were not run against the code before, in which an end stayed and a status had no number.

--- a/src/proxy/versions.rs
+++ b/src/proxy/versions.rs
@@ -47,7 +47,7 @@
     pub fn settle(&self, said: &status::Said) {
         for status in &said.list {
             let Some(stage) = status.state.stage() else { continue };
-            self.table.borrow_mut().settle(&status.service, &status.version, stage);
+            self.table.borrow_mut().settle(&status.service, status.order, stage);
         }
     }
 
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -88,7 +88,7 @@
 
 /// One node's way through one order.
 ///
-/// Invariant: an order that is completed or rolled back stays so.
+/// Invariant: an order that is completed or rolled back stays so, but for what the mesh says.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
     since: clock::Instant,
@@ -114,11 +114,10 @@
         self.found
     }
 
-    /// Takes over what the mesh has already said of the order.
+    /// Takes over the end that the mesh has said: it holds also where this node came to another one, as a
+    /// node does that learned late of the order.
     pub fn settle(&mut self, stage: Stage) {
-        if !self.is_over() {
-            self.stage = stage;
-        }
+        self.stage = stage;
     }
 
     /// Takes in what is known at `now`.
--- a/src/rollout/status.rs
+++ b/src/rollout/status.rs
@@ -26,6 +26,8 @@
     pub service: SmolStr,
     /// The version that was ordered.
     pub version: SmolStr,
+    /// Number of the order; 0 where it is not known.
+    pub order: u64,
     /// How far the order is.
     pub state: State,
 }
@@ -87,11 +89,15 @@
 pub fn next(belief: &table::Belief, said: &Said) -> Option<Status> {
     let state = State::from(belief.stage);
     let known = said.list.iter().find(|status| status.service == belief.service);
-    let same = known.filter(|status| status.version == belief.order.version);
+    let same = known.filter(|status| status.order == belief.order.number);
     let news = match same {
         None => true,
         Some(status) => !status.state.is_final() && status.state != state,
     };
-    let version = belief.order.version.clone();
-    news.then(|| Status { service: belief.service.clone(), version, state })
+    news.then(|| Status {
+        service: belief.service.clone(),
+        version: belief.order.version.clone(),
+        order: belief.order.number,
+        state,
+    })
 }
--- a/src/rollout/stream.rs
+++ b/src/rollout/stream.rs
@@ -33,6 +33,7 @@
 struct Record {
     service: SmolStr,
     version: SmolStr,
+    order: u64,
     state: State,
 }
 
@@ -84,7 +85,8 @@
             status::State::RolledBack => State::RolledBack,
         };
         let (service, version) = (status.service.clone(), status.version.clone());
-        let body = serde_json::to_vec(&Record { service, version, state })?;
+        let record = Record { service, version, order: status.order, state };
+        let body = serde_json::to_vec(&record)?;
         let appended = self.log.append(logs::streams::ROLLOUTS, body.into()).await;
         appended.map(|_| true).map_err(Error::Log)
     }
@@ -96,10 +98,15 @@
         State::Completed => status::State::Completed,
         State::RolledBack => status::State::RolledBack,
     };
-    let status = status::Status { service: record.service, version: record.version, state };
+    let status = status::Status {
+        service: record.service,
+        version: record.version,
+        order: record.order,
+        state,
+    };
     let known = list.iter_mut().find(|known| known.service == status.service);
     match known {
-        Some(known) if known.version == status.version && known.state.is_final() => {}
+        Some(known) if known.order == status.order && known.state.is_final() => {}
         Some(known) => *known = status,
         None => list.push(status),
     }
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -147,9 +147,9 @@
             .insert(rollout.service.clone(), Entry { order, plan, old, calls: 0, tried: 0 });
     }
 
-    /// Takes over what the mesh has said of the order for `version` of `service`.
-    pub fn settle(&mut self, service: &str, version: &str, stage: rollout::Stage) {
-        if let Some(entry) = self.entries.get_mut(service).filter(|e| e.order.version == version) {
+    /// Takes over the end that the mesh has said of the order `number` for `service`.
+    pub fn settle(&mut self, service: &str, number: u64, stage: rollout::Stage) {
+        if let Some(entry) = self.entries.get_mut(service).filter(|e| e.order.number == number) {
             entry.plan.settle(stage);
         }
     }
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -320,6 +320,9 @@
 #[case::another_order(
     Some(("v1", status::State::RolledBack)), rollout::Stage::Trial, Some(status::State::Serving)
 )]
+#[case::the_version_again(
+    Some(("v2 before", status::State::RolledBack)), rollout::Stage::Trial, Some(status::State::Serving)
+)]
 #[case::ended_otherwise(Some(("v2", status::State::RolledBack)), rollout::Stage::Completed, None)]
 #[case::late_to_the_order(Some(("v2", status::State::Completed)), rollout::Stage::Trial, None)]
 fn the_first_end_that_is_said_stays(
@@ -330,6 +333,7 @@
     let list = said.into_iter().map(|(version, state)| status::Status {
         service: "shop".into(),
         version: version.into(),
+        order: if version == "v2" { 3 } else { 2 },
         state,
     });
     let said = status::Said { list: list.collect(), mark: 7 };
@@ -403,7 +407,20 @@
     assert_eq!(sides(&table, &versions, 1_000), [old, new, new, new, None, None]);
     let tried = (0..1_000).filter(|_| table.next("shop", at(1_000)) == plan::Side::New);
     assert_eq!(tried.count(), 50);
-    table.settle("shop", "v2", rollout::Stage::RolledBack);
+    table.settle("shop", 3, rollout::Stage::RolledBack);
     assert!((0..1_000).all(|_| table.next("shop", at(1_000)) == plan::Side::Old));
     assert_eq!(table.instead("shop", plan::Side::Old), None, "not even where nothing else is left");
 }
+
+#[test]
+fn the_end_that_the_mesh_says_goes_before_the_own_one() {
+    let mut plan = rollout::Plan::new(WITHIN, at(0));
+    let (new, old) = (rollout::Evidence::default(), rollout::Evidence::default());
+    let known = plan::Known { new, old, condemned: false, ready: 0, serving: 40 };
+    plan.update(&known, at(11_000));
+    assert_eq!(plan.stage(), rollout::Stage::RolledBack, "a node that learned late");
+    plan.settle(rollout::Stage::Completed);
+    plan.update(&known, at(11_100));
+    assert_eq!(plan.stage(), rollout::Stage::Completed);
+    assert_eq!(plan.share(at(11_100)), 1000);
+}
