feat(pick): look at the whole zone before a call pays the way out of it

Cause: three of 18 near upstreams are compared for a call; where these were taken up it crossed, although another one near by was free. Virtual time: of 100 calls from a zone with one free upstream among 18, 83 left it before, none after.

--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -164,7 +164,35 @@
                 break;
             }
         }
-        best.map(|(index, tier, _)| (index, tier))
+        let (index, tier, least) = best?;
+        if tier < table::FAR || explores {
+            return Some((index, tier));
+        }
+        let near = self.search(target, toll, now, avoid).filter(|(_, _, cost)| *cost <= least);
+        Some(near.map_or((index, tier), |(index, tier, _)| (index, tier)))
+    }
+
+    /// The best of all upstreams in the availability zone, with its cost.
+    ///
+    /// A few of many are compared for each call; before one pays the way to another zone, all that are near
+    /// are: by a few alone calls left zones in which an upstream was free.
+    fn search(
+        &self,
+        target: pick::Target,
+        toll: pick::Toll,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> Option<(u32, usize, f32)> {
+        let list = self.table.list(target)?;
+        let cost = |tier: usize, index: u32| {
+            let peer = &self.table.peers[index as usize];
+            let usable = peer.is_usable(now) && !avoid.contains(&peer.host());
+            let refusal = if peer.brims(&self.rules, now) { REFUSAL } else { 0.0 };
+            let way = refusal + toll.of(tier, peer.service());
+            usable.then(|| (index, tier, peer.cost(toll.inner, &self.rules, now) + way))
+        };
+        let near = (0..table::FAR).flat_map(|tier| list.tier(tier).iter().map(move |&i| (tier, i)));
+        near.filter_map(|(tier, index)| cost(tier, index)).min_by(|a, b| a.2.total_cmp(&b.2))
     }
 
     fn pick_tier(
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -410,6 +410,31 @@
     assert_eq!(usize::from(!choice.near), wanted);
 }
 
+/// How many of 100 calls leave a zone of 18 upstreams, all but one of them taken up three times over.
+fn left_behind() -> usize {
+    let zones: Vec<&str> = (0..36).map(|n| if n < 18 { "a" } else { "b" }).collect();
+    let mut picker = picker(serving(&zones));
+    for full in (1..18).map(id) {
+        let others: Vec<host::HostId> = (1..=36).map(id).filter(|host| *host != full).collect();
+        for _ in 0..27 {
+            let choice = picker.pick_far(SHOP, pick::Toll::FREE, at(0), &others).expect("a choice");
+            assert_eq!(choice.host, full);
+            picker.started(choice, at(0));
+        }
+    }
+    (0..100)
+        .filter(|_| !picker.pick_far(SHOP, crossing(1.0), at(0), &[]).expect("a choice").near)
+        .count()
+}
+
+#[test]
+fn a_call_does_not_leave_a_zone_in_which_an_upstream_is_free() {
+    let left = left_behind();
+    println!("{left} of 100 calls leave");
+    // One call in 200 goes far whatever it costs.
+    assert!(left <= 3, "{left} of 100 calls leave");
+}
+
 #[test]
 fn what_is_known_of_an_upstream_does_not_outlive_its_life() {
     let mut picker = picker(vec![host(1, "a", view::Phase::Serving)]);
