--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -19,6 +19,14 @@
 /// would refuse what another one can serve sends it there; heavy calls are worth less than the way.
 const REFUSAL: f32 = 2.0;
 
+/// Upstreams of a zone up to which the way to another one costs what the settings say: with two or three of
+/// them a price four times as high took 0.07 to 0.12 off what a deployment earns in place of adding 0.02
+/// to 0.04 (full days on simulated hosts).
+const FEW_NEAR: f32 = 4.0;
+
+/// Most by which the way is dearer in a larger zone; reached with 16 upstreams.
+const MOST_WEIGHT: f32 = 4.0;
+
 /// One call in this many takes no heed of the distance, so that upstreams which are not in use
 /// are known for comparison.
 const EXPLORE: u32 = 200;
@@ -106,6 +114,7 @@
         now: clock::Instant,
         avoid: &[host::HostId],
     ) -> Option<pick::Choice> {
+        let toll = self.weigh(target, toll);
         let usual = self.pick_usual(target, toll, now, avoid);
         let (index, tier) = usual.or_else(|| self.pick_any(target, avoid))?;
         let host = self.table.peers[index as usize].host();
@@ -172,6 +181,19 @@
         Some(near.map_or((index, tier), |(index, tier, _)| (index, tier)))
     }
 
+    /// The toll with the way to another zone as dear as the own one is large: the more upstreams share a
+    /// load, the less of it has to wait by chance while another one is free. In zones of 18 upstreams a
+    /// quarter to a third fewer bytes crossed and as many calls were served (full days of overload,
+    /// simulated hosts).
+    fn weigh(&self, target: pick::Target, toll: pick::Toll) -> pick::Toll {
+        let near = self
+            .table
+            .list(target)
+            .map_or(0, |list| (0..table::FAR).map(|tier| list.tier(tier).len()).sum());
+        let factor = (near as f32 / FEW_NEAR).clamp(1.0, MOST_WEIGHT);
+        pick::Toll { cross: toll.cross * factor, ..toll }
+    }
+
     /// The best of all upstreams in the availability zone, with its cost.
     ///
     /// A few of many are compared for each call; before one pays the way to another zone, all that are near
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -435,6 +435,38 @@
     assert!(left <= 3, "{left} of 100 calls leave");
 }
 
+/// How many of 100 calls leave a zone of `near` upstreams that are all taken up `turns` times over, for one where
+/// all are free.
+fn leaving(near: u8, turns: u16) -> usize {
+    let zones: Vec<&str> = (0..2 * near).map(|n| if n < near { "a" } else { "b" }).collect();
+    let mut picker = picker(serving(&zones));
+    for full in (1..=near).map(id) {
+        let others: Vec<host::HostId> =
+            (1..=2 * near).map(id).filter(|host| *host != full).collect();
+        for _ in 0..9 * turns {
+            let choice = picker.pick_far(SHOP, pick::Toll::FREE, at(0), &others).expect("a choice");
+            picker.started(choice, at(0));
+        }
+    }
+    let leaves =
+        |_: &i32| !picker.pick_far(SHOP, crossing(1.0), at(0), &[]).expect("a choice").near;
+    (0..100).filter(leaves).count()
+}
+
+#[rstest]
+#[case::small(3, 2, 100)]
+#[case::large(18, 2, 0)]
+#[case::large_and_swamped(18, 6, 100)]
+fn the_way_out_of_a_large_zone_is_dearer(
+    #[case] near: u8,
+    #[case] turns: u16,
+    #[case] wanted: usize,
+) {
+    let left = leaving(near, turns);
+    // One call in 200 goes far whatever it costs.
+    assert!(left.abs_diff(wanted) <= 3, "{left} of 100 calls leave");
+}
+
 #[test]
 fn what_is_known_of_an_upstream_does_not_outlive_its_life() {
     let mut picker = picker(vec![host(1, "a", view::Phase::Serving)]);
