--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -321,8 +321,8 @@
         slots: u.slots,
         connections: u.connections,
         life: u.life,
-        version: datagram.name(u.version),
-        trial: u.trial.unwrap_or_default(),
+        version: u.release.map(|r| datagram.name(r.version)).unwrap_or_default(),
+        trial: u.release.and_then(|r| r.trial).unwrap_or_default(),
     });
     table::Record {
         incarnation: found.incarnation,
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -124,9 +124,16 @@
     pub connections: u16,
     /// Number of its life within that of its node.
     pub life: u32,
-    /// Index of its version among the names.
+    /// Its version; `None` where it tells none.
+    pub release: Option<Release>,
+}
+
+/// The version of an upstream on the wire.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Release {
+    /// Index of the version among the names.
     pub version: u8,
-    /// What its node has seen of it; `None` while its version is not tried.
+    /// What its node has seen of it; `None` while it is not tried.
     pub trial: Option<rollout::Trial>,
 }
 
@@ -270,7 +277,7 @@
             record.upstream.iter().try_for_each(|u| {
                 check_name(u.service)?;
                 check_name(u.class)?;
-                check_name(u.version)
+                u.release.map_or(Ok(()), |release| check_name(release.version))
             })
         }
     }
@@ -364,14 +371,24 @@
                 slots: upstream.slots,
                 connections: upstream.connections,
                 life: upstream.life,
-                version: self.intern(&upstream.version)?,
-                trial: Some(upstream.trial).filter(|trial| trial.order > 0),
+                release: self.release(upstream)?,
             }),
             None => None,
         };
         Some(Record { host, incarnation, serial, region, zone, upstream })
     }
 
+    /// The version of `upstream`, if it tells one; the outer `None` says that there is no room for its
+    /// name.
+    fn release(&mut self, upstream: &view::Upstream) -> Option<Option<Release>> {
+        if upstream.version.is_empty() {
+            return Some(None);
+        }
+        let version = self.intern(&upstream.version)?;
+        let trial = Some(upstream.trial).filter(|trial| trial.order > 0);
+        Some(Some(Release { version, trial }))
+    }
+
     fn intern(&mut self, name: &SmolStr) -> Option<u8> {
         let known = self.names.iter().position(|n| n == name);
         let index = known.unwrap_or_else(|| {
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -230,7 +230,9 @@
                 let peer = &mut self.peers[index as usize];
                 peer.update(host, upstream, class.slots, service.queue, class.warmup, now);
                 let tier = stand.tier(host);
-                let Some(side) = sides.of(&upstream.version) else { continue };
+                let open =
+                    host.health == view::Health::Alive && upstream.phase != view::Phase::Draining;
+                let Some(side) = sides.of(&upstream.version, open) else { continue };
                 self.classes[key].push(side, index, tier);
                 self.services[usize::from(class.service.0)].push(side, index, tier);
             }
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -10,6 +10,24 @@
 use crate::rollout;
 use crate::view;
 
+/// Time for which a version that may get calls now is still looked at, so that it gets them.
+const SETTLED: time::Duration = time::Duration::from_secs(1);
+
+/// Time for which a version gets no calls that comes beside another one and that no order names: an
+/// order takes some seconds to reach a node, or longer where that is cut off. Without this a third of
+/// the nodes that know of an order late would send half of their calls to a version that nobody has tried.
+const UNORDERED: time::Duration = time::Duration::from_secs(10);
+
+/// Answers of the old version after which those seen so far count half: half a minute of one node's calls.
+const SPAN: u32 = 1000;
+
+/// Thousandths in a whole.
+const WHOLE: u32 = 1000;
+
+/// Fewest new upstreams that are tried: their speeds differ, and one that is slow by itself says little of
+/// its version.
+const LEAST_TRIED: usize = 3;
+
 /// One order as this node follows it.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -34,12 +52,13 @@
 }
 
 impl Sides<'_> {
-    /// The side of the next upstream, which has `version`; `None` when no call goes to it.
+    /// The side of the next upstream, which has `version`; `None` when no call goes to it. One that is not
+    /// `open` to calls does not count among those that are tried.
     ///
     /// An unproven version gets its small share at few upstreams, the same ones everywhere, where it runs as
     /// many calls at once as the old one does: spread over all of them one that fails under load would
     /// show it only once it has all the calls.
-    pub fn of(&mut self, version: &str) -> Option<rollout::Side> {
+    pub fn of(&mut self, version: &str, open: bool) -> Option<rollout::Side> {
         let Some(entry) = self.entry else {
             let waits = |m: &Met| m.version == version && m.after > self.now;
             return (!self.met.iter().any(waits)).then_some(rollout::Side::Any);
@@ -47,7 +66,9 @@
         if entry.order.version != version {
             return Some(rollout::Side::Old);
         }
-        self.left = self.left.checked_sub(1)?;
+        if open {
+            self.left = self.left.checked_sub(1)?;
+        }
         Some(rollout::Side::New)
     }
 }
@@ -78,20 +99,6 @@
     met: collections::BTreeMap<SmolStr, Vec<Met>>,
 }
 
-/// Time for which a version that may get calls now is still looked at, so that it gets them.
-const SETTLED: time::Duration = time::Duration::from_secs(1);
-
-/// Time for which a version gets no calls that comes beside another one and that no order names: an
-/// order takes some seconds to reach a node, or longer where that is cut off. Without this a third of
-/// the nodes that know of an order late would send half of their calls to a version that nobody has tried.
-const UNORDERED: time::Duration = time::Duration::from_secs(10);
-
-/// Answers of the old version after which those seen so far count half: half a minute of one node's calls.
-const SPAN: u32 = 1000;
-
-/// Thousandths in a whole.
-const WHOLE: u32 = 1000;
-
 impl Table {
     /// Takes in the orders of a configuration and what the hosts tell.
     pub fn update(&mut self, mesh: &mesh::Mesh, view: &view::View, now: clock::Instant) {
@@ -263,10 +270,6 @@
     known
 }
 
-/// Fewest new upstreams that are tried: their speeds differ, and one that is slow by itself says little of
-/// its version.
-const LEAST_TRIED: usize = 3;
-
 /// How many new upstreams are tried: the same share of the old ones as of the calls.
 fn tried(service: &str, entry: &Entry, view: &view::View) -> usize {
     let upstreams = view.upstreams(service).filter_map(|host| host.upstream.as_ref());
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -366,7 +366,7 @@
 /// The sides of the upstreams of `versions`, in the order of their hosts, as `table` has them.
 fn sides(table: &rollout::Table, versions: &[&str], now: u64) -> Vec<Option<plan::Side>> {
     let mut sides = table.sides("shop", at(now));
-    versions.iter().map(|version| sides.of(version)).collect()
+    versions.iter().map(|version| sides.of(version, true)).collect()
 }
 
 /// A table that has seen the upstreams of `versions` at 1 s.
@@ -424,3 +424,15 @@
     assert_eq!(plan.stage(), rollout::Stage::Completed);
     assert_eq!(plan.share(at(11_100)), 1000);
 }
+
+#[test]
+fn a_new_upstream_that_takes_no_calls_is_not_one_of_those_tried() {
+    let (mut table, mut mesh) = (rollout::Table::default(), mesh::Mesh::default());
+    let order = rollout::Order { number: 3, version: "v2".into(), within: WITHIN };
+    mesh.rollouts.push(mesh::Rollout { service: "shop".into(), order });
+    let versions = ["v2", "v2", "v2", "v2", "v2"];
+    seen(&mut table, &mesh, &versions, 1_000);
+    let mut sides = table.sides("shop", at(1_000));
+    let tried = (0..5).filter(|&n| sides.of("v2", n != 0).is_some());
+    assert_eq!(tried.collect::<Vec<_>>(), [0, 1, 2, 3]);
+}
