--- a/tests/reference_pages.rs
+++ b/tests/reference_pages.rs
@@ -99,7 +99,10 @@
     }
     match schema["type"].as_str().unwrap() {
         "boolean" => "`true`, `false`".to_owned(),
-        "string" => format!("`{}`", schema["pattern"].as_str().unwrap().replace('|', "\\|")),
+        "string" => match schema["pattern"].as_str() {
+            Some(pattern) => format!("`{}`", pattern.replace('|', "\\|")),
+            None => "any text".to_owned(),
+        },
         _ => String::new(),
     }
 }
