feat(proxy): a node tells when the upstream beside it ends under calls, and what ran

Cause: in an incident upstreams of one service ended one after the other, and no record told whether the calls that ran as they ended had anything in common: an id is new with each try, and an end had no line of its own.

Change: quarantine::Print is a keyed fingerprint of method, host, path and body, equal for each try of one request at every node. A node notes it with each call that runs at its upstream. No decision depends on it yet.

Tests: src/proxy/ends/tests.rs, src/quarantine/tests/print.rs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 //! | distribution | [`spread`] | [`spread::shell`] |
 //! | calls | [`pick`], [`admit`], [`retry`] | [`proxy`] |
 //! | versions of upstreams | [`rollout`] | [`rollout::shell`], [`proxy`] |
+//! | requests that end upstreams | [`quarantine`] | [`proxy`] |
 //! | at most once | [`claim`] | [`claim::shell`] |
 //! | charging and objectives | [`usage`], [`burn`] | [`admin`] |
 //!
@@ -44,6 +45,7 @@
 pub mod node;
 pub mod pick;
 pub mod proxy;
+pub mod quarantine;
 pub mod retry;
 pub mod ring;
 pub mod rollout;
--- /dev/null
+++ b/src/proxy/ends/tests.rs
@@ -0,0 +1,62 @@
+//! Tests of finding out that an upstream has ended.
+
+use std::net;
+use std::time;
+
+use rstest::rstest;
+use tokio::net::TcpListener;
+
+use crate::proxy::ends;
+use crate::quarantine::Print;
+
+const LIMIT: time::Duration = time::Duration::from_millis(500);
+
+/// Waits for the end of an upstream at `address`, for a moment only.
+async fn next(ends: &ends::Ends, address: Option<net::SocketAddr>) -> Option<Vec<Print>> {
+    let moment = time::Duration::from_millis(200);
+    tokio::time::timeout(moment, ends.next(|| address, LIMIT)).await.ok()
+}
+
+async fn listener() -> (TcpListener, net::SocketAddr) {
+    let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn cut(ends: &ends::Ends, prints: &[u64]) {
+    ends.cut((0..).zip(prints.iter().copied().map(Print)));
+}
+
+#[tokio::test]
+async fn an_upstream_that_takes_no_connection_any_more_has_ended_under_what_ran_at_first() {
+    let (listener, address) = listener().await;
+    drop(listener);
+    let ends = ends::Ends::default();
+    cut(&ends, &[1, 2, 3]);
+    // The others follow one after the other, each with fewer beside it.
+    cut(&ends, &[2, 3]);
+    cut(&ends, &[3]);
+    assert_eq!(next(&ends, Some(address)).await, Some(vec![Print(1), Print(2), Print(3)]));
+    assert_eq!(next(&ends, Some(address)).await, None, "one end is told once");
+}
+
+#[tokio::test]
+async fn an_answer_that_was_given_before_the_end_speaks_for_its_request() {
+    let (listener, address) = listener().await;
+    drop(listener);
+    let ends = ends::Ends::default();
+    cut(&ends, &[1, 2]);
+    ends.whole(0);
+    assert_eq!(next(&ends, Some(address)).await, Some(vec![Print(2)]));
+}
+
+#[rstest]
+#[case::still_there(true)]
+#[case::left_in_order(false)]
+#[tokio::test]
+async fn a_call_that_is_broken_off_alone_is_no_end(#[case] there: bool) {
+    let (_listener, address) = listener().await;
+    let ends = ends::Ends::default();
+    cut(&ends, &[1, 2]);
+    assert_eq!(next(&ends, there.then_some(address)).await, None);
+}
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -81,7 +81,9 @@
 impl Hold {
     /// The answer came to its end.
     pub fn whole(&mut self) {
-        self.run = None;
+        if let Some(run) = self.run.take() {
+            run.whole();
+        }
         if let Some(mut lease) = self.lease.take() {
             lease.finish();
         }
@@ -131,6 +133,13 @@
         }
     }
 
+    /// The call failed for `reason`; says so where that may be the end of the upstream.
+    pub fn cut(&self, reason: retry::Reason) {
+        if let Some(run) = self.run.as_ref().filter(|_| reason == retry::Reason::Cut) {
+            run.cut();
+        }
+    }
+
     /// Gives back what the call held of the upstream.
     fn free(&mut self) {
         self.run = None;
@@ -140,6 +149,7 @@
 
     /// The answer was cut short.
     pub fn broken(&mut self, reason: retry::Reason) {
+        self.cut(reason);
         self.free();
         if let Some(trip) = self.trip.take() {
             trip.end(retry::Event::Failed(reason));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod count;
 pub mod dialect;
+pub mod ends;
 pub mod entry;
 pub mod error;
 pub mod frame;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -22,6 +22,7 @@
 use crate::proxy::trace;
 use crate::proxy::upload;
 use crate::proxy::wire;
+use crate::quarantine;
 use crate::retry;
 use crate::view;
 
@@ -77,6 +78,9 @@
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let result = admit(state, order, request, hold).await;
+    if let Err(refuse::Refusal { outcome: retry::Outcome::Unknown(reason), .. }) = result {
+        hold.cut(reason);
+    }
     if state.rollouts.has_orders()
         && let Some(evidence) = state.evidence(order.kind, &result)
         && let Ok(local) = find(state, order)
@@ -107,7 +111,7 @@
     let end = state.timer(order.deadline);
     let method = request.method().clone();
     let id = request.headers().get(&state.dialect.id).cloned();
-    hold.run = id.clone().map(|id| state.runs.enter(id));
+    hold.run = Some(state.runs.enter(id.clone(), print(state, &request)));
     address(&state.dialect, &local, left, request.headers_mut());
     let (lease, answer) = send(state, &local, request, end).await?;
     if state.dialect.is_unrun(answer.status(), answer.headers()) {
@@ -198,6 +202,17 @@
     if wanted { Ok((**local).clone()) } else { Err(GONE) }
 }
 
+/// The fingerprint of a request for the upstream.
+fn print<C: claim::Claims>(
+    state: &state::State<C>,
+    request: &http::Request<upload::Upload>,
+) -> quarantine::Print {
+    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let path = request.uri().path_and_query().map_or("", http::uri::PathAndQuery::as_str);
+    let method = request.method().as_str();
+    state.printer.print(method, host.unwrap_or_default(), path, request.body().print())
+}
+
 /// Sends a call on a connection from the pool. One that turns out to be closed before anything
 /// was sent is replaced by another.
 async fn send<C: claim::Claims>(
--- a/src/proxy/runs.rs
+++ b/src/proxy/runs.rs
@@ -8,6 +8,9 @@
 
 use http::header;
 
+use crate::proxy::ends;
+use crate::quarantine;
+
 #[cfg(test)]
 mod tests;
 
@@ -18,7 +21,8 @@
 #[derive(Debug)]
 struct Run {
     key: u64,
-    id: header::HeaderValue,
+    id: Option<header::HeaderValue>,
+    print: quarantine::Print,
 }
 
 /// The calls that run.
@@ -26,6 +30,8 @@
 pub struct Runs {
     list: RefCell<Vec<Run>>,
     next: Cell<u64>,
+    /// Told when the upstream breaks a call off.
+    ends: Rc<ends::Ends>,
 }
 
 /// A call that runs until this is dropped.
@@ -36,20 +42,41 @@
 }
 
 impl Runs {
-    /// Notes that the call `id` runs.
-    pub fn enter(self: &Rc<Self>, id: header::HeaderValue) -> Running {
+    /// No call runs; `ends` is told of those that the upstream breaks off.
+    pub fn new(ends: Rc<ends::Ends>) -> Self {
+        Self { ends, ..Self::default() }
+    }
+
+    /// Notes that the call `id` with the fingerprint `print` runs.
+    pub fn enter(
+        self: &Rc<Self>,
+        id: Option<header::HeaderValue>,
+        print: quarantine::Print,
+    ) -> Running {
         let key = self.next.replace(self.next.get() + 1);
-        self.list.borrow_mut().push(Run { key, id });
+        self.list.borrow_mut().push(Run { key, id, print });
         Running { runs: Rc::clone(self), key }
     }
 
     /// Whether the call `id` is made by one that runs.
     pub fn makes(&self, id: &header::HeaderValue) -> bool {
         let id = id.as_bytes();
-        self.list.borrow().iter().any(|run| {
-            let outer = run.id.as_bytes();
-            outer.len() >= LEAST && id.len() > outer.len() && id.starts_with(outer)
-        })
+        let outers = self.list.borrow();
+        let mut outers = outers.iter().filter_map(|run| run.id.as_ref()).map(|id| id.as_bytes());
+        outers.any(|outer| outer.len() >= LEAST && id.len() > outer.len() && id.starts_with(outer))
+    }
+}
+
+impl Running {
+    /// The upstream broke the call off, and others that run with it may follow.
+    pub fn cut(&self) {
+        let list = self.runs.list.borrow();
+        self.runs.ends.cut(list.iter().map(|run| (run.key, run.print)));
+    }
+
+    /// The upstream's whole answer is there.
+    pub fn whole(&self) {
+        self.runs.ends.whole(self.key);
     }
 }
 
--- a/src/proxy/runs/tests.rs
+++ b/src/proxy/runs/tests.rs
@@ -5,7 +5,13 @@
 use http::header;
 use rstest::rstest;
 
+use super::Running;
 use super::Runs;
+use crate::quarantine;
+
+fn enter(runs: &Rc<Runs>, text: &'static str) -> Running {
+    runs.enter(Some(id(text)), quarantine::Print(0))
+}
 
 fn id(text: &'static str) -> header::HeaderValue {
     header::HeaderValue::from_static(text)
@@ -22,22 +28,22 @@
     #[case] known: bool,
 ) {
     let runs = Rc::new(Runs::default());
-    let _running = runs.enter(id("9c41d07be2a35f68"));
+    let _running = enter(&runs, "9c41d07be2a35f68");
     assert_eq!(runs.makes(&id(made)), known);
 }
 
 #[test]
 fn a_short_identity_proves_nothing() {
     let runs = Rc::new(Runs::default());
-    let _running = runs.enter(id("12"));
+    let _running = enter(&runs, "12");
     assert!(!runs.makes(&id("123")));
 }
 
 #[test]
 fn a_call_that_has_ended_makes_no_more() {
     let runs = Rc::new(Runs::default());
-    let first = runs.enter(id("9c41d07be2a35f68"));
-    let second = runs.enter(id("9c41d07be2a35f68"));
+    let first = enter(&runs, "9c41d07be2a35f68");
+    let second = enter(&runs, "9c41d07be2a35f68");
     drop(first);
     assert!(runs.makes(&id("9c41d07be2a35f68.1")), "a repeat of it still runs");
     drop(second);
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -86,6 +86,7 @@
     let followers = [
         spawn(follow_tables(Rc::clone(&state), wiring.applied.clone(), wiring.view.clone())),
         spawn(follow_local(Rc::clone(&state))),
+        spawn(follow_ends(Rc::clone(&state))),
         spawn(follow_rollouts(Rc::clone(&state), wiring.rollouts.clone())),
         spawn(follow_stop(Rc::clone(&state), wiring.stage.clone())),
         spawn(keep_house(Rc::clone(&state), wiring.tallies.clone())),
@@ -169,6 +170,15 @@
     }
 }
 
+/// Tells of each end of the upstream beside this node under calls.
+async fn follow_ends<C: claim::Claims>(state: Rc<state::State<C>>) {
+    let limit = time::Duration::from_millis(state.settings.proxy.connect_ms);
+    loop {
+        let prints = state.ends.next(|| state.serving(), limit).await;
+        state.ended(&prints);
+    }
+}
+
 /// Takes the orders of roll-outs one look further at a time.
 async fn follow_rollouts<C: claim::Claims>(state: Rc<state::State<C>>, ends: rollout::shell::Ends) {
     let mut look = tokio::time::interval(LOOK);
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections;
+use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time;
@@ -21,6 +22,7 @@
 use crate::pick;
 use crate::proxy::body;
 use crate::proxy::dialect;
+use crate::proxy::ends;
 use crate::proxy::guard;
 use crate::proxy::held;
 use crate::proxy::inflow;
@@ -40,6 +42,7 @@
 use crate::proxy::trip;
 use crate::proxy::upload;
 use crate::proxy::versions;
+use crate::quarantine;
 use crate::retry;
 use crate::seal;
 use crate::usage;
@@ -97,6 +100,10 @@
     seen: RefCell<Option<(SmolStr, u32)>>,
     /// Calls that run at the upstream beside this node.
     pub runs: Rc<runs::Runs>,
+    /// Ends of the upstream beside this node.
+    pub ends: Rc<ends::Ends>,
+    /// Makes the fingerprints of requests.
+    pub printer: quarantine::Printer,
     /// Callers that were refused and may come back.
     pub returns: RefCell<returns::Returns>,
     /// Versions of upstreams in roll-outs.
@@ -129,6 +136,7 @@
             picker = picker.at(me);
         }
         let seal = seal::Seal::new(&settings.mesh, &settings.key);
+        let ends = Rc::<ends::Ends>::default();
         let proxy = &settings.proxy;
         let limits = held::Limits {
             time: time::Duration::from_millis(proxy.held_ms),
@@ -152,14 +160,16 @@
             held: Rc::new(held::Held::new(limits)),
             flights: Rc::default(),
             tally: Rc::default(),
-            seal,
             dialect: wiring.dialect.clone(),
             sizes: RefCell::default(),
             paces: RefCell::default(),
             trace: trace::Trace::default(),
             seen: RefCell::default(),
             returns: RefCell::default(),
-            runs: Rc::default(),
+            runs: Rc::new(runs::Runs::new(Rc::clone(&ends))),
+            ends,
+            printer: quarantine::Printer::new(&seal),
+            seal,
             rollouts: versions::Versions::default(),
             splitter: RefCell::default(),
             room: Rc::new(room::Room::new(proxy.kept_bytes)),
@@ -384,6 +394,20 @@
         }
     }
 
+    /// Where the upstream beside this node takes calls; `None` while there is none, or it is leaving.
+    pub fn serving(&self) -> Option<net::SocketAddr> {
+        let local = self.local.borrow();
+        let local = local.as_ref().filter(|l| l.upstream.phase != view::Phase::Draining);
+        local.map(|local| local.address)
+    }
+
+    /// The upstream beside this node has ended while requests with these fingerprints ran.
+    pub fn ended(&self, prints: &[quarantine::Print]) {
+        let local = self.local.borrow();
+        let Some(local) = local.as_ref() else { return };
+        self.trace.upstream_ended(&local.instance, local.upstream.life, prints);
+    }
+
     fn limits(&self, upstream: &view::Upstream) -> admit::Limits {
         let applied = self.applied.borrow();
         let service = applied.mesh.services.iter().find(|s| s.name == upstream.service);
--- a/src/proxy/upload.rs
+++ b/src/proxy/upload.rs
@@ -15,6 +15,7 @@
 use crate::proxy::error;
 use crate::proxy::room;
 use crate::proxy::wire;
+use crate::quarantine;
 use crate::retry;
 
 /// A request's body at the entry, from which each attempt gets its own [`Upload`].
@@ -193,6 +194,16 @@
     }
 }
 
+impl Upload {
+    /// The body as its request's fingerprint takes it. Invariant: nothing was given out yet.
+    pub fn print(&self) -> quarantine::Body<'_> {
+        match self {
+            Upload::Kept(bytes) => quarantine::Body::Whole(bytes.as_deref().unwrap_or_default()),
+            Upload::Stream(..) => quarantine::Body::Streams(self.size_hint().exact()),
+        }
+    }
+}
+
 impl hyper::body::Body for Upload {
     type Data = Bytes;
     type Error = error::Broken;
--- /dev/null
+++ b/src/quarantine/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions on requests under which upstreams end.
+
+mod print;
--- /dev/null
+++ b/src/quarantine/tests/print.rs
@@ -0,0 +1,40 @@
+//! Tests of fingerprints.
+
+use rstest::rstest;
+
+use crate::quarantine;
+use crate::quarantine::Body;
+use crate::seal;
+
+fn printer(key: &str) -> quarantine::Printer {
+    quarantine::Printer::new(&seal::Seal::new("mesh", key))
+}
+
+#[test]
+fn a_request_has_the_same_print_at_every_node() {
+    let ask = |p: &quarantine::Printer| p.print("GET", "Shop.test", "/a?b", Body::Whole(b"c"));
+    assert_eq!(ask(&printer("key")), ask(&printer("key")));
+    let lower = printer("key").print("GET", "shop.test", "/a?b", Body::Whole(b"c"));
+    assert_eq!(ask(&printer("key")), lower, "hosts are the same in any case");
+    assert_ne!(ask(&printer("key")), ask(&printer("another")));
+}
+
+#[rstest]
+#[case::method("POST", "shop.test", "/a?b", Body::Whole(b"c"))]
+#[case::host("GET", "desk.test", "/a?b", Body::Whole(b"c"))]
+#[case::path("GET", "shop.test", "/a", Body::Whole(b"c"))]
+#[case::body("GET", "shop.test", "/a?b", Body::Whole(b"d"))]
+#[case::no_body("GET", "shop.test", "/a?b", Body::Whole(b""))]
+#[case::streams("GET", "shop.test", "/a?b", Body::Streams(None))]
+#[case::streams_so_much("GET", "shop.test", "/a?b", Body::Streams(Some(1)))]
+#[case::cut_elsewhere("GET", "shop.test/", "a?b", Body::Whole(b"c"))]
+fn another_request_has_another_print(
+    #[case] method: &str,
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] body: Body<'_>,
+) {
+    let printer = printer("key");
+    let first = printer.print("GET", "shop.test", "/a?b", Body::Whole(b"c"));
+    assert_ne!(printer.print(method, host, path, body), first);
+}
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -57,6 +57,11 @@
         if differing == 0 { Ok(body) } else { Err(Error::Tag) }
     }
 
+    /// A key for another use than tags, which `domain` names.
+    pub fn derive(&self, domain: &str) -> [u8; blake3::KEY_LEN] {
+        blake3::derive_key(domain, &self.key)
+    }
+
     fn tag(&self, body: &[u8]) -> [u8; TAG_BYTES] {
         let hash = blake3::keyed_hash(&self.key, body);
         let mut tag = [0; TAG_BYTES];
