test(failures): a request that ends its upstreams reaches them again and again

The symptom, as callers saw it: calls of one service are refused while its upstreams end one after the other and come back only to end again. The stand-in for an upstream can be told which calls end its process.

--- a/src/bench/fleet/layout.rs
+++ b/src/bench/fleet/layout.rs
@@ -50,6 +50,9 @@
     for (prefix, millis) in &group.means {
         add("--time", format!("{prefix}={millis}"));
     }
+    if let Some(prefix) = &group.crash {
+        add("--crash", prefix.to_string());
+    }
     if node {
         add("--admin", host.bound.admin_addr().to_string());
     }
--- a/src/bench/fleet/plan.rs
+++ b/src/bench/fleet/plan.rs
@@ -39,6 +39,7 @@
     pub(super) grace_ms: u64,
     pub(super) mean_ms: f64,
     pub(super) means: Vec<(SmolStr, f64)>,
+    pub(super) crash: Option<SmolStr>,
 }
 
 impl Group {
@@ -54,6 +55,7 @@
             grace_ms: 3000,
             mean_ms: 10.0,
             means: Vec::new(),
+            crash: None,
         }
     }
 
@@ -93,6 +95,12 @@
         self
     }
 
+    /// Path prefix of the calls that end the upstream that runs them.
+    pub fn crash(mut self, prefix: &str) -> Self {
+        self.crash = Some(SmolStr::new(prefix));
+        self
+    }
+
     /// Mean time of calls under the path `prefix`, in milliseconds.
     pub fn mean_of(mut self, prefix: &str, millis: f64) -> Self {
         self.means.push((SmolStr::new(prefix), millis));
--- a/src/bench/fleet/signals.rs
+++ b/src/bench/fleet/signals.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Whether a process has ended by itself, or was asked to.
+    pub fn has_ended(&mut self, index: usize, part: fleet::Part) -> Result<bool, fleet::Error> {
+        let process = self.slot(index, part)?.as_mut().ok_or(fleet::Error::NoProcess(index))?;
+        Ok(process.ended()?.is_some())
+    }
+
     /// Starts a process that was killed or has ended anew.
     pub fn restart(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
         match part {
--- a/src/bench/upstream.rs
+++ b/src/bench/upstream.rs
@@ -43,6 +43,9 @@
     /// Mean time of calls under a path prefix, in milliseconds, such as /browse=4; many
     #[bpaf(argument("PREFIX=MILLIS"))]
     pub time: Vec<Mean>,
+    /// Path prefix of the calls that end the process
+    #[bpaf(argument("PREFIX"))]
+    pub crash: Option<String>,
     /// Seed of the service times
     #[bpaf(argument("SEED"), fallback(0), display_fallback)]
     pub seed: u64,
@@ -106,6 +109,9 @@
     for mean in &args.time {
         options = options.mean_of(&mean.prefix, millis(mean.millis));
     }
+    if let Some(prefix) = &args.crash {
+        options = options.crash(prefix);
+    }
     match args.admin {
         Some(admin) => options.admin(admin),
         None => options,
--- a/src/standin/upstream/options.rs
+++ b/src/standin/upstream/options.rs
@@ -19,6 +19,7 @@
     pub(super) grace: time::Duration,
     pub(super) mean: time::Duration,
     pub(super) means: Vec<(SmolStr, time::Duration)>,
+    pub(super) crash: Option<SmolStr>,
     pub(super) seed: u64,
 }
 
@@ -39,6 +40,7 @@
             grace: time::Duration::from_secs(3),
             mean: time::Duration::from_millis(10),
             means: Vec::new(),
+            crash: None,
             seed: 0,
         }
     }
@@ -91,12 +93,23 @@
         self
     }
 
+    /// Ends the process in place of an answer to calls whose path starts with `prefix`.
+    pub fn crash(mut self, prefix: &str) -> Self {
+        self.crash = Some(SmolStr::new(prefix));
+        self
+    }
+
     /// Seed of the service times.
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
         self
     }
 
+    /// Whether a call at `path` ends the process.
+    pub(super) fn crashes(&self, path: &str) -> bool {
+        self.crash.as_ref().is_some_and(|prefix| path.starts_with(prefix.as_str()))
+    }
+
     /// Time the call `id` at `path` takes when warm: the same for the same seed.
     pub(super) fn time_of(&self, path: &str, id: &str) -> time::Duration {
         let own = self.means.iter().find(|(prefix, _)| path.starts_with(prefix.as_str()));
--- a/src/standin/upstream/run.rs
+++ b/src/standin/upstream/run.rs
@@ -1,6 +1,7 @@
 //! One call: decide, read, run, answer.
 
 use std::convert::Infallible;
+use std::process;
 use std::sync::Arc;
 use std::time;
 
@@ -23,6 +24,9 @@
 /// Filler of an answer when the request names no length, in bytes.
 const FILLER: u64 = 256;
 
+/// Exit status of an upstream that a call has ended.
+const CRASHED: i32 = 101;
+
 /// A running call: holds a slot until it is dropped.
 struct Running {
     shared: Arc<state::Shared>,
@@ -134,6 +138,9 @@
     if until < end {
         return plain(http::StatusCode::GATEWAY_TIMEOUT, "the deadline has passed\n");
     }
+    if shared.options.crashes(&call.path) {
+        process::exit(CRASHED);
+    }
     running.end();
     whole(call, &hash, running)
 }
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -3,5 +3,6 @@
 
 mod bed;
 mod calls;
+mod crashes;
 mod mesh;
 mod stops;
