--- a/src/member/tests/wire.rs
+++ b/src/member/tests/wire.rs
@@ -74,6 +74,23 @@
     assert!(bytes <= 30, "{bytes} bytes");
 }
 
+/// A datagram in which a claim found no room was sent without the names that its records refer to, and no
+/// host could read it.
+#[test]
+fn an_item_that_does_not_fit_leaves_the_others_whole() {
+    let place = view::Place { region: "region".into(), zone: "zone".into() };
+    let mut packer = wire::Packer::new(host(7100), wire::Body::Gossip);
+    let mut records = 0;
+    while packer.record(host(7000 + records), (1, 1), &place, None) {
+        records += 1;
+    }
+    while packer.claim(host(7000), 1, wire::Claim::Dead) {}
+    let datagram = packer.finish();
+    assert_eq!(datagram.names, ["region", "zone"]);
+    let bytes = wire::encode(&datagram).unwrap();
+    assert_eq!(wire::decode(&bytes), Ok(datagram));
+}
+
 fn config() -> ProptestConfig {
     let rng_seed = test_runner::RngSeed::Fixed(4);
     ProptestConfig { rng_seed, ..ProptestConfig::with_cases(512) }
--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -9,6 +9,7 @@
 use crate::quarantine::Print;
 
 mod ban;
+mod innocents;
 mod print;
 mod proven;
 mod table;
