--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -258,7 +258,8 @@
             // A host must learn at once what is held against it.
             packer.claim(to, entry.record.incarnation, claim);
         }
-        if let (wire::Body::Ping { .. }, Some(bans)) = (packer.body(), self.quarantine.bans(true)) {
+        let probe = matches!(packer.body(), wire::Body::Ack { .. } | wire::Body::Ping { .. });
+        if let Some(bans) = self.quarantine.bans().filter(|_| probe) {
             packer.item(bans);
         }
         self.pack(&mut packer, rumors::Rank::Plain);
--- a/src/member/quarantined.rs
+++ b/src/member/quarantined.rs
@@ -1,5 +1,5 @@
 //! News of requests under which upstreams end: ends and answers are passed on as they come, and what
-//! follows from them is compared with each ping, so that hosts which missed some, were cut off or have
+//! follows from them is compared with each ping and its answer, so that hosts which missed some, were cut off or have
 //! just started learn what is refused.
 
 use std::time;
@@ -46,9 +46,10 @@
     }
 
     /// The digest of what is held of all requests; `None` when there is nothing to compare.
-    pub fn bans(&self, reply: bool) -> Option<wire::Item> {
+    pub fn bans(&self) -> Option<wire::Item> {
         let digest = self.table.digest();
-        (digest != quarantine::Digest::default()).then_some(wire::Item::Bans { digest, reply })
+        let held = digest != quarantine::Digest::default();
+        held.then_some(wire::Item::Bans { digest, reply: true })
     }
 
     /// Adds what is held of requests to a datagram of `now`, as far as it fits.
--- a/tests/calls/drain.rs
+++ b/tests/calls/drain.rs
@@ -146,7 +146,8 @@
         for number in 0..40 {
             let id = format!("r{number}");
             let answer = rig::call(&nodes[0], rig::request("POST", "/orders", &id), b"").await;
-            assert_eq!((answer.outcome(), staying.runs(&id)), ("ran", 1));
+            let reason = answer.header("dandelionspool-reason");
+            assert_eq!((answer.outcome(), staying.runs(&id)), ("ran", 1), "{id}: {reason}");
         }
         assert_eq!(leaving.seen().len(), before);
     });
--- a/tests/member/quarantine.rs
+++ b/tests/member/quarantine.rs
@@ -101,6 +101,21 @@
     assert!(took.is_some());
 }
 
+/// Two seconds hold two of its own probes: it need not wait until others probe it.
+#[rstest]
+#[case(10)]
+#[case(11)]
+#[case(12)]
+fn a_host_that_was_away_for_long_learns_it_by_its_own_probes(#[case] seed: u64) {
+    let mut net = warned(HOSTS, seed);
+    net.kill(5);
+    net.run(time::Duration::from_secs(20));
+    net.start(5);
+    let took = net.until(KNOWN, |net| unaware(net).is_empty());
+    println!("seed {seed}: after {took:?}");
+    assert!(took.is_some_and(|took| took <= time::Duration::from_secs(2)));
+}
+
 #[test]
 fn an_answer_takes_the_refusal_back_everywhere() {
     let mut net = warned(HOSTS, 7);
@@ -123,7 +138,8 @@
     let calm = span(200);
     println!("{held} bytes a second of {HOSTS} hosts while it is held, {calm} after");
     assert_eq!(unaware(&mut net).len(), HOSTS);
-    // An item of eight bytes with each of the twelve pings a second, and some seconds of mending.
+    // An item of eight bytes with each of the twelve pings a second and its answer, and some seconds of
+    // mending.
     assert!(held < calm + 300, "{held} {calm}");
 }
 
