refactor(proxy): no two files of the call path import one another any more

Cause: ten files of proxy/ stood in one circle (caller, entry, inner, job, keyed, owner, peer, serve, shell, state) and two in another (guard, slots), as types that both sides need lived in the file of one of them.

Change: what a call needs at the upstream's node has a file below both sides (order), and so has what joins the call path to other duties (wiring, with the mark of closing connections); the slack of timers stands where it is used. Nothing but the places changes. A check over the imports of proxy/ finds no circle left; 95 tests of calls pass.

--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -23,6 +23,7 @@
 use dandelionspool::mesh;
 use dandelionspool::node;
 use dandelionspool::proxy::shell;
+use dandelionspool::proxy::wiring;
 use dandelionspool::quarantine;
 use dandelionspool::ring;
 use dandelionspool::version;
@@ -119,7 +120,7 @@
         let local = local.map(|address| {
             Arc::new(node::Local { address, instance: Default::default(), upstream: shop() })
         });
-        let wiring = shell::Wiring {
+        let wiring = wiring::Wiring {
             applied: watch::channel(Arc::new(mesh::Applied { stamp, mesh })).1,
             view: watch::channel(view).1,
             local: watch::channel(local).1,
@@ -131,7 +132,7 @@
             rollouts: Default::default(),
         };
         let (_keep, stage) = watch::channel(node::Stage::Run);
-        let wiring = shell::Wiring { stage, ..wiring };
+        let wiring = wiring::Wiring { stage, ..wiring };
         shell::run(context::Context::system(), Arc::new(settings), wiring).await.unwrap();
     })
 }
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -219,7 +219,7 @@
             stage: self.stage.subscribe(),
             traffic: Arc::clone(&self.traffic),
         })?;
-        let calls = self.calls(proxy::shell::Wiring {
+        let calls = self.calls(proxy::wiring::Wiring {
             applied,
             view,
             local,
@@ -264,7 +264,7 @@
 
     fn calls(
         &self,
-        wiring: proxy::shell::Wiring<claim::handle::Handle>,
+        wiring: proxy::wiring::Wiring<claim::handle::Handle>,
     ) -> Result<duty::Duty, duty::Error> {
         let (ctx, settings) = (self.ctx, Arc::clone(&self.settings));
         duty::Duty::spawn("calls", move || proxy::shell::run(ctx, settings, wiring))
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -25,8 +25,8 @@
 use crate::proxy::entry;
 use crate::proxy::frame;
 use crate::proxy::refuse;
-use crate::proxy::serve;
 use crate::proxy::state;
+use crate::proxy::wiring;
 
 /// Most requests of one connection that run at once; the next ones are read after the first of
 /// them is answered. Callers that send ahead send a handful.
@@ -92,7 +92,7 @@
     state: Rc<state::State<C>>,
     stream: TcpStream,
     bounds: Bounds,
-    closing: serve::Closing,
+    closing: wiring::Closing,
 ) {
     let (input, output) = stream.into_split();
     let (answers, queue) = mpsc::channel(AHEAD);
@@ -143,7 +143,7 @@
 }
 
 impl<C: claim::Claims> Reader<C> {
-    async fn run(&mut self, mut closing: serve::Closing) -> End {
+    async fn run(&mut self, mut closing: wiring::Closing) -> End {
         let mut lane = None;
         loop {
             match self.advance(&mut lane).await {
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time;
 
 use tokio::sync;
 
@@ -17,9 +16,6 @@
 use crate::proxy::trip;
 use crate::retry;
 
-/// Granularity of the runtime's timers.
-pub const TIMER_SLACK: time::Duration = time::Duration::from_millis(1);
-
 /// Counts the calls in flight.
 #[derive(Debug, Default)]
 pub struct Flights {
--- a/src/proxy/inner.rs
+++ b/src/proxy/inner.rs
@@ -11,7 +11,7 @@
 use crate::proxy::headers;
 use crate::proxy::held;
 use crate::proxy::links;
-use crate::proxy::owner;
+use crate::proxy::order;
 use crate::proxy::refuse;
 use crate::proxy::upload;
 use crate::retry;
@@ -28,7 +28,7 @@
     /// Load of its upstream.
     pub load: Option<admit::Load>,
     /// How long the upstream took.
-    pub ran: Option<owner::Ran>,
+    pub ran: Option<order::Ran>,
     /// The upstream's answer, or why there is none.
     pub result: Result<http::Response<hyper::body::Incoming>, refuse::Refusal>,
 }
@@ -43,7 +43,7 @@
 pub fn address(
     request: &mut http::Request<upload::Upload>,
     host: Option<&http::uri::Authority>,
-    order: &owner::Order<'_>,
+    order: &order::Order<'_>,
     now: clock::Instant,
 ) -> Result<(), refuse::Refusal> {
     const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
@@ -156,7 +156,7 @@
     let map = answer.headers_mut();
     let load = map.remove(headers::LOAD).and_then(|v| v.to_str().ok()?.parse().ok());
     let ran = map.remove(headers::RAN_US).and_then(|v| v.to_str().ok()?.parse().ok());
-    let ran = ran.map(|micros| owner::Ran(time::Duration::from_micros(micros)));
+    let ran = ran.map(|micros| order::Ran(time::Duration::from_micros(micros)));
     let outcome = map.remove(headers::OUTCOME);
     let result = match outcome.as_ref().map(header::HeaderValue::as_bytes) {
         Some(o) if o == headers::RAN.as_bytes() => Ok(answer),
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -18,6 +18,7 @@
 use crate::proxy::headers;
 use crate::proxy::inflow;
 use crate::proxy::inner;
+use crate::proxy::order;
 use crate::proxy::owner;
 use crate::proxy::refuse;
 use crate::proxy::state;
@@ -100,8 +101,8 @@
         })
     }
 
-    fn order(&self) -> owner::Order<'_> {
-        owner::Order {
+    fn order(&self) -> order::Order<'_> {
+        order::Order {
             service: &self.service().name,
             class: self.class().map(|c| c.name.as_str()),
             kind: &self.kind().name,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -23,6 +23,7 @@
 pub mod job;
 pub mod keyed;
 pub mod links;
+pub mod order;
 pub mod owner;
 pub mod paces;
 pub mod peer;
@@ -44,6 +45,7 @@
 pub mod upload;
 pub mod versions;
 pub mod wire;
+pub mod wiring;
 
 pub use dialect::Dialect;
 pub use error::Error;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -15,6 +15,7 @@
 use crate::proxy::dialect;
 use crate::proxy::guard;
 use crate::proxy::headers;
+use crate::proxy::order;
 use crate::proxy::pool;
 use crate::proxy::refuse;
 use crate::proxy::slots;
@@ -41,29 +42,6 @@
 /// Most of that time.
 const MOST_MARGIN: Duration = Duration::from_millis(100);
 
-/// How long an upstream took to begin its answer; stands among the answer's extensions.
-#[derive(Clone, Copy, Debug)]
-pub struct Ran(pub Duration);
-
-/// What a call needs at the upstream's node.
-#[derive(Clone, Copy, Debug)]
-pub struct Order<'a> {
-    /// Service that the upstream must serve.
-    pub service: &'a str,
-    /// Class that the upstream must have; `None` allows every one.
-    pub class: Option<&'a str>,
-    /// Name of the call's kind; empty where the entry told none.
-    pub kind: &'a str,
-    /// Weight of the call's kind.
-    pub weight: u32,
-    /// Whether a call that runs already makes this one and waits for its answer.
-    pub inner: bool,
-    /// Until when an answer has its full worth.
-    pub target: clock::Instant,
-    /// When the caller gives up.
-    pub deadline: clock::Instant,
-}
-
 /// Runs a call at the upstream beside this node.
 ///
 /// `hold` gets the slot and the connection while the answer streams.
@@ -73,7 +51,7 @@
 /// The refusal says whether the call may have run.
 pub async fn run<C: claim::Claims>(
     state: &Rc<state::State<C>>,
-    order: &Order<'_>,
+    order: &order::Order<'_>,
     request: http::Request<upload::Upload>,
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
@@ -93,7 +71,7 @@
 /// The same without a look at what the answer says of the upstream's version.
 async fn admit<C: claim::Claims>(
     state: &Rc<state::State<C>>,
-    order: &Order<'_>,
+    order: &order::Order<'_>,
     mut request: http::Request<upload::Upload>,
     hold: &mut guard::Hold,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
@@ -137,7 +115,7 @@
     if method != http::Method::HEAD && parts.status != http::StatusCode::NOT_MODIFIED {
         parts.headers.remove(header::CONTENT_LENGTH);
     }
-    let ran = Ran(state.ctx.now().since(began));
+    let ran = order::Ran(state.ctx.now().since(began));
     parts.extensions.insert(ran);
     hold.lease = Some(lease);
     state.compare(order.kind, parts.status, ran, hold);
@@ -166,7 +144,7 @@
 /// What [`run`] would answer.
 pub fn preview<C: claim::Claims>(
     state: &state::State<C>,
-    order: &Order<'_>,
+    order: &order::Order<'_>,
     headers: &header::HeaderMap,
 ) -> Result<(), refuse::Refusal> {
     find(state, order)?;
@@ -175,7 +153,10 @@
 }
 
 /// What a call asks of the gate.
-fn wish<'a, C: claim::Claims>(state: &state::State<C>, order: &Order<'a>) -> slots::Wish<'a> {
+fn wish<'a, C: claim::Claims>(
+    state: &state::State<C>,
+    order: &order::Order<'a>,
+) -> slots::Wish<'a> {
     slots::Wish {
         kind: order.kind,
         weight: order.weight,
@@ -196,7 +177,7 @@
 /// The upstream beside this node, if it is the one that `order` wants and takes calls.
 fn find<C: claim::Claims>(
     state: &state::State<C>,
-    order: &Order<'_>,
+    order: &order::Order<'_>,
 ) -> Result<node::Local, refuse::Refusal> {
     // Another host may serve it: to the entry, an upstream that went or changed is a leaving one.
     const GONE: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Draining);
@@ -267,7 +248,7 @@
 /// Refuses a call that the gate did not let in, and logs what the gate held.
 fn turn<C: claim::Claims>(
     state: &state::State<C>,
-    order: &Order<'_>,
+    order: &order::Order<'_>,
     headers: &header::HeaderMap,
     refused: slots::Refused,
 ) -> refuse::Refusal {
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -17,6 +17,7 @@
 use crate::proxy::held;
 use crate::proxy::inner;
 use crate::proxy::links;
+use crate::proxy::order;
 use crate::proxy::owner;
 use crate::proxy::refuse;
 use crate::proxy::reply;
@@ -63,7 +64,7 @@
         Ok(answer) => ran(answer),
         Err(refusal) => refused(&refusal),
     };
-    if let Some(owner::Ran(ran)) = answer.extensions().get() {
+    if let Some(order::Ran(ran)) = answer.extensions().get() {
         let micros = u64::try_from(ran.as_micros()).unwrap_or(u64::MAX);
         let mut micros = header::HeaderValue::from(micros);
         micros.set_sensitive(true);
@@ -92,7 +93,7 @@
     let left = ask::number(&parts.headers, headers::DEADLINE)?.ok_or(MALFORMED)?;
     let target = ask::number(&parts.headers, headers::TARGET)?.unwrap_or(left);
     let now = state.ctx.now();
-    let order = owner::Order {
+    let order = order::Order {
         service: &service,
         class: class.as_deref(),
         kind: &kind,
@@ -110,7 +111,7 @@
 /// would be refused is refused before its body takes up the link.
 async fn intake<C: claim::Claims>(
     state: &Rc<state::State<C>>,
-    order: &owner::Order<'_>,
+    order: &order::Order<'_>,
     parts: &http::request::Parts,
     incoming: Incoming,
 ) -> Result<upload::Intake, refuse::Refusal> {
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -20,6 +20,7 @@
 use crate::proxy::links;
 use crate::proxy::peer;
 use crate::proxy::state;
+use crate::proxy::wiring;
 use crate::socket;
 
 /// Pause after a failed accept: the process is out of descriptors.
@@ -29,9 +30,6 @@
 /// last call has ended: what was on its way then is told "not run" in place of being cut.
 const LATE: time::Duration = time::Duration::from_millis(100);
 
-/// Becomes true when connections shall end as soon as they carry no call.
-pub type Closing = watch::Receiver<bool>;
-
 /// Opens a listener.
 ///
 /// # Errors
@@ -46,7 +44,7 @@
 pub async fn callers<C: claim::Claims>(
     state: Rc<state::State<C>>,
     listener: TcpListener,
-    mut closing: Closing,
+    mut closing: wiring::Closing,
 ) {
     let mut open = task::JoinSet::new();
     while let Some(stream) = accept(&listener, &mut closing, &mut open).await {
@@ -65,7 +63,7 @@
 pub async fn nodes<C: claim::Claims>(
     state: Rc<state::State<C>>,
     listener: TcpListener,
-    mut closing: Closing,
+    mut closing: wiring::Closing,
 ) {
     let mut open = task::JoinSet::new();
     while let Some(stream) = accept(&listener, &mut closing, &mut open).await {
@@ -77,7 +75,7 @@
 /// The next connection; `None` when the listener is to close.
 async fn accept(
     listener: &TcpListener,
-    closing: &mut Closing,
+    closing: &mut wiring::Closing,
     open: &mut task::JoinSet<()>,
 ) -> Option<TcpStream> {
     loop {
@@ -97,7 +95,11 @@
 }
 
 /// Serves the connection of one caller.
-async fn caller<C: claim::Claims>(state: Rc<state::State<C>>, stream: TcpStream, closing: Closing) {
+async fn caller<C: claim::Claims>(
+    state: Rc<state::State<C>>,
+    stream: TcpStream,
+    closing: wiring::Closing,
+) {
     if let Err(error) = socket::tune(&stream) {
         log::debug!("a connection of a caller ended at once: {error}");
         return;
@@ -122,7 +124,7 @@
 async fn node<C: claim::Claims>(
     state: Rc<state::State<C>>,
     stream: TcpStream,
-    mut closing: Closing,
+    mut closing: wiring::Closing,
 ) {
     let proxy = &state.settings.proxy;
     if let Err(error) = socket::tune(&stream) {
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -13,11 +13,10 @@
 use crate::context;
 use crate::mesh;
 use crate::node;
-use crate::proxy::dialect;
 use crate::proxy::error;
 use crate::proxy::serve;
 use crate::proxy::state;
-use crate::quarantine;
+use crate::proxy::wiring;
 use crate::ring;
 use crate::rollout;
 use crate::usage;
@@ -37,29 +36,6 @@
 /// milliseconds.
 const LOOK: time::Duration = time::Duration::from_millis(100);
 
-/// What joins the call path to the other duties.
-#[derive(Clone, Debug)]
-pub struct Wiring<C> {
-    /// The configuration in force.
-    pub applied: watch::Receiver<Arc<mesh::Applied>>,
-    /// The mesh's hosts.
-    pub view: watch::Receiver<Arc<view::View>>,
-    /// The upstream beside this node.
-    pub local: watch::Receiver<Option<Arc<node::Local>>>,
-    /// How far the process is in its life.
-    pub stage: watch::Receiver<node::Stage>,
-    /// Takes usage counts; a full ring leaves them here for the next time.
-    pub tallies: ring::Sender<usage::Delta>,
-    /// Claims of idempotency keys.
-    pub claims: C,
-    /// How callers and upstreams speak.
-    pub dialect: dialect::Dialect,
-    /// Requests under which upstreams end.
-    pub quarantine: quarantine::Channel,
-    /// Roll-outs: what is believed here and what the mesh says.
-    pub rollouts: rollout::shell::Ends,
-}
-
 /// Ends a task when dropped.
 struct Task(task::JoinHandle<()>);
 
@@ -79,7 +55,7 @@
 pub async fn run<C: claim::Claims>(
     ctx: context::Context,
     settings: Arc<configs::Node>,
-    wiring: Wiring<C>,
+    wiring: wiring::Wiring<C>,
 ) -> Result<(), error::Error> {
     let state = Rc::new(state::State::new(ctx, settings, &wiring));
     let callers = serve::listen(state.settings.call_addr()).await?;
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -11,9 +11,11 @@
 use crate::admit;
 use crate::clock;
 use crate::context;
-use crate::proxy::guard;
 use crate::retry;
 
+/// Granularity of the runtime's timers.
+const TIMER_SLACK: time::Duration = time::Duration::from_millis(1);
+
 /// What the gate said to a call.
 type Verdict = Result<(), Refused>;
 
@@ -124,7 +126,7 @@
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
         }
-        let left = deadline.since(self.ctx.now()) + guard::TIMER_SLACK;
+        let left = deadline.since(self.ctx.now()) + TIMER_SLACK;
         let mut verdict = tokio::time::timeout(left, &mut receiver).await;
         if verdict.is_err() {
             self.handle(admit::Event::Tick);
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -27,14 +27,13 @@
 use crate::proxy::held;
 use crate::proxy::inflow;
 use crate::proxy::links;
-use crate::proxy::owner;
+use crate::proxy::order;
 use crate::proxy::paces;
 use crate::proxy::pool;
 use crate::proxy::refuse;
 use crate::proxy::returns;
 use crate::proxy::room;
 use crate::proxy::runs;
-use crate::proxy::shell;
 use crate::proxy::sizes;
 use crate::proxy::slots;
 use crate::proxy::split;
@@ -43,6 +42,7 @@
 use crate::proxy::trip;
 use crate::proxy::upload;
 use crate::proxy::versions;
+use crate::proxy::wiring;
 use crate::quarantine;
 use crate::retry;
 use crate::seal;
@@ -130,7 +130,7 @@
     pub fn new(
         ctx: context::Context,
         settings: Arc<configs::Node>,
-        wiring: &shell::Wiring<C>,
+        wiring: &wiring::Wiring<C>,
     ) -> Self {
         let me = host::HostId::new(settings.listen);
         let place = view::Place { region: settings.region.clone(), zone: settings.zone.clone() };
@@ -262,7 +262,7 @@
         &self,
         kind: &str,
         status: http::StatusCode,
-        ran: owner::Ran,
+        ran: order::Ran,
         hold: &mut guard::Hold,
     ) {
         // What a version that is tried takes says nothing of what is usual.
@@ -281,7 +281,7 @@
     ) -> Option<versions::Result> {
         match result {
             Ok(answer) => {
-                let ran = answer.extensions().get::<owner::Ran>();
+                let ran = answer.extensions().get::<order::Ran>();
                 let times = ran.map(|ran| ran.0).zip(self.paces.borrow().usual(kind));
                 Some(versions::Result { failed: answer.status().is_server_error(), times })
             }
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -19,6 +19,7 @@
 use dandelionspool::node;
 use dandelionspool::proxy;
 use dandelionspool::proxy::shell;
+use dandelionspool::proxy::wiring;
 use dandelionspool::quarantine;
 use dandelionspool::ring;
 use dandelionspool::usage;
@@ -201,7 +202,7 @@
     let (applied, versions) = watch::channel(applied(1));
     let (sender, tallies) = ring::bounded(64);
     let (suspects, quarantine) = quarantine::channel();
-    let wiring = shell::Wiring {
+    let wiring = wiring::Wiring {
         applied: versions,
         view: views,
         local: locals,
