perf(proxy): a broken answer alone costs the upstream no connection

Cause: with each call that an upstream broke off its node opened a connection to see whether it was still there; upstreams that spoil some of their answers pay for that, and a new connection may hold a slot.

Change: the node looks only when no call that ran beside the broken one runs on, and gives a slow host 50 ms to find them all broken off.

Ruled out: looking at once when others run on (a look that comes too early would lose the evidence of a real end, so what ran at first is kept).

--- a/src/proxy/ends.rs
+++ b/src/proxy/ends.rs
@@ -20,6 +20,9 @@
 /// that it gave before are read until then.
 const SETTLE: time::Duration = time::Duration::from_millis(10);
 
+/// Looks at the calls that ran beside it: on a slow host it takes a while until all are found broken off.
+const LOOKS: u8 = 5;
+
 /// A call that ran: its number among the runs of this node, and its fingerprint.
 type Ran = (u64, quarantine::Print);
 
@@ -48,27 +51,42 @@
         }
     }
 
-    /// Waits until an upstream has ended under calls; gives their fingerprints. `address` says where the
-    /// upstream is expected to take connections, `limit` how long one may take to open.
+    /// Waits until an upstream has ended under calls; gives their fingerprints. `runs` says whether a
+    /// call still runs, `address` where the upstream is expected to take connections, `limit` how long one
+    /// may take to open.
     pub async fn next(
         &self,
+        runs: impl Fn(u64) -> bool,
         address: impl Fn() -> Option<net::SocketAddr>,
         limit: time::Duration,
     ) -> Vec<quarantine::Print> {
         loop {
             self.woken.notified().await;
-            tokio::time::sleep(SETTLE).await;
-            let gone = match address() {
-                Some(address) => refuses(address, limit).await,
-                // It has left in order.
-                None => false,
-            };
+            let gone = self.broke_all(&runs).await
+                && match address() {
+                    Some(address) => refuses(address, limit).await,
+                    // It has left in order.
+                    None => false,
+                };
             let ran = self.ran.take().unwrap_or_default();
             if gone {
                 return ran.into_iter().map(|(_, print)| print).collect();
             }
         }
     }
+
+    /// Whether none of the calls that ran beside the first one broken off runs on. Looking whether the
+    /// upstream is there costs it a connection, and a single broken answer is no reason for that.
+    async fn broke_all(&self, runs: impl Fn(u64) -> bool) -> bool {
+        for _ in 0..LOOKS {
+            tokio::time::sleep(SETTLE).await;
+            let ran = self.ran.borrow();
+            if !ran.iter().flatten().any(|(key, _)| runs(*key)) {
+                return true;
+            }
+        }
+        false
+    }
 }
 
 /// Whether nobody listens at `address`. A listener that is slow or full is there.
--- a/src/proxy/ends/tests.rs
+++ b/src/proxy/ends/tests.rs
@@ -13,8 +13,17 @@
 
 /// Waits for the end of an upstream at `address`, for a moment only.
 async fn next(ends: &ends::Ends, address: Option<net::SocketAddr>) -> Option<Vec<Print>> {
+    next_beside(ends, address, |_| false).await
+}
+
+/// The same while the calls for which `runs` holds run on.
+async fn next_beside(
+    ends: &ends::Ends,
+    address: Option<net::SocketAddr>,
+    runs: impl Fn(u64) -> bool,
+) -> Option<Vec<Print>> {
     let moment = time::Duration::from_millis(200);
-    tokio::time::timeout(moment, ends.next(|| address, LIMIT)).await.ok()
+    tokio::time::timeout(moment, ends.next(runs, || address, LIMIT)).await.ok()
 }
 
 async fn listener() -> (TcpListener, net::SocketAddr) {
@@ -60,3 +69,25 @@
     cut(&ends, &[1, 2]);
     assert_eq!(next(&ends, there.then_some(address)).await, None);
 }
+
+#[tokio::test]
+async fn an_upstream_at_which_other_calls_run_on_is_not_asked_for_a_connection() {
+    let (listener, address) = listener().await;
+    let ends = ends::Ends::default();
+    cut(&ends, &[1, 2]);
+    assert_eq!(next_beside(&ends, Some(address), |key| key == 1).await, None);
+    let asked = tokio::time::timeout(time::Duration::from_millis(50), listener.accept()).await;
+    assert!(asked.is_err(), "nobody came");
+}
+
+/// On a slow host the calls that an end breaks off are found so one after the other.
+#[tokio::test]
+async fn calls_that_are_found_broken_off_a_little_later_count_as_well() {
+    let (listener, address) = listener().await;
+    drop(listener);
+    let ends = ends::Ends::default();
+    cut(&ends, &[1, 2]);
+    let looks = std::cell::Cell::new(0);
+    let runs = |key| key == 1 && looks.replace(looks.get() + 1) < 2;
+    assert_eq!(next_beside(&ends, Some(address), runs).await, Some(vec![Print(1), Print(2)]));
+}
--- a/src/proxy/runs.rs
+++ b/src/proxy/runs.rs
@@ -55,6 +55,11 @@
         Self { ends, suspects: Some(suspects), ..Self::default() }
     }
 
+    /// Whether the call numbered `key` runs.
+    pub fn has(&self, key: u64) -> bool {
+        self.list.borrow().iter().any(|run| run.key == key)
+    }
+
     /// Whether a call other than `print` runs for which `holds`.
     pub fn has_other(
         &self,
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -154,7 +154,7 @@
 async fn follow_ends<C: claim::Claims>(state: Rc<state::State<C>>) {
     let limit = time::Duration::from_millis(state.settings.proxy.connect_ms);
     loop {
-        let prints = state.ends.next(|| state.serving(), limit).await;
+        let prints = state.ends.next(|key| state.runs.has(key), || state.serving(), limit).await;
         state.ended(&prints);
     }
 }
