--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -43,7 +43,7 @@
     /// The upstream beside this node.
     pub local: watch::Receiver<Option<Arc<node::Local>>>,
     /// Requests under which upstreams end.
-    pub quarantine: quarantine::Ends,
+    pub quarantine: quarantine::MemberSide,
     /// Stage of the process; the duty leaves the mesh and ends at [`node::Stage::End`].
     pub stage: watch::Receiver<node::Stage>,
     /// Counters of control traffic.
--- a/src/proxy/suspects.rs
+++ b/src/proxy/suspects.rs
@@ -14,28 +14,27 @@
 pub struct Suspects {
     ctx: context::Context,
     me: host::HostId,
-    channel: quarantine::Channel,
+    side: quarantine::CallSide,
     known: RefCell<Arc<quarantine::Known>>,
     proven: RefCell<quarantine::Proven>,
 }
 
 impl Suspects {
-    /// Knows of nothing; `channel` leads to the membership duty of the host `me`.
-    pub fn new(ctx: context::Context, me: host::HostId, channel: quarantine::Channel) -> Self {
-        Self { ctx, me, channel, known: RefCell::default(), proven: RefCell::default() }
+    /// Knows of nothing; `side` leads to the membership duty of the host `me`.
+    pub fn new(ctx: context::Context, me: host::HostId, side: quarantine::CallSide) -> Self {
+        Self { ctx, me, side, known: RefCell::default(), proven: RefCell::default() }
     }
 
     /// Takes in what the mesh knows; waits until that has changed. `false` when it won't any more.
     pub async fn learn(&self) -> bool {
-        let mut changes = self.channel.known.clone();
+        let mut changes = self.side.known.clone();
         changes.mark_unchanged();
         self.take(&changes.borrow());
         changes.changed().await.is_ok()
     }
 
     fn take(&self, known: &Arc<quarantine::Known>) {
-        let held = known.bans.values().filter(|ban| ban.ends >= quarantine::PROOFS && !ban.cleared);
-        self.channel.counts.held.set(i64::try_from(held.count()).unwrap_or(i64::MAX));
+        self.side.counts.held.set(i64::try_from(known.held()).unwrap_or(i64::MAX));
         self.known.replace(Arc::clone(known));
     }
 
@@ -69,7 +68,7 @@
         let Some(left) = self.known.borrow().left(print, spread, self.ctx.now()) else {
             return Ok(());
         };
-        self.channel.counts.refused.inc();
+        self.side.counts.refused.inc();
         Err(refuse::Refusal::not_run(retry::Reason::Quarantined).again(left))
     }
 
@@ -94,17 +93,17 @@
         self.proven.borrow_mut().note(print, self.ctx.now());
         if self.known.borrow().blames(print) {
             // A full ring drops it; the next answer says the same.
-            let _ = self.channel.reports.offer(quarantine::Report::Cleared(print));
+            let _ = self.side.reports.offer(quarantine::Report::Cleared(print));
         }
     }
 
     /// The upstream beside this node has ended under `prints`. Those that it answered a moment ago are
     /// not to blame.
     pub fn ended(&self, prints: &[quarantine::Print]) {
-        self.channel.counts.ends.inc();
+        self.side.counts.ends.inc();
         let (proven, now) = (self.proven.borrow(), self.ctx.now());
         let prints = prints.iter().copied().filter(|print| !proven.has(*print, now)).collect();
-        if self.channel.reports.offer(quarantine::Report::Ended(prints)).is_err() {
+        if self.side.reports.offer(quarantine::Report::Ended(prints)).is_err() {
             log::warn!("the end of an upstream is not told, since too many reports wait");
         }
     }
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -34,7 +34,7 @@
     /// How callers and upstreams speak.
     pub dialect: dialect::Dialect,
     /// Requests under which upstreams end.
-    pub quarantine: quarantine::Channel,
+    pub quarantine: quarantine::CallSide,
     /// Roll-outs: what is believed here and what the mesh says.
     pub rollouts: rollout::shell::Ends,
 }
--- a/src/quarantine/ban.rs
+++ b/src/quarantine/ban.rs
@@ -12,6 +12,9 @@
 /// Most doublings of that time: to some 80 minutes.
 const DOUBLINGS: u32 = 4;
 
+/// How far apart two accounts of one moment may be: ages are told in milliseconds, and news take time.
+const SAME: time::Duration = time::Duration::from_millis(250);
+
 /// What the mesh holds against one request, or for it.
 ///
 /// Invariant: of two that stand for the same request the later one holds, and of two of one moment the
@@ -60,6 +63,3 @@
         (self.cleared, self.ends)
     }
 }
-
-/// How far apart two accounts of one moment may be: ages are told in milliseconds, and news take time.
-const SAME: time::Duration = time::Duration::from_millis(250);
--- a/src/quarantine/channel.rs
+++ b/src/quarantine/channel.rs
@@ -24,9 +24,9 @@
     pub held: gauge::Gauge,
 }
 
-/// The end of the calls.
+/// The side of the calls.
 #[derive(Clone, Debug)]
-pub struct Channel {
+pub struct CallSide {
     /// What they find out.
     pub reports: ring::Sender<quarantine::Report>,
     /// What the mesh knows.
@@ -35,19 +35,19 @@
     pub counts: Counts,
 }
 
-/// The end of the membership duty.
+/// The side of the membership duty.
 #[derive(Debug)]
-pub struct Ends {
+pub struct MemberSide {
     /// What the calls find out.
     pub reports: ring::Receiver<quarantine::Report>,
     /// What the mesh knows.
     pub known: watch::Sender<Arc<quarantine::Known>>,
 }
 
-/// Both ends.
-pub fn channel() -> (Channel, Ends) {
+/// Both sides.
+pub fn channel() -> (CallSide, MemberSide) {
     let (sender, reports) = ring::bounded(REPORTS);
     let (publish, known) = watch::channel(Arc::default());
-    let calls = Channel { reports: sender, known, counts: Counts::default() };
-    (calls, Ends { reports, known: publish })
+    let calls = CallSide { reports: sender, known, counts: Counts::default() };
+    (calls, MemberSide { reports, known: publish })
 }
--- a/src/quarantine/known.rs
+++ b/src/quarantine/known.rs
@@ -16,9 +16,9 @@
 }
 
 impl Known {
-    /// Whether nothing is held against any request.
-    pub fn is_empty(&self) -> bool {
-        self.bans.is_empty() && self.ends.is_empty()
+    /// How many requests are held responsible for ends.
+    pub fn held(&self) -> usize {
+        self.bans.values().filter(|ban| !ban.cleared).count()
     }
 
     /// For how much longer `print` is refused, see [`quarantine::Ban::left`].
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -20,7 +20,7 @@
 mod tests;
 
 pub use self::ban::Ban;
-pub use self::channel::{Channel, Counts, Ends, channel};
+pub use self::channel::{CallSide, Counts, MemberSide, channel};
 pub use self::known::Known;
 pub use self::print::{Body, Print, Printer};
 pub use self::proven::Proven;
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -99,7 +99,7 @@
     /// Its configuration.
     pub applied: watch::Sender<Arc<mesh::Applied>>,
     /// What it finds out, and is told, of requests under which upstreams end.
-    pub quarantine: quarantine::Ends,
+    pub quarantine: quarantine::MemberSide,
     /// The duty; ends after a drain.
     pub task: task::JoinHandle<Result<(), proxy::Error>>,
     upstream: Option<view::Upstream>,
