refactor(member): the digest of what is held is made for probes alone

Cause: it was hashed for every datagram and then dropped for all but pings and their answers. Besides, the most fingerprints of a line stood twice as a constant.

Change: asked for only where it is sent; one constant. What is sent and logged stays the same.

--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -259,7 +259,7 @@
             packer.claim(to, entry.record.incarnation, claim);
         }
         let probe = matches!(packer.body(), wire::Body::Ack { .. } | wire::Body::Ping { .. });
-        if let Some(bans) = self.quarantine.bans().filter(|_| probe) {
+        if probe && let Some(bans) = self.quarantine.bans() {
             packer.item(bans);
         }
         self.pack(&mut packer, rumors::Rank::Plain);
--- a/src/member/quarantined.rs
+++ b/src/member/quarantined.rs
@@ -1,6 +1,6 @@
 //! News of requests under which upstreams end: ends and answers are passed on as they come, and what
-//! follows from them is compared with each ping and its answer, so that hosts which missed some, were cut off or have
-//! just started learn what is refused.
+//! follows from them is compared with each ping and its answer, so that hosts which missed some, were
+//! cut off or have just started learn what is refused.
 
 use std::time;
 
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -24,9 +24,6 @@
 /// One call in this many that are served is logged, at every node that it passes.
 const SAMPLE: u64 = 64;
 
-/// Most fingerprints in one line.
-const PRINTS: usize = 64;
-
 const SECOND: time::Duration = time::Duration::from_secs(1);
 
 /// Bounds the lines of one node. What is left out is counted and said with the next line.
@@ -229,7 +226,8 @@
     /// The end of the upstream beside this node, while requests with the fingerprints `prints` ran
     /// there. Upstreams end too seldom for a bound on the lines.
     pub fn upstream_ended(&self, instance: &str, life: u32, prints: &[quarantine::Print]) {
-        let names: Vec<_> = prints.iter().take(PRINTS).map(ToString::to_string).collect();
+        let names: Vec<_> =
+            prints.iter().take(quarantine::PRINTS).map(ToString::to_string).collect();
         let names = names.join(" ");
         log::warn!(
             instance,
