feat(logs): a batch tells its epoch, and a node tells when the log came back older

Cause for it: in the incident nothing of ours could tell a store that came back from an older copy from one that dropped its history. Change: logs::Batch has the epoch of its offsets, read from the answers of the platform's store and of the product's own log service (0 where there is none); a reading node writes one line when it changes, with where it stood and where the log ends now. No decision depends on it yet. Ruled out: a line for each record that is passed over as judged before; it would come 50 times a second.

--- a/src/claim/tests/follow.rs
+++ b/src/claim/tests/follow.rs
@@ -25,7 +25,7 @@
             unix_millis: self.times[offset as usize],
             body: Bytes::new(),
         };
-        logs::Batch { first: self.first, next, records: offsets.map(record).collect() }
+        logs::Batch { epoch: 0, first: self.first, next, records: offsets.map(record).collect() }
     }
 }
 
--- a/src/claim/tests/sim.rs
+++ b/src/claim/tests/sim.rs
@@ -295,7 +295,7 @@
         if records.is_empty() && read.wait && self.now < until {
             return self.after(2, Step::Reading { host, life, read, until });
         }
-        let batch = logs::Batch { first: 0, next: self.log.len() as u64, records };
+        let batch = logs::Batch { epoch: 0, first: 0, next: self.log.len() as u64, records };
         self.deliver(host, life, Event::Read(Some(batch)));
     }
 
--- a/src/claim/tests/writer.rs
+++ b/src/claim/tests/writer.rs
@@ -35,7 +35,7 @@
     };
     let records: Vec<_> = (first..).zip(bodies).map(record).collect();
     let next = first + bodies.len() as u64;
-    Event::Read(Some(logs::Batch { first: 0, next, records }))
+    Event::Read(Some(logs::Batch { epoch: 0, first: 0, next, records }))
 }
 
 /// A writer that has read its empty stream.
--- a/src/logs/http.rs
+++ b/src/logs/http.rs
@@ -188,7 +188,8 @@
         answer.check()?;
         let first = answer.number(wire::FIRST_HEADER)?;
         let next = answer.number(wire::NEXT_HEADER)?;
-        Ok(wire::decode(first, next, answer.body)?)
+        let epoch = answer.epoch(wire::EPOCH_HEADER)?;
+        Ok(logs::Batch { epoch, ..wire::decode(first, next, answer.body)? })
     }
 }
 
@@ -208,6 +209,15 @@
         Some(time::Duration::from_secs(seconds))
     }
 
+    /// The epoch that the header `name` tells; 0 when there is none.
+    ///
+    /// # Errors
+    ///
+    /// The header holds something else.
+    pub fn epoch(&self, name: &'static str) -> Result<logs::Epoch, Error> {
+        if self.head.headers.contains_key(name) { self.number(name) } else { Ok(0) }
+    }
+
     fn number(&self, name: &'static str) -> Result<u64, Error> {
         let value = self.head.headers.get(name).and_then(|v| v.to_str().ok());
         value.and_then(|v| v.parse().ok()).ok_or(Error::Header(name))
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -14,6 +14,10 @@
 /// Place of a record in its stream; the first record has offset 0.
 pub type Offset = u64;
 
+/// How often the service has come back from an older copy of its streams, which then lack the records
+/// appended since that copy was made: their offsets are given out again. It never falls.
+pub type Epoch = u64;
+
 /// Names of the streams the system keeps.
 pub mod streams {
     /// Published configurations and snapshots.
@@ -42,6 +46,8 @@
 /// Invariant: offsets of `records` rise and lie in `first..next`.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Batch {
+    /// Epoch of the offsets.
+    pub epoch: Epoch,
     /// Oldest offset still kept; records before it have expired.
     pub first: Offset,
     /// Offset the next append will get.
--- a/src/logs/wire.rs
+++ b/src/logs/wire.rs
@@ -13,6 +13,9 @@
 /// Header with the offset the next append will get.
 pub const NEXT_HEADER: &str = "log-next";
 
+/// Header with the epoch of the answer's offsets; an answer without it is of epoch 0.
+pub const EPOCH_HEADER: &str = "log-epoch";
+
 /// Header with the offset an append got.
 pub const OFFSET_HEADER: &str = "log-offset";
 
@@ -48,7 +51,7 @@
     out.freeze()
 }
 
-/// Decodes the records of a batch of a stream that keeps offsets `first..next`.
+/// Decodes the records of a batch of a stream that keeps offsets `first..next` of epoch 0.
 pub fn decode(first: logs::Offset, next: logs::Offset, body: Bytes) -> Result<logs::Batch, Error> {
     let mut rest = body;
     let mut records = Vec::new();
@@ -61,7 +64,7 @@
         lowest = record.offset + 1;
         records.push(record);
     }
-    Ok(logs::Batch { first, next, records })
+    Ok(logs::Batch { epoch: 0, first, next, records })
 }
 
 fn decode_record(rest: &mut Bytes) -> Result<logs::Record, Error> {
--- a/src/spread/decision.rs
+++ b/src/spread/decision.rs
@@ -138,6 +138,8 @@
     pub(super) start: start::Machine,
     pub(super) tail: tail::Tail,
     pub(super) reader: reader::Reader<rules::Builtin>,
+    /// Epoch of the last read of the log.
+    pub(super) epoch: Option<logs::Epoch>,
     pub(super) snapshots: snapshot::Policy,
     pub(super) push: push::Push,
     pub(super) pull: pull::Pull,
@@ -186,6 +188,7 @@
             start: start::Machine::new(limits),
             tail: tail::Tail::new(&settings, identity.wait),
             reader: reader::Reader::new(rules::Builtin),
+            epoch: None,
             snapshots: snapshot::Policy::new(identity.retention, seed),
             push: push::Push::new(&settings),
             pull: pull::Pull::new(),
--- a/src/spread/reading.rs
+++ b/src/spread/reading.rs
@@ -17,6 +17,7 @@
 impl Spread {
     /// A read of the log has ended.
     pub(super) fn read(&mut self, batch: &logs::Batch, unix_millis: u64, now: clock::Instant) {
+        self.note_epoch(batch);
         match self.tail.outstanding() {
             Some(tail::Kind::Confirm) => self.looked(batch, now),
             Some(tail::Kind::Judge) => self.judge(batch, unix_millis, now),
@@ -24,6 +25,17 @@
         }
     }
 
+    /// Takes note of the epoch that `batch` is of.
+    fn note_epoch(&mut self, batch: &logs::Batch) {
+        let before = self.epoch.replace(batch.epoch);
+        let Some(before) = before.filter(|&before| before != batch.epoch) else { return };
+        log::warn!(
+            before, epoch = batch.epoch, stood = self.reader.fold().next(), next = batch.next,
+            held = self.held().version.number();
+            "the log has come back from an older copy"
+        );
+    }
+
     /// A read of the log has failed.
     pub(super) fn unread(&mut self, now: clock::Instant) {
         self.tail.failed(now, &mut self.rng);
--- a/src/spread/tests/parts.rs
+++ b/src/spread/tests/parts.rs
@@ -210,7 +210,7 @@
     let mut actions = Vec::new();
     for _ in 0..2 {
         actions.extend(node.handle(Event::Tick, now));
-        let batch = logs::Batch { first: 0, next: 1, records: vec![publish(0, 1)] };
+        let batch = logs::Batch { epoch: 0, first: 0, next: 1, records: vec![publish(0, 1)] };
         actions.extend(node.handle(Event::Read { batch: Some(batch), unix_millis: 0 }, now));
     }
     actions
@@ -267,7 +267,7 @@
 fn a_node_that_starts_runs_what_its_first_read_gives(#[case] hosts: u8) {
     let mut node = alone();
     node.handle(Event::View(view(hosts)), at(3));
-    let batch = logs::Batch { first: 40, next: 41, records: vec![settled(40)] };
+    let batch = logs::Batch { epoch: 0, first: 40, next: 41, records: vec![settled(40)] };
     let actions = node.handle(Event::Read { batch: Some(batch), unix_millis: 0 }, at(5));
     assert_eq!(runs(&actions), Some(41));
 }
@@ -276,10 +276,10 @@
 fn a_node_that_starts_reads_a_log_in_parts_to_its_end() {
     let mut node = alone();
     node.handle(Event::View(view(50)), at(3));
-    let batch = logs::Batch { first: 40, next: 42, records: vec![settled(40)] };
+    let batch = logs::Batch { epoch: 0, first: 40, next: 42, records: vec![settled(40)] };
     let actions = node.handle(Event::Read { batch: Some(batch), unix_millis: 0 }, at(5));
     assert!(actions.iter().any(|action| matches!(action, Action::Read(_))), "{actions:?}");
-    let batch = logs::Batch { first: 41, next: 42, records: vec![settled(41)] };
+    let batch = logs::Batch { epoch: 0, first: 41, next: 42, records: vec![settled(41)] };
     let actions = node.handle(Event::Read { batch: Some(batch), unix_millis: 0 }, at(7));
     assert_eq!(runs(&actions), Some(42));
 }
@@ -311,6 +311,6 @@
     #[case] wanted: confirm::Tail,
 ) {
     let records = bases.iter().map(|&(offset, base)| logs::Record { offset, ..publish(base, 1) });
-    let batch = logs::Batch { first, next, records: records.collect() };
+    let batch = logs::Batch { epoch: 0, first, next, records: records.collect() };
     assert_eq!(confirm::look(&batch, version::Version::new(held)), wanted);
 }
--- a/src/spread/tests/source.rs
+++ b/src/spread/tests/source.rs
@@ -80,6 +80,6 @@
     /// The records from `from` on.
     pub fn read(&self, from: logs::Offset) -> logs::Batch {
         let records = self.records.iter().filter(|r| r.offset >= from).cloned().collect();
-        logs::Batch { first: self.first, next: self.next(), records }
+        logs::Batch { epoch: 0, first: self.first, next: self.next(), records }
     }
 }
--- a/src/standin/log/store.rs
+++ b/src/standin/log/store.rs
@@ -61,7 +61,7 @@
                 break;
             }
         }
-        logs::Batch { first: stream.first(), next: stream.next, records }
+        logs::Batch { epoch: 0, first: stream.first(), next: stream.next, records }
     }
 
     /// Drops every record that has expired at `now`.
--- a/tests/fold/history.rs
+++ b/tests/fold/history.rs
@@ -62,7 +62,7 @@
     pub fn batch(&self, from: u64, first: u64, most: usize) -> logs::Batch {
         let from = from.max(first) as usize;
         let records = self.records.iter().skip(from).take(most).cloned().collect();
-        logs::Batch { first, next: self.end(), records }
+        logs::Batch { epoch: 0, first, next: self.end(), records }
     }
 
     /// Whether a reader who starts at `first` finds a snapshot that covers what it missed.
--- a/tests/fold/settled.rs
+++ b/tests/fold/settled.rs
@@ -13,7 +13,7 @@
 
 fn read(reader: &mut reader::Reader<rules::Builtin>, first: u64, records: Vec<logs::Record>) {
     let next = records.last().map_or(first, |r| r.offset + 1);
-    reader.take(&logs::Batch { first, next, records });
+    reader.take(&logs::Batch { epoch: 0, first, next, records });
 }
 
 fn version(reader: &reader::Reader<rules::Builtin>) -> u64 {
--- a/tests/fold/snapshot.rs
+++ b/tests/fold/snapshot.rs
@@ -42,7 +42,7 @@
     fn read(&self, from: u64) -> logs::Batch {
         let skip = from.max(self.first) as usize;
         let records = self.records.iter().skip(skip).take(64).cloned().collect();
-        logs::Batch { first: self.first, next: self.records.len() as u64, records }
+        logs::Batch { epoch: 0, first: self.first, next: self.records.len() as u64, records }
     }
 }
 
