--- a/benches/claim.rs
+++ b/benches/claim.rs
@@ -37,7 +37,8 @@
                 let unix_millis = 1_000_000 + now.as_micros() / 1000;
                 let record = logs::Record { offset: *offset, unix_millis, body };
                 *offset += 1;
-                let batch = logs::Batch { epoch: 0, first: 0, next: *offset, records: vec![record] };
+                let batch =
+                    logs::Batch { epoch: 0, first: 0, next: *offset, records: vec![record] };
                 appends.extend(writer.handle(Event::Read(Some(batch)), later));
             }
             Action::Answer(..) => answers += 1,
