fix(spread): a configuration is newer by the operator's number, not by its offset

Callers saw: 404 for routes that had been acknowledged and answers as an older configuration says, until more versions had been written than the store had lost. Cause: a version was its record's offset plus one. The store came back from an older copy and gave offsets out again, so that new configurations had numbers that every node held already; and a reader stood beyond the end of the log, was answered 410 up to 55 times a second, and took what came below its place as judged before. Class of fault: a position in somebody else's storage taken for an order of our own. Change: a version is the operator's number, then the log's epoch, then the record's place (one number, as long as before where the nodes judge the log themselves, so that its records keep their layout). An older copy is never newer; what the operator writes again is, so that each node learns of the new epoch with it. A reader that sees another epoch begins anew with the newest record; a node that starts and looks at the log's tail from a place of another epoch looks once more from none; after a failed read no read waits at the end, which may have come back to just that offset. Ruled out: a version by epoch, then offset. Tests replaced: those that expected the offset plus one as the version expect the operator's number, epoch and place now, which is stricter.

--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -251,8 +251,8 @@
 
     /// Takes a file that the log service accepted; it needs none of the records before it.
     fn settle(&mut self, settled: record::Settled) -> Verdict<R::Faults> {
-        let version = version::Version::new(self.next);
-        let stamp = version::Stamp { version, digest: version::Digest::of(&settled.body) };
+        let digest = version::Digest::of(&settled.body);
+        let stamp = version::Stamp { version: settled.version, digest };
         let mesh = match self.rules.check(settled.format, &settled.body) {
             Ok(mesh) => Arc::new(mesh),
             Err(faults) => return Verdict::Invalid { faults },
--- a/src/fold/reader.rs
+++ b/src/fold/reader.rs
@@ -26,6 +26,8 @@
     fold: fold::Fold<R>,
     /// Bounds of the stream when it was last read; `None` before the first read.
     bounds: Option<Bounds>,
+    /// Epoch of the log when it was last read.
+    epoch: logs::Epoch,
     /// Where the fold was started; lowered while the search widens.
     start: logs::Offset,
     span: u64,
@@ -35,7 +37,7 @@
     /// A reader that has read nothing yet.
     pub fn new(rules: R) -> Self {
         let fold = fold::Fold::starting_at(rules.clone(), 0);
-        Self { rules, fold, bounds: None, start: 0, span: SPAN }
+        Self { rules, fold, bounds: None, epoch: 0, start: 0, span: SPAN }
     }
 
     /// The state so far.
@@ -74,9 +76,15 @@
         older && self.fold.current().is_none() && !self.fold.settled()
     }
 
-    /// Judges what a read from [`Reader::from`] gave.
+    /// Judges what a read from [`Reader::from`] gave. Offsets of another epoch name other records: the
+    /// reader then begins anew.
     pub fn take(&mut self, batch: &logs::Batch) -> Vec<fold::Judged<R::Faults>> {
         let first = self.bounds.is_none();
+        if !first && batch.epoch != self.epoch {
+            *self = Self::new(self.rules.clone());
+            return Vec::new();
+        }
+        self.epoch = batch.epoch;
         let bounds = Bounds { first: batch.first, next: batch.next };
         self.bounds = Some(bounds);
         if first {
--- a/src/fold/record.rs
+++ b/src/fold/record.rs
@@ -36,10 +36,12 @@
 
 /// A file that the log service itself has accepted.
 ///
-/// It is the version after its offset whatever came before it, so that a reader that missed records
-/// needs no other one.
+/// It is the version that the service has given it whatever came before it, so that a reader that missed
+/// records needs no other one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settled {
+    /// Its version.
+    pub version: version::Version,
     /// Format of the file.
     pub format: u16,
     /// The file.
@@ -94,7 +96,7 @@
 enum Content {
     Publish { base: version::Version, id: id::PublishId, frame: Bytes },
     Snapshot { stamp: version::Stamp, through: logs::Offset, memory: memory::Memory, frame: Bytes },
-    Settled { frame: Bytes },
+    Settled { version: version::Version, frame: Bytes },
 }
 
 /// Encodes `record`, whose body has at most [`delta::FILE_BYTES`].
@@ -114,7 +116,8 @@
         }
         // Made of what the log service holds by the node that reads it, and never sent.
         Record::Settled(s) => {
-            (s.format, Content::Settled { frame: frame::compress_passing(&s.body)? })
+            let frame = frame::compress_passing(&s.body)?;
+            (s.format, Content::Settled { version: s.version, frame })
         }
     };
     let mut out = Vec::from(MARK);
@@ -142,8 +145,8 @@
             let body = frame::decompress(&frame)?;
             Record::Snapshot(Snapshot { format, stamp, through, memory, body })
         }
-        Content::Settled { frame } => {
-            Record::Settled(Settled { format, body: frame::decompress(&frame)? })
+        Content::Settled { version, frame } => {
+            Record::Settled(Settled { version, format, body: frame::decompress(&frame)? })
         }
     })
 }
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -18,6 +18,25 @@
 /// appended since that copy was made: their offsets are given out again. It never falls.
 pub type Epoch = u64;
 
+/// Bits of an [`ordinal`] that hold the place in its stream.
+const PLACE_BITS: u32 = 40;
+
+/// A number for the record at `offset` that is higher than that of every record read before it, also of
+/// earlier epochs.
+pub const fn ordinal(epoch: Epoch, offset: Offset) -> u64 {
+    epoch << PLACE_BITS | (offset + 1)
+}
+
+/// The epoch of `ordinal`.
+pub const fn epoch(ordinal: u64) -> Epoch {
+    ordinal >> PLACE_BITS
+}
+
+/// The offset after the record of `ordinal`.
+pub const fn place(ordinal: u64) -> Offset {
+    ordinal & ((1 << PLACE_BITS) - 1)
+}
+
 /// Names of the streams the system keeps.
 pub mod streams {
     /// Published configurations and snapshots.
--- a/src/spread/confirm.rs
+++ b/src/spread/confirm.rs
@@ -26,8 +26,9 @@
     if let Some(newer) = newer {
         return Tail::Newer(newer);
     }
-    let end = batch.records.last().map_or(batch.first.max(held.number()), |r| r.offset + 1);
-    let whole = batch.first <= held.number() || batch.records.iter().any(|r| keeps(r, held));
+    let end = batch.records.last().map_or(batch.first.max(held.place()), |r| r.offset + 1);
+    let follows = batch.epoch == held.epoch() && batch.first <= held.place();
+    let whole = follows || batch.records.iter().any(|r| keeps(r, held));
     match whole && end >= batch.next {
         true => Tail::Current,
         false => Tail::Unknown,
@@ -41,20 +42,18 @@
             let follows = publish.base == held && mesh::check::check(&publish.body).is_ok();
             follows.then(|| version::Version::new(record.offset + 1))
         }
-        record::Record::Settled(_) => {
-            let version = version::Version::new(record.offset + 1);
-            (version > held).then_some(version)
-        }
+        record::Record::Settled(settled) => Some(settled.version).filter(|&version| version > held),
         record::Record::Snapshot(snapshot) => {
             Some(snapshot.stamp.version).filter(|&version| version > held)
         }
     }
 }
 
-/// Whether `record` says that `held` is the current version.
+/// Whether `record` says that nothing newer than `held` came before it.
 fn keeps(record: &logs::Record, held: version::Version) -> bool {
     match record::decode(&record.body, rules::NEWEST) {
         Ok(record::Record::Snapshot(snapshot)) => snapshot.stamp.version == held,
+        Ok(record::Record::Settled(settled)) => settled.version <= held,
         _ => false,
     }
 }
--- a/src/spread/reading.rs
+++ b/src/spread/reading.rs
@@ -17,23 +17,25 @@
 impl Spread {
     /// A read of the log has ended.
     pub(super) fn read(&mut self, batch: &logs::Batch, unix_millis: u64, now: clock::Instant) {
-        self.note_epoch(batch);
+        let known = self.note_epoch(batch);
         match self.tail.outstanding() {
-            Some(tail::Kind::Confirm) => self.looked(batch, now),
+            Some(tail::Kind::Confirm) => self.looked(batch, known, now),
             Some(tail::Kind::Judge) => self.judge(batch, unix_millis, now),
             None => {}
         }
     }
 
-    /// Takes note of the epoch that `batch` is of.
-    fn note_epoch(&mut self, batch: &logs::Batch) {
+    /// Takes note of the epoch that `batch` is of; whether it was known.
+    fn note_epoch(&mut self, batch: &logs::Batch) -> bool {
         let before = self.epoch.replace(batch.epoch);
-        let Some(before) = before.filter(|&before| before != batch.epoch) else { return };
-        log::warn!(
-            before, epoch = batch.epoch, stood = self.reader.fold().next(), next = batch.next,
-            held = self.held().version.number();
-            "the log has come back from an older copy"
-        );
+        if let Some(before) = before.filter(|&before| before != batch.epoch) {
+            log::warn!(
+                before, epoch = batch.epoch, stood = self.reader.fold().next(), next = batch.next,
+                held = self.held().version.number();
+                "the log has come back from an older copy"
+            );
+        }
+        before == Some(batch.epoch)
     }
 
     /// A read of the log has failed.
@@ -47,12 +49,16 @@
         let role = self.role();
         let read = match self.tail.poll(role, now) {
             Some(tail::Kind::Confirm) => {
-                let from = self.held().version.number();
+                let held = self.held().version;
+                let same = self.epoch.is_none_or(|epoch| epoch == held.epoch());
+                let from = if same { held.place() } else { logs::Offset::MAX };
                 tail::Read { from, wait: time::Duration::ZERO }
             }
             Some(tail::Kind::Judge) => {
-                let wait =
-                    if self.reader.at_end() { self.tail.wait(role) } else { time::Duration::ZERO };
+                // After a failure the end may have come back to just this offset in another epoch, which
+                // only an answer tells.
+                let waits = self.reader.at_end() && !self.tail.failing();
+                let wait = if waits { self.tail.wait(role) } else { time::Duration::ZERO };
                 tail::Read { from: self.reader.from(), wait }
             }
             None => return,
@@ -60,8 +66,13 @@
         self.actions.push(Action::Read(read));
     }
 
-    fn looked(&mut self, batch: &logs::Batch, now: clock::Instant) {
+    fn looked(&mut self, batch: &logs::Batch, known: bool, now: clock::Instant) {
         self.tail.looked();
+        if !known && batch.epoch != self.held().version.epoch() {
+            // It was read from a place of another epoch: once more, from none.
+            self.tail.confirm();
+            return;
+        }
         match confirm::look(batch, self.held().version) {
             confirm::Tail::Current => self.settle(start::Event::Confirmed, now),
             confirm::Tail::Newer(version) => {
--- a/src/spread/tests/net.rs
+++ b/src/spread/tests/net.rs
@@ -254,6 +254,14 @@
         self.wake_waits();
     }
 
+    /// Appends the operator's configuration `number`; gives its version.
+    pub fn settle(&mut self, number: u64, file: &[u8]) -> version::Version {
+        let millis = self.now.as_micros() / 1000;
+        self.source.settle(number, file, millis);
+        self.wake_waits();
+        self.source.current().version
+    }
+
     /// Lets time pass until `done` holds; gives the time it took, `None` beyond `limit`.
     pub fn until(
         &mut self,
--- a/src/spread/tests/parts.rs
+++ b/src/spread/tests/parts.rs
@@ -256,7 +256,8 @@
 }
 
 fn settled(offset: u64) -> logs::Record {
-    let settled = record::Settled { format: 1, body: fleet::file(offset).into() };
+    let version = version::Version::settled(offset + 1, logs::ordinal(0, offset));
+    let settled = record::Settled { version, format: 1, body: fleet::file(offset).into() };
     let body = record::encode(&record::Record::Settled(settled)).expect("encodes");
     logs::Record { offset, unix_millis: 0, body }
 }
--- a/src/spread/tests/source.rs
+++ b/src/spread/tests/source.rs
@@ -12,6 +12,10 @@
 pub struct Source {
     /// Whether it answers.
     pub up: bool,
+    /// How often it came back from an older copy.
+    epoch: logs::Epoch,
+    /// Whether it accepts configurations itself, and keeps the newest one aside.
+    settles: bool,
     first: logs::Offset,
     records: Vec<logs::Record>,
     fold: fold::Fold<rules::Builtin>,
@@ -22,6 +26,8 @@
     fn default() -> Self {
         Self {
             up: true,
+            epoch: 0,
+            settles: false,
             first: 0,
             records: Vec::new(),
             fold: fold::Fold::starting_at(rules::Builtin, 0),
@@ -55,6 +61,29 @@
         self.put(record, unix_millis);
     }
 
+    /// Appends the operator's configuration `number`, which the log accepts itself.
+    pub fn settle(&mut self, number: u64, file: &[u8], unix_millis: u64) {
+        self.settles = true;
+        let version = version::Version::settled(number, logs::ordinal(self.epoch, self.next()));
+        let body = Bytes::copy_from_slice(file);
+        let settled = record::Settled { version, format: 1, body };
+        let record = record::encode(&record::Record::Settled(settled)).expect("encodes");
+        self.put(record, unix_millis);
+    }
+
+    /// Comes back from a copy that lacks the last `lost` records.
+    pub fn restore(&mut self, lost: usize) {
+        self.epoch += 1;
+        let records = std::mem::take(&mut self.records);
+        self.fold = fold::Fold::starting_at(rules::Builtin, self.first);
+        let kept = records.len().saturating_sub(lost);
+        for record in records.into_iter().take(kept) {
+            let decoded = record::decode(&record.body, rules::NEWEST).expect("decodes");
+            let record::Record::Settled(settled) = decoded else { panic!("not settled") };
+            self.settle(settled.version.number(), &settled.body, record.unix_millis);
+        }
+    }
+
     /// Appends a record.
     pub fn put(&mut self, body: Bytes, unix_millis: u64) {
         let record = logs::Record { offset: self.next(), unix_millis, body };
@@ -79,7 +108,17 @@
 
     /// The records from `from` on.
     pub fn read(&self, from: logs::Offset) -> logs::Batch {
-        let records = self.records.iter().filter(|r| r.offset >= from).cloned().collect();
-        logs::Batch { epoch: 0, first: self.first, next: self.next(), records }
+        let (epoch, next) = (self.epoch, self.next());
+        if !self.settles {
+            let records = self.records.iter().filter(|r| r.offset >= from).cloned().collect();
+            return logs::Batch { epoch, first: self.first, next, records };
+        }
+        let newest = self.records.last().cloned();
+        let first = newest.as_ref().map_or(next, |r| r.offset).min(from);
+        if from < self.first || from > next {
+            return logs::Batch { epoch, first, next, records: newest.into_iter().collect() };
+        }
+        let records = newest.into_iter().filter(|r| r.offset >= from).collect();
+        logs::Batch { epoch, first: from, next, records }
     }
 }
--- a/src/version.rs
+++ b/src/version.rs
@@ -4,33 +4,67 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::logs;
+
 /// Number of bytes kept of a configuration's hash.
 pub const DIGEST_BYTES: usize = 16;
 
-/// An accepted configuration's place in the log: the offset of its record plus one.
+/// Which of two accepted configurations is the newer one, and where its record is.
+///
+/// Where the nodes themselves judge the records of the log, it is the record's place: its offset plus one.
+/// A log service that accepts configurations itself numbers them, and may come back from an older copy of
+/// the log; there it is that number and, for the same one, the record's [`logs::ordinal`].
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
-pub struct Version(u64);
+pub struct Version(u128);
 
 impl Version {
     /// No configuration yet; lower than every real version.
     pub const NONE: Version = Version(0);
 
-    /// The version whose number is `number`.
+    /// The version of the record before the offset `number`.
     pub const fn new(number: u64) -> Self {
-        Self(number)
+        Self(number as u128)
+    }
+
+    /// The version that the log service has given the number `number`, from 1 on, read as the record of
+    /// `ordinal`.
+    pub const fn settled(number: u64, ordinal: u64) -> Self {
+        Self((number as u128) << u64::BITS | ordinal as u128)
     }
 
     /// The version's number; zero for [`Version::NONE`].
     pub const fn number(self) -> u64 {
-        self.0
+        match self.given() {
+            0 => self.low(),
+            number => number,
+        }
+    }
+
+    /// Epoch of the log in which its record was read.
+    pub const fn epoch(self) -> logs::Epoch {
+        if self.given() == 0 { 0 } else { logs::epoch(self.low()) }
+    }
+
+    /// The offset after its record, in its epoch.
+    pub const fn place(self) -> logs::Offset {
+        if self.given() == 0 { self.low() } else { logs::place(self.low()) }
+    }
+
+    /// The number that the log service has given; zero where the nodes judge.
+    const fn given(self) -> u64 {
+        (self.0 >> u64::BITS) as u64
+    }
+
+    const fn low(self) -> u64 {
+        self.0 as u64
     }
 }
 
 impl fmt::Display for Version {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
+        self.number().fmt(f)
     }
 }
 
--- a/tests/fold/settled.rs
+++ b/tests/fold/settled.rs
@@ -3,10 +3,13 @@
 use bytes::Bytes;
 use dandelionspool::fold::{reader, record, rules, snapshot};
 use dandelionspool::logs;
+use dandelionspool::version;
 
 fn settled(offset: u64, body: &[u8]) -> logs::Record {
     let body = Bytes::copy_from_slice(body);
-    let record = record::Record::Settled(record::Settled { format: rules::NEWEST, body });
+    let version = version::Version::settled(offset + 1, logs::ordinal(0, offset));
+    let settled = record::Settled { version, format: rules::NEWEST, body };
+    let record = record::Record::Settled(settled);
     let body = record::encode(&record).expect("encoded");
     logs::Record { offset, unix_millis: 0, body }
 }
