fix(rollout): an order goes on over the log's return from an older copy, and is not replaced by an older one

What callers would see: after the return the same order has another number. With a higher one a version that was rolled back would be tried on them again, and with a lower one a new order would be passed over; where the copy lacks an order, or holds the one before it, nodes would follow that until the operator writes it again, and what was said of the order's end is gone. An order read again in a later epoch, for the same version within the same time, is the same one under a new number: its plan goes on, and the status is said again, since what is said is of another number. A node that reads a new epoch waits up to 2 s for the orders that it holds to be there before it takes a configuration without them; within 3 s of the store's return the platform expects no configuration. Ruled out: keeping the old number for what is read again: nodes that start afterwards would not know it, and nothing would make the others say the status again. Left: evidence of a trial that is under way is counted anew from the return on; an order that the operator writes again only after two seconds begins anew; one that is ordered again at a node cut off over both is taken for the one before it.

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -164,6 +164,13 @@
     pub order: rollout::Order,
 }
 
+impl Rollout {
+    /// Whether `other` asks for the same.
+    pub fn is_like(&self, other: &Self) -> bool {
+        self.service == other.service && self.order.is_like(&other.order)
+    }
+}
+
 /// A whole configuration.
 ///
 /// Made by [`check::check`] alone. Invariants: every key held by an item indexes the arena of its
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -21,6 +21,8 @@
 
 use smol_str::SmolStr;
 
+use crate::logs;
+
 pub use self::evidence::{Evidence, Trial};
 pub use self::plan::{Plan, Side, Stage};
 pub use self::table::Table;
@@ -35,3 +37,15 @@
     /// Time within which the move is to end.
     pub within: time::Duration,
 }
+
+impl Order {
+    /// Whether `other` asks for the same.
+    pub fn is_like(&self, other: &Self) -> bool {
+        self.version == other.version && self.within == other.within
+    }
+
+    /// Whether `other` is this order, read again from a log that came back from an older copy.
+    fn is_reread_as(&self, other: &Self) -> bool {
+        self.is_like(other) && logs::epoch(self.number) < logs::epoch(other.number)
+    }
+}
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -138,9 +138,15 @@
     }
 
     fn learn(&mut self, rollout: &mesh::Rollout, now: clock::Instant) {
-        let known = self.entries.get(&rollout.service);
-        if known.is_some_and(|entry| entry.order.number >= rollout.order.number) {
-            return;
+        let known = self.entries.get_mut(&rollout.service);
+        if let Some(entry) = known {
+            if entry.order.number >= rollout.order.number {
+                return;
+            }
+            if entry.order.is_reread_as(&rollout.order) {
+                entry.order.number = rollout.order.number;
+                return;
+            }
         }
         log::info!(
             service = rollout.service.as_str(), version = rollout.order.version.as_str(),
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::host;
+use crate::logs;
 use crate::mesh;
 use crate::rollout;
 use crate::rollout::judge;
@@ -436,3 +437,55 @@
     let tried = (0..5).filter(|&n| sides.of("v2", n != 0).is_some());
     assert_eq!(tried.collect::<Vec<_>>(), [0, 1, 2, 3]);
 }
+
+/// A configuration with one order, read as the record of `number`.
+fn ordered(number: u64, version: &str) -> mesh::Mesh {
+    let mut mesh = mesh::Mesh::default();
+    let order = rollout::Order { number, version: version.into(), within: WITHIN };
+    mesh.rollouts.push(mesh::Rollout { service: "shop".into(), order });
+    mesh
+}
+
+/// Guards against a version that is tried anew after it was rolled back, since its order has another number.
+#[test]
+fn an_order_that_is_read_again_from_an_older_copy_of_the_log_goes_on() {
+    let mut table = rollout::Table::default();
+    let versions = ["v1", "v2"];
+    seen(&mut table, &ordered(logs::ordinal(0, 8), "v2"), &versions, 1_000);
+    table.settle("shop", logs::ordinal(0, 8), rollout::Stage::RolledBack);
+    for (epoch, offset) in [(1, 5), (2, 8), (5, 0)] {
+        let number = logs::ordinal(epoch, offset);
+        seen(&mut table, &ordered(number, "v2"), &versions, 2_000);
+        let beliefs = table.beliefs();
+        assert_eq!((beliefs[0].order.number, beliefs[0].stage), (number, plan::Stage::RolledBack));
+        assert!((0..1_000).all(|_| table.next("shop", at(2_000)) == plan::Side::Old));
+    }
+    seen(&mut table, &ordered(logs::ordinal(5, 9), "v2"), &versions, 3_000);
+    assert_eq!(table.beliefs()[0].stage, plan::Stage::Trial, "ordered once more");
+    seen(&mut table, &ordered(logs::ordinal(6, 2), "v3"), &versions, 4_000);
+    assert_eq!(
+        table.beliefs()[0].order.version,
+        "v3",
+        "another order of a later epoch is a new one"
+    );
+}
+
+/// Guards against an end that nobody is told of, since its status went with what the log has lost.
+#[test]
+fn what_was_said_of_an_order_is_said_again_once_the_order_is_read_again() {
+    let mut table = rollout::Table::default();
+    let number = logs::ordinal(0, 8);
+    seen(&mut table, &ordered(number, "v2"), &["v1", "v2"], 1_000);
+    table.settle("shop", number, rollout::Stage::Completed);
+    let status = status::Status {
+        service: "shop".into(),
+        version: "v2".into(),
+        order: number,
+        state: status::State::Serving,
+    };
+    let said = status::Said { list: vec![status], mark: 3 };
+    let again = logs::ordinal(1, 5);
+    seen(&mut table, &ordered(again, "v2"), &["v1", "v2"], 2_000);
+    let next = status::next(&table.beliefs()[0], &said).expect("it is said");
+    assert_eq!((next.order, next.state), (again, status::State::Completed));
+}
--- a/src/spread/decision.rs
+++ b/src/spread/decision.rs
@@ -23,6 +23,7 @@
 use crate::spread::peers;
 use crate::spread::pull;
 use crate::spread::push;
+use crate::spread::recovery;
 use crate::spread::replica;
 use crate::spread::start;
 use crate::spread::tail;
@@ -140,6 +141,7 @@
     pub(super) reader: reader::Reader<rules::Builtin>,
     /// Epoch of the last read of the log.
     pub(super) epoch: Option<logs::Epoch>,
+    pub(super) recovery: recovery::Recovery,
     pub(super) snapshots: snapshot::Policy,
     pub(super) push: push::Push,
     pub(super) pull: pull::Pull,
@@ -189,6 +191,7 @@
             tail: tail::Tail::new(&settings, identity.wait),
             reader: reader::Reader::new(rules::Builtin),
             epoch: None,
+            recovery: recovery::Recovery::default(),
             snapshots: snapshot::Policy::new(identity.retention, seed),
             push: push::Push::new(&settings),
             pull: pull::Pull::new(),
@@ -223,6 +226,7 @@
         self.tick_push(now);
         self.tick_pull(now);
         self.tick_tail(now);
+        self.tick_recovery(now);
         self.advance(now);
         std::mem::take(&mut self.actions)
     }
@@ -231,7 +235,8 @@
     pub fn wake(&self, now: clock::Instant) -> Option<clock::Instant> {
         let starting = !self.settled();
         let start = starting.then(|| now + START_TICK);
-        [start, self.push.due(), self.pull.due(), self.tail.due(self.role()), self.witness]
+        let tail = self.tail.due(self.role());
+        [start, self.push.due(), self.pull.due(), self.recovery.due(), tail, self.witness]
             .into_iter()
             .flatten()
             .min()
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -15,6 +15,7 @@
 pub mod pull;
 pub mod push;
 mod reading;
+pub mod recovery;
 pub mod replica;
 pub mod shelf;
 pub mod shell;
--- a/src/spread/reading.rs
+++ b/src/spread/reading.rs
@@ -111,11 +111,23 @@
     fn accept(&mut self, now: clock::Instant) {
         let base = self.held().version;
         let Some(accepted) = self.reader.fold().current() else { return };
+        let held = self.replica.applied();
+        let (known, read) = (&held.mesh.rollouts, &accepted.mesh.rollouts);
+        if self.recovery.holds_back((base, known), (accepted.stamp.version, read), now) {
+            return;
+        }
         if self.replica.accept(accepted) {
             self.learned(base, learn::Source::Log, now);
         }
     }
 
+    /// Looks again at what the log lacked, once it has had its time.
+    pub(super) fn tick_recovery(&mut self, now: clock::Instant) {
+        if self.recovery.ends(now) {
+            self.accept(now);
+        }
+    }
+
     /// Appends the state again before its record expires.
     fn keep(&mut self, unix_millis: u64, now: clock::Instant) {
         let rank = u32::try_from(self.peers.rank()).unwrap_or(u32::MAX);
--- a/src/spread/tests.rs
+++ b/src/spread/tests.rs
@@ -6,6 +6,7 @@
 mod net;
 mod orders;
 mod parts;
+mod recovery;
 mod restored;
 mod source;
 mod tree;
