fix(directory): hosts list themselves again after the log came back from an older copy

What callers would see: a host that starts within a minute (the time between two looks) of the return learns of too few others from the directory; after the end of all processes it does not find them at all. Change: the epoch of the configuration that a node runs tells it that the log has come back; it then lists itself again, one call, at its own moment within two seconds, by a hash of its name. Ruled out: a look first, which costs each host the whole list (2,800 hosts: 500 KB each).

--- a/src/member/directory/search.rs
+++ b/src/member/directory/search.rs
@@ -9,8 +9,11 @@
 
 use crate::configs;
 use crate::host;
+use crate::logs;
 use crate::member::directory;
+use crate::mesh;
 use crate::node;
+use crate::spread::tree;
 use crate::view;
 
 #[cfg(test)]
@@ -36,6 +39,12 @@
 /// themselves, whose upstreams announce themselves within half a second of each other.
 const TOGETHER: time::Duration = time::Duration::from_millis(500);
 
+/// Time over which the hosts of a mesh list themselves again after the log came back from an older copy.
+const RELIST: time::Duration = time::Duration::from_secs(2);
+
+/// Tells the order in which hosts do so from other orders of theirs.
+const PURPOSE: u64 = 0x6c69_7374;
+
 /// What a host knows of itself.
 #[derive(Clone, Debug)]
 pub(in crate::member) struct Own {
@@ -47,6 +56,8 @@
     pub place: view::Place,
     /// The upstream beside it.
     pub local: watch::Receiver<Option<Arc<node::Local>>>,
+    /// Configuration that it runs, which tells the epoch of the log.
+    pub applied: watch::Receiver<Arc<mesh::Applied>>,
 }
 
 impl Own {
@@ -62,6 +73,22 @@
         let _ = tokio::time::timeout(PATIENCE, known).await;
     }
 
+    /// Waits for an epoch of the log after `known`, and then for this host's turn in it; gives the epoch.
+    async fn restored(
+        applied: &mut watch::Receiver<Arc<mesh::Applied>>,
+        host: host::HostId,
+        known: logs::Epoch,
+    ) -> logs::Epoch {
+        let later = applied.wait_for(|applied| applied.stamp.version.epoch() > known).await;
+        // A closed channel means that the process ends.
+        let Ok(epoch) = later.map(|applied| applied.stamp.version.epoch()) else {
+            return future::pending().await;
+        };
+        let turn = tree::weight(host, PURPOSE, epoch) as f64 / u64::MAX as f64;
+        tokio::time::sleep(RELIST.mul_f64(turn)).await;
+        epoch
+    }
+
     /// Waits until there is an upstream that `listed` does not tell of. One that is leaving, or gone,
     /// says nothing new: its host may follow it, and then strikes itself off.
     async fn unlike(&mut self, listed: Option<&directory::Profile>) {
@@ -160,6 +187,9 @@
             self.enter().await;
             tokio::time::sleep(TOGETHER).await;
         }
+        let (host, mut applied) = (self.own.host, self.own.applied.clone());
+        let mut epoch = applied.borrow().stamp.version.epoch();
+        let mut relists = false;
         let mut failures = 0;
         let mut due = tokio::time::Instant::now();
         loop {
@@ -170,7 +200,8 @@
                     return;
                 }
             }
-            let stranger = self.listed.is_none();
+            let stranger = self.listed.is_none() && !relists;
+            relists = false;
             if stranger {
                 self.own.announced().await;
             }
@@ -182,6 +213,10 @@
             tokio::select! {
                 () = tokio::time::sleep_until(due) => {}
                 () = self.own.unlike(self.listed.as_ref()) => {}
+                later = Own::restored(&mut applied, host, epoch) => {
+                    epoch = later;
+                    relists = self.listed.take().is_some();
+                }
             }
         }
     }
--- a/src/member/directory/search/tests.rs
+++ b/src/member/directory/search/tests.rs
@@ -12,7 +12,9 @@
 use crate::host;
 use crate::member::directory;
 use crate::member::directory::search;
+use crate::mesh;
 use crate::node;
+use crate::version;
 use crate::view;
 
 const PACE: search::Pace =
@@ -92,6 +94,7 @@
 struct Host {
     search: search::Search,
     local: watch::Sender<Option<Arc<node::Local>>>,
+    applied: watch::Sender<Arc<mesh::Applied>>,
 }
 
 fn id(last: u8) -> host::HostId {
@@ -118,14 +121,16 @@
 fn start(shared: &Shared, last: u8, fresh: bool, serves: bool) -> Host {
     let serving = serves.then(|| upstream(7, view::Phase::Serving)).flatten();
     let (local, receiver) = watch::channel(serving);
+    let (applied, running) = watch::channel(Arc::default());
     let own = search::Own {
         host: id(last),
         incarnation: 3,
         place: view::Place { region: "r".into(), zone: "z".into() },
         local: receiver,
+        applied: running,
     };
     let settings = configs::member::Member { fresh, ..configs::member::Member::default() };
-    Host { search: search::Search::start(shared.clone(), own, &settings), local }
+    Host { search: search::Search::start(shared.clone(), own, &settings), local, applied }
 }
 
 /// Runs `test` in virtual time on a thread of its own.
@@ -223,3 +228,32 @@
     })
     .await;
 }
+
+/// The host runs a configuration read in `epoch`.
+fn run(host: &Host, epoch: u64) {
+    let version = version::Version::settled(3, crate::logs::ordinal(epoch, 4));
+    let stamp = version::Stamp { version, ..Default::default() };
+    host.applied.send_replace(Arc::new(mesh::Applied { stamp, ..Default::default() }));
+}
+
+/// Guards against hosts that nobody finds who starts after the directory has lost them.
+#[tokio::test(start_paused = true)]
+async fn hosts_that_the_directory_has_lost_list_themselves_again() {
+    play(async {
+        let shared = Shared::default();
+        let hosts: Vec<Host> = (1..=6).map(|last| start(&shared, last, true, true)).collect();
+        pass(1_000).await;
+        assert_eq!(shared.book().hosts.len(), 6);
+        let (looks, enters) = shared.counts();
+        for epoch in 1..=2 {
+            shared.book().hosts.retain(|host, _| *host == id(1));
+            hosts.iter().for_each(|host| run(host, epoch));
+            pass(2_100).await;
+            assert_eq!(shared.book().hosts.len(), 6, "all are listed");
+            hosts.iter().for_each(|host| run(host, epoch));
+            pass(2_100).await;
+        }
+        assert_eq!(shared.counts(), (looks, enters + 12), "one call of each an epoch");
+    })
+    .await;
+}
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -76,6 +76,7 @@
         incarnation,
         place: view::Place { region: settings.region.clone(), zone: settings.zone.clone() },
         local: wiring.local.clone(),
+        applied: wiring.applied.clone(),
     };
     let local = wiring.local.clone();
     let duty = Duty {
