fix(usage): totals that the log may have lost are sent again

Change: a node keeps the totals of the last minute (64 at most) after they stood, and sends them again, under their names, when the configuration that it runs tells another epoch of the log. A reader counts a name once. Ruled out: asking the log for what it has: a read of the stream for each node, where a repeat costs one of the next appends a few bytes. Left: a total of which the writer's word came from before the return and arrives after it is not sent again.

--- a/src/claim/ledger.rs
+++ b/src/claim/ledger.rs
@@ -163,6 +163,11 @@
         self.post.is_empty()
     }
 
+    /// Notes that the log came back from an older copy.
+    pub fn restored(&mut self, now: clock::Instant) {
+        self.post.restored(now);
+    }
+
     /// Takes a new view; begins to read for the partitions that are due here.
     pub fn update(&mut self, view: Arc<view::View>, now: clock::Instant) {
         self.desk.update(&view);
@@ -221,7 +226,7 @@
                 }
             }
             Input::UsageAppended { success } => {
-                let stand = self.post.appended(success);
+                let stand = self.post.appended(success, now);
                 stand.into_iter().for_each(|(number, id)| self.stands(number, id));
             }
         }
@@ -290,7 +295,7 @@
                 }
                 self.act(actions, now);
             }
-            wire::Tell::Usage { id } => self.post.stands(id),
+            wire::Tell::Usage { id } => self.post.stands(id, now),
         }
     }
 
--- a/src/claim/shell.rs
+++ b/src/claim/shell.rs
@@ -14,6 +14,7 @@
 use crate::configs;
 use crate::context;
 use crate::logs;
+use crate::mesh;
 use crate::node;
 use crate::ring;
 use crate::seal;
@@ -39,6 +40,8 @@
     pub deltas: ring::Receiver<usage::Delta>,
     /// The known hosts.
     pub view: watch::Receiver<Arc<view::View>>,
+    /// Configuration that this node runs, which tells the epoch of the log.
+    pub applied: watch::Receiver<Arc<mesh::Applied>>,
     /// The platform's log.
     pub log: L,
     /// Registry of metrics.
@@ -150,6 +153,7 @@
         deltas: wiring.deltas,
         arriving,
         view: wiring.view,
+        applied: wiring.applied,
         stage: wiring.stage,
     };
     serve_all(ctx, state, ends, flush).await;
@@ -164,6 +168,7 @@
     deltas: ring::Receiver<usage::Delta>,
     arriving: mpsc::Receiver<Input>,
     view: watch::Receiver<Arc<view::View>>,
+    applied: watch::Receiver<Arc<mesh::Applied>>,
     stage: watch::Receiver<node::Stage>,
 }
 
@@ -177,6 +182,7 @@
     let mut releases = Vec::new();
     let mut inputs = Vec::new();
     let mut end: Option<clock::Instant> = None;
+    let mut epoch = ends.applied.borrow().stamp.version.epoch();
     ends.view.mark_changed();
     loop {
         let wake = state.wake().since(ctx.now()).min(REST);
@@ -186,6 +192,7 @@
             1.. = ends.arriving.recv_many(&mut inputs, BURST) => {}
             Some(delta) = ends.deltas.recv() => state.count(&delta),
             Ok(()) = ends.view.changed() => ends.view.mark_changed(),
+            Ok(()) = ends.applied.changed() => ends.applied.mark_changed(),
             _ = ends.stage.wait_for(|&s| s == node::Stage::End), if end.is_none() => {
                 end = Some(ctx.now() + flush);
             }
@@ -197,6 +204,12 @@
             let view = Arc::clone(&ends.view.borrow_and_update());
             state.update(view, now);
         }
+        if ends.applied.has_changed().unwrap_or(false) {
+            let now_in = ends.applied.borrow_and_update().stamp.version.epoch();
+            if now_in > std::mem::replace(&mut epoch, now_in) {
+                state.restored(now);
+            }
+        }
         claims.drain(..).for_each(|claim| state.claim(claim, now));
         releases.drain(..).for_each(|entry| state.release(entry, now));
         inputs.drain(..).for_each(|input| state.take(input, now));
--- a/src/claim/tests/shell.rs
+++ b/src/claim/tests/shell.rs
@@ -118,10 +118,12 @@
     let (deltas, deltas_end) = ring::bounded(16);
     let (view, view_end) = watch::channel(Arc::default());
     let (stage, stage_end) = watch::channel(node::Stage::Run);
+    let (_, applied) = watch::channel(Arc::default());
     let wiring = shell::Wiring {
         ends,
         deltas: deltas_end,
         view: view_end,
+        applied,
         log,
         metrics: metrics::Metrics::new(),
         stage: stage_end,
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -192,6 +192,7 @@
             ends,
             deltas: usage,
             view: view.clone(),
+            applied: applied.clone(),
             log: self.log(),
             metrics: self.metrics.clone(),
             stage: self.stage.subscribe(),
--- a/src/usage/outbox.rs
+++ b/src/usage/outbox.rs
@@ -17,6 +17,12 @@
 /// Pause before a total is sent again.
 const AGAIN: time::Duration = time::Duration::from_secs(3);
 
+/// How long a total is kept after it stood in the log, which may come back from a copy that lacks it.
+const KEPT: time::Duration = time::Duration::from_secs(60);
+
+/// Most totals that are kept so.
+const MOST_KEPT: usize = 64;
+
 /// Most labels in one total; the others follow in the next.
 const ROWS: usize = 1024;
 
@@ -29,6 +35,14 @@
     due: clock::Instant,
 }
 
+/// A total that stood in the log.
+#[derive(Debug)]
+struct Stood {
+    sequence: u64,
+    body: Bytes,
+    since: clock::Instant,
+}
+
 /// What a node has counted and not yet seen in the log.
 #[derive(Debug)]
 pub struct Outbox {
@@ -37,6 +51,10 @@
     flush: time::Duration,
     counts: collections::BTreeMap<usage::Label, u64>,
     sent: Option<Sent>,
+    /// Totals that stood lately, oldest first.
+    stood: collections::VecDeque<Stood>,
+    /// Totals that may have been lost, to be sent again.
+    doubtful: collections::VecDeque<Stood>,
     sequence: u64,
     /// When the next total is made.
     due: clock::Instant,
@@ -56,8 +74,17 @@
 impl Outbox {
     /// An empty outbox of the process `life` on `host`.
     pub fn new(host: host::HostId, life: u64, flush: time::Duration, now: clock::Instant) -> Self {
-        let counts = collections::BTreeMap::new();
-        Self { host, life, flush, counts, sent: None, sequence: 0, due: now + flush }
+        Self {
+            host,
+            life,
+            flush,
+            counts: collections::BTreeMap::new(),
+            sent: None,
+            stood: collections::VecDeque::new(),
+            doubtful: collections::VecDeque::new(),
+            sequence: 0,
+            due: now + flush,
+        }
     }
 
     /// Adds what was counted.
@@ -73,6 +100,9 @@
 
     /// What is to be sent now, if anything. With `last`, what was counted goes out at once.
     pub fn poll(&mut self, now: clock::Instant, unix_ms: u64, last: bool) -> Option<Send> {
+        if self.sent.is_none() {
+            self.resend(now);
+        }
         if self.sent.is_none() && (last || now >= self.due) {
             self.due = now + self.flush;
             self.make(now, unix_ms);
@@ -86,12 +116,21 @@
 
     /// When [`Outbox::poll`] is due.
     pub fn wake(&self) -> clock::Instant {
-        self.sent.as_ref().map_or(self.due, |sent| sent.due)
+        let next = if self.doubtful.is_empty() { self.due } else { clock::Instant::ZERO };
+        self.sent.as_ref().map_or(next, |sent| sent.due)
     }
 
     /// Notes that the total `sequence` stands in the log.
-    pub fn stands(&mut self, sequence: u64) {
-        self.sent.take_if(|sent| sent.sequence == sequence);
+    pub fn stands(&mut self, sequence: u64, now: clock::Instant) {
+        let Some(sent) = self.sent.take_if(|sent| sent.sequence == sequence) else { return };
+        self.stood.push_back(Stood { sequence, body: sent.body, since: now });
+        self.forget(now);
+    }
+
+    /// The log came back from an older copy: totals that stood lately go out again, since it may lack them.
+    pub fn restored(&mut self, now: clock::Instant) {
+        self.forget(now);
+        self.doubtful.append(&mut self.stood);
     }
 
     /// Lets the total under way be sent again at once, since its way failed.
@@ -103,7 +142,20 @@
 
     /// Whether everything counted stands in the log.
     pub fn is_empty(&self) -> bool {
-        self.counts.is_empty() && self.sent.is_none()
+        self.counts.is_empty() && self.sent.is_none() && self.doubtful.is_empty()
+    }
+
+    fn resend(&mut self, now: clock::Instant) {
+        let Some(Stood { sequence, body, .. }) = self.doubtful.pop_front() else { return };
+        self.sent = Some(Sent { sequence, body, tries: 0, due: now });
+    }
+
+    /// Drops totals that stood so long ago that every copy has them.
+    fn forget(&mut self, now: clock::Instant) {
+        let old = |stood: &Stood| now.since(stood.since) >= KEPT;
+        while self.stood.len() > MOST_KEPT || self.stood.front().is_some_and(old) {
+            self.stood.pop_front();
+        }
     }
 
     fn make(&mut self, now: clock::Instant, unix_ms: u64) {
--- a/src/usage/post.rs
+++ b/src/usage/post.rs
@@ -115,16 +115,21 @@
     }
 
     /// Notes how the append ended; gives connection and number of the totals that stand.
-    pub fn appended(&mut self, success: bool) -> Vec<(u64, u64)> {
+    pub fn appended(&mut self, success: bool, now: clock::Instant) -> Vec<(u64, u64)> {
         let stand = self.collector.appended(success);
         let own = stand.contains(&None).then(|| self.own.take()).flatten();
-        own.into_iter().for_each(|sequence| self.outbox.stands(sequence));
+        own.into_iter().for_each(|sequence| self.outbox.stands(sequence, now));
         stand.into_iter().flatten().collect()
     }
 
     /// Notes that this node's total `sequence` stands in the log.
-    pub fn stands(&mut self, sequence: u64) {
-        self.outbox.stands(sequence);
+    pub fn stands(&mut self, sequence: u64, now: clock::Instant) {
+        self.outbox.stands(sequence, now);
+    }
+
+    /// Notes that the log came back from an older copy.
+    pub fn restored(&mut self, now: clock::Instant) {
+        self.outbox.restored(now);
     }
 
     /// Notes that a connection failed.
