fix(claim): a writer keeps what it knows when the log came back from an older copy, and writes it again

What callers would see: a repeat of a call whose claim the log has lost would be first once more, and run twice; a claim whose append was lost before it was read back would wait until its deadline. Change: another epoch of the log makes the reading begin anew over the same memory. What was claimed or given up in the minute before, and is not read again, is written again, releases first, before any new claim; an append that was not read back is made again. Ruled out: forgetting, and refusing claims of the lost span: nobody knows which keys these were. Tests: three in src/claim/tests/writer.rs, which fail with the memory dropped as before (run). Left: a writer that starts between the return and the rewriting, or had not read a claim before it was lost, can't know of it; no call of the platform bears a key today.

--- a/src/claim/fold.rs
+++ b/src/claim/fold.rs
@@ -93,6 +93,30 @@
         self.now_ms >= began + self.window_ms
     }
 
+    /// What was claimed and given up within `span` before the latest log time, as entries that bring another
+    /// fold to the same.
+    pub fn recent(&self, span: time::Duration) -> Vec<record::Entry> {
+        let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        let since_ms = self.now_ms.saturating_sub(span_ms);
+        let mut entries = Vec::new();
+        for part in &self.parts {
+            let began = part.index * self.part_ms();
+            let recent = |after: u32| began + u64::from(after) >= since_ms;
+            let voids = part.void.iter().filter(|(_, after)| recent(**after));
+            entries.extend(voids.map(|(&(key, attempt), _)| record::Entry {
+                key,
+                attempt,
+                op: record::Op::Release,
+            }));
+            let held = part.held.iter().filter(|(_, held)| recent(held.after));
+            entries.extend(held.filter_map(|(&key, held)| {
+                let attempt = part.attempt(*held)?;
+                Some(record::Entry { key, attempt, op: record::Op::Claim })
+            }));
+        }
+        entries
+    }
+
     /// How many keys are held, those of an ended window included until their part is dropped.
     pub fn len(&self) -> usize {
         self.parts.iter().map(|part| part.held.len()).sum()
--- a/src/claim/follow.rs
+++ b/src/claim/follow.rs
@@ -42,6 +42,8 @@
     stage: Stage,
     next: logs::Offset,
     current: bool,
+    /// Epoch of the last read.
+    epoch: Option<logs::Epoch>,
 }
 
 /// What a batch means.
@@ -51,6 +53,8 @@
     Take,
     /// It told where to look; its records are not for use.
     Look,
+    /// The log came back from an older copy: what was folded stays true, reading begins anew.
+    Back,
     /// Records expired before they were read: all that was folded is void, reading begins anew.
     Gap,
 }
@@ -59,7 +63,7 @@
     /// A reader that begins `window` before the last record.
     pub fn new(window: time::Duration) -> Self {
         let window_ms = u64::try_from(window.as_millis()).unwrap_or(u64::MAX);
-        Self { window_ms, stage: Stage::Probe, next: 0, current: false }
+        Self { window_ms, stage: Stage::Probe, next: 0, current: false, epoch: None }
     }
 
     /// Whether everything that was in the stream at the last read has been read.
@@ -86,6 +90,11 @@
 
     /// Takes what the last read gave.
     pub fn take(&mut self, batch: &logs::Batch) -> Step {
+        let before = self.epoch.replace(batch.epoch);
+        if before.is_some_and(|before| before != batch.epoch) {
+            self.restart();
+            return Step::Back;
+        }
         match self.stage {
             Stage::Probe => self.probe(batch),
             Stage::Last(_) => self.last(batch),
@@ -94,6 +103,10 @@
         }
     }
 
+    fn restart(&mut self) {
+        *self = Self { stage: Stage::Probe, next: 0, current: false, ..*self };
+    }
+
     fn probe(&mut self, batch: &logs::Batch) -> Step {
         match batch.next.checked_sub(1) {
             Some(last) if batch.first < batch.next => self.stage = Stage::Last(last),
@@ -155,7 +168,7 @@
 
     fn tail(&mut self, batch: &logs::Batch) -> Step {
         if batch.first > self.next || batch.next < self.next {
-            *self = Self { stage: Stage::Probe, next: 0, current: false, ..*self };
+            self.restart();
             return Step::Gap;
         }
         if let Some(last) = batch.records.last() {
--- a/src/claim/tests/follow.rs
+++ b/src/claim/tests/follow.rs
@@ -37,6 +37,7 @@
         match follower.take(&batch) {
             Step::Take => taken.extend(batch.records.iter().map(|r| r.offset)),
             Step::Look => {}
+            Step::Back => panic!("the epoch stays"),
             Step::Gap => taken.clear(),
         }
         if follower.current() {
--- a/src/claim/tests/writer.rs
+++ b/src/claim/tests/writer.rs
@@ -28,6 +28,10 @@
 }
 
 fn batch(first: u64, bodies: &[Bytes]) -> Event {
+    batch_of(0, first, bodies)
+}
+
+fn batch_of(epoch: logs::Epoch, first: u64, bodies: &[Bytes]) -> Event {
     let record = |(offset, body): (u64, &Bytes)| logs::Record {
         offset,
         unix_millis: 1000 + offset,
@@ -35,7 +39,7 @@
     };
     let records: Vec<_> = (first..).zip(bodies).map(record).collect();
     let next = first + bodies.len() as u64;
-    Event::Read(Some(logs::Batch { epoch: 0, first: 0, next, records }))
+    Event::Read(Some(logs::Batch { epoch, first: 0, next, records }))
 }
 
 /// A writer that has read its empty stream.
@@ -202,3 +206,86 @@
     writer.handle(Event::Tick, wake);
     assert!(writer.wake().expect("a deadline to look at") > wake);
 }
+
+/// Reads the stream of `epoch`, which holds `bodies`, from its ends on to its end; all that is to be done.
+fn read_again(writer: &mut Writer, epoch: logs::Epoch, bodies: &[Bytes], now: u64) -> Vec<Action> {
+    let mut actions = writer.handle(batch_of(epoch, 0, &bodies[..bodies.len().min(1)]), at(now));
+    for step in 0..20 {
+        let Some(read) = actions.iter().rev().find_map(|action| match action {
+            Action::Read(read) => Some(*read),
+            _ => None,
+        }) else {
+            break;
+        };
+        if writer.current() && step > 0 {
+            break;
+        }
+        let from = usize::try_from(read.from).expect("a small stream").min(bodies.len());
+        let most = (from + read.most as usize).min(bodies.len());
+        let mut event = batch_of(epoch, read.from, &bodies[from..most]);
+        if let Event::Read(Some(batch)) = &mut event {
+            batch.next = bodies.len() as u64;
+        }
+        actions.extend(writer.handle(event, at(now)));
+    }
+    assert!(writer.current());
+    actions
+}
+
+fn claim_of(key_number: u8, host: u8) -> Entry {
+    Entry { key: key(key_number), attempt: attempt(host, u64::from(host)), op: Op::Claim }
+}
+
+/// Guards against a call that runs twice since the log has lost the claim under which it ran.
+#[test]
+fn a_claim_that_the_log_has_lost_still_holds_and_is_written_again() {
+    let mut writer = current();
+    let kept = claim::record::encode(&[claim_of(1, 1)]);
+    let lost = claim::record::encode(&[claim_of(2, 2), claim_of(3, 3)]);
+    writer.handle(batch(0, &[kept.clone(), lost]), at(200));
+    for epoch in 1..=2 {
+        let now = 1000 * epoch;
+        let actions = read_again(&mut writer, epoch, std::slice::from_ref(&kept), now);
+        let rewritten = appends(&actions);
+        assert_eq!(rewritten.len(), 1, "{actions:?}");
+        let entries = claim::record::decode(&rewritten[0].1).expect("a record");
+        assert_eq!(entries, [claim_of(2, 2), claim_of(3, 3)]);
+        let again = writer.handle(ask(epoch, claim_of(2, 9), 90_000), at(now + 1));
+        let taken = claim::Verdict::Taken(attempt(2, 2));
+        assert_eq!(answers(&again), [(epoch, Answer::Claimed(taken))]);
+        let fresh = writer.handle(ask(10 + epoch, claim_of(4, 4), 90_000), at(now + 1));
+        assert_eq!(answers(&fresh).len() + appends(&fresh).len(), 0, "what is lost goes first");
+        writer.handle(Event::Appended { ticket: rewritten[0].0, end: End::Done }, at(now + 2));
+        writer.handle(batch_of(epoch, 1, &[rewritten[0].1.clone()]), at(now + 3));
+        let next = appends(&writer.handle(Event::Tick, at(now + 30)));
+        assert_eq!(claim::record::decode(&next[0].1).expect("a record"), [claim_of(4, 4)]);
+    }
+}
+
+#[test]
+fn an_append_that_the_log_has_lost_before_it_was_read_is_made_again() {
+    let mut writer = current();
+    let sent = appends(&writer.handle(ask(1, claim_of(1, 1), 90_000), at(101)));
+    writer.handle(Event::Appended { ticket: sent[0].0, end: End::Done }, at(102));
+    let actions = read_again(&mut writer, 1, &[], 200);
+    let again = appends(&actions);
+    assert_eq!((again.len(), answers(&actions).len()), (1, 0));
+    assert_eq!(again[0].1, sent[0].1);
+    let actions = writer.handle(batch_of(1, 0, &[again[0].1.clone()]), at(230));
+    assert_eq!(answers(&actions), [(1, Answer::Claimed(claim::Verdict::First))]);
+}
+
+#[test]
+fn what_was_given_up_stays_free_for_whom_it_was_given_to() {
+    let mut writer = current();
+    let release = Entry { op: Op::Release, ..claim_of(1, 1) };
+    let bodies = [claim_of(1, 1), release, claim_of(1, 2)].map(|e| claim::record::encode(&[e]));
+    writer.handle(batch(0, &bodies), at(200));
+    let actions = read_again(&mut writer, 1, &bodies[..1], 1000);
+    let rewritten = appends(&actions);
+    let entries = claim::record::decode(&rewritten[0].1).expect("a record");
+    assert_eq!(entries, [release, claim_of(1, 2)]);
+    let again = writer.handle(ask(1, claim_of(1, 9), 90_000), at(1001));
+    let taken = claim::Verdict::Taken(attempt(2, 2));
+    assert_eq!(answers(&again), [(1, Answer::Claimed(taken))]);
+}
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -21,6 +21,10 @@
 /// How often deadlines are looked at.
 const TICK: time::Duration = time::Duration::from_millis(20);
 
+/// How far back a writer doubts that the log still has what it has read there, once that came back from an
+/// older copy.
+const DOUBT: time::Duration = time::Duration::from_secs(60);
+
 /// Somebody who waits for an entry.
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
@@ -56,6 +60,8 @@
     /// Entries not part of a flight, oldest first; those no longer pending are skipped.
     queue: collections::VecDeque<record::Entry>,
     flight: Option<Flight>,
+    /// What this writer knows and has not read again since the log came back from an older copy.
+    doubtful: collections::BTreeSet<record::Entry>,
     /// When the next append may be made.
     free: clock::Instant,
     appends: circuit::Circuit,
@@ -77,6 +83,7 @@
             pending: collections::HashMap::new(),
             queue: collections::VecDeque::new(),
             flight: None,
+            doubtful: collections::BTreeSet::new(),
             free: clock::Instant::ZERO,
             appends: circuit::Circuit::default(),
             reads: circuit::Circuit::default(),
@@ -114,15 +121,15 @@
         let waiters = (!self.pending.is_empty()).then(|| self.ticked + TICK);
         // What can't be written yet waits for a read, not for a moment.
         let ready = self.follower.current() && self.flight.is_none();
-        let queued = ready && !self.queue.is_empty();
+        let queued = ready && !(self.queue.is_empty() && self.doubtful.is_empty());
         let queued = queued.then(|| self.free.max(self.appends.until()));
         let read = (!self.reading).then(|| self.reads.until());
         waiters.into_iter().chain(queued).chain(read).min()
     }
 
-    /// Whether nobody waits for anything.
+    /// Whether nobody waits for anything, and nothing is to be written.
     pub fn idle(&self) -> bool {
-        self.pending.is_empty()
+        self.pending.is_empty() && self.doubtful.is_empty()
     }
 
     /// Whether the stream has been read up to its end.
@@ -243,22 +250,44 @@
         self.reads.succeed();
         match self.follower.take(&batch) {
             follow::Step::Look => {}
+            follow::Step::Back => self.doubt(),
             follow::Step::Gap => self.fold = fold::Fold::new(self.limits.window),
             follow::Step::Take => batch.records.iter().for_each(|r| self.apply(r, actions)),
         }
     }
 
+    /// The log came back from an older copy: what was read lately may be gone, and so may an append that has
+    /// not been read back.
+    fn doubt(&mut self) {
+        self.doubtful.extend(self.fold.recent(DOUBT));
+        self.flight = None;
+        let queued: collections::HashSet<_> = self.queue.iter().copied().collect();
+        let unread = self.pending.iter_mut().filter(|(entry, _)| !queued.contains(*entry));
+        let mut unread: Vec<record::Entry> = unread
+            .map(|(entry, pending)| {
+                pending.repeated = true;
+                *entry
+            })
+            .collect();
+        unread.sort_unstable();
+        unread.into_iter().rev().for_each(|entry| self.queue.push_front(entry));
+    }
+
     /// Folds one record and answers those who waited for its entries.
     fn apply(&mut self, record: &logs::Record, actions: &mut Vec<Action>) {
         // A record that doesn't decode claims nothing, for every writer alike.
         let Ok(entries) = record::decode(&record.body) else { return };
         for entry in entries {
+            self.doubtful.remove(&entry);
             self.fold.apply(record.unix_millis, &entry);
             let Some(pending) = self.pending.remove(&entry) else { continue };
             let answer = self.verdict(&entry);
             actions.extend(pending.waiters.iter().map(|w| Action::Answer(w.token, answer)));
         }
-        let unread = |flight: &Flight| flight.entries.iter().any(|e| self.pending.contains_key(e));
+        let waits = |entry: &record::Entry| {
+            self.pending.contains_key(entry) || self.doubtful.contains(entry)
+        };
+        let unread = |flight: &Flight| flight.entries.iter().any(waits);
         if self.flight.as_ref().is_some_and(|flight| !unread(flight)) {
             self.flight = None;
             self.appends.succeed();
@@ -301,8 +330,8 @@
         if !ready || self.flight.is_some() || now < self.free {
             return;
         }
-        let mut entries = Vec::new();
-        while entries.len() < record::MOST {
+        let mut entries = self.rewritten();
+        while self.doubtful.is_empty() && entries.len() < record::MOST {
             let Some(entry) = self.queue.pop_front() else { break };
             if let Some(pending) = self.pending.get_mut(&entry) {
                 pending.written = true;
@@ -319,6 +348,13 @@
         self.free = now + self.limits.group;
     }
 
+    /// What is to be written again, before anything new. Releases come first, so that whoever holds a key now
+    /// finds it free.
+    fn rewritten(&self) -> Vec<record::Entry> {
+        let of = |op| self.doubtful.iter().filter(move |entry| entry.op == op);
+        of(record::Op::Release).chain(of(record::Op::Claim)).take(record::MOST).copied().collect()
+    }
+
     /// Keeps one read under way.
     fn follow(&mut self, now: clock::Instant, actions: &mut Vec<Action>) {
         if !self.reading && self.reads.ready(now) {
