fix(pick): suspicion ejects nobody on a count from before the last ejection

Cause: how many upstreams are left was looked up before the leaving one was ejected, and kept for sixteen results, so that the staying one, slow once, was ejected as well. With both ejected each call fell back on the leaving one first and paid with an extra attempt, until the budget was empty. Class of fault: a decision on a count that the decision before it has changed. Change: a list counts anew once any upstream was ejected or has come back. Also tried, and left out: falling back on leaving upstreams last; its test passed on the code before.

--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -132,8 +132,11 @@
     pub fn ended(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
         let good = report.outcome == retry::Outcome::Ran;
         let crowd = self.table.crowd(choice.target, good);
-        if let Some(peer) = self.table.peer_mut(choice.key) {
-            peer.ended(report, &crowd, &self.rules, now);
+        let Some(peer) = self.table.peer_mut(choice.key) else { return };
+        let before = peer.is_ejected();
+        peer.ended(report, &crowd, &self.rules, now);
+        if peer.is_ejected() != before {
+            self.table.turned();
         }
     }
 
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -68,6 +68,8 @@
     /// A turn for each tier.
     pub(super) turns: [Turn; TIERS],
     crowd: peer::Crowd,
+    /// Turns of the table when `crowd` was made.
+    turned: u32,
     /// Results until `crowd` is made anew.
     fresh: u8,
     /// Scratch room for the median.
@@ -86,9 +88,11 @@
         &self.members
     }
 
-    /// What the members say, looked at again after every few results and every bad one.
-    pub(super) fn crowd(&mut self, peers: &[pick::Peer], good: bool) -> peer::Crowd {
-        if !good || self.fresh == 0 {
+    /// What the members say, looked at again after every few results and every bad one, and once the table
+    /// has `turned` since.
+    pub(super) fn crowd(&mut self, peers: &[pick::Peer], good: bool, turned: u32) -> peer::Crowd {
+        if !good || self.fresh == 0 || self.turned != turned {
+            self.turned = turned;
             self.crowd = self.survey(peers);
             self.fresh = FRESH;
         }
@@ -126,6 +130,8 @@
     by_host: collections::HashMap<host::HostId, u32>,
     services: Vec<Sides>,
     classes: Vec<Sides>,
+    /// How often a peer was ejected or has come back.
+    turned: u32,
 }
 
 /// The upstreams of one service or class, by the versions that may run a call.
@@ -194,7 +200,12 @@
             None => self.services.get_mut(usize::from(target.service.0)),
         };
         let list = sides.map(|sides| sides.list_mut(target.side));
-        list.map(|l| l.crowd(&self.peers, good)).unwrap_or_default()
+        list.map(|l| l.crowd(&self.peers, good, self.turned)).unwrap_or_default()
+    }
+
+    /// Notes that a peer was ejected or has come back: how many are left is another number in every list.
+    pub(super) const fn turned(&mut self) {
+        self.turned = self.turned.wrapping_add(1);
     }
 
     /// The key of the peer at `index`.
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -196,6 +196,31 @@
     assert_eq!(share(&mut picker, 100, 1).len(), 2);
 }
 
+/// Guards against the ejection of the last upstream, on what was known before the others were.
+#[test]
+fn suspicion_ejects_nobody_once_half_are_gone() {
+    let mut picker = picker(serving(&["a", "a"]));
+    for number in [1, 2] {
+        let other = [id(3 - number)];
+        let choice = picker.pick(SHOP, at(0), &other).expect("one");
+        picker.started(choice, at(0));
+        let slow = if number == 2 { 100_000 } else { 400 };
+        picker.ended(choice, &report(retry::Outcome::Ran, slow), at(0));
+    }
+    let leaving = picker.pick(SHOP, at(1), &[id(2)]).expect("one");
+    picker.started(leaving, at(1));
+    let left = retry::Outcome::NotRun(retry::Reason::Draining);
+    picker.ended(leaving, &report(left, 400), at(1));
+    for millis in 2..60 {
+        let choice = picker.pick(SHOP, at(millis), &[]).expect("one");
+        assert_eq!(choice.host, id(2));
+        picker.started(choice, at(millis));
+        picker.ended(choice, &report(retry::Outcome::Ran, 100_000), at(millis));
+        let peer = picker.peer(choice).expect("known");
+        assert!(!peer.is_ejected(), "the last one is ejected as slow");
+    }
+}
+
 #[test]
 fn an_upstream_much_slower_than_its_peers_is_ejected() {
     let mut picker = picker(serving(&["a", "a", "a"]));
--- a/tests/calls/drain.rs
+++ b/tests/calls/drain.rs
@@ -153,6 +153,35 @@
     });
 }
 
+/// Guards against calls that are refused although an upstream serves, since each goes to the leaving one first
+/// and so uses up the budget of extra attempts.
+#[test]
+fn calls_are_served_while_one_upstream_is_slow_and_the_other_one_leaves() {
+    rig::run(async {
+        let leaving = fake::Fake::start(fake::echo).await;
+        let staying = fake::Fake::start(fake::echo).await;
+        let upstreams = [None, Some(leaving.address), Some(staying.address)];
+        let nodes = rig::nodes(&upstreams, &rig::Claims::default()).await;
+        rig::call(&nodes[0], rig::request("POST", "/orders", "r"), b"").await;
+        let upstream = view::Upstream { phase: view::Phase::Draining, ..rig::shop(4) };
+        let (address, instance) = (leaving.address, Default::default());
+        nodes[1].local.send_replace(Some(Arc::new(node::Local { address, instance, upstream })));
+        // Nothing runs for half a second but for a moment now and then: the first call there takes long.
+        tokio::task::spawn_local(async {
+            for _ in 0..8 {
+                std::thread::sleep(time::Duration::from_millis(60));
+                tokio::task::yield_now().await;
+            }
+        });
+        for number in 0..40 {
+            let id = format!("r{number}");
+            let answer = rig::call(&nodes[0], rig::request("POST", "/orders", &id), b"").await;
+            let reason = answer.header("dandelionspool-reason");
+            assert_eq!((answer.outcome(), staying.runs(&id)), ("ran", 1), "{id}: {reason}");
+        }
+    });
+}
+
 #[rstest]
 #[case::gone(None)]
 #[case::of_another_service(Some(view::Upstream { service: "other".into(), ..rig::shop(4) }))]
