perf(spread, member): a host that starts asks the store less

In a mesh that starts for the first time each host knows no other for two seconds after the first configuration (it waits for its upstream, registers, and looks 0.5 s later) and meanwhile follows the log as if it were alone: a look, two long polls of 2 s, and one more after the configuration. And a host that joins a running mesh looks the whole directory up twice, which grows with the fleet.

Now a host that knows no other waits five times longer for new records, and two seconds after a configuration before it reads on; a second look-up follows only where the first list has fewer than eight hosts.

--- a/src/member/directory/search.rs
+++ b/src/member/directory/search.rs
@@ -38,6 +38,10 @@
 /// register meanwhile: their upstreams announce themselves within half a second of each other.
 const SECOND_LOOK_DELAY: time::Duration = time::Duration::from_millis(500);
 
+/// Hosts in a list that make a second look-up needless: a host that starts finds those that start at
+/// the same time through any one of them.
+const MIN_CONTACTS: usize = 8;
+
 /// Time over which the hosts of a mesh register again, each at its own point, after the log was
 /// restored from an older copy.
 const RELIST_WINDOW: time::Duration = time::Duration::from_secs(2);
@@ -140,7 +144,8 @@
         let fresh = settings.fresh;
         let task = task::spawn_local(async move {
             if directory.is_shared() {
-                Task { directory, own, listed: None, found: sender }.run(intervals, fresh).await;
+                let task = Task { directory, own, listed: None, contacts: 0, found: sender };
+                task.run(intervals, fresh).await;
             }
         });
         Self { found, task }
@@ -181,6 +186,8 @@
     own: LocalHost,
     /// The profile of this host that the directory is known to have; `None` when it has none.
     listed: Option<directory::Profile>,
+    /// Number of other hosts in the last list.
+    contacts: usize,
     found: mpsc::Sender<Vec<directory::Listed>>,
 }
 
@@ -216,7 +223,8 @@
             failures = if ok { 0 } else { failures + 1 };
             // Two hosts that look up the list before either is registered find each other by a
             // second look-up.
-            let wait = if unlisted && ok { SECOND_LOOK_DELAY } else { intervals.wait(failures) };
+            let again = unlisted && ok && self.contacts < MIN_CONTACTS;
+            let wait = if again { SECOND_LOOK_DELAY } else { intervals.wait(failures) };
             due = tokio::time::Instant::now() + wait;
             tokio::select! {
                 () = tokio::time::sleep_until(due) => {}
@@ -238,6 +246,7 @@
                 return false;
             }
         };
+        self.contacts = hosts.iter().filter(|listed| listed.host != self.own.host).count();
         let own = hosts.iter().find(|listed| listed.host == self.own.host);
         self.listed = own.and_then(|listed| listed.profile.clone());
         log::info!(hosts = hosts.len(), listed = own.is_some(); "looked up hosts in the directory");
--- a/src/member/directory/search/tests.rs
+++ b/src/member/directory/search/tests.rs
@@ -259,3 +259,19 @@
     })
     .await;
 }
+
+/// A host that joins a running mesh costs the directory one look-up and one registration: its
+/// look-ups grow with the mesh, and so do the starts.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_finds_others_does_not_look_again() {
+    run_local(async {
+        let shared = Shared::default();
+        let _mesh: Vec<_> = (1..=20).map(|last| start(&shared, last, true, true)).collect();
+        sleep(1000).await;
+        let (lookups, registrations) = shared.counts();
+        let _host = start(&shared, 21, false, true);
+        sleep(5000).await;
+        assert_eq!(shared.counts(), (lookups + 1, registrations + 1));
+    })
+    .await;
+}
--- a/src/spread/decision.rs
+++ b/src/spread/decision.rs
@@ -274,6 +274,7 @@
         let reading = !self.started() && self.reader.bounds().is_some();
         match self.peers.rank() {
             _ if !ready.contains(&self.start.phase()) => read_schedule::Role::Idle,
+            0 if self.peers.other_count() == 0 => read_schedule::Role::Lone,
             _ if reading => read_schedule::Role::Follow,
             0 => read_schedule::Role::Follow,
             rank if rank < usize::from(self.settings.readers) => read_schedule::Role::Standby,
--- a/src/spread/read_schedule.rs
+++ b/src/spread/read_schedule.rs
@@ -15,11 +15,21 @@
 /// Minimum time from an empty result to the next read, in case the log does not wait for records.
 const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
+/// Time from a configuration to the next read of a host that knows no other: it may be about to know
+/// some that read the log for it.
+const LONE_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+/// How many times longer than others such a host waits for new records.
+const LONE_WAIT_FACTOR: u32 = 5;
+
 /// A node's part in reading the log for its zone.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Role {
     /// Follows the log by long polls.
     Follow,
+    /// Follows it while no other host is known. When all hosts of a mesh start for the first time,
+    /// each of them does, so that it makes few reads.
+    Lone,
     /// Reads the log at intervals, or by long polls where the interval is zero.
     Standby,
     /// Does not read the log.
@@ -100,9 +110,10 @@
     }
 
     /// How long a read at the log's end may wait for a new record.
-    pub const fn wait(&self, role: Role) -> time::Duration {
+    pub fn wait(&self, role: Role) -> time::Duration {
         match role {
             Role::Follow => self.poll_wait,
+            Role::Lone => self.poll_wait * LONE_WAIT_FACTOR,
             Role::Standby if self.standby_interval.is_zero() => self.poll_wait,
             Role::Standby | Role::Idle => time::Duration::ZERO,
         }
@@ -130,6 +141,7 @@
                 MIN_READ_INTERVAL + self.standby_interval.mul_f64(rng.random_range(0.75..1.25)),
             ),
             (ReadResult::Empty, _) => Some(MIN_READ_INTERVAL),
+            (ReadResult::ReachedEnd, Role::Lone) => Some(LONE_INTERVAL),
             (ReadResult::ReachedEnd, _) => None,
         };
         self.due = delay.map(|delay| now + delay);
--- a/src/spread/tests.rs
+++ b/src/spread/tests.rs
@@ -6,6 +6,7 @@
 mod net;
 mod propagation;
 mod random_faults;
+mod read_schedule;
 mod recovery;
 mod restored_log;
 mod single_node;
