--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -129,12 +129,15 @@
     let caller = organisations::identify(&applied.mesh, matched, parent.as_ref(), &mut head);
     let caller = caller.inspect_err(|_| state.quotas.record_unauthenticated())?;
     let charged = caller.as_ref().and_then(|caller| caller.charged);
+    let caller_try = caller_try(state, &head, started);
     let spent = match charged.map(|key| applied.mesh.organisation(key)) {
-        Some(organisation) => take_credit(state, &head.id, organisation).await?,
+        Some(organisation) => take_credit(state, &head.id, organisation)
+            .await
+            .inspect_err(|_| record_failed(state, caller_try))?,
         None => None,
     };
     let nested = parent.is_some();
-    let arrival = Arrival { head, incoming, applied, route, caller, nested, started };
+    let arrival = Arrival { head, incoming, applied, route, caller, nested, caller_try, started };
     let resources = resources::Resources { in_flight, ..resources::Resources::default() };
     let result = run(state, arrival, resources).await;
     if let Err(refuse::Refusal { outcome: retry::Outcome::NotRun(_), .. }) = result
@@ -171,6 +174,8 @@
     caller: Option<organisations::Caller>,
     /// Whether a call that runs at the local upstream makes it.
     nested: bool,
+    /// `None` if the caller did not send the time for which it waits.
+    caller_try: Option<CallerTry>,
     started: clock::Instant,
 }
 
@@ -180,7 +185,7 @@
     arrival: Arrival,
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let Arrival { head, incoming, applied, route, caller, nested, started } = arrival;
+    let Arrival { head, incoming, applied, route, caller, nested, caller_try, started } = arrival;
     let kind = applied.mesh.route(route).kind;
     let service = state.traffic_split.borrow_mut().next(applied.mesh.route(route));
     resources.count = Some(count::Pending::new(
@@ -194,7 +199,6 @@
     // A caller that retries has used up part of its target latency. Without this, retries that can
     // only be late displace calls that could be in time: 1337 answers of 4000 are in time instead
     // of 2551 (virtual time, the test `retries_do_not_displace_calls_in_time`).
-    let caller_try = caller_try(state, &head, started);
     let first_try = caller_try.map_or(started, |caller_try| caller_try.first);
     let target = applied.mesh.kind(kind).latency.map_or(deadline, |latency| first_try + latency);
     let limit = applied.mesh.body(kind);
@@ -211,12 +215,8 @@
     let key = call.head.idempotency_key.clone().filter(|_| !call.kind().idempotent);
     let Some(key) = key else {
         let result = call::run(state, &call, resources).await;
-        if let Some(caller_try) = caller_try.filter(|_| result.is_err() && !nested) {
-            state.caller_retries.borrow_mut().record(
-                caller_try.key,
-                caller_try.first,
-                caller_try.until,
-            );
+        if result.is_err() && !nested {
+            record_failed(state, caller_try);
         }
         return result;
     };
@@ -248,6 +248,12 @@
     Some(CallerTry { key, first: retries.first_try(key, until, now), until })
 }
 
+/// Records a failed try, so that a retry of its caller is recognised.
+fn record_failed<C: claim::Claims>(state: &state::State<C>, failed: Option<CallerTry>) {
+    let Some(CallerTry { key, first, until }) = failed else { return };
+    state.caller_retries.borrow_mut().record(key, first, until);
+}
+
 fn find_route<C: claim::Claims>(
     state: &state::State<C>,
     applied: &mesh::Applied,
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -56,6 +56,15 @@
     credit: borrower::Credit,
 }
 
+/// The decision on a call.
+struct Decision {
+    take: borrower::Take,
+    /// Whether this host is the holder, so that a request for credits has been answered.
+    holds: bool,
+    /// Completes when a call that has to wait can be decided again.
+    answered: OwnedNotified,
+}
+
 /// A call that waits for a credit; dropped, it no longer waits.
 struct Waiting<'a> {
     quotas: &'a Quotas,
@@ -128,8 +137,11 @@
         let id = organisation.id;
         let mut waiting = Waiting { quotas: self, organisation: id, active: false };
         loop {
-            let (take, answered) = self.decide(id, limit, waiting.active);
+            let Decision { take, holds, answered } = self.decide(id, limit, waiting.active);
             waiting.active = matches!(take, borrower::Take::Wait { .. });
+            if waiting.active && holds {
+                continue;
+            }
             match take {
                 borrower::Take::Allowed(credit) => {
                     self.counts.allowed.inc();
@@ -161,14 +173,8 @@
         self.accounts.borrow_mut().borrower.give_back(spent.organisation, spent.credit);
     }
 
-    /// Decides on a call, and sends the requests for credits that this causes. `answered` completes
-    /// when a call that has to wait can be decided again.
-    fn decide(
-        &self,
-        id: quota::OrganisationId,
-        limit: quota::Limit,
-        again: bool,
-    ) -> (borrower::Take, OwnedNotified) {
+    /// Decides on a call, and sends the requests for credits that this causes.
+    fn decide(&self, id: quota::OrganisationId, limit: quota::Limit, again: bool) -> Decision {
         let now = self.ctx.now();
         let mut out = Vec::new();
         let take = {
@@ -183,24 +189,24 @@
         let waiter = Arc::clone(self.waiters.borrow_mut().entry(id).or_default());
         // Registered before the request is sent, so that its answer is not missed.
         let answered = waiter.notified_owned();
-        for outgoing in out {
-            self.send_ask(&outgoing);
-        }
-        (take, answered)
+        let holds = out.iter().fold(false, |holds, outgoing| self.send_ask(outgoing) || holds);
+        Decision { take, holds, answered }
     }
 
-    /// Sends a request to a holder, or answers it if this host is the holder.
-    fn send_ask(&self, outgoing: &borrower::Outgoing) {
+    /// Sends a request to a holder, or answers it if this host is the holder, and returns whether it
+    /// is.
+    fn send_ask(&self, outgoing: &borrower::Outgoing) -> bool {
         let (to, ask) = (outgoing.to, outgoing.ask);
         let me = self.accounts.borrow().roster.me();
         if to != me {
             self.counts.asked.inc();
             self.send(to, wire::Message::Ask(ask));
-            return;
+            return false;
         }
         if let Some(reply) = self.answer(me, &ask) {
             self.handle_reply(&reply);
         }
+        true
     }
 
     /// Answers the request of the node on `from`.
