--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -189,7 +189,10 @@
         let waiter = Arc::clone(self.waiters.borrow_mut().entry(id).or_default());
         // Registered before the request is sent, so that its answer is not missed.
         let answered = waiter.notified_owned();
-        let holds = out.iter().fold(false, |holds, outgoing| self.send_ask(outgoing) || holds);
+        let mut holds = false;
+        for outgoing in &out {
+            holds |= self.send_ask(outgoing);
+        }
         Decision { take, holds, answered }
     }
 
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -60,6 +60,7 @@
     let mut text = String::new();
     append_sources(&root.join("src"), &mut text);
     append_sources(&root.join("tests"), &mut text);
+    append_sources(&root.join("platform"), &mut text);
     let page = read("docs/PROMISES.md");
     let names: Vec<_> = page.split('`').skip(1).step_by(2).filter(|n| n.contains('_')).collect();
     assert!(names.len() > 20);
