perf(quota): limits are read off a configuration once, not at each change of the hosts

Cause: the call path rebuilds its tables at each view, up to fifty times a second in a large mesh that starts, and each time the limits of up to 4,096 organisations were hashed anew. They change with the version only. Accounts and waiters of organisations that left go with it; a socket that keeps failing no longer occupies the thread.

--- a/benches/quota.rs
+++ b/benches/quota.rs
@@ -15,6 +15,7 @@
 use dandelionspool::proxy::quotas;
 use dandelionspool::quota;
 use dandelionspool::seal;
+use dandelionspool::version;
 use dandelionspool::view;
 use futures_util::FutureExt as _;
 use serde_json::json;
@@ -42,7 +43,7 @@
     mesh::check::check(file.as_bytes()).expect("the file has no fault")
 }
 
-fn quotas(mesh: &mesh::Mesh) -> quotas::Quotas {
+fn quotas(applied: &mesh::Applied) -> quotas::Quotas {
     let me = host::HostId::new((net::Ipv4Addr::LOCALHOST, 7100).into());
     let locality = Arc::new(view::Locality { region: "r".into(), zone: "z".into() });
     let own = view::Host {
@@ -56,14 +57,16 @@
     let settings = configs::quota::Quota::default();
     let counts = quota::Counts::default();
     let quotas = quotas::Quotas::new(context::Context::system(), me, seal, &settings, counts);
-    quotas.update(mesh, &view::View::new(vec![own]));
+    quotas.update(applied, &view::View::new(vec![own]));
     std::thread::sleep(quota::HANDOVER + time::Duration::from_millis(100));
     quotas
 }
 
 fn bench(c: &mut Criterion) {
-    let mesh = mesh();
-    let quotas = quotas(&mesh);
+    let version_id = version::VersionId { version: version::Version::new(1), ..Default::default() };
+    let applied = mesh::Applied { version_id, mesh: Arc::new(mesh()) };
+    let mesh = &applied.mesh;
+    let quotas = quotas(&applied);
     let keys: Vec<String> = (0..ORGANISATIONS).map(|index| key(index, index % KEYS)).collect();
     let mut next = 0;
     c.bench_function("key and credit", |b| {
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time;
 
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -24,8 +25,12 @@
 use crate::quota::wire;
 use crate::retry;
 use crate::seal;
+use crate::version;
 use crate::view;
 
+/// Delay after a failed receive, so that a socket that keeps failing does not occupy the thread.
+const RECEIVE_RETRY_DELAY: time::Duration = time::Duration::from_millis(10);
+
 /// Credits and accounts of this node.
 #[derive(Debug)]
 struct Accounts {
@@ -33,8 +38,9 @@
     holder: holder::Holder,
     roster: roster::Roster,
     tolerance: quota::Tolerance,
-    /// Limits of the organisations in the configuration in force.
-    limits: collections::HashMap<quota::OrganisationId, Option<quota::Limit>>,
+    /// Limits of the organisations in the configuration `version_id`; those without one are missing.
+    limits: collections::HashMap<quota::OrganisationId, quota::Limit>,
+    version_id: version::VersionId,
 }
 
 /// The limits of organisations, as far as this node enforces them.
@@ -80,6 +86,18 @@
     }
 }
 
+impl Accounts {
+    /// Applies the limits of a configuration.
+    fn apply(&mut self, applied: &mesh::Applied) {
+        let organisations = applied.mesh.organisations.iter();
+        self.version_id = applied.version_id;
+        self.limits = organisations.filter_map(|o| Some((o.id, o.limit?))).collect();
+        let limits = &self.limits;
+        self.borrower.retain(|id| limits.contains_key(&id));
+        self.holder.retain(|id| limits.contains_key(&id));
+    }
+}
+
 impl Quotas {
     /// The limits at the node on the host `me`, which knows no other host yet.
     pub fn new(
@@ -96,6 +114,7 @@
             roster: roster::Roster::new(me, ctx.now()),
             tolerance,
             limits: collections::HashMap::new(),
+            version_id: version::VersionId::default(),
         };
         Self {
             ctx,
@@ -108,18 +127,17 @@
     }
 
     /// Applies a configuration and a view of the mesh.
-    pub fn update(&self, mesh: &mesh::Mesh, view: &view::View) {
-        let now = self.ctx.now();
+    pub fn update(&self, applied: &mesh::Applied, view: &view::View) {
         let mut accounts = self.accounts.borrow_mut();
-        let accounts = &mut *accounts;
-        accounts.limits = mesh.organisations.iter().map(|o| (o.id, o.limit)).collect();
-        let limits = &accounts.limits;
-        let limited = |id| limits.get(&id).is_some_and(Option::is_some);
-        accounts.borrower.retain(limited);
-        accounts.holder.retain(limited);
-        if accounts.roster.update(view, now) {
-            accounts.holder.update(&accounts.roster);
-            accounts.borrower.update();
+        if accounts.version_id != applied.version_id {
+            accounts.apply(applied);
+            let limits = &accounts.limits;
+            self.waiters.borrow_mut().retain(|id, _| limits.contains_key(id));
+        }
+        let Accounts { borrower, holder, roster, .. } = &mut *accounts;
+        if roster.update(view, self.ctx.now()) {
+            holder.update(roster);
+            borrower.update();
             self.waiters.borrow().values().for_each(|waiter| waiter.notify_waiters());
         }
     }
@@ -217,7 +235,7 @@
         let now = self.ctx.now();
         let mut accounts = self.accounts.borrow_mut();
         let Accounts { holder, roster, tolerance, limits, .. } = &mut *accounts;
-        let limit = limits.get(&ask.organisation).copied().flatten();
+        let limit = limits.get(&ask.organisation).copied();
         let verdict = holder.ask(from, ask, limit, (roster, tolerance), now)?;
         let wire::Ask { session, number, organisation, .. } = *ask;
         Some(wire::Reply { session, number, organisation, verdict })
@@ -268,7 +286,10 @@
                     let from = host::HostId::from_inner_addr(from);
                     self.receive(&buffer[..length], from);
                 }
-                Err(error) => log::debug!("can't receive a quota message: {error}"),
+                Err(error) => {
+                    log::debug!("can't receive a quota message: {error}");
+                    tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
+                }
             }
         }
     }
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -352,7 +352,7 @@
     /// Applies a configuration and a view of the mesh together.
     pub fn rebuild(&self, applied: Arc<mesh::Applied>, view: &view::View) {
         self.rebuild_picker(&applied.mesh, view);
-        self.quotas.update(&applied.mesh, view);
+        self.quotas.update(&applied, view);
         let exists = |name: &SmolStr| applied.mesh.services.iter().any(|s| s.name == *name);
         self.budgets.borrow_mut().retain(|name, _| exists(name));
         self.traffic_split.borrow_mut().retain(&applied.mesh);
