--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time;
 
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -24,8 +25,12 @@
 use crate::quota::wire;
 use crate::retry;
 use crate::seal;
+use crate::version;
 use crate::view;
 
+/// Delay after a failed receive, so that a socket that keeps failing does not occupy the thread.
+const RECEIVE_RETRY_DELAY: time::Duration = time::Duration::from_millis(10);
+
 /// Credits and accounts of this node.
 #[derive(Debug)]
 struct Accounts {
@@ -33,8 +38,9 @@
     holder: holder::Holder,
     roster: roster::Roster,
     tolerance: quota::Tolerance,
-    /// Limits of the organisations in the configuration in force.
-    limits: collections::HashMap<quota::OrganisationId, Option<quota::Limit>>,
+    /// Limits of the organisations in the configuration `version_id`; those without one are missing.
+    limits: collections::HashMap<quota::OrganisationId, quota::Limit>,
+    version_id: version::VersionId,
 }
 
 /// The limits of organisations, as far as this node enforces them.
@@ -56,6 +62,15 @@
     credit: borrower::Credit,
 }
 
+/// The decision on a call.
+struct Decision {
+    take: borrower::Take,
+    /// Whether this host is the holder, so that a request for credits has been answered.
+    holds: bool,
+    /// Completes when a call that has to wait can be decided again.
+    answered: OwnedNotified,
+}
+
 /// A call that waits for a credit; dropped, it no longer waits.
 struct Waiting<'a> {
     quotas: &'a Quotas,
@@ -71,6 +86,18 @@
     }
 }
 
+impl Accounts {
+    /// Applies the limits of a configuration.
+    fn apply(&mut self, applied: &mesh::Applied) {
+        let organisations = applied.mesh.organisations.iter();
+        self.version_id = applied.version_id;
+        self.limits = organisations.filter_map(|o| Some((o.id, o.limit?))).collect();
+        let limits = &self.limits;
+        self.borrower.retain(|id| limits.contains_key(&id));
+        self.holder.retain(|id| limits.contains_key(&id));
+    }
+}
+
 impl Quotas {
     /// The limits at the node on the host `me`, which knows no other host yet.
     pub fn new(
@@ -87,6 +114,7 @@
             roster: roster::Roster::new(me, ctx.now()),
             tolerance,
             limits: collections::HashMap::new(),
+            version_id: version::VersionId::default(),
         };
         Self {
             ctx,
@@ -99,18 +127,17 @@
     }
 
     /// Applies a configuration and a view of the mesh.
-    pub fn update(&self, mesh: &mesh::Mesh, view: &view::View) {
-        let now = self.ctx.now();
+    pub fn update(&self, applied: &mesh::Applied, view: &view::View) {
         let mut accounts = self.accounts.borrow_mut();
-        let accounts = &mut *accounts;
-        accounts.limits = mesh.organisations.iter().map(|o| (o.id, o.limit)).collect();
-        let limits = &accounts.limits;
-        let limited = |id| limits.get(&id).is_some_and(Option::is_some);
-        accounts.borrower.retain(limited);
-        accounts.holder.retain(limited);
-        if accounts.roster.update(view, now) {
-            accounts.holder.update(&accounts.roster);
-            accounts.borrower.update();
+        if accounts.version_id != applied.version_id {
+            accounts.apply(applied);
+            let limits = &accounts.limits;
+            self.waiters.borrow_mut().retain(|id, _| limits.contains_key(id));
+        }
+        let Accounts { borrower, holder, roster, .. } = &mut *accounts;
+        if roster.update(view, self.ctx.now()) {
+            holder.update(roster);
+            borrower.update();
             self.waiters.borrow().values().for_each(|waiter| waiter.notify_waiters());
         }
     }
@@ -128,8 +155,11 @@
         let id = organisation.id;
         let mut waiting = Waiting { quotas: self, organisation: id, active: false };
         loop {
-            let (take, answered) = self.decide(id, limit, waiting.active);
+            let Decision { take, holds, answered } = self.decide(id, limit, waiting.active);
             waiting.active = matches!(take, borrower::Take::Wait { .. });
+            if waiting.active && holds {
+                continue;
+            }
             match take {
                 borrower::Take::Allowed(credit) => {
                     self.counts.allowed.inc();
@@ -161,14 +191,8 @@
         self.accounts.borrow_mut().borrower.give_back(spent.organisation, spent.credit);
     }
 
-    /// Decides on a call, and sends the requests for credits that this causes. `answered` completes
-    /// when a call that has to wait can be decided again.
-    fn decide(
-        &self,
-        id: quota::OrganisationId,
-        limit: quota::Limit,
-        again: bool,
-    ) -> (borrower::Take, OwnedNotified) {
+    /// Decides on a call, and sends the requests for credits that this causes.
+    fn decide(&self, id: quota::OrganisationId, limit: quota::Limit, again: bool) -> Decision {
         let now = self.ctx.now();
         let mut out = Vec::new();
         let take = {
@@ -183,24 +207,27 @@
         let waiter = Arc::clone(self.waiters.borrow_mut().entry(id).or_default());
         // Registered before the request is sent, so that its answer is not missed.
         let answered = waiter.notified_owned();
-        for outgoing in out {
-            self.send_ask(&outgoing);
+        let mut holds = false;
+        for outgoing in &out {
+            holds |= self.send_ask(outgoing);
         }
-        (take, answered)
+        Decision { take, holds, answered }
     }
 
-    /// Sends a request to a holder, or answers it if this host is the holder.
-    fn send_ask(&self, outgoing: &borrower::Outgoing) {
+    /// Sends a request to a holder, or answers it if this host is the holder, and returns whether it
+    /// is.
+    fn send_ask(&self, outgoing: &borrower::Outgoing) -> bool {
         let (to, ask) = (outgoing.to, outgoing.ask);
         let me = self.accounts.borrow().roster.me();
         if to != me {
             self.counts.asked.inc();
             self.send(to, wire::Message::Ask(ask));
-            return;
+            return false;
         }
         if let Some(reply) = self.answer(me, &ask) {
             self.handle_reply(&reply);
         }
+        true
     }
 
     /// Answers the request of the node on `from`.
@@ -208,7 +235,7 @@
         let now = self.ctx.now();
         let mut accounts = self.accounts.borrow_mut();
         let Accounts { holder, roster, tolerance, limits, .. } = &mut *accounts;
-        let limit = limits.get(&ask.organisation).copied().flatten();
+        let limit = limits.get(&ask.organisation).copied();
         let verdict = holder.ask(from, ask, limit, (roster, tolerance), now)?;
         let wire::Ask { session, number, organisation, .. } = *ask;
         Some(wire::Reply { session, number, organisation, verdict })
@@ -259,7 +286,10 @@
                     let from = host::HostId::from_inner_addr(from);
                     self.receive(&buffer[..length], from);
                 }
-                Err(error) => log::debug!("can't receive a quota message: {error}"),
+                Err(error) => {
+                    log::debug!("can't receive a quota message: {error}");
+                    tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
+                }
             }
         }
     }
