--- a/src/quota/borrower.rs
+++ b/src/quota/borrower.rs
@@ -13,6 +13,8 @@
 use crate::quota::roster;
 use crate::quota::wire;
 
+mod account;
+
 /// Bounds of the time for which a request to a holder waits for its answer before another one is
 /// sent.
 const ASK_TIMEOUTS: [time::Duration; 2] =
@@ -31,23 +33,6 @@
 /// the datagrams is lost, one request in eighteen ends this way.
 const MAX_ASKS: u32 = 5;
 
-/// Requests whose late answers are still used.
-const MAX_SENT: usize = 5;
-
-/// Time between two requests to a holder that does not answer or is not ready.
-const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(200);
-
-/// Time over which the demand is averaged.
-const DEMAND_WINDOW: time::Duration = time::Duration::from_secs(1);
-
-/// Share of the demand during a credit's lifetime for which credits are borrowed ahead. The rest
-/// leaves room for variation, so that few credits expire.
-const AHEAD: f64 = 0.5;
-
-/// Bounds of the time for which a holder that denied credits is not asked again.
-const DENIALS: [time::Duration; 2] =
-    [time::Duration::from_millis(20), time::Duration::from_millis(500)];
-
 /// The right to make one call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Credit {
@@ -89,62 +74,13 @@
     pub ask: wire::Ask,
 }
 
-/// Credits of one request that were not used yet.
-#[derive(Clone, Copy, Debug)]
-struct Lent {
-    credits: u16,
-    expires: clock::Instant,
-}
-
-/// A request whose answer may still come.
-#[derive(Clone, Copy, Debug)]
-struct Sent {
-    number: u64,
-    at: clock::Instant,
-}
-
-/// What the holder said last.
-#[derive(Clone, Copy, Debug)]
-enum Standing {
-    /// It lends credits, or was not asked yet.
-    Lending,
-    /// It has none until `until`; the next refused call is told to come at `next`.
-    Denied { until: clock::Instant, next: clock::Instant },
-    /// It does not answer or is not ready; it is asked again at `probe`.
-    Absent { probe: clock::Instant },
-}
-
-/// The credits of one organisation.
-#[derive(Debug)]
-struct Account {
-    limit: quota::Limit,
-    lent: collections::VecDeque<Lent>,
-    /// Credits that expired and have not been returned yet.
-    expired: u16,
-    /// Calls per second, as a moving average, at `at`.
-    demand: f64,
-    at: clock::Instant,
-    /// Calls that wait for an answer.
-    waiting: u16,
-    /// The requests that may still be answered, oldest first, at most [`MAX_SENT`].
-    sent: Vec<Sent>,
-    /// Until when the latest request is waited for; `None` if no answer is waited for.
-    due: Option<clock::Instant>,
-    /// Requests in a row that were not answered in time.
-    unanswered: u32,
-    standing: Standing,
-    /// Credits that the node allows itself while the holder is absent.
-    own: f64,
-    own_at: clock::Instant,
-}
-
 /// The credits of an entry node.
 ///
 /// Invariant: each credit was lent to this node and has not expired, or stems from this host's
 /// share of the rate while the holder was absent.
 #[derive(Debug)]
 pub struct Borrower {
-    accounts: collections::HashMap<quota::OrganisationId, Account>,
+    accounts: collections::HashMap<quota::OrganisationId, account::Account>,
     tolerance: quota::Tolerance,
     session: u32,
     number: u64,
@@ -191,7 +127,8 @@
         now: clock::Instant,
         out: &mut Vec<Outgoing>,
     ) -> Take {
-        let account = self.accounts.entry(organisation).or_insert_with(|| Account::new(limit, now));
+        let account =
+            self.accounts.entry(organisation).or_insert_with(|| account::Account::new(limit, now));
         account.limit = limit;
         account.record_demand(now);
         self.decide(organisation, roster, now, out)
@@ -220,7 +157,7 @@
     pub fn give_back(&mut self, organisation: quota::OrganisationId, credit: Credit) {
         let Some(account) = self.accounts.get_mut(&organisation) else { return };
         match credit.expires {
-            Some(expires) => account.lent.push_front(Lent { credits: 1, expires }),
+            Some(expires) => account.lent.push_front(account::Lent { credits: 1, expires }),
             None => account.own += 1.0,
         }
     }
@@ -242,8 +179,8 @@
         match reply.verdict {
             wire::Verdict::Lent { credits, lifetime_ms } => {
                 let lifetime = time::Duration::from_millis(u64::from(lifetime_ms));
-                account.lent.push_back(Lent { credits, expires: sent.at + lifetime });
-                account.standing = Standing::Lending;
+                account.lent.push_back(account::Lent { credits, expires: sent.at + lifetime });
+                account.standing = account::Standing::Lending;
             }
             wire::Verdict::Denied { wait_ms } => {
                 let wait = time::Duration::from_millis(u64::from(wait_ms));
@@ -270,7 +207,7 @@
         let lifetime = self.tolerance.lifetime(account.limit);
         let [min, max] = ASK_TIMEOUTS;
         let due = now + (self.answer_time * TIMEOUT_FACTOR).clamp(min, max);
-        let mut ask = |account: &mut Account, want: u16| {
+        let mut ask = |account: &mut account::Account, want: u16| {
             self.number += 1;
             account.record_ask(self.number, now, due);
             let ask = wire::Ask {
@@ -291,17 +228,17 @@
             return Take::Allowed(credit);
         }
         match account.standing {
-            Standing::Denied { until, .. } if now < until => {
+            account::Standing::Denied { until, .. } if now < until => {
                 Take::Refused { retry_after: account.next_turn(roster, now) }
             }
-            Standing::Absent { ref mut probe } => {
+            account::Standing::Absent { ref mut probe } => {
                 if *probe <= now {
-                    *probe = now + PROBE_INTERVAL;
+                    *probe = now + account::PROBE_INTERVAL;
                     ask(account, 1);
                 }
                 account.use_own(roster, now)
             }
-            Standing::Denied { .. } | Standing::Lending => {
+            account::Standing::Denied { .. } | account::Standing::Lending => {
                 account.waiting = account.waiting.saturating_add(1);
                 if account.may_ask(now) {
                     let want = account.waiting.saturating_add(account.missing(lifetime, now));
@@ -312,135 +249,3 @@
         }
     }
 }
-
-impl Account {
-    fn new(limit: quota::Limit, now: clock::Instant) -> Self {
-        Self {
-            limit,
-            lent: collections::VecDeque::new(),
-            expired: 0,
-            demand: 0.0,
-            at: now,
-            waiting: 0,
-            sent: Vec::new(),
-            due: None,
-            unanswered: 0,
-            standing: Standing::Lending,
-            own: 0.0,
-            own_at: now,
-        }
-    }
-
-    /// The demand at `now`, in calls per second.
-    fn demand_at(&self, now: clock::Instant) -> f64 {
-        let age = now.since(self.at).as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
-        self.demand * (-age).exp()
-    }
-
-    fn record_demand(&mut self, now: clock::Instant) {
-        self.demand = self.demand_at(now) + 1.0 / DEMAND_WINDOW.as_secs_f64();
-        self.at = now;
-    }
-
-    /// Drops the credits that have expired.
-    fn expire(&mut self, now: clock::Instant) {
-        let expired = &mut self.expired;
-        self.lent.retain(|lent| {
-            let valid = now < lent.expires;
-            if !valid {
-                *expired = expired.saturating_add(lent.credits);
-            }
-            valid
-        });
-    }
-
-    fn use_credit(&mut self) -> Option<Credit> {
-        let lent = self.lent.front_mut()?;
-        let credit = Credit { expires: Some(lent.expires) };
-        lent.credits = lent.credits.saturating_sub(1);
-        if lent.credits == 0 {
-            self.lent.pop_front();
-        }
-        Some(credit)
-    }
-
-    /// Credits to borrow ahead: none before half of those that the demand calls for are used, so
-    /// that each request brings several.
-    fn missing(&self, lifetime: time::Duration, now: clock::Instant) -> u16 {
-        // The casts truncate, and saturate.
-        let target = (self.demand_at(now) * lifetime.as_secs_f64() * AHEAD) as u16;
-        let stock = self.lent.iter().fold(0u16, |sum, lent| sum.saturating_add(lent.credits));
-        if stock > target / 2 { 0 } else { target - stock }
-    }
-
-    /// Whether the holder may be asked: no answer is waited for, and it has not denied credits a
-    /// short time ago.
-    fn may_ask(&self, now: clock::Instant) -> bool {
-        let denied = matches!(self.standing, Standing::Denied { until, .. } if now < until);
-        !denied && self.due.is_none()
-    }
-
-    /// Records that the request `number` is sent, whose answer is waited for until `due`.
-    fn record_ask(&mut self, number: u64, now: clock::Instant, due: clock::Instant) {
-        if self.sent.len() == MAX_SENT {
-            self.sent.remove(0);
-        }
-        self.sent.push(Sent { number, at: now });
-        self.due = Some(due);
-    }
-
-    /// Counts the latest request as unanswered if its time has passed; returns how many in a row
-    /// were not answered.
-    fn miss_answer(&mut self, now: clock::Instant) -> u32 {
-        if self.due.is_some_and(|due| due <= now) {
-            self.due = None;
-            self.unanswered += 1;
-        }
-        self.unanswered
-    }
-
-    /// Records that the holder has no credit for `wait`.
-    fn deny(&mut self, wait: time::Duration, now: clock::Instant) {
-        let [min, max] = DENIALS;
-        let until = now + wait.clamp(min, max);
-        self.standing = Standing::Denied { until, next: now + wait.max(min) };
-    }
-
-    /// When the next refused call may come back: one after the other, as fast as this host's share
-    /// of the rate.
-    fn next_turn(&mut self, roster: &roster::Roster, now: clock::Instant) -> time::Duration {
-        let Standing::Denied { next, .. } = &mut self.standing else {
-            return PROBE_INTERVAL;
-        };
-        let turn = (*next).max(now);
-        let interval = 1.0 / (self.limit.rate * roster.host_share());
-        *next = turn + time::Duration::from_secs_f64(interval.min(1.0));
-        turn.since(now)
-    }
-
-    /// Records that there is no holder to ask. Nodes start with different parts of a credit, so that
-    /// all of them together get the credits of a span evenly spread over it.
-    fn miss_holder(&mut self, rng: &mut rngs::SmallRng, now: clock::Instant) {
-        if !matches!(self.standing, Standing::Absent { .. }) {
-            self.own = rng.random_range(0.0..1.0);
-            self.own_at = now;
-        }
-        self.unanswered = 0;
-        self.standing = Standing::Absent { probe: now + PROBE_INTERVAL };
-    }
-
-    /// Allows a call out of this host's share of the rate.
-    fn use_own(&mut self, roster: &roster::Roster, now: clock::Instant) -> Take {
-        let rate = self.limit.rate * roster.host_share();
-        let gained = rate * now.since(self.own_at).as_secs_f64();
-        let most = (self.limit.burst * roster.host_share()).max(1.0);
-        self.own = (self.own + gained).min(most);
-        self.own_at = now;
-        if self.own >= 1.0 {
-            self.own -= 1.0;
-            return Take::Allowed(Credit::OWN);
-        }
-        let wait = time::Duration::from_secs_f64(((1.0 - self.own) / rate).min(1.0));
-        Take::Refused { retry_after: wait.max(PROBE_INTERVAL) }
-    }
-}
