--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -125,7 +125,8 @@
         }
     }
 
-    /// Calls beyond `limit` that one of the causes listed at [`TOLERANCE_PARTS`] may add to a span.
+    /// Calls beyond `limit` that one of four causes may add to a span: credits that are lent, the
+    /// start of a new holder, entry nodes without a holder, and the time that news takes.
     pub fn part(&self, limit: Limit) -> f64 {
         let allowed = limit.rate * self.window.as_secs_f64() + limit.burst;
         (self.over * allowed + self.slack) / TOLERANCE_PARTS
