--- a/src/host.rs
+++ b/src/host.rs
@@ -33,8 +33,7 @@
 
     /// The host that sends its configuration datagrams from `address`.
     pub fn from_spread_addr(address: net::SocketAddr) -> Self {
-        let port = address.port().wrapping_sub(SPREAD_OFFSET);
-        Self(net::SocketAddr::new(address.ip(), port))
+        Self::from_offset(address, SPREAD_OFFSET)
     }
 
     /// Address for membership datagrams (UDP), which is the base address.
@@ -49,8 +48,7 @@
 
     /// The host that sends its quota datagrams from `address`.
     pub fn from_inner_addr(address: net::SocketAddr) -> Self {
-        let port = address.port().wrapping_sub(INNER_OFFSET);
-        Self(net::SocketAddr::new(address.ip(), port))
+        Self::from_offset(address, INNER_OFFSET)
     }
 
     /// Address for calls from other nodes (HTTP/2 over TCP), and for quota datagrams (UDP).
@@ -90,6 +88,12 @@
         u64::from_le_bytes(first)
     }
 
+    /// The host whose port at the offset `by` is that of `address`.
+    fn from_offset(address: net::SocketAddr, by: u16) -> Self {
+        let port = address.port().wrapping_sub(by);
+        Self(net::SocketAddr::new(address.ip(), port))
+    }
+
     fn offset(self, by: u16) -> net::SocketAddr {
         net::SocketAddr::new(self.0.ip(), self.0.port().wrapping_add(by))
     }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -39,6 +39,9 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RouteKey(pub u16);
 
+/// Lowest priority of an organisation that a configuration allows.
+pub const LOWEST_PRIORITY: u8 = 15;
+
 /// An organisation: it is charged for the calls that its services serve, and makes calls with its
 /// API keys.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -159,9 +159,8 @@
     const WEIGHT_BITS: u32 = 20;
     /// Bits for the priority of a kind.
     const KIND_BITS: u32 = 8;
-    /// Lowest priority of an organisation that a configuration allows.
-    const LOWEST: u8 = 15;
-    let organisation = u32::from(caller.map_or(0, |caller| LOWEST.saturating_sub(caller.priority)));
+    let above_lowest = |priority| mesh::LOWEST_PRIORITY.saturating_sub(priority);
+    let organisation = u32::from(caller.map_or(0, |caller| above_lowest(caller.priority)));
     let urgency = organisation << KIND_BITS | u32::from(u8::MAX - kind.priority);
     (urgency << WEIGHT_BITS) | kind.weight.min((1 << WEIGHT_BITS) - 1)
 }
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -67,8 +67,8 @@
     take: borrower::Take,
     /// Whether this host is the holder, so that a request for credits has been answered.
     holds: bool,
-    /// Completes when a call that has to wait can be decided again.
-    answered: OwnedNotified,
+    /// Completes when the call can be decided again; `None` if it does not have to wait.
+    answered: Option<OwnedNotified>,
 }
 
 /// A call that waits for a credit; dropped, it no longer waits.
@@ -175,7 +175,9 @@
                 }
                 borrower::Take::Wait { until } => {
                     let end = tokio::time::Instant::now() + until.since(self.ctx.now());
-                    let _ = tokio::time::timeout_at(end, answered).await;
+                    if let Some(answered) = answered {
+                        let _ = tokio::time::timeout_at(end, answered).await;
+                    }
                 }
             }
         }
@@ -204,9 +206,11 @@
                 borrower.take(id, limit, roster, now, &mut out)
             }
         };
-        let waiter = Arc::clone(self.waiters.borrow_mut().entry(id).or_default());
         // Registered before the request is sent, so that its answer is not missed.
-        let answered = waiter.notified_owned();
+        let answered = matches!(take, borrower::Take::Wait { .. }).then(|| {
+            let mut waiters = self.waiters.borrow_mut();
+            Arc::clone(waiters.entry(id).or_default()).notified_owned()
+        });
         let mut holds = false;
         for outgoing in &out {
             holds |= self.send_ask(outgoing);
