--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod fake;
 mod idempotency;
+mod limits;
 mod organisations;
 mod path;
 mod pipelining;
