feat(proxy): log what an upstream says of itself in its answers

Callers saw an upstream swamped that had asked for fewer calls, and no line of a node told that it had. An upstream's node reads the limit and the leave out of its signed answers and logs each change, with the call whose answer said so. Nothing acts on it yet.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -8,6 +8,7 @@
 mod gate;
 mod load;
 mod queue;
+mod rate;
 mod service_times;
 #[cfg(test)]
 mod tests;
@@ -20,6 +21,7 @@
 
 pub use self::gate::Gate;
 pub use self::load::{Load, Malformed};
+pub use self::rate::{Malformed as MalformedRate, Rate};
 
 /// Identifies a call at its gate; never used twice.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -5,6 +5,7 @@
 
 use http::header;
 
+use crate::admit;
 use crate::proxy::headers;
 
 /// Header names used by callers and upstreams.
@@ -25,6 +26,11 @@
     /// Set on every answer that an upstream made itself, rather than a proxy in between. `None`:
     /// not checked.
     pub signature: Option<header::HeaderName>,
+    /// Names the limit of an upstream on its calls from all nodes together, in calls a second; set
+    /// on its answers.
+    pub limit: header::HeaderName,
+    /// Set to [`headers::LEAVES`] by an upstream that is leaving, on its answers.
+    pub leaving: header::HeaderName,
     /// Whether callers and upstreams get the project's own `dandelionspool-` headers.
     pub verbose: bool,
 }
@@ -39,6 +45,8 @@
             instance: None,
             not_run: header::HeaderName::from_static(headers::UPSTREAM),
             signature: None,
+            limit: header::HeaderName::from_static(headers::LIMIT),
+            leaving: header::HeaderName::from_static(headers::LEAVING),
             verbose: true,
         }
     }
@@ -94,6 +102,20 @@
         self
     }
 
+    /// Sets the header by which an upstream names its limit.
+    #[must_use]
+    pub fn limit(mut self, limit: &'static str) -> Self {
+        self.limit = header::HeaderName::from_static(limit);
+        self
+    }
+
+    /// Sets the header by which an upstream says that it is leaving.
+    #[must_use]
+    pub fn leaving(mut self, leaving: &'static str) -> Self {
+        self.leaving = header::HeaderName::from_static(leaving);
+        self
+    }
+
     /// Keeps the project's own headers from callers and upstreams.
     #[must_use]
     pub const fn terse(mut self) -> Self {
@@ -115,4 +137,28 @@
     pub fn is_signed(&self, map: &header::HeaderMap) -> bool {
         self.signature.as_ref().is_none_or(|signature| map.contains_key(signature))
     }
+
+    /// The limit that an upstream names in an answer with these headers; `None` if it names none,
+    /// the lowest if it names several.
+    ///
+    /// # Errors
+    ///
+    /// It names a limit, but no valid one.
+    pub fn named_limit(
+        &self,
+        map: &header::HeaderMap,
+    ) -> Result<Option<admit::Rate>, admit::MalformedRate> {
+        let named = map.get_all(&self.limit).iter();
+        let rates = named.map(|value| value.to_str().unwrap_or_default().parse());
+        let lowest = rates.reduce(|lowest: Result<admit::Rate, _>, rate| match (lowest, rate) {
+            (Ok(lowest), Ok(rate)) => Ok(lowest.min(rate)),
+            (lowest, rate) => lowest.or(rate),
+        });
+        lowest.transpose()
+    }
+
+    /// Whether an upstream says that it is leaving in an answer with these headers.
+    pub fn is_leaving(&self, map: &header::HeaderMap) -> bool {
+        map.get_all(&self.leaving).iter().any(|value| value == headers::LEAVES)
+    }
 }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -30,6 +30,12 @@
 pub const UPSTREAM: &str = "dandelionspool-upstream";
 /// Value of [`UPSTREAM`]: the call was shed before it ran.
 pub const SHED: &str = "shed";
+/// Names the limit of an upstream on its calls, in calls a second; set by it on its answers.
+pub const LIMIT: &str = "upstream-limit";
+/// Set to [`LEAVES`] by an upstream that is leaving, on its answers.
+pub const LEAVING: &str = "upstream-leaving";
+/// Value of [`LEAVING`]: the upstream takes no new calls.
+pub const LEAVES: &str = "1";
 /// Set to [`HELD`] on the answer to a duplicate.
 pub const ANSWER: &str = "dandelionspool-answer";
 /// Value of [`ANSWER`]: the answer is that of the first call of the key.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -26,6 +26,7 @@
 pub mod inbound_link;
 pub mod internode;
 pub mod links;
+pub mod notices;
 pub mod organisations;
 pub mod owner;
 pub mod peer;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -110,6 +110,8 @@
         return Err(refusal.retry_in(state.slots.retry_delay()));
     }
     check(&state.dialect, &method, id.as_ref(), &answer)?;
+    let now = state.ctx.now();
+    state.notices.read(&local, &state.dialect, answer.headers(), &state.trace, now);
     if let Some(run) = resources.run.as_mut() {
         run.set_status(answer.status());
     }
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -30,6 +30,7 @@
 use crate::proxy::held_answers;
 use crate::proxy::inbound_link;
 use crate::proxy::links;
+use crate::proxy::notices;
 use crate::proxy::pool;
 use crate::proxy::quarantine_filter;
 use crate::proxy::quotas;
@@ -98,6 +99,8 @@
     pub run_times: RefCell<run_times::RunTimes>,
     /// Writes the log lines of single calls.
     pub trace: trace::Trace,
+    /// What the local upstream says of itself in its answers.
+    pub notices: notices::Notices,
     /// Instance and incarnation of the local upstream that was applied last.
     last_upstream: RefCell<Option<(SmolStr, u32)>>,
     /// Calls that run at the local upstream.
@@ -173,6 +176,7 @@
             sizes: RefCell::default(),
             run_times: RefCell::default(),
             trace: trace::Trace::default(),
+            notices: notices::Notices::default(),
             last_upstream: RefCell::default(),
             caller_retries: RefCell::default(),
             running: Rc::new(running_calls::RunningCalls::new(
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -11,6 +11,8 @@
 use crate::clock;
 use crate::host;
 use crate::mesh;
+use crate::node;
+use crate::proxy::notices;
 use crate::proxy::refuse;
 use crate::quarantine;
 use crate::retry;
@@ -108,6 +110,19 @@
     pub retry_after: time::Duration,
 }
 
+/// A notice of the local upstream that has changed or can't be read.
+#[derive(Clone, Copy, Debug)]
+pub struct Noticed<'a> {
+    /// The upstream.
+    pub local: &'a node::LocalUpstream,
+    /// What it says now.
+    pub notice: notices::Notice,
+    /// Whether it names a limit that is no number.
+    pub malformed: bool,
+    /// Request id of the call whose answer had the notice.
+    pub id: Option<&'a header::HeaderValue>,
+}
+
 /// A call that its upstream answered, at the entry node.
 #[derive(Clone, Copy, Debug)]
 pub struct Served<'a> {
@@ -196,6 +211,23 @@
         );
     }
 
+    /// Logs a notice of the local upstream, at its node.
+    pub fn noticed(&self, noticed: &Noticed<'_>, now: clock::Instant) {
+        let Some(skipped) = self.reserve_line(now) else { return };
+        let Noticed { local, notice, malformed, id } = noticed;
+        log::info!(
+            id = id.map(text).unwrap_or_default(),
+            instance = local.instance.as_str(),
+            life = local.upstream.incarnation,
+            limited = notice.limit.is_some(),
+            limit_per_s = notice.limit.map_or(0.0, admit::Rate::per_second),
+            leaving = notice.leaving,
+            malformed = *malformed,
+            skipped;
+            "the upstream said something else of itself"
+        );
+    }
+
     /// Logs a call that its upstream answered, at the entry node, if it is in the sample.
     pub fn served(&self, served: &Served<'_>, now: clock::Instant) {
         if !is_sampled(served.id) {
