--- a/src/bench/quotas/ways.rs
+++ b/src/bench/quotas/ways.rs
@@ -10,11 +10,11 @@
 use crate::host;
 use crate::quota;
 use crate::quota::borrower;
-use crate::quota::bucket;
 use crate::quota::holder;
 use crate::quota::roster;
 use crate::quota::wire;
 use crate::seal;
+use crate::token_bucket;
 use crate::view;
 
 /// What all nodes of a run have in common.
@@ -73,7 +73,7 @@
 
 /// Each node has an equal share of the limit.
 pub struct Fixed {
-    bucket: bucket::Bucket,
+    bucket: token_bucket::Bucket,
     share: f64,
 }
 
@@ -89,7 +89,7 @@
     ) -> Self {
         let share = 1.0 / setup.hosts.len() as f64;
         let start = rngs::SmallRng::seed_from_u64(seed).random_range(0.0..1.0);
-        Self { bucket: bucket::Bucket::new(limit, share, start, now), share }
+        Self { bucket: token_bucket::Bucket::new(limit, share, start, now), share }
     }
 
     fn see(&mut self, _view: &view::View, _now: clock::Instant) {}
@@ -120,7 +120,7 @@
 }
 
 /// Decides on a call by a bucket of this node alone.
-fn decide(bucket: &mut bucket::Bucket, now: clock::Instant) -> borrower::Take {
+fn decide(bucket: &mut token_bucket::Bucket, now: clock::Instant) -> borrower::Take {
     if bucket.take(1, now) == 1 {
         borrower::Take::Allowed(borrower::Credit::OWN)
     } else {
@@ -142,7 +142,7 @@
 /// out of its bucket when it learns of them.
 pub struct Gossip {
     me: usize,
-    bucket: bucket::Bucket,
+    bucket: token_bucket::Bucket,
     own: u64,
     sent: u64,
     totals: Vec<u64>,
@@ -178,7 +178,7 @@
     ) -> Self {
         Self {
             me,
-            bucket: bucket::Bucket::new(limit, 1.0, limit.burst, now),
+            bucket: token_bucket::Bucket::new(limit, 1.0, limit.burst, now),
             own: 0,
             sent: 0,
             totals: vec![0; setup.hosts.len()],
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod socket;
 pub mod spread;
 pub mod standin;
+pub mod token_bucket;
 pub mod traffic;
 pub mod usage;
 pub mod version;
--- a/src/quota/holder.rs
+++ b/src/quota/holder.rs
@@ -6,9 +6,9 @@
 use crate::clock;
 use crate::host;
 use crate::quota;
-use crate::quota::bucket;
 use crate::quota::roster;
 use crate::quota::wire;
+use crate::token_bucket;
 
 /// Requests of a node that may arrive out of order.
 const REORDER_WINDOW: u64 = 64;
@@ -16,7 +16,7 @@
 /// The account of an organisation.
 #[derive(Clone, Copy, Debug)]
 struct Account {
-    bucket: bucket::Bucket,
+    bucket: token_bucket::Bucket,
     /// From when on credits are lent.
     ready: clock::Instant,
 }
@@ -130,7 +130,7 @@
     let ready = roster.changed() + quota::HANDOVER;
     let (share, calm) = (roster.share(), now.since(ready).as_secs_f64());
     let tokens = (tolerance.part(limit) + limit.rate * calm) * share;
-    Account { bucket: bucket::Bucket::new(limit, share, tokens, now.max(ready)), ready }
+    Account { bucket: token_bucket::Bucket::new(limit, share, tokens, now.max(ready)), ready }
 }
 
 fn millis(time: time::Duration) -> u16 {
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -20,7 +20,7 @@
 //!
 //! | state | decisions |
 //! |---|---|
-//! | tokens of one account | [`bucket`] |
+//! | tokens of one account | [`token_bucket`](crate::token_bucket) |
 //! | the accounts that a host keeps | [`holder`] |
 //! | the credits of an entry node | [`borrower`] |
 //! | who holds which account | [`roster`] |
@@ -33,8 +33,9 @@
 
 use crate::configs;
 
+pub use crate::token_bucket::Limit;
+
 pub mod borrower;
-pub mod bucket;
 pub mod holder;
 pub mod roster;
 pub mod wire;
@@ -88,22 +89,6 @@
     pub unauthenticated: counter::Counter,
 }
 
-/// Limit on the calls of an organisation over all nodes together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Limit {
-    /// Calls per second, above zero.
-    pub rate: f64,
-    /// Calls that may be made at once beyond the rate.
-    pub burst: f64,
-}
-
-impl Limit {
-    /// The limit of `rate` calls per second with `burst`; `None` if there is no limit.
-    pub fn new(rate: f64, burst: u32) -> Option<Self> {
-        (rate > 0.0).then(|| Self { rate, burst: f64::from(burst) })
-    }
-}
-
 /// By how much a limit may be exceeded in any span of `window`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tolerance {
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -11,11 +11,11 @@
 use crate::host;
 use crate::quota;
 use crate::quota::borrower;
-use crate::quota::bucket;
 use crate::quota::holder;
 use crate::quota::roster;
 use crate::quota::wire;
 use crate::seal;
+use crate::token_bucket;
 use crate::view;
 
 const LIMIT: quota::Limit = quota::Limit { rate: 10.0, burst: 20.0 };
@@ -71,7 +71,7 @@
 
 #[test]
 fn a_bucket_fills_at_its_rate_up_to_its_burst() {
-    let mut bucket = bucket::Bucket::new(LIMIT, 1.0, 100.0, at(0));
+    let mut bucket = token_bucket::Bucket::new(LIMIT, 1.0, 100.0, at(0));
     assert_eq!(bucket.take(50, at(0)), 20);
     assert_eq!(bucket.take(50, at(1500)), 15);
     assert_eq!(bucket.take(50, at(60_000)), 20);
@@ -79,7 +79,7 @@
 
 #[test]
 fn refused_calls_are_given_times_one_after_the_other() {
-    let mut bucket = bucket::Bucket::new(LIMIT, 1.0, 0.0, at(0));
+    let mut bucket = token_bucket::Bucket::new(LIMIT, 1.0, 0.0, at(0));
     let waits: Vec<u128> = (0..3).map(|_| bucket.book(1, at(0)).as_millis()).collect();
     assert_eq!(waits, [100, 200, 300]);
     assert_eq!(bucket.book(1, at(200)).as_millis(), 0, "two of them have had their turn");
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_share_of_a_bucket_has_that_share_of_the_limit() {
-    let mut bucket = bucket::Bucket::new(LIMIT, 0.25, 100.0, at(0));
+    let mut bucket = token_bucket::Bucket::new(LIMIT, 0.25, 100.0, at(0));
     assert_eq!(bucket.take(50, at(0)), 5);
     assert_eq!(bucket.take(50, at(2000)), 5);
 }
--- a/src/quota/bucket.rs
+++ b/src/token_bucket.rs
@@ -3,18 +3,33 @@
 use std::time;
 
 use crate::clock;
-use crate::quota;
 
-/// Longest time that a refused caller is told to wait.
+/// Longest time that a refused caller is told to wait, unless [`Bucket::max_wait`] sets another.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(60);
 
+/// A rate of calls, and how many may be made at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Calls per second, above zero.
+    pub rate: f64,
+    /// Calls that may be made at once beyond the rate.
+    pub burst: f64,
+}
+
+impl Limit {
+    /// The limit of `rate` calls per second with `burst`; `None` if there is no limit.
+    pub fn new(rate: f64, burst: u32) -> Option<Self> {
+        (rate > 0.0).then(|| Self { rate, burst: f64::from(burst) })
+    }
+}
+
 /// The tokens of one account.
 ///
 /// Invariant: in any span, the tokens taken are at most those at its beginning, which are at most
 /// the capacity, plus the rate times its length.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
-    limit: quota::Limit,
+    limit: Limit,
     /// Share of the limit that applies, above 0 and up to 1.
     share: f64,
     tokens: f64,
@@ -22,18 +37,33 @@
     booked: f64,
     /// When `tokens` and `booked` were last brought up to date.
     at: clock::Instant,
+    max_wait: time::Duration,
 }
 
 impl Bucket {
     /// A bucket with `tokens`, or with as many as fit.
-    pub fn new(limit: quota::Limit, share: f64, tokens: f64, now: clock::Instant) -> Self {
-        let mut bucket = Self { limit, share, tokens, booked: 0.0, at: now };
+    pub fn new(limit: Limit, share: f64, tokens: f64, now: clock::Instant) -> Self {
+        let mut bucket = Self { limit, share, tokens, booked: 0.0, at: now, max_wait: MAX_WAIT };
         bucket.tokens = tokens.min(bucket.capacity());
         bucket
     }
 
+    /// Sets the longest time that a refused caller is told to wait.
+    #[must_use]
+    pub const fn max_wait(mut self, max_wait: time::Duration) -> Self {
+        self.max_wait = max_wait;
+        self
+    }
+
+    /// Tokens that could be taken at `now`.
+    pub fn tokens(&self, now: clock::Instant) -> f64 {
+        let mut refilled = *self;
+        refilled.refill(now);
+        refilled.tokens
+    }
+
     /// Tokens that the bucket holds at most; one call can always be allowed some time.
-    fn capacity(&self) -> f64 {
+    pub fn capacity(&self) -> f64 {
         (self.limit.burst * self.share).max(1.0)
     }
 
@@ -42,7 +72,7 @@
     }
 
     /// Sets the limit and the share of it that apply from now on.
-    pub fn set_limit(&mut self, limit: quota::Limit, share: f64, now: clock::Instant) {
+    pub fn set_limit(&mut self, limit: Limit, share: f64, now: clock::Instant) {
         self.refill(now);
         (self.limit, self.share) = (limit, share);
         self.tokens = self.tokens.min(self.capacity());
@@ -75,8 +105,8 @@
     pub fn book(&mut self, count: u16, now: clock::Instant) -> time::Duration {
         self.refill(now);
         let missing = (self.booked + 1.0 - self.tokens).max(0.0);
-        let wait = (missing / self.rate()).min(MAX_WAIT.as_secs_f64());
-        let most = self.rate() * MAX_WAIT.as_secs_f64();
+        let wait = (missing / self.rate()).min(self.max_wait.as_secs_f64());
+        let most = self.rate() * self.max_wait.as_secs_f64();
         self.booked = (self.booked + f64::from(count)).min(most);
         time::Duration::from_secs_f64(wait)
     }
