--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -121,6 +121,7 @@
             Arc::new(node::LocalUpstream {
                 address,
                 instance: Default::default(),
+                born: None,
                 upstream: shop(),
             })
         });
@@ -134,6 +135,7 @@
             dialect: dandelionspool::proxy::Dialect::default(),
             quarantine: quarantine::channel().0,
             quotas: Default::default(),
+            notices: Default::default(),
             rollouts: Default::default(),
         };
         let (_stage_sender, stage) = watch::channel(node::Stage::Run);
--- a/benches/pick.rs
+++ b/benches/pick.rs
@@ -94,6 +94,8 @@
         outcome: retry::Outcome::Ran,
         load: Some(load),
         relative_time: None,
+        notice: None,
+        retry_after: None,
         latency,
     };
     picker.ended(choice, hint::black_box(&report), now);
--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -320,6 +320,7 @@
         Some(node::LocalUpstream {
             address: announcement.address,
             instance: instance.clone(),
+            born: announcement.born,
             upstream,
         })
     }
--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry;
 
 use crate::admin::status;
+use crate::notice;
 use crate::quarantine;
 use crate::quota;
 use crate::ring;
@@ -65,6 +66,14 @@
         self.register("quarantine_held", "Requests held responsible for ends", quarantined.clone());
     }
 
+    /// Adds the counts of what the upstream says of itself.
+    pub fn notices(&self, counts: &notice::Counts) {
+        let help = "Whether the upstream names a limit";
+        self.register("upstream_limited", help, counts.limited.clone());
+        let help = "Calls refused at the limit that the upstream names";
+        self.register("upstream_limit_refused", help, counts.refused.clone());
+    }
+
     /// Adds the counts of the limits of organisations.
     pub fn quotas(&self, counts: &quota::Counts) {
         let rows = [
--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -4,6 +4,7 @@
 
 use crate::admit;
 use crate::admit::concurrency;
+use crate::admit::limiter;
 use crate::admit::queue;
 use crate::admit::service_times;
 use crate::admit::wait_ratio;
@@ -27,11 +28,13 @@
 ///
 /// Invariants: at most as many calls run as there are slots or connections, except for calls that
 /// ran before the limits were lowered; no call waits while a slot is free; no call is admitted
-/// after a drain.
+/// after a drain; no more calls wait than may start within the limit that the upstream names.
 #[derive(Debug)]
 pub struct Gate {
     limits: admit::Limits,
     concurrency: concurrency::Limit,
+    /// `None` while the upstream names no limit.
+    limiter: Option<limiter::Limiter>,
     draining: bool,
     running: Vec<Running>,
     queue: queue::Queue,
@@ -45,6 +48,7 @@
         Self {
             limits,
             concurrency: concurrency::Limit::new(&limits),
+            limiter: None,
             draining: false,
             running: Vec::with_capacity(limits.concurrency()),
             queue: queue::Queue::default(),
@@ -66,6 +70,7 @@
             admit::Event::Cancelled { ticket } => self.cancel(ticket),
             admit::Event::Shed { ticket } => self.shed(ticket),
             admit::Event::Limits(limits) => self.set_limits(limits),
+            admit::Event::Rate(rate) => self.set_rate(rate, now),
             admit::Event::Drain => self.drain(now, actions),
             admit::Event::Resume => self.draining = false,
             admit::Event::Restart => self.restart(),
@@ -104,7 +109,16 @@
         self.draining && self.running.is_empty()
     }
 
+    /// What is left of the limit that the upstream names; `None` if it names none.
+    pub fn allowance(&self, now: clock::Instant) -> Option<admit::Allowance> {
+        let limiter = self.limiter.as_ref()?;
+        Some(admit::Allowance { rate: limiter.rate(), left: limiter.available(now) })
+    }
+
     fn arrive(&mut self, call: admit::Call, now: clock::Instant, actions: &mut Vec<admit::Action>) {
+        if let Some(limiter) = &mut self.limiter {
+            limiter.arrived(call.rank(), now);
+        }
         match self.rejection(&call, now) {
             Some(reason) => self.refuse(call, reason, now, actions),
             None if self.has_slot() => self.run(call, now, actions),
@@ -119,9 +133,9 @@
     }
 
     /// The action for `call` if it came now; `None` if it would wait.
-    pub fn preview(&self, call: &admit::Call, now: clock::Instant) -> Option<admit::Action> {
+    pub fn preview(&mut self, call: &admit::Call, now: clock::Instant) -> Option<admit::Action> {
         match self.rejection(call, now) {
-            Some(reason) => Some(self.refusal(call.ticket, reason, now)),
+            Some(reason) => Some(self.refusal(call, reason, now)),
             None => self.has_slot().then_some(admit::Action::Run { ticket: call.ticket }),
         }
     }
@@ -150,6 +164,8 @@
             Some(retry::Reason::NoUpstream)
         } else if call.deadline <= now {
             Some(retry::Reason::TooLate)
+        } else if self.exceeds_rate(call, position, now) {
+            Some(retry::Reason::Limited)
         } else if self.has_slot() {
             None
         } else if self.misses_deadline(position, call, now) {
@@ -161,6 +177,13 @@
         }
     }
 
+    /// Whether the limit that the upstream names is used up by the time at which `call`, queued at
+    /// `position`, would start.
+    fn exceeds_rate(&self, call: &admit::Call, position: usize, now: clock::Instant) -> bool {
+        let available = self.limiter.as_ref().map(|l| l.available_to(call, now));
+        available.is_some_and(|available| available <= position)
+    }
+
     /// Whether a call that is queued at `position` may well be answered after its target.
     ///
     /// While other calls wait, no slot stays free if this one is refused. If it were admitted,
@@ -182,6 +205,11 @@
             let Some(waiter) = self.queue.pop_back() else { break };
             self.refuse(waiter, retry::Reason::Full, now, actions);
         }
+        let available = self.limiter.as_ref().map_or(usize::MAX, |l| l.available(now));
+        while self.queue.len() > available {
+            let Some(waiter) = self.queue.pop_back() else { break };
+            self.refuse(waiter, retry::Reason::Limited, now, actions);
+        }
         while self.has_slot() {
             let Some(waiter) = self.queue.pop_front() else { break };
             let queue::Waiter { call, since, expected } = waiter;
@@ -264,26 +292,34 @@
     fn run(&mut self, waiter: admit::Call, now: clock::Instant, actions: &mut Vec<admit::Action>) {
         let (ticket, kind, others) = (waiter.ticket, waiter.kind, self.running.len());
         self.running.push(Running { ticket, kind, others, since: now });
+        if let Some(limiter) = &mut self.limiter {
+            limiter.start(&waiter, now);
+        }
         actions.push(admit::Action::Run { ticket: waiter.ticket });
     }
 
     fn refuse(
-        &self,
+        &mut self,
         waiter: admit::Call,
         reason: retry::Reason,
         now: clock::Instant,
         actions: &mut Vec<admit::Action>,
     ) {
-        actions.push(self.refusal(waiter.ticket, reason, now));
+        actions.push(self.refusal(&waiter, reason, now));
     }
 
     fn refusal(
-        &self,
-        ticket: admit::Ticket,
+        &mut self,
+        call: &admit::Call,
         reason: retry::Reason,
         now: clock::Instant,
     ) -> admit::Action {
-        admit::Action::Refuse { ticket, reason, retry_after: self.retry_after(ticket, now) }
+        let limiter = self.limiter.as_mut().filter(|_| reason == retry::Reason::Limited);
+        let retry_after = match limiter {
+            Some(limiter) => limiter.book(call, now).max(MIN_WAIT),
+            None => self.retry_after(call.ticket, now),
+        };
+        admit::Action::Refuse { ticket: call.ticket, reason, retry_after }
     }
 
     /// Time after which the caller of `ticket` may retry: at least until the waiting calls have
@@ -310,7 +346,16 @@
         self.concurrency.announce(&limits);
     }
 
+    fn set_rate(&mut self, rate: Option<admit::Rate>, now: clock::Instant) {
+        match (rate, &mut self.limiter) {
+            (Some(rate), Some(limiter)) => limiter.set_rate(rate, now),
+            (Some(rate), None) => self.limiter = Some(limiter::Limiter::new(rate, now)),
+            (None, _) => self.limiter = None,
+        }
+    }
+
     fn restart(&mut self) {
+        self.limiter = None;
         self.concurrency = concurrency::Limit::new(&self.limits);
         self.times = service_times::ServiceTimes::default();
     }
@@ -340,7 +385,7 @@
 
 /// A time between one and two times `wait`, depending on the ticket. Calls that are refused
 /// together must not be retried together, and none before the calls that wait now have started.
-fn stagger(wait: time::Duration, ticket: admit::Ticket) -> time::Duration {
+pub fn stagger(wait: time::Duration, ticket: admit::Ticket) -> time::Duration {
     /// Number of different times.
     const STEPS: u64 = 16;
     /// Distance between successive tickets, coprime to the number of steps.
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -6,6 +6,7 @@
 
 mod concurrency;
 mod gate;
+mod limiter;
 mod load;
 mod queue;
 mod rate;
@@ -19,7 +20,7 @@
 use crate::clock;
 use crate::retry;
 
-pub use self::gate::Gate;
+pub use self::gate::{Gate, stagger};
 pub use self::load::{Load, Malformed};
 pub use self::rate::{Malformed as MalformedRate, Rate};
 
@@ -43,6 +44,8 @@
     /// Whether a running call waits for this one. Such a call runs before new work, whatever its
     /// weight, and is not refused because of its own target.
     pub nested: bool,
+    /// Whether its caller was refused before and returns.
+    pub returning: bool,
     /// Time by which the answer should come to be on time; equal to the deadline if that makes no
     /// difference.
     pub target: clock::Instant,
@@ -50,6 +53,24 @@
     pub deadline: clock::Instant,
 }
 
+/// Priority of a call; the highest runs first.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Rank {
+    /// See [`Call::nested`].
+    pub nested: bool,
+    /// See [`Call::weight`].
+    pub weight: u32,
+}
+
+/// How much of the limit that an upstream names is left.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// The limit.
+    pub rate: Rate,
+    /// Calls that may start now.
+    pub left: usize,
+}
+
 /// Limits of a gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -62,9 +83,9 @@
 }
 
 impl Call {
-    /// Priority of the call; the highest rank runs first.
-    pub(crate) const fn rank(&self) -> (bool, u32) {
-        (self.nested, self.weight)
+    /// Priority of the call.
+    pub(crate) const fn rank(&self) -> Rank {
+        Rank { nested: self.nested, weight: self.weight }
     }
 }
 
@@ -100,6 +121,8 @@
     },
     /// The limits changed; running calls continue.
     Limits(Limits),
+    /// The upstream names another limit on its calls; `None`: it names none any more.
+    Rate(Option<Rate>),
     /// The upstream drains: no more calls are admitted.
     Drain,
     /// Another upstream has replaced the one that was draining.
@@ -125,7 +148,7 @@
         ticket: Ticket,
         /// Why it is refused.
         reason: retry::Reason,
-        /// Time after which a slot may be free.
+        /// Time after which there may be room for the call.
         retry_after: time::Duration,
     },
 }
--- a/src/admit/rate.rs
+++ b/src/admit/rate.rs
@@ -45,9 +45,10 @@
         self.per_second() * span.as_secs_f64()
     }
 
-    /// Time in which `calls` may start. The rate must not be zero.
+    /// Time in which `calls` may start, at [`Self::MIN`] if the rate is lower.
     pub fn time_of(self, calls: f64) -> time::Duration {
-        time::Duration::try_from_secs_f64(calls / self.per_second()).unwrap_or(time::Duration::MAX)
+        let seconds = calls / self.max(Self::MIN).per_second();
+        time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX)
     }
 }
 
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -68,7 +68,8 @@
         now: u64,
     ) -> Vec<admit::Action> {
         let (ticket, target, deadline) = (admit::Ticket(ticket), at(target), at(deadline));
-        let call = admit::Call { ticket, kind, weight, nested: false, target, deadline };
+        let call =
+            admit::Call { ticket, kind, weight, nested: false, returning: false, target, deadline };
         self.handle(admit::Event::Arrive(call), now)
     }
 
@@ -277,7 +278,15 @@
 /// The arrival of a nested call, for which a running call waits.
 fn nested(ticket: u64, target: u64, deadline: u64) -> admit::Event {
     let (ticket, target, deadline) = (admit::Ticket(ticket), at(target), at(deadline));
-    let call = admit::Call { ticket, kind: PLAIN, weight: BROWSE, nested: true, target, deadline };
+    let call = admit::Call {
+        ticket,
+        kind: PLAIN,
+        weight: BROWSE,
+        nested: true,
+        returning: false,
+        target,
+        deadline,
+    };
     admit::Event::Arrive(call)
 }
 
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -211,7 +211,15 @@
         let ticket = admit::Ticket(call as u64 * TICKETS_PER_CALL + u64::from(attempt));
         let deadline = one.since + one.kind.timeout();
         let (kind, weight) = (one.kind.number(), one.kind.weight());
-        let call = admit::Call { ticket, kind, weight, nested: false, target: deadline, deadline };
+        let call = admit::Call {
+            ticket,
+            kind,
+            weight,
+            nested: false,
+            returning: false,
+            target: deadline,
+            deadline,
+        };
         self.gate(at, admit::Event::Arrive(call));
     }
 
@@ -299,8 +307,14 @@
     ) -> Option<pick::Choice> {
         let one = &mut self.calls[call];
         let (choice, since) = one.choice?;
-        let report =
-            pick::Report { outcome, load, relative_time: None, latency: self.now.since(since) };
+        let report = pick::Report {
+            outcome,
+            load,
+            relative_time: None,
+            notice: None,
+            retry_after: None,
+            latency: self.now.since(since),
+        };
         self.entries[one.entry].picker.ended(choice, &report, self.now);
         Some(choice)
     }
@@ -315,6 +329,7 @@
         let state = retry::Call {
             idempotent: one.kind == setup::Kind::Browse,
             attempt: one.attempt,
+            limited: 0,
             max_attempts: if self.case.retry == case::Retry::None { 1 } else { MAX_ATTEMPTS },
             depth: 0,
             outer_attempt: 1,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod member;
 pub mod mesh;
 pub mod node;
+pub mod notice;
 pub mod pick;
 pub mod proxy;
 pub mod quarantine;
--- a/src/member/directory/search/tests.rs
+++ b/src/member/directory/search/tests.rs
@@ -116,7 +116,7 @@
         trial: Default::default(),
     };
     let address = (net::Ipv4Addr::new(10, 0, 0, 1), 80).into();
-    Some(Arc::new(node::LocalUpstream { address, instance: "i".into(), upstream }))
+    Some(Arc::new(node::LocalUpstream { address, instance: "i".into(), born: None, upstream }))
 }
 
 /// Starts the search of host `last`, whose upstream has announced itself if `serves`.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 
+use crate::notice;
 use crate::view;
 
 pub mod duty;
@@ -37,6 +38,16 @@
     /// Name of this instance, which tells it from others that ran at the address; empty when it
     /// announces none.
     pub instance: SmolStr,
+    /// When this incarnation of it started, in milliseconds since the Unix epoch; `None` if it does
+    /// not say.
+    pub born: Option<u64>,
     /// Its announced properties, limited to what its class allows.
     pub upstream: view::Upstream,
 }
+
+impl LocalUpstream {
+    /// Its identity, the same whatever process of the node is beside it; `None` without a name.
+    pub fn identity(&self) -> Option<notice::Identity> {
+        notice::Identity::of(&self.instance, self.born)
+    }
+}
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -17,6 +17,7 @@
 use crate::node::duty;
 use crate::node::lifecycle;
 use crate::node::ports;
+use crate::notice;
 use crate::proxy;
 use crate::quarantine;
 use crate::quota;
@@ -175,6 +176,8 @@
         self.metrics.quarantine(&suspects.counts);
         let quotas = quota::Counts::default();
         self.metrics.quotas(&quotas);
+        let notices = notice::Counts::default();
+        self.metrics.notices(&notices);
         let member = self.member(member::shell::Wiring {
             applied: applied.clone(),
             view: view_sender,
@@ -234,6 +237,7 @@
             dialect: self.ports.dialect(),
             quarantine: suspects,
             quotas,
+            notices,
             rollouts: rollout::shell::Channels { progress, statuses, trial },
         })?;
         Ok((calls, vec![member, spread, ledger, admin, rollout]))
--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -18,6 +18,7 @@
 use crate::admit;
 use crate::host;
 use crate::mesh;
+use crate::notice;
 use crate::retry;
 use crate::rollout;
 
@@ -54,13 +55,17 @@
     /// Time for which the bytes of the call occupy the link of a host, in microseconds; a call that
     /// stays on its host occupies none.
     pub link_us: f32,
-    /// Whether a running call waits for this one, so that it runs before new work at the upstream.
-    pub nested: bool,
+    /// Priority of the call; a nested one runs before new work at the upstream.
+    pub rank: admit::Rank,
 }
 
 impl TransferCost {
     /// No cost to any host or zone.
-    pub const FREE: TransferCost = TransferCost { cross_zone: 0.0, link_us: 0.0, nested: false };
+    pub const FREE: TransferCost = TransferCost {
+        cross_zone: 0.0,
+        link_us: 0.0,
+        rank: admit::Rank { nested: false, weight: 0 },
+    };
 
     /// The cost of a call to an upstream in `tier` with a service time of `service_us`; `None` if
     /// that is unknown.
@@ -88,6 +93,8 @@
     pub same_zone: bool,
     /// The target for which it was picked.
     pub target: Target,
+    /// Priority of the call.
+    pub rank: admit::Rank,
 }
 
 /// The result of an attempt.
@@ -100,6 +107,10 @@
     /// Run time, as a multiple of the mean run time of the kind at all upstreams; `None` if
     /// unknown.
     pub relative_time: Option<f32>,
+    /// What the upstream says of itself, as sent with the load; `None` if it says nothing.
+    pub notice: Option<notice::Relayed>,
+    /// Time after which the upstream's node has room for a call that it refused.
+    pub retry_after: Option<time::Duration>,
     /// Time from the start to the end of the attempt.
     pub latency: time::Duration,
 }
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::configs;
 use crate::host;
+use crate::notice;
 use crate::pick;
 use crate::pick::outlier;
 use crate::retry;
@@ -36,6 +37,13 @@
 /// between short calls do not count.
 const SLOW_MARGIN_US: f32 = 500.0;
 
+/// Time for which a limit counts that was not heard again. The upstream's node keeps to the limit
+/// however long this is; without it, an upstream whose limit has gone would not be tried again.
+const LIMIT_LIFETIME: time::Duration = time::Duration::from_secs(5);
+
+/// Least slots that an upstream with a limit counts.
+const MIN_LIMITED_SLOTS: f32 = 0.25;
+
 /// Settings by which loads and results are judged.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Rules {
@@ -114,6 +122,10 @@
     service_us: u32,
     /// Run time as a multiple of the mean of all upstreams, and when it was last updated.
     relative_time: (f32, clock::Instant),
+    /// Limit that it names, and when that was last heard.
+    limit: Option<(admit::Rate, clock::Instant)>,
+    /// Until when its limit is used up, and up to which rank of calls.
+    used_up: Option<(clock::Instant, admit::Rank)>,
     breaker: outlier::Breaker,
 }
 
@@ -134,6 +146,8 @@
             reported: None,
             service_us: 0,
             relative_time: (1.0, clock::Instant::ZERO),
+            limit: None,
+            used_up: None,
             breaker: outlier::Breaker::new(),
         }
     }
@@ -155,6 +169,8 @@
             self.reported = None;
             self.service_us = 0;
             self.relative_time = (1.0, now);
+            self.limit = None;
+            self.used_up = None;
             self.breaker = outlier::Breaker::new();
             self.warming = None;
         }
@@ -210,10 +226,11 @@
         f32::from(self.outstanding) + others
     }
 
-    /// Slots that count at present: those that its gate counted, and fewer while it warms up.
+    /// Slots that count at present: those that its gate counted, and fewer while it warms up or
+    /// names a limit.
     fn effective_slots(&self, now: clock::Instant) -> f32 {
         let counted = self.reported.map_or(self.slots, |r| r.slots.min(self.slots));
-        let slots = f32::from(counted.max(1));
+        let slots = f32::from(counted.max(1)).min(self.limited_slots(now));
         let Some((since, warmup)) = self.warming else {
             return slots;
         };
@@ -221,6 +238,26 @@
         slots * (age / warmup.max(1.0)).clamp(COLD_SHARE, 1.0)
     }
 
+    /// Slots that are busy while calls come at the limit that it names.
+    fn limited_slots(&self, now: clock::Instant) -> f32 {
+        let limit = self.limit.filter(|(_, at)| now.since(*at) <= LIMIT_LIFETIME);
+        let busy = limit
+            .zip(self.service_us())
+            .map(|((rate, _), service_us)| rate.per_second() as f32 * service_us / 1_000_000.0);
+        busy.map_or(f32::MAX, |busy| busy.max(MIN_LIMITED_SLOTS))
+    }
+
+    /// When it has room for a call of `rank` again; `None` if its limit is not used up.
+    pub(super) fn room_at(&self, rank: admit::Rank, now: clock::Instant) -> Option<clock::Instant> {
+        let (until, highest) = self.used_up?;
+        (rank <= highest && now < until).then_some(until)
+    }
+
+    /// Whether its limit is used up for a call of `rank`.
+    pub(super) fn is_used_up(&self, rank: admit::Rank, now: clock::Instant) -> bool {
+        self.room_at(rank, now).is_some()
+    }
+
     /// Share of its slots that would be taken with one more call; above 1 that call would wait.
     pub(super) fn fullness(&self, rules: &Rules, now: clock::Instant) -> f32 {
         (self.estimated_calls(rules, now) + 1.0) / self.effective_slots(now)
@@ -259,9 +296,12 @@
         self.listed && self.phase != view::Phase::Draining && self.slots > 0
     }
 
-    /// Whether the policies may choose it.
-    pub(super) fn is_usable(&self, now: clock::Instant) -> bool {
-        self.is_open() && self.health != view::Health::Unreachable && self.breaker.allows_call(now)
+    /// Whether the policies may choose it for a call of `rank`.
+    pub(super) fn is_usable(&self, rank: admit::Rank, now: clock::Instant) -> bool {
+        self.is_open()
+            && self.health != view::Health::Unreachable
+            && self.breaker.allows_call(now)
+            && !self.is_used_up(rank, now)
     }
 
     /// Rank for the choice among upstreams that are not usable; the lowest is chosen.
@@ -278,9 +318,10 @@
         self.breaker.started(&rules.breaker, now);
     }
 
-    /// Records the end of a call.
+    /// Records the end of a call of `rank`.
     pub(super) fn ended(
         &mut self,
+        rank: admit::Rank,
         report: &pick::Report,
         aggregate: &Aggregate,
         rules: &Rules,
@@ -289,6 +330,10 @@
         self.outstanding = self.outstanding.saturating_sub(1);
         if let Some(load) = report.load {
             self.record_load(load, now);
+            self.record_notice(report.notice.as_ref(), now);
+        }
+        if report.outcome == retry::Outcome::NotRun(retry::Reason::Limited) {
+            self.used_up = Some((now + report.retry_after.unwrap_or_default(), rank));
         }
         if let Some(ratio) = report.relative_time {
             let known = self.relative_time(now);
@@ -316,6 +361,17 @@
         slow && aggregate.can_eject
     }
 
+    /// Records what its upstream says of itself. A notice of another incarnation than that of the
+    /// membership says nothing of this one.
+    fn record_notice(&mut self, relayed: Option<&notice::Relayed>, now: clock::Instant) {
+        let notice = match relayed {
+            Some(relayed) if relayed.incarnation != self.upstream_incarnation => return,
+            Some(relayed) => relayed.notice,
+            None => notice::Notice::default(),
+        };
+        self.limit = notice.limit.map(|rate| (rate, now));
+    }
+
     fn record_load(&mut self, load: admit::Load, now: clock::Instant) {
         let total = load.running.saturating_add(load.waiting);
         let others = total.saturating_sub(self.outstanding);
@@ -354,6 +410,7 @@
         retry::Reason::Cancelled
         | retry::Reason::Conflict
         | retry::Reason::Full
+        | retry::Reason::Limited
         | retry::Reason::LogDown
         | retry::Reason::NoRoute
         | retry::Reason::OverLimit
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -4,6 +4,7 @@
 use rand::SeedableRng;
 use rand::rngs;
 
+use crate::admit;
 use crate::clock;
 use crate::configs;
 use crate::host;
@@ -35,7 +36,7 @@
 
 /// Chooses upstreams for the calls of one entry node.
 ///
-/// Draining upstreams are never chosen. Unreachable and ejected ones are chosen only if there is no
+/// Draining upstreams, and those whose limit is used up, are never chosen. Unreachable and ejected ones are chosen only if there is no
 /// other, so that a fault of many upstreams never leaves a call without a candidate.
 #[derive(Debug)]
 pub struct Picker<P = pick::Cheapest> {
@@ -94,7 +95,8 @@
     }
 
     /// Chooses the upstream for an attempt. Hosts of `avoid` are chosen only if there is no other;
-    /// the result is `None` if there is no upstream or all of them drain.
+    /// the result is `None` if there is no upstream, or all of them drain or have no room within the
+    /// limits that they name.
     pub fn pick(
         &mut self,
         target: pick::Target,
@@ -117,16 +119,29 @@
     ) -> Option<pick::Choice> {
         let cost = self.scale_cost(target, cost);
         let usable = self.pick_usable(target, cost, now, avoid);
-        let (index, tier) = usable.or_else(|| self.pick_fallback(target, avoid))?;
+        let (index, tier) = usable.or_else(|| self.pick_fallback(target, cost.rank, now, avoid))?;
         let host = self.table.peers[index as usize].host();
         Some(pick::Choice {
             host,
             key: self.table.key(index),
             same_zone: tier < table::OTHER_ZONE,
             target,
+            rank: cost.rank,
         })
     }
 
+    /// When an upstream for `target` first has room for a call of `rank` within the limit that it
+    /// names; `None` if none of them is without room for that reason.
+    pub fn room_at(
+        &self,
+        target: pick::Target,
+        rank: admit::Rank,
+        now: clock::Instant,
+    ) -> Option<clock::Instant> {
+        let peers = self.table.list(target)?.all().iter().map(|&i| &self.table.peers[i as usize]);
+        peers.filter(|peer| peer.is_open()).filter_map(|peer| peer.room_at(rank, now)).min()
+    }
+
     /// Records that an attempt at `choice` has started.
     pub fn started(&mut self, choice: pick::Choice, now: clock::Instant) {
         if let Some(peer) = self.table.peer_mut(choice.key) {
@@ -140,7 +155,7 @@
         let aggregate = self.table.aggregate(choice.target, good);
         let Some(peer) = self.table.peer_mut(choice.key) else { return };
         let before = peer.is_ejected();
-        peer.ended(report, &aggregate, &self.rules, now);
+        peer.ended(choice.rank, report, &aggregate, &self.rules, now);
         if peer.is_ejected() != before {
             self.table.record_ejection_change();
         }
@@ -167,7 +182,7 @@
         let explores = light && self.rng.random_ratio(1, EXPLORE_ONE_IN);
         let first = if explores { table::OTHER_ZONE } else { 0 };
         for tier in (first..table::TIERS).chain(0..first) {
-            let Some((index, own)) = self.pick_tier(target, tier, cost.nested, now, avoid) else {
+            let Some((index, own)) = self.pick_tier(target, tier, cost.rank, now, avoid) else {
                 continue;
             };
             let chosen = &self.table.peers[index as usize];
@@ -217,7 +232,7 @@
     ) -> Option<(u32, usize, f32)> {
         let list = self.table.list(target)?;
         let near = (0..table::OTHER_ZONE).flat_map(|tier| {
-            let pool = self.pool(list, tier, cost.nested, now, avoid);
+            let pool = self.pool(list, tier, cost.rank, now, avoid);
             let usable = (0..pool.len()).filter(move |&i| pool.is_usable(i));
             usable.map(move |i| {
                 let extra = self.extra_cost(pool.peer(i), tier, cost, now);
@@ -245,12 +260,12 @@
         &'a self,
         list: &'a table::List,
         tier: usize,
-        nested: bool,
+        rank: admit::Rank,
         now: clock::Instant,
         avoid: &'a [host::HostId],
     ) -> pick::Pool<'a> {
         let (peers, members) = (&self.table.peers[..], list.tier(tier));
-        pick::Pool { peers, members, rules: &self.rules, avoid, now, nested }
+        pick::Pool { peers, members, rules: &self.rules, avoid, now, rank }
     }
 
     /// The choice of the policy in `tier`, with its cost without the transfer.
@@ -258,21 +273,15 @@
         &mut self,
         target: pick::Target,
         tier: usize,
-        nested: bool,
+        rank: admit::Rank,
         now: clock::Instant,
         avoid: &[host::HostId],
     ) -> Option<(u32, f32)> {
         let list = self.table.list(target)?;
         let members = list.tier(tier);
         let mut cursor = list.cursors[tier];
-        let pool = pick::Pool {
-            peers: &self.table.peers,
-            members,
-            rules: &self.rules,
-            avoid,
-            now,
-            nested,
-        };
+        let pool =
+            pick::Pool { peers: &self.table.peers, members, rules: &self.rules, avoid, now, rank };
         let index = self.policy.choose(&pool, &mut cursor, &mut self.rng)?;
         let chosen = (members[index], pool.cost(index));
         self.table.list_mut(target)?.cursors[tier] = cursor;
@@ -280,10 +289,19 @@
     }
 
     /// The upstream with the lowest fallback rank among those that do not drain.
-    fn pick_fallback(&self, target: pick::Target, avoid: &[host::HostId]) -> Option<(u32, usize)> {
+    fn pick_fallback(
+        &self,
+        target: pick::Target,
+        rank: admit::Rank,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> Option<(u32, usize)> {
         let peers = &self.table.peers;
-        let open = self.table.list(target)?.all().iter().copied();
-        let index = open.filter(|&i| peers[i as usize].is_open()).min_by_key(|&i| {
+        let open = self.table.list(target)?.all().iter().copied().filter(|&i| {
+            let peer = &peers[i as usize];
+            peer.is_open() && !peer.is_used_up(rank, now)
+        });
+        let index = open.min_by_key(|&i| {
             let peer = &peers[i as usize];
             (avoid.contains(&peer.host()), peer.fallback_rank(), peer.outstanding())
         })?;
--- a/src/pick/pool.rs
+++ b/src/pick/pool.rs
@@ -2,6 +2,7 @@
 
 use rand::rngs;
 
+use crate::admit;
 use crate::clock;
 use crate::host;
 use crate::pick;
@@ -16,8 +17,8 @@
     pub(super) rules: &'a peer::Rules,
     pub(super) avoid: &'a [host::HostId],
     pub(super) now: clock::Instant,
-    /// Whether the call runs before new work at the upstream.
-    pub(super) nested: bool,
+    /// Priority of the call.
+    pub(super) rank: admit::Rank,
 }
 
 impl Pool<'_> {
@@ -39,12 +40,12 @@
     /// Whether the upstream at `index` may be chosen.
     pub fn is_usable(&self, index: usize) -> bool {
         let peer = self.peer(index);
-        peer.is_usable(self.now) && !self.avoid.contains(&peer.host())
+        peer.is_usable(self.rank, self.now) && !self.avoid.contains(&peer.host())
     }
 
     /// What a call would cost at `index`, in mean service times of its kind.
     pub fn cost(&self, index: usize) -> f32 {
-        self.peer(index).cost(self.nested, self.rules, self.now)
+        self.peer(index).cost(self.rank.nested, self.rules, self.now)
     }
 }
 
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -14,6 +14,7 @@
 use crate::configs;
 use crate::host;
 use crate::mesh;
+use crate::notice;
 use crate::pick;
 use crate::retry;
 use crate::rollout;
@@ -101,7 +102,14 @@
 fn report(outcome: retry::Outcome, service_us: u32) -> pick::Report {
     let load = admit::Load { running: 0, waiting: 0, slots: 9, service_us };
     let load = (outcome != UNREACHABLE).then_some(load);
-    pick::Report { outcome, load, relative_time: None, latency: time::Duration::from_millis(1) }
+    pick::Report {
+        outcome,
+        load,
+        relative_time: None,
+        notice: None,
+        retry_after: None,
+        latency: time::Duration::from_millis(1),
+    }
 }
 
 /// Makes a call that ends at once with `outcome`, and returns the host that was picked.
@@ -531,8 +539,14 @@
         let load = admit::Load { running: 0, waiting: 0, slots: 9, service_us: 1000 };
         let latency = time::Duration::from_millis(1);
         let outcome = retry::Outcome::Ran;
-        let report =
-            pick::Report { outcome, load: Some(load), relative_time: Some(ratio), latency };
+        let report = pick::Report {
+            outcome,
+            load: Some(load),
+            relative_time: Some(ratio),
+            notice: None,
+            retry_after: None,
+            latency,
+        };
         picker.ended(choice, &report, at(round));
     }
     picker
@@ -540,7 +554,8 @@
 
 /// How many of 36 calls that do not end go to the second upstream.
 fn second(picker: &mut pick::Picker, nested: bool, millis: u64) -> usize {
-    let cost = pick::TransferCost { nested, ..pick::TransferCost::FREE };
+    let rank = admit::Rank { nested, weight: 0 };
+    let cost = pick::TransferCost { rank, ..pick::TransferCost::FREE };
     let mut picked = 0;
     for _ in 0..36 {
         let choice = picker.pick_with_cost(SHOP, cost, at(millis), &[]).expect("a choice");
@@ -580,7 +595,14 @@
         let load = admit::Load { running: 0, waiting: 0, slots: 9, service_us: 1000 };
         let latency = time::Duration::from_millis(1);
         let outcome = retry::Outcome::Ran;
-        let report = pick::Report { outcome, load: Some(load), relative_time: Some(3.0), latency };
+        let report = pick::Report {
+            outcome,
+            load: Some(load),
+            relative_time: Some(3.0),
+            notice: None,
+            retry_after: None,
+            latency,
+        };
         picker.ended(choice, &report, at(round));
     }
     let mut left = 0;
@@ -601,3 +623,56 @@
 ) {
     assert_eq!(leaving_for_a_faster(calls), wanted);
 }
+
+/// A report of a call that the upstream's node refused for `millis`.
+fn limited(millis: u64) -> pick::Report {
+    let retry_after = Some(time::Duration::from_millis(millis));
+    let outcome = retry::Outcome::NotRun(retry::Reason::Limited);
+    pick::Report { retry_after, ..report(outcome, 1000) }
+}
+
+#[test]
+fn an_upstream_whose_limit_is_used_up_is_left_out_until_it_has_room() {
+    let mut picker = picker(serving(&["a", "a"]));
+    let first = picker.pick(SHOP, at(0), &[]).expect("a choice");
+    picker.started(first, at(0));
+    picker.ended(first, &limited(100), at(0));
+    let other = if first.host == id(1) { 2 } else { 1 };
+    assert_eq!(share(&mut picker, 50, 50), [(other, 50)].into());
+    assert_eq!(share(&mut picker, 50, 100).len(), 2, "it has room again");
+}
+
+#[test]
+fn where_all_limits_are_used_up_no_upstream_is_picked_and_the_first_room_is_known() {
+    let mut picker = picker(serving(&["a", "b"]));
+    for millis in [300, 200] {
+        let choice = picker.pick(SHOP, at(0), &[]).expect("a choice");
+        picker.started(choice, at(0));
+        picker.ended(choice, &limited(millis), at(0));
+    }
+    assert_eq!(picker.pick(SHOP, at(100), &[]), None);
+    let rank = admit::Rank::default();
+    assert_eq!(picker.room_at(SHOP, rank, at(100)), Some(at(200)));
+    let urgent = admit::Rank { nested: false, weight: 9 };
+    let cost = pick::TransferCost { rank: urgent, ..pick::TransferCost::FREE };
+    assert!(picker.pick_with_cost(SHOP, cost, at(100), &[]).is_some(), "kept for urgent calls");
+    assert!(picker.pick(SHOP, at(200), &[]).is_some());
+}
+
+#[test]
+fn an_upstream_with_a_limit_gets_the_calls_that_fit_into_it() {
+    let mut picker = picker(serving(&["a", "a", "a"]));
+    let limit = Some(admit::Rate::from_millis(5000));
+    let notice = notice::Notice { limit, leaving: false };
+    let notice = Some(notice::Relayed { incarnation: 0, identity: None, notice });
+    for _ in 0..3 {
+        let choice = picker.pick(SHOP, at(0), &[]).expect("a choice");
+        picker.started(choice, at(0));
+        let notice = notice.filter(|_| choice.host == id(1));
+        picker.ended(choice, &pick::Report { notice, ..report(retry::Outcome::Ran, 1000) }, at(0));
+    }
+    let picked = share(&mut picker, 300, 0);
+    assert!(picked.get(&1).copied().unwrap_or_default() < 10, "{picked:?}");
+    let later = share(&mut picker, 300, 6000);
+    assert!(later[&1] > 50, "it is tried again once the limit was not heard for long: {later:?}");
+}
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -2,10 +2,12 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time;
 
 use crate::admit;
 use crate::clock;
 use crate::context;
+use crate::notice;
 use crate::pick;
 use crate::retry;
 use crate::rollout;
@@ -18,6 +20,8 @@
     choice: pick::Choice,
     started: clock::Instant,
     load: Option<admit::Load>,
+    notice: Option<notice::Relayed>,
+    retry_after: Option<time::Duration>,
     relative_time: Option<f32>,
     state: retry::Attempt,
     ended: bool,
@@ -33,12 +37,29 @@
         let started = ctx.now();
         picker.borrow_mut().started(choice, started);
         let state = retry::Attempt::new();
-        Self { ctx, picker, choice, started, load: None, relative_time: None, state, ended: false }
+        Self {
+            ctx,
+            picker,
+            choice,
+            started,
+            load: None,
+            notice: None,
+            retry_after: None,
+            relative_time: None,
+            state,
+            ended: false,
+        }
     }
 
-    /// Sets the load that the answer carried.
-    pub fn set_load(&mut self, load: Option<admit::Load>) {
+    /// Sets the load, and what the upstream says of itself, that the answer carried.
+    pub fn set_load(&mut self, load: Option<admit::Load>, notice: Option<notice::Relayed>) {
         self.load = load;
+        self.notice = notice;
+    }
+
+    /// Sets the time after which the upstream's node has room for the call that it refused.
+    pub fn set_retry_after(&mut self, retry_after: Option<time::Duration>) {
+        self.retry_after = retry_after;
     }
 
     /// Sets the run time at the upstream, as a multiple of the mean over all upstreams.
@@ -68,8 +89,14 @@
         let outcome = self.state.outcome().unwrap_or(unclear);
         let now = self.ctx.now();
         let latency = now.since(self.started);
-        let report =
-            pick::Report { outcome, load: self.load, relative_time: self.relative_time, latency };
+        let report = pick::Report {
+            outcome,
+            load: self.load,
+            relative_time: self.relative_time,
+            notice: self.notice,
+            retry_after: self.retry_after,
+            latency,
+        };
         self.picker.borrow_mut().ended(self.choice, &report, now);
         outcome
     }
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -7,6 +7,7 @@
 use http::header;
 use hyper::body::Body as _;
 
+use crate::admit;
 use crate::claim;
 use crate::clock;
 use crate::host;
@@ -50,6 +51,8 @@
     pub caller: Option<organisations::Caller>,
     /// Whether the call is nested: made by a call that runs at the local upstream.
     pub nested: bool,
+    /// Whether its caller was refused before and returns.
+    pub returning: bool,
     /// Time by which the call must be answered to meet its target latency.
     pub target: clock::Instant,
     /// When the caller gives up.
@@ -63,6 +66,13 @@
     host: Option<host::HostId>,
 }
 
+impl Failed {
+    /// Whether the limit that the upstream names was used up.
+    fn is_limited(&self) -> bool {
+        self.refusal.outcome == retry::Outcome::NotRun(retry::Reason::Limited)
+    }
+}
+
 impl Call {
     fn route(&self) -> &mesh::Route {
         self.applied.mesh.route(self.route)
@@ -116,6 +126,7 @@
             weight: queue_weight(self.kind(), self.caller.as_ref()),
             organisation: self.caller.as_ref().map(|caller| &caller.name),
             nested: self.nested,
+            returning: self.returning,
             target: self.target,
             deadline: self.deadline,
         }
@@ -176,7 +187,7 @@
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let mut avoid = Vec::new();
-    let mut attempt = 1;
+    let (mut attempt, mut limited) = (1, 0);
     let mut previous = None;
     let mut unknown = None;
     loop {
@@ -196,7 +207,7 @@
             failed.refusal = previous.unwrap_or(failed.refusal);
         }
         unknown = unknown.or(unknown_reason(failed.refusal.outcome));
-        let decision = decide(state, call, attempt, &failed);
+        let decision = decide(state, call, (attempt, limited), &failed);
         log_failure(state, call, attempt, &failed, &decision);
         match decision {
             retry::Decision::Again { avoid: host } => avoid.extend(host),
@@ -210,7 +221,11 @@
             }
         }
         previous = Some(failed.refusal);
-        attempt += 1;
+        if failed.is_limited() {
+            limited += 1;
+        } else {
+            attempt += 1;
+        }
     }
 }
 
@@ -225,12 +240,13 @@
 fn decide<C: claim::Claims>(
     state: &state::State<C>,
     call: &Call,
-    attempt: u8,
+    (attempt, limited): (u8, u8),
     failed: &Failed,
 ) -> retry::Decision {
     let facts = retry::Call {
         idempotent: call.kind().idempotent,
         attempt,
+        limited,
         max_attempts: call.kind().attempts.unwrap_or(state.settings.call.attempts),
         depth: call.head.depth.max(u8::from(call.nested)),
         outer_attempt: call.head.outer_attempt,
@@ -281,15 +297,17 @@
     let check = state.quarantine.check_entry(|| call.fingerprint(&state.fingerprinter));
     check.map_err(|refusal| Failed { refusal, host: None })?;
     let transfer_cost = transfer_cost(state, call);
-    let Some(choice) = choose(state, call, transfer_cost, avoid) else {
-        let refusal = refuse::Refusal::not_run(retry::Reason::NoUpstream);
-        return Err(Failed { refusal, host: None });
-    };
+    let choice = choose(state, call, transfer_cost, avoid);
+    let choice = choice.map_err(|refusal| Failed { refusal, host: None })?;
     resources.start_attempt(state.ctx, &state.picker, choice);
     let mut request = call.request(attempt, state.dialect.verbose);
     let result = if choice.host == state.me {
         internode::set_host(&mut request, call.head.host.as_ref());
-        owner::run(state, &call.spec(), request, resources).await
+        let result = owner::run(state, &call.spec(), request, resources).await;
+        if let Some(attempt) = resources.attempt.as_mut().filter(|_| result.is_err()) {
+            attempt.set_load(Some(state.slots.load()), state.relayed_notice());
+        }
+        result
     } else {
         remote(state, call, choice.host, request, resources).await
     };
@@ -300,19 +318,23 @@
         state.sizes.borrow_mut().record(&call.kind().name, bytes);
     }
     result.map_err(|mut refusal| {
-        refusal.outcome =
-            with_body_fault(resources.fail_attempt(refusal.outcome), call.body.fault());
+        let outcome = resources.fail_attempt(refusal.outcome, refusal.retry_after);
+        refusal.outcome = with_body_fault(outcome, call.body.fault());
         Failed { refusal, host: Some(choice.host) }
     })
 }
 
 /// Picks the upstream for an attempt, among the versions that the roll-out selects for this call.
+///
+/// # Errors
+///
+/// There is no upstream, or all of them have used up the limits that they name.
 fn choose<C: claim::Claims>(
     state: &state::State<C>,
     call: &Call,
     transfer_cost: pick::TransferCost,
     avoid: &[host::HostId],
-) -> Option<pick::Choice> {
+) -> Result<pick::Choice, refuse::Refusal> {
     let (now, service) = (state.ctx.now(), &call.service().name);
     let current = state.applied();
     let pick = |group| {
@@ -320,7 +342,23 @@
         state.picker.borrow_mut().pick_with_cost(target, transfer_cost, now, avoid)
     };
     let group = state.rollouts.next_group(service, now);
-    pick(group).or_else(|| pick(state.rollouts.fallback(service, group)?))
+    let choice = pick(group).or_else(|| pick(state.rollouts.fallback(service, group)?));
+    choice.ok_or_else(|| no_upstream(state, call, &current))
+}
+
+/// The refusal of a call for which there is no upstream.
+fn no_upstream<C: claim::Claims>(
+    state: &state::State<C>,
+    call: &Call,
+    current: &Arc<mesh::Applied>,
+) -> refuse::Refusal {
+    let (now, rank) = (state.ctx.now(), call.spec().rank());
+    let target = call.target(current, rollout::VersionGroup::Any);
+    let room_at = target.and_then(|target| state.picker.borrow().room_at(target, rank, now));
+    room_at.map_or(refuse::Refusal::not_run(retry::Reason::NoUpstream), |room_at| {
+        let retry_after = admit::stagger(room_at.since(now), admit::Ticket(state.next_number()));
+        refuse::Refusal::not_run(retry::Reason::Limited).retry_in(retry_after)
+    })
 }
 
 /// Records an answer of the old version of a service during a roll-out.
@@ -344,7 +382,7 @@
     let bytes = call.body.bytes() + state.sizes.borrow().expected(&call.kind().name);
     let cross = if unit == 0 { 0.0 } else { bytes as f32 / unit as f32 };
     let link = inbound_link::link_time(&state.settings.proxy, bytes);
-    pick::TransferCost { cross_zone: cross, link_us: link, nested: call.nested }
+    pick::TransferCost { cross_zone: cross, link_us: link, rank: call.spec().rank() }
 }
 
 /// Replaces the reason of an unknown outcome by that of the request's body, if the body ended
@@ -364,18 +402,25 @@
     mut request: http::Request<upload::Upload>,
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    internode::wrap(&mut request, call.head.host.as_ref(), &call.spec(), state.ctx.now())?;
+    let now = state.ctx.now();
+    internode::wrap(&mut request, call.head.host.as_ref(), &call.spec(), now)?;
+    if let Some(notice) = state.heard.borrow_mut().header(host, now) {
+        request.headers_mut().insert(headers::NOTICE, notice);
+    }
     let end = state.timer(call.deadline) + REPLY_GRACE;
     let answer = internode::call(&state.links, host, request, end).await;
+    if answer.load.is_some() {
+        state.heard.borrow_mut().record(host, answer.notice, state.ctx.now());
+    }
     if let Some(attempt) = resources.attempt.as_mut() {
-        attempt.set_load(answer.load);
+        attempt.set_load(answer.load, answer.notice);
     }
     let (mut parts, incoming) = answer.result?.into_parts();
     if let Some(ran) = answer.ran {
         parts.extensions.insert(ran);
         state.record_run_time(&call.kind().name, parts.status, ran, resources);
     }
-    resources.record_head(parts.status, answer.load);
+    resources.record_head(parts.status, answer.load, answer.notice);
     let received = received_body::ReceivedBody::new(incoming, received_body::Carrier::Http2);
     let reply =
         body::Reply::read(received, state.settings.proxy.whole_bytes, end, resources).await?;
--- a/src/proxy/call_spec.rs
+++ b/src/proxy/call_spec.rs
@@ -4,6 +4,7 @@
 
 use http::header;
 
+use crate::admit;
 use crate::clock;
 
 /// How long an upstream took to begin its answer; stored in the extensions of the answer.
@@ -25,8 +26,17 @@
     pub organisation: Option<&'a header::HeaderValue>,
     /// Whether the call is nested: a running call made it and waits for its answer.
     pub nested: bool,
+    /// Whether its caller was refused before and returns.
+    pub returning: bool,
     /// Time by which the call must be answered to meet its target latency.
     pub target: clock::Instant,
     /// When the caller gives up.
     pub deadline: clock::Instant,
 }
+
+impl CallSpec<'_> {
+    /// Priority of the call at the upstream.
+    pub const fn rank(&self) -> admit::Rank {
+        admit::Rank { nested: self.nested, weight: self.weight }
+    }
+}
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -211,7 +211,19 @@
             return Err(refusal);
         }
     };
-    let call = call::Call { head, body, applied, route, service, caller, nested, target, deadline };
+    let returning = first_try < started;
+    let call = call::Call {
+        head,
+        body,
+        applied,
+        route,
+        service,
+        caller,
+        nested,
+        returning,
+        target,
+        deadline,
+    };
     let key = call.head.idempotency_key.clone().filter(|_| !call.kind().idempotent);
     let Some(key) = key else {
         let result = call::run(state, &call, resources).await;
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -54,6 +54,8 @@
 pub const WEIGHT: &str = "dandelionspool-weight";
 /// Between nodes: set if the call is nested, so that a running call waits for it.
 pub const INNER: &str = "dandelionspool-inner";
+/// Between nodes: set if the caller was refused before and returns.
+pub const RETURNING: &str = "dandelionspool-returning";
 /// Between nodes: how long the upstream took to begin its answer, in microseconds.
 pub const RAN_US: &str = "dandelionspool-ran-us";
 /// Between nodes: milliseconds remaining to meet the target latency of the call.
@@ -62,5 +64,11 @@
 pub const CLASS: &str = "dandelionspool-class";
 /// Between nodes: authentication tag of the first request of a connection.
 pub const TAG: &str = "dandelionspool-tag";
+/// Between nodes: what the upstream says of itself, a `notice::Relayed`; set on answers by its node,
+/// and on calls by an entry node that has heard it.
+pub const NOTICE: &str = "dandelionspool-notice";
+/// Between nodes: set on a refusal for `full` whose reason is the limit that the upstream names.
+/// Nodes of earlier builds don't know that reason.
+pub const LIMITED: &str = "dandelionspool-limited";
 /// Between nodes: milliseconds after which a refused call may be retried.
 pub const RETRY: &str = "dandelionspool-retry-ms";
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -7,6 +7,7 @@
 use crate::claim;
 use crate::clock;
 use crate::host;
+use crate::notice;
 use crate::proxy::call_spec;
 use crate::proxy::headers;
 use crate::proxy::held_answers;
@@ -27,6 +28,8 @@
 pub struct Answer {
     /// Load of the node's upstream.
     pub load: Option<admit::Load>,
+    /// What the upstream says of itself.
+    pub notice: Option<notice::Relayed>,
     /// Run time at the upstream.
     pub ran: Option<call_spec::RunTime>,
     /// The upstream's answer, or why there is none.
@@ -35,7 +38,7 @@
 
 impl From<refuse::Refusal> for Answer {
     fn from(refusal: refuse::Refusal) -> Self {
-        Self { load: None, ran: None, result: Err(refusal) }
+        Self { load: None, notice: None, ran: None, result: Err(refusal) }
     }
 }
 
@@ -67,6 +70,9 @@
     if spec.nested {
         map.insert(headers::INNER, header::HeaderValue::from_static("1"));
     }
+    if spec.returning {
+        map.insert(headers::RETURNING, header::HeaderValue::from_static("1"));
+    }
     map.insert(headers::DEADLINE, remaining(spec.deadline, now));
     if spec.target < spec.deadline {
         map.insert(headers::TARGET, remaining(spec.target, now));
@@ -106,7 +112,9 @@
         headers::WEIGHT,
         headers::ORGANISATION,
         headers::INNER,
+        headers::RETURNING,
         headers::TARGET,
+        headers::NOTICE,
         header::CONTENT_LENGTH.as_str(),
     ] {
         parts.headers.remove(name);
@@ -159,6 +167,7 @@
 fn read(mut answer: http::Response<hyper::body::Incoming>) -> Answer {
     let map = answer.headers_mut();
     let load = map.remove(headers::LOAD).and_then(|v| v.to_str().ok()?.parse().ok());
+    let notice = map.remove(headers::NOTICE).and_then(|v| v.to_str().ok()?.parse().ok());
     let ran = map.remove(headers::RAN_US).and_then(|v| v.to_str().ok()?.parse().ok());
     let ran = ran.map(|micros| call_spec::RunTime(time::Duration::from_micros(micros)));
     let outcome = map.remove(headers::OUTCOME);
@@ -167,13 +176,14 @@
         Some(o) if o == headers::NOT_RUN.as_bytes() => Err(refusal(&answer, true)),
         _ => Err(refusal(&answer, false)),
     };
-    Answer { load, ran, result }
+    Answer { load, notice, ran, result }
 }
 
 fn refusal<B>(answer: &http::Response<B>, proven: bool) -> refuse::Refusal {
     let map = answer.headers();
     let reason = map.get(headers::REASON).and_then(|v| v.to_str().ok()?.parse().ok());
     let reason = reason.unwrap_or(retry::Reason::Malformed);
+    let reason = if map.contains_key(headers::LIMITED) { retry::Reason::Limited } else { reason };
     let refusal =
         if proven { refuse::Refusal::not_run(reason) } else { refuse::Refusal::unknown(reason) };
     match request_head::number(map, headers::RETRY) {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -21,6 +21,7 @@
 pub mod error;
 pub mod frame;
 pub mod headers;
+pub mod heard;
 pub mod held_answers;
 pub mod idempotency;
 pub mod inbound_link;
--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -1,60 +1,80 @@
-//! What the local upstream says of itself in its answers: a limit on its calls, and that it is
-//! leaving.
+//! What the local upstream says of itself in its answers, at its own node.
 
 use std::cell::RefCell;
 
 use http::header;
-use smol_str::SmolStr;
 
-use crate::admit;
 use crate::clock;
 use crate::node;
+use crate::notice;
 use crate::proxy::dialect;
 use crate::proxy::trace;
 
 #[cfg(test)]
 mod tests;
 
-/// What one incarnation of an upstream says of itself.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Notice {
-    /// The limit on its calls from all nodes together; `None`: it names none.
-    pub limit: Option<admit::Rate>,
-    /// Whether it has said that it is leaving, which it can't take back.
-    pub leaving: bool,
-}
-
-/// The latest notice, and the incarnation that gave it.
+/// The latest notice of an incarnation of the upstream.
 #[derive(Clone, Debug)]
 struct Current {
-    instance: SmolStr,
     incarnation: u32,
-    notice: Notice,
-}
-
-impl Current {
-    fn is_of(&self, local: &node::LocalUpstream) -> bool {
-        self.instance == local.instance && self.incarnation == local.upstream.incarnation
-    }
+    notice: notice::Notice,
+    /// When an answer or another node last said so.
+    at: clock::Instant,
+    /// Whether an answer that this node received said so.
+    answered: bool,
+    /// Whether the limit in the last answer was no number.
+    malformed: bool,
 }
 
 /// The notices of the local upstream.
 #[derive(Debug, Default)]
 pub struct Notices {
     current: RefCell<Option<Current>>,
+    counts: notice::Counts,
 }
 
 impl Notices {
+    /// No notice yet.
+    pub fn new(counts: notice::Counts) -> Self {
+        Self { counts, ..Self::default() }
+    }
+
+    /// Counts a call that was refused because the limit was used up.
+    pub fn record_refused(&self) {
+        self.counts.refused.inc();
+    }
+
+    /// Applies the notice of `local` to the counts and returns it.
+    pub fn publish(&self, local: Option<&node::LocalUpstream>) -> notice::Notice {
+        let notice = local.map(|local| self.of(local)).unwrap_or_default();
+        self.counts.limited.set(i64::from(notice.limit.is_some()));
+        notice
+    }
+
     /// The notice of `local`.
-    pub fn of(&self, local: &node::LocalUpstream) -> Notice {
-        let current = self.current.borrow();
-        current.as_ref().filter(|c| c.is_of(local)).map_or_else(Notice::default, |c| c.notice)
+    pub fn of(&self, local: &node::LocalUpstream) -> notice::Notice {
+        self.current(local).map_or_else(notice::Notice::default, |current| current.notice)
+    }
+
+    /// When the notice of `local` was last confirmed; `None` if it has given none.
+    pub fn confirmed_at(&self, local: &node::LocalUpstream) -> Option<clock::Instant> {
+        self.current(local).map(|current| current.at)
+    }
+
+    /// What to tell other nodes of `local`; `None` if there is nothing to tell.
+    pub fn relayed(&self, local: &node::LocalUpstream) -> Option<notice::Relayed> {
+        let notice = self.of(local);
+        (notice != notice::Notice::default()).then(|| notice::Relayed {
+            incarnation: local.upstream.incarnation,
+            identity: local.identity(),
+            notice,
+        })
     }
 
-    /// Reads the notice of `local` in an answer with the headers `map` to the call `id`, and returns
-    /// whether it has changed.
+    /// Reads the notice in an answer of `local` with the headers `map`, and returns whether it
+    /// differs from the one before.
     ///
-    /// A limit that is no valid number leaves the previous one in force.
+    /// A limit that is no valid number leaves the one before in force.
     pub fn read(
         &self,
         local: &node::LocalUpstream,
@@ -63,24 +83,60 @@
         trace: &trace::Trace,
         now: clock::Instant,
     ) -> bool {
+        let known = self.current(local);
         let before = self.of(local);
         let named = dialect.named_limit(map);
-        let notice = Notice {
+        let malformed = named.is_err();
+        let notice = notice::Notice {
             limit: named.unwrap_or(before.limit),
             leaving: before.leaving || dialect.is_leaving(map),
         };
         let changed = notice != before;
-        if changed || named.is_err() {
-            let malformed = named.is_err();
-            trace.noticed(
-                &trace::Noticed { local, notice, malformed, id: map.get(&dialect.id) },
-                now,
-            );
-        }
-        if changed {
-            let (instance, incarnation) = (local.instance.clone(), local.upstream.incarnation);
-            self.current.replace(Some(Current { instance, incarnation, notice }));
+        if changed || malformed != known.is_some_and(|known| known.malformed) {
+            let id = map.get(&dialect.id);
+            trace.noticed(&trace::Noticed { local, notice, malformed, id }, now);
         }
+        let incarnation = local.upstream.incarnation;
+        let current = Current { incarnation, notice, at: now, answered: true, malformed };
+        self.current.replace(Some(current));
         changed
     }
+
+    /// Takes over what another node has heard from an answer of an upstream, if that is `local`, and
+    /// returns whether this changes its notice.
+    ///
+    /// A node that starts knows nothing of the upstream that ran on beside it. What answers have
+    /// told this node itself is newer than what others say, except that an upstream leaves.
+    pub fn learn(
+        &self,
+        local: &node::LocalUpstream,
+        relayed: &notice::Relayed,
+        trace: &trace::Trace,
+        now: clock::Instant,
+    ) -> bool {
+        if relayed.identity.is_none() || relayed.identity != local.identity() {
+            return false;
+        }
+        let known = self.current(local);
+        let before = self.of(local);
+        let answered = known.as_ref().is_some_and(|known| known.answered);
+        let notice = notice::Notice {
+            limit: if answered { before.limit } else { relayed.notice.limit },
+            leaving: before.leaving || relayed.notice.leaving,
+        };
+        if notice == before {
+            return false;
+        }
+        trace.noticed(&trace::Noticed { local, notice, malformed: false, id: None }, now);
+        let at = known.map_or(now, |known| known.at);
+        let incarnation = local.upstream.incarnation;
+        let current = Current { incarnation, notice, at, answered, malformed: false };
+        self.current.replace(Some(current));
+        true
+    }
+
+    fn current(&self, local: &node::LocalUpstream) -> Option<Current> {
+        let current = self.current.borrow();
+        current.clone().filter(|current| current.incarnation == local.upstream.incarnation)
+    }
 }
--- a/src/proxy/notices/tests.rs
+++ b/src/proxy/notices/tests.rs
@@ -6,6 +6,7 @@
 use crate::admit;
 use crate::clock;
 use crate::node;
+use crate::notice;
 use crate::proxy::dialect;
 use crate::proxy::notices;
 use crate::proxy::trace;
@@ -25,7 +26,7 @@
         trial: rollout::TrialReport::default(),
     };
     let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
-    node::LocalUpstream { address, instance: instance.into(), upstream }
+    node::LocalUpstream { address, instance: instance.into(), born: None, upstream }
 }
 
 /// Reads an answer of `local` with the given headers.
@@ -87,6 +88,32 @@
     let notices = notices::Notices::default();
     read(&notices, &local("i-1", 1), &[("upstream-leaving", "1"), ("upstream-limit", "2")]);
     for next in [local("i-2", 2), local("i-1", 2)] {
-        assert_eq!(notices.of(&next), notices::Notice::default());
+        assert_eq!(notices.of(&next), notice::Notice::default());
     }
 }
+
+#[test]
+fn a_node_that_started_anew_learns_what_its_upstream_has_said() {
+    let trace = trace::Trace::default();
+    let now = clock::Instant::ZERO;
+    let (before, upstream) = (notices::Notices::default(), local("i-1", 4));
+    read(&before, &upstream, &[("upstream-limit", "2"), ("upstream-leaving", "1")]);
+    let relayed = before.relayed(&upstream).expect("a notice");
+
+    let after = notices::Notices::default();
+    assert!(!after.learn(&local("i-2", 1), &relayed, &trace, now), "another upstream");
+    assert!(!after.learn(&local("", 1), &relayed, &trace, now), "one without a name");
+    assert!(after.learn(&local("i-1", 1), &relayed, &trace, now));
+    assert_eq!(after.of(&local("i-1", 1)), relayed.notice);
+}
+
+#[test]
+fn an_answer_is_newer_than_what_other_nodes_have_heard() {
+    let trace = trace::Trace::default();
+    let (notices, upstream) = (notices::Notices::default(), local("i-1", 1));
+    let notice = notice::Notice { limit: limit(2000), leaving: false };
+    let relayed = notice::Relayed { incarnation: 1, identity: upstream.identity(), notice };
+    read(&notices, &upstream, &[]);
+    assert!(!notices.learn(&upstream, &relayed, &trace, clock::Instant::ZERO));
+    assert_eq!(notices.of(&upstream).limit, None);
+}
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -111,7 +111,9 @@
     }
     check(&state.dialect, &method, id.as_ref(), &answer)?;
     let now = state.ctx.now();
-    state.notices.read(&local, &state.dialect, answer.headers(), &state.trace, now);
+    if state.notices.read(&local, &state.dialect, answer.headers(), &state.trace, now) {
+        state.apply_notice();
+    }
     if let Some(run) = resources.run.as_mut() {
         run.set_status(answer.status());
     }
@@ -124,7 +126,7 @@
     parts.extensions.insert(ran);
     resources.lease = Some(lease);
     state.record_run_time(spec.kind, parts.status, ran, resources);
-    resources.record_head(parts.status, Some(state.slots.load()));
+    resources.record_head(parts.status, Some(state.slots.load()), state.notices.relayed(&local));
     let received = received_body::ReceivedBody::new(incoming, received_body::Carrier::Http1);
     let reply =
         body::Reply::read(received, state.settings.proxy.whole_bytes, end, resources).await?;
@@ -168,6 +170,7 @@
         kind: spec.kind,
         weight: spec.weight,
         nested: spec.nested,
+        returning: spec.returning,
         target: spec.target,
         deadline: slot_deadline(state.ctx.now(), spec.deadline),
     }
@@ -270,6 +273,9 @@
     refused: slots::Refused,
 ) -> refuse::Refusal {
     let now = state.ctx.now();
+    if refused.reason == retry::Reason::Limited {
+        state.notices.record_refused();
+    }
     let refused_call = trace::Refused {
         id: headers.get(&state.dialect.id),
         service: spec.service,
@@ -277,6 +283,7 @@
         nested: spec.nested,
         reason: refused.reason,
         load: state.slots.load(),
+        limit: state.limit_in_force(),
         target: spec.target.since(now),
         remaining: spec.deadline.since(now),
         retry_after: refused.retry_after,
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -76,6 +76,11 @@
         load.set_sensitive(true);
         answer.headers_mut().insert(headers::LOAD, load);
     }
+    if let Some(notice) = state.relayed_notice()
+        && let Ok(notice) = header::HeaderValue::from_str(&notice.to_string())
+    {
+        answer.headers_mut().insert(headers::NOTICE, notice);
+    }
     answer
 }
 
@@ -95,6 +100,9 @@
     let organisation = parts.headers.get(headers::ORGANISATION).cloned();
     let target = request_head::number(&parts.headers, headers::TARGET)?.unwrap_or(remaining);
     let now = state.ctx.now();
+    if let Some(notice) = text(headers::NOTICE).and_then(|text| text.parse().ok()) {
+        state.learn_notice(&notice);
+    }
     let spec = call_spec::CallSpec {
         service: &service,
         class: class.as_deref(),
@@ -102,6 +110,7 @@
         weight: u32::try_from(weight).map_err(|_| MALFORMED)?,
         organisation: organisation.as_ref(),
         nested: parts.headers.contains_key(headers::INNER),
+        returning: parts.headers.contains_key(headers::RETURNING),
         target: now + time::Duration::from_millis(target),
         deadline: now + time::Duration::from_millis(remaining),
     };
@@ -161,7 +170,13 @@
 }
 
 fn refusal_answer(refusal: &refuse::Refusal) -> http::Response<body::Reply> {
+    let limited = refusal.outcome == retry::Outcome::NotRun(retry::Reason::Limited);
     let mut answer = reply::answer(refusal, true);
+    if limited {
+        let full = header::HeaderValue::from_static(retry::Reason::Full.as_str());
+        answer.headers_mut().insert(headers::REASON, full);
+        answer.headers_mut().insert(headers::LIMITED, header::HeaderValue::from_static("1"));
+    }
     if let Some(after) = refusal.retry_after {
         let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
         answer.headers_mut().insert(headers::RETRY, header::HeaderValue::from(millis));
--- a/src/proxy/resources.rs
+++ b/src/proxy/resources.rs
@@ -3,11 +3,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time;
 
 use tokio::sync;
 
 use crate::admit;
 use crate::context;
+use crate::notice;
 use crate::pick;
 use crate::proxy::attempt;
 use crate::proxy::count;
@@ -109,10 +111,15 @@
     }
 
     /// Records the head of the upstream's answer.
-    pub fn record_head(&mut self, status: http::StatusCode, load: Option<admit::Load>) {
+    pub fn record_head(
+        &mut self,
+        status: http::StatusCode,
+        load: Option<admit::Load>,
+        notice: Option<notice::Relayed>,
+    ) {
         if let Some(attempt) = self.attempt.as_mut() {
             attempt.handle(retry::Event::Head);
-            attempt.set_load(load);
+            attempt.set_load(load, notice);
         }
         if let Some(count) = self.count.as_mut() {
             count.set_status(status);
@@ -120,9 +127,14 @@
     }
 
     /// Ends an attempt that got no answer; another one may follow. Returns the attempt's outcome.
-    pub fn fail_attempt(&mut self, outcome: retry::Outcome) -> retry::Outcome {
+    pub fn fail_attempt(
+        &mut self,
+        outcome: retry::Outcome,
+        retry_after: Option<time::Duration>,
+    ) -> retry::Outcome {
         self.release_upstream();
-        let Some(attempt) = self.attempt.take() else { return outcome };
+        let Some(mut attempt) = self.attempt.take() else { return outcome };
+        attempt.set_retry_after(retry_after);
         match outcome {
             retry::Outcome::Ran => outcome,
             retry::Outcome::NotRun(reason) => attempt.end(retry::Event::Refused(reason)),
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -25,7 +25,7 @@
 pub struct Refused {
     /// Why the call was not admitted.
     pub reason: retry::Reason,
-    /// Delay after which a slot may be free.
+    /// Delay after which there may be room for the call.
     pub retry_after: time::Duration,
 }
 
@@ -38,6 +38,8 @@
     pub weight: u32,
     /// Whether the call is nested, so that a running call waits for it.
     pub nested: bool,
+    /// Whether its caller was refused before and returns.
+    pub returning: bool,
     /// Time by which the call must be answered to meet its target latency.
     pub target: clock::Instant,
     /// When the gate must have decided.
@@ -115,14 +117,14 @@
     ///
     /// The gate's refusal.
     pub async fn enter(self: &Rc<Self>, request: &Request<'_>) -> Result<Slot, Refused> {
-        let &Request { weight, nested, target, deadline, .. } = request;
+        let &Request { weight, nested, returning, target, deadline, .. } = request;
         let kind = self.kinds.borrow_mut().number(request.kind);
         let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
         let (sender, mut receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
         // From here on, the call leaves the queue if this future is dropped.
         let slot = Slot { slots: Rc::clone(self), ticket, ended: false };
-        let call = admit::Call { ticket, kind, weight, nested, target, deadline };
+        let call = admit::Call { ticket, kind, weight, nested, returning, target, deadline };
         self.handle(admit::Event::Arrive(call));
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
@@ -149,9 +151,9 @@
     pub fn preview(&self, request: &Request<'_>) -> Result<(), Refused> {
         let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
         let kind = self.kinds.borrow_mut().number(request.kind);
-        let &Request { weight, nested, target, deadline, .. } = request;
-        let call = admit::Call { ticket, kind, weight, nested, target, deadline };
-        match self.gate.borrow().preview(&call, self.ctx.now()) {
+        let &Request { weight, nested, returning, target, deadline, .. } = request;
+        let call = admit::Call { ticket, kind, weight, nested, returning, target, deadline };
+        match self.gate.borrow_mut().preview(&call, self.ctx.now()) {
             Some(admit::Action::Refuse { reason, retry_after, .. }) => {
                 Err(Refused { reason, retry_after })
             }
@@ -164,6 +166,16 @@
         self.handle(admit::Event::Limits(limits));
     }
 
+    /// Applies a change of the limit that the upstream names.
+    pub fn set_rate(&self, rate: Option<admit::Rate>) {
+        self.handle(admit::Event::Rate(rate));
+    }
+
+    /// What is left of the limit that the upstream names; `None` if it names none.
+    pub fn allowance(&self) -> Option<admit::Allowance> {
+        self.gate.borrow().allowance(self.ctx.now())
+    }
+
     /// Refuses all further calls.
     pub fn drain(&self) {
         self.handle(admit::Event::Drain);
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -19,6 +19,7 @@
 use crate::host;
 use crate::mesh;
 use crate::node;
+use crate::notice;
 use crate::pick;
 use crate::proxy::attempt;
 use crate::proxy::body;
@@ -27,6 +28,7 @@
 use crate::proxy::caller_retries;
 use crate::proxy::crash_detector;
 use crate::proxy::dialect;
+use crate::proxy::heard;
 use crate::proxy::held_answers;
 use crate::proxy::inbound_link;
 use crate::proxy::links;
@@ -101,6 +103,8 @@
     pub trace: trace::Trace,
     /// What the local upstream says of itself in its answers.
     pub notices: notices::Notices,
+    /// What upstreams beside other nodes have said.
+    pub heard: RefCell<heard::Heard>,
     /// Instance and incarnation of the local upstream that was applied last.
     last_upstream: RefCell<Option<(SmolStr, u32)>>,
     /// Calls that run at the local upstream.
@@ -176,7 +180,8 @@
             sizes: RefCell::default(),
             run_times: RefCell::default(),
             trace: trace::Trace::default(),
-            notices: notices::Notices::default(),
+            notices: notices::Notices::new(wiring.notices.clone()),
+            heard: RefCell::default(),
             last_upstream: RefCell::default(),
             caller_retries: RefCell::default(),
             running: Rc::new(running_calls::RunningCalls::new(
@@ -395,9 +400,39 @@
             || admit::Limits { slots: 0, connections: 0, queue: 0 },
             |local| self.limits(&local.upstream),
         ));
+        self.apply_notice();
         self.update_admission(local.as_deref());
     }
 
+    /// Applies a changed notice of the local upstream.
+    pub fn apply_notice(&self) {
+        let notice = self.notices.publish(self.local.borrow().as_deref());
+        self.slots.set_rate(notice.limit);
+    }
+
+    /// Takes over what another node has heard of the local upstream.
+    pub fn learn_notice(&self, relayed: &notice::Relayed) {
+        let local = self.local.borrow().clone();
+        let learn = |local| self.notices.learn(local, relayed, &self.trace, self.ctx.now());
+        if local.as_deref().is_some_and(learn) {
+            self.apply_notice();
+        }
+    }
+
+    /// What to tell other nodes of the local upstream; `None` if there is nothing to tell.
+    pub fn relayed_notice(&self) -> Option<notice::Relayed> {
+        self.local.borrow().as_ref().and_then(|local| self.notices.relayed(local))
+    }
+
+    /// The limit that the local upstream names; `None` if it names none.
+    pub fn limit_in_force(&self) -> Option<trace::LimitInForce> {
+        let allowance = self.slots.allowance()?;
+        let local = self.local.borrow();
+        let confirmed = local.as_ref().and_then(|local| self.notices.confirmed_at(local));
+        let now = self.ctx.now();
+        Some(trace::LimitInForce { allowance, age: now.since(confirmed.unwrap_or(now)) })
+    }
+
     /// Resets what was learned of the local upstream when its incarnation changed. If the instance
     /// is the same, it has restarted: its connections are closed, as calls of the previous process
     /// would otherwise hold their slots until their deadline. Calls of another instance, which may
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -12,7 +12,7 @@
 use crate::host;
 use crate::mesh;
 use crate::node;
-use crate::proxy::notices;
+use crate::notice;
 use crate::proxy::refuse;
 use crate::quarantine;
 use crate::retry;
@@ -76,6 +76,15 @@
     pub remaining: time::Duration,
 }
 
+/// A limit that an upstream names.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitInForce {
+    /// The limit, and what is left of it.
+    pub allowance: admit::Allowance,
+    /// Time since an answer of the upstream, or another node, last named it.
+    pub age: time::Duration,
+}
+
 /// A call that the owner node did not admit.
 #[derive(Clone, Copy, Debug)]
 pub struct Refused<'a> {
@@ -91,6 +100,8 @@
     pub reason: retry::Reason,
     /// Load of the upstream.
     pub load: admit::Load,
+    /// The limit that the upstream names; `None` if it names none.
+    pub limit: Option<LimitInForce>,
     /// Time remaining to meet the target latency.
     pub target: time::Duration,
     /// Time remaining until the deadline.
@@ -116,7 +127,7 @@
     /// The upstream.
     pub local: &'a node::LocalUpstream,
     /// What it says now.
-    pub notice: notices::Notice,
+    pub notice: notice::Notice,
     /// Whether it names a limit that is no number.
     pub malformed: bool,
     /// Request id of the call whose answer had the notice.
@@ -324,6 +335,9 @@
             waiting = refused.load.waiting,
             slots = refused.load.slots,
             service_us = refused.load.service_us,
+            limit_per_s = refused.limit.map_or(0.0, |limit| limit.allowance.rate.per_second()),
+            limit_left = refused.limit.map_or(0, |limit| limit.allowance.left),
+            limit_age_ms = refused.limit.map_or(0, |limit| millis(limit.age)),
             target_ms = millis(refused.target),
             left_ms = millis(refused.remaining),
             retry_after_ms = millis(refused.retry_after),
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -6,6 +6,7 @@
 
 use crate::mesh;
 use crate::node;
+use crate::notice;
 use crate::proxy::dialect;
 use crate::quarantine;
 use crate::quota;
@@ -38,6 +39,8 @@
     pub quarantine: quarantine::CallSide,
     /// Counts of the limits of organisations.
     pub quotas: quota::Counts,
+    /// Counts of what the local upstream says of itself.
+    pub notices: notice::Counts,
     /// Roll-outs: the progress seen by this node, and their status in the mesh.
     pub rollouts: rollout::shell::Channels,
 }
--- a/src/retry/decide.rs
+++ b/src/retry/decide.rs
@@ -9,6 +9,9 @@
 /// Attempts that a call nested in another call of the mesh may have.
 const MAX_NESTED_ATTEMPTS: u8 = 2;
 
+/// Refusals at limits that upstreams name after which a call is not sent to one more upstream.
+const MAX_LIMITED: u8 = 8;
+
 /// Time after which the caller may retry, if the refusing host named none.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -17,8 +20,11 @@
 pub struct Call {
     /// Whether the call may run twice without harm.
     pub idempotent: bool,
-    /// Number of the attempt that ended, from 1.
+    /// Number of the attempt that ended, from 1. Attempts that were refused because a limit that an
+    /// upstream names was used up are not counted here, as no upstream noticed them.
     pub attempt: u8,
+    /// Number of attempts that were refused for that reason.
+    pub limited: u8,
     /// Attempts that the call may have, including the first.
     pub max_attempts: u8,
     /// Number of calls of the mesh in which this one is nested; 0 for a call from outside.
@@ -59,6 +65,8 @@
 ///
 /// A call that is not idempotent gets another attempt only if the last one certainly did not run.
 /// Every extra attempt is taken from `budget`, and none is made once a byte was sent to the caller.
+/// A call that an upstream's node refused at the limit of that upstream is sent to another one
+/// without that: no upstream has noticed it.
 pub fn decide(
     call: &Call,
     outcome: retry::Outcome,
@@ -68,12 +76,23 @@
     if outcome == retry::Outcome::Ran {
         budget.record_served();
     }
-    if is_allowed(call, outcome, now) && budget.take() {
+    let again = if outcome == retry::Outcome::NotRun(retry::Reason::Limited) {
+        is_diverted(call, now)
+    } else {
+        is_allowed(call, outcome, now) && budget.take()
+    };
+    if again {
         return Decision::Again { avoid: call.host };
     }
     Decision::Final { outcome, retry_after: retry_after(call, outcome) }
 }
 
+/// Whether a call that was refused at the limit of an upstream is sent to another one in place of
+/// the attempt that was refused.
+fn is_diverted(call: &Call, now: clock::Instant) -> bool {
+    call.host.is_some() && call.limited < MAX_LIMITED && can_be_sent(call, now)
+}
+
 /// Whether another attempt is allowed, if the budget has one.
 fn is_allowed(call: &Call, outcome: retry::Outcome, now: clock::Instant) -> bool {
     let Some(reason) = outcome.reason() else {
@@ -82,9 +101,12 @@
     reason.allows_other_host()
         && is_repeatable(call, outcome)
         && call.attempt < max_attempts(call)
-        && call.answered_bytes == 0
-        && call.buffered
-        && now < call.deadline
+        && can_be_sent(call, now)
+}
+
+/// Whether the request can still be sent.
+fn can_be_sent(call: &Call, now: clock::Instant) -> bool {
+    call.answered_bytes == 0 && call.buffered && now < call.deadline
 }
 
 /// Whether the call can be sent again without a harmful second run, and without multiplying the
--- a/src/retry/reason.rs
+++ b/src/retry/reason.rs
@@ -16,6 +16,8 @@
     Draining,
     /// All slots and the queue are full, or a heavier call displaced this one.
     Full,
+    /// The limit that the upstream names is used up.
+    Limited,
     /// The log service does not answer, so that the idempotency key can't be claimed.
     LogDown,
     /// The answer or the request breaks the protocol.
@@ -48,12 +50,13 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 19] = [
+    pub const ALL: [Reason; 20] = [
         Reason::Cancelled,
         Reason::Conflict,
         Reason::Cut,
         Reason::Draining,
         Reason::Full,
+        Reason::Limited,
         Reason::LogDown,
         Reason::Malformed,
         Reason::NoRoute,
@@ -78,6 +81,7 @@
             Self::Cut => "cut",
             Self::Draining => "draining",
             Self::Full => "full",
+            Self::Limited => "limited",
             Self::LogDown => "log-down",
             Self::Malformed => "malformed",
             Self::NoRoute => "no-route",
@@ -101,6 +105,7 @@
             Self::Cut
             | Self::Draining
             | Self::Full
+            | Self::Limited
             | Self::Malformed
             | Self::NotReady
             | Self::Timeout
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -1,11 +1,13 @@
 //! Tests of the decisions on retries.
 
+use std::net;
 use std::time;
 
 use proptest::prelude::*;
 use rstest::rstest;
 
 use crate::clock;
+use crate::host;
 use crate::retry;
 
 const DEADLINE: clock::Instant = clock::Instant::from_millis(1000);
@@ -14,6 +16,7 @@
     retry::Call {
         idempotent,
         attempt: 1,
+        limited: 0,
         max_attempts: 3,
         depth: 0,
         outer_attempt: 1,
@@ -146,3 +149,20 @@
         prop_assert!(total * 10 <= calls * 11, "{total} attempts of {calls} calls");
     }
 }
+
+#[test]
+fn a_call_refused_at_the_limit_of_an_upstream_goes_to_another_one_without_a_budget() {
+    let now = clock::Instant::from_millis(0);
+    let limited = retry::Outcome::NotRun(retry::Reason::Limited);
+    let mut empty = retry::Budget::new(0, 0);
+    let host = host::HostId::new(net::SocketAddr::from(([127, 0, 0, 1], 7100)));
+    let last = retry::Call { attempt: 3, max_attempts: 3, host: Some(host), ..call(false) };
+    let again = retry::decide(&last, limited, &mut empty, now);
+    assert_eq!(again, retry::Decision::Again { avoid: last.host });
+    let after = Some(time::Duration::from_millis(70));
+    for done in [retry::Call { limited: 8, ..last }, retry::Call { host: None, ..last }] {
+        let done = retry::Call { retry_after: after, ..done };
+        let decision = retry::decide(&done, limited, &mut empty, now);
+        assert_eq!(decision, retry::Decision::Final { outcome: limited, retry_after: after });
+    }
+}
--- a/tests/calls/drain.rs
+++ b/tests/calls/drain.rs
@@ -144,6 +144,7 @@
         let local = node::LocalUpstream {
             address: leaving.address,
             instance: Default::default(),
+            born: None,
             upstream,
         };
         nodes[1].local.send_replace(Some(Arc::new(local)));
@@ -172,6 +173,7 @@
         nodes[1].local.send_replace(Some(Arc::new(node::LocalUpstream {
             address,
             instance,
+            born: None,
             upstream,
         })));
         // Blocks the runtime for most of half a second, so that the first call to the other
@@ -205,6 +207,7 @@
             Arc::new(node::LocalUpstream {
                 address: fake.address,
                 instance: Default::default(),
+                born: None,
                 upstream: u,
             })
         });
@@ -328,7 +331,8 @@
             rig::until(|| fake.runs("lost") == 1).await;
             let upstream = view::Upstream { incarnation: 1, ..rig::shop(1) };
             let address = fake.address;
-            let local = node::LocalUpstream { address, instance: Default::default(), upstream };
+            let local =
+                node::LocalUpstream { address, instance: Default::default(), born: None, upstream };
             nodes[1].local.send_replace(Some(Arc::new(local)));
             rig::call(&nodes[0], rig::request("POST", "/orders", "next"), b"").await
         };
@@ -348,8 +352,12 @@
         let next = async {
             rig::until(|| fake.runs("other") == 1).await;
             let upstream = view::Upstream { incarnation: 1, ..rig::shop(4) };
-            let local =
-                node::LocalUpstream { address: fake.address, instance: "next".into(), upstream };
+            let local = node::LocalUpstream {
+                address: fake.address,
+                instance: "next".into(),
+                born: None,
+                upstream,
+            };
             nodes[1].local.send_replace(Some(Arc::new(local)));
         };
         let call = rig::call(&nodes[0], rig::request("POST", "/orders", "other"), b"");
--- a/tests/calls/limits.rs
+++ b/tests/calls/limits.rs
@@ -54,6 +54,51 @@
     });
 }
 
+#[test]
+fn where_all_upstreams_are_at_their_limits_a_call_is_refused_at_once() {
+    rig::run(async {
+        let first = upstream_that_says("upstream-limit: 1\r\n").await;
+        let second = upstream_that_says("upstream-limit: 1\r\n").await;
+        let upstreams = [None, Some(first.address), Some(second.address)];
+        let nodes = rig::nodes(&upstreams, &rig::Claims::default()).await;
+        call_steadily(&nodes[0], time::Duration::from_millis(500)).await;
+        let runs = || first.requests().len() + second.requests().len();
+        let before = runs();
+        let began = time::Instant::now();
+        let answer = rig::call(&nodes[0], rig::request("GET", "/browse", "late"), b"").await;
+        assert!(began.elapsed() < time::Duration::from_millis(200), "{:?}", began.elapsed());
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert_eq!(answer.header("dandelionspool-reason"), "limited");
+        assert_eq!(runs(), before);
+        let after: u64 = answer.header("retry-after").parse().unwrap();
+        tokio::time::sleep(time::Duration::from_secs(after)).await;
+        let answer = rig::call(&nodes[0], rig::request("GET", "/browse", "again"), b"").await;
+        assert_eq!(answer.outcome(), "ran");
+    });
+}
+
+#[test]
+fn a_node_that_starts_anew_keeps_its_upstream_within_the_limit() {
+    rig::run(async {
+        let limited = upstream_that_says("upstream-limit: 1\r\n").await;
+        let mut nodes = rig::nodes(&[None, Some(limited.address)], &rig::Claims::default()).await;
+        rig::name_upstream(&nodes[1], "i-1");
+        call_steadily(&nodes[0], time::Duration::from_millis(200)).await;
+        let before = limited.requests().len();
+        let owner = nodes.pop().unwrap();
+        nodes.push(rig::restart(owner, limited.address, "i-1", &rig::Claims::default()).await);
+        rig::join(&nodes).await;
+        let calls = (0..4).map(|n| {
+            let request = rig::request("GET", "/browse", &format!("after-{n}"));
+            rig::call(&nodes[0], request, b"")
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        let ran = answers.iter().filter(|answer| answer.outcome() == "ran").count();
+        assert_eq!(limited.requests().len() - before, ran);
+        assert!(ran <= 1, "{ran} of 4 calls at once, with a limit of one a second");
+    });
+}
+
 #[test]
 fn no_call_reaches_an_upstream_that_has_said_that_it_leaves() {
     rig::run(async {
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -186,6 +186,31 @@
     tokio::time::sleep(time::Duration::from_millis(60)).await;
 }
 
+/// Names the upstream beside `node`.
+pub fn name_upstream(node: &Node, instance: &str) {
+    node.local.send_modify(|local| {
+        let mut named = local.as_deref().unwrap().clone();
+        named.instance = instance.into();
+        *local = Some(Arc::new(named));
+    });
+}
+
+/// Ends `node` without a stop and starts it anew at its address, beside the same upstream.
+pub async fn restart(
+    node: Node,
+    upstream: net::SocketAddr,
+    instance: &str,
+    claims: &Claims,
+) -> Node {
+    let address = node.id.member_addr();
+    drop(node);
+    until(|| std::net::TcpListener::bind(host::HostId::new(address).inner_addr()).is_ok()).await;
+    let node = start(settings(address), Some(upstream), 4, claims);
+    name_upstream(&node, instance);
+    until(|| std::net::TcpStream::connect(node.id.inner_addr()).is_ok()).await;
+    node
+}
+
 fn start(
     settings: configs::Node,
     upstream: Option<net::SocketAddr>,
@@ -198,6 +223,7 @@
         Arc::new(node::LocalUpstream {
             address,
             instance: Default::default(),
+            born: None,
             upstream: shop(slots),
         })
     });
@@ -217,6 +243,7 @@
         dialect: proxy::Dialect::default(),
         quarantine: call_side,
         quotas: Default::default(),
+        notices: Default::default(),
         rollouts: Default::default(),
     };
     let ctx =
--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -58,8 +58,12 @@
         version: Default::default(),
         trial: Default::default(),
     };
-    let local =
-        node::LocalUpstream { address: address(index), instance: Default::default(), upstream };
+    let local = node::LocalUpstream {
+        address: address(index),
+        instance: Default::default(),
+        born: None,
+        upstream,
+    };
     let (applied, applied_rx) = watch::channel(Arc::default());
     let (view_tx, view) = watch::channel(Arc::default());
     let (mismatches_tx, mismatches) = ring::bounded(8);
