fix(proxy, admin): no new call reaches an upstream that says in its answers that it leaves

Its node refuses new calls from that answer on, lets those that run end, and announces the upstream as draining whatever it announces of itself. An entry node that has heard it picks the upstream no more, with or without word from the membership, and tells the upstream's node with its next call there, so that one that starts anew beside the upstream refuses it too. A notice binds one incarnation: a successor at the same address, also of the same name with another start time, gets calls.

The regression test compared the picks of single calls, which all may go to one upstream; it now makes four at once, and the other upstream has to serve all of them.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -70,6 +70,8 @@
     pub fn notices(&self, counts: &notice::Counts) {
         let help = "Whether the upstream names a limit";
         self.register("upstream_limited", help, counts.limited.clone());
+        let help = "Whether the upstream has said that it is leaving";
+        self.register("upstream_leaving", help, counts.leaving.clone());
         let help = "Calls refused at the limit that the upstream names";
         self.register("upstream_limit_refused", help, counts.refused.clone());
     }
--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -38,6 +38,8 @@
     pub view: watch::Receiver<Arc<view::View>>,
     /// From the call path: answer counts of the local upstream while its version is on trial.
     pub trial: watch::Receiver<rollout::TrialReport>,
+    /// From the call path: the incarnation of the local upstream that said that it leaves.
+    pub leaving: watch::Receiver<Option<u32>>,
     /// To the other duties: the upstream beside this node; `None` while there is none.
     pub local: watch::Sender<Option<Arc<node::LocalUpstream>>>,
     /// Whether the log answers; see [`reachability::Watched`].
@@ -83,6 +85,7 @@
         applied: wiring.applied,
         view: wiring.view,
         trial: wiring.trial,
+        leaving: wiring.leaving,
         local: wiring.local,
         reachability: wiring.reach,
         metrics: wiring.metrics,
@@ -112,10 +115,12 @@
     Ok(())
 }
 
-/// Publishes the local upstream on each change of the configuration and after each lease check.
+/// Publishes the local upstream on each change of the configuration, when it says that it leaves, and
+/// after each lease check.
 async fn publish_changes(state: Rc<state::State>) {
     let mut applied = state.applied.clone();
     applied.mark_changed();
+    let mut leaving = state.leaving.clone();
     let mut tick = tokio::time::interval(LEASE_CHECK_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -127,6 +132,7 @@
                 let runs = applied.borrow_and_update().version_id.version.number() > 0;
                 state.applied_unix_ms.set(runs.then(|| state.ctx.clock.unix_millis()));
             }
+            Ok(()) = leaving.changed() => {}
             _ = tick.tick() => state.announcements.borrow_mut().expire(state.ctx.now()),
         }
         state.publish();
--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -34,6 +34,7 @@
     pub(super) applied: watch::Receiver<Arc<mesh::Applied>>,
     pub(super) view: watch::Receiver<Arc<view::View>>,
     pub(super) trial: watch::Receiver<rollout::TrialReport>,
+    pub(super) leaving: watch::Receiver<Option<u32>>,
     pub(super) local: watch::Sender<Option<Arc<node::LocalUpstream>>>,
     pub(super) reachability: watch::Receiver<reachability::Reachability>,
     pub(super) metrics: metrics::Metrics,
@@ -99,6 +100,10 @@
         let mut local = self.announcements.borrow().local(&mesh);
         if let Some(local) = &mut local {
             local.upstream.trial = *self.trial.borrow();
+            // Whatever it announces, an upstream can't take back that it leaves.
+            if *self.leaving.borrow() == Some(local.upstream.incarnation) {
+                local.upstream.phase = view::Phase::Draining;
+            }
         }
         self.local.send_if_modified(|published| {
             let changed = published.as_deref() != local.as_ref();
--- a/src/admin/tests/served.rs
+++ b/src/admin/tests/served.rs
@@ -32,6 +32,7 @@
     local: watch::Receiver<Option<Arc<node::LocalUpstream>>>,
     tallies: ring::Sender<usage::Delta>,
     stage: watch::Sender<node::Stage>,
+    leaving: watch::Sender<Option<u32>>,
     _reach: watch::Sender<reachability::Reachability>,
 }
 
@@ -49,12 +50,14 @@
     let (view, view_end) = watch::channel(Arc::default());
     let (local_end, local) = watch::channel(None);
     let (reach, reach_end) = watch::channel(reachability::Reachability::Unasked);
+    let (leaving, leaving_end) = watch::channel(None);
     let (tallies, tallies_end) = ring::bounded(4);
     let (stage, stage_end) = watch::channel(node::Stage::Run);
     let wiring = shell::Wiring {
         applied: applied_end,
         view: view_end,
         trial: watch::Sender::default().subscribe(),
+        leaving: leaving_end,
         local: local_end,
         reach: reach_end,
         tallies: tallies_end,
@@ -67,7 +70,7 @@
         shell::run(context::Context::system(), Arc::new(settings), wiring).await.expect("serves");
     });
     let host = host::HostId::new(listen);
-    Ends { host, applied, view, local, tallies, stage, _reach: reach }
+    Ends { host, applied, view, local, tallies, stage, leaving, _reach: reach }
 }
 
 impl Ends {
@@ -212,3 +215,25 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn an_upstream_that_has_said_that_it_leaves_drains_whatever_it_announces() {
+    in_local_set(async {
+        let mut ends = start(6);
+        assert_eq!(ends.get("/live").await.0, 204);
+        ends.apply();
+        assert_eq!(ends.put("shop-host").await, 204);
+        let phase = |local: &Option<Arc<node::LocalUpstream>>| {
+            local.as_ref().map(|local| (local.upstream.incarnation, local.upstream.phase))
+        };
+        let (incarnation, serving) = phase(&ends.local.borrow()).expect("an upstream");
+        assert_eq!(serving, view::Phase::Serving);
+        ends.leaving.send_replace(Some(incarnation));
+        let draining = Some((incarnation, view::Phase::Draining));
+        let drains = ends.local.wait_for(|local| phase(local) == draining);
+        assert!(tokio::time::timeout(TIMEOUT, drains).await.is_ok());
+        assert_eq!(ends.put("shop-host").await, 204);
+        assert_eq!(phase(&ends.local.borrow()), draining);
+    })
+    .await;
+}
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -208,6 +208,7 @@
         let (progress, progress_receiver) = watch::channel(Vec::new());
         let (statuses_sender, statuses) = watch::channel(Default::default());
         let (trial, trial_receiver) = watch::channel(Default::default());
+        let (leaving, leaving_receiver) = watch::channel(None);
         let rollout = self.rollout(rollout::shell::Wiring {
             statuses: self.ports.statuses(&self.settings, Arc::clone(&self.traffic)),
             progress: progress_receiver,
@@ -219,6 +220,7 @@
             applied: applied.clone(),
             view: view.clone(),
             trial: trial_receiver,
+            leaving: leaving_receiver,
             local: local_sender,
             reach: self.reach.clone(),
             tallies,
@@ -237,7 +239,7 @@
             dialect: self.ports.dialect(),
             quarantine: suspects,
             quotas,
-            notices,
+            notices: notice::CallSide { counts: notices, leaving },
             rollouts: rollout::shell::Channels { progress, statuses, trial },
         })?;
         Ok((calls, vec![member, spread, ledger, admin, rollout]))
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -5,6 +5,7 @@
 
 use prometheus_client::metrics::{counter, gauge};
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 use crate::admit;
 
@@ -25,10 +26,22 @@
 pub struct Counts {
     /// 1 while the upstream names a limit.
     pub limited: gauge::Gauge,
+    /// 1 once the upstream has said that it is leaving.
+    pub leaving: gauge::Gauge,
     /// Calls that were refused because that limit was used up.
     pub refused: counter::Counter,
 }
 
+/// The call path's side: counts, and what the other duties need to know.
+#[derive(Clone, Debug, Default)]
+pub struct CallSide {
+    /// Counts of the notices.
+    pub counts: Counts,
+    /// The incarnation of the local upstream that said that it leaves, as in
+    /// [`crate::view::Upstream::incarnation`].
+    pub leaving: watch::Sender<Option<u32>>,
+}
+
 /// Identifies an incarnation of an upstream whatever node is beside it: a hash of the name of its
 /// instance and of its start time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -126,6 +126,8 @@
     limit: Option<(admit::Rate, clock::Instant)>,
     /// Until when its limit is used up, and up to which rank of calls.
     used_up: Option<(clock::Instant, admit::Rank)>,
+    /// Whether this incarnation has said that it is leaving.
+    leaving: bool,
     breaker: outlier::Breaker,
 }
 
@@ -148,6 +150,7 @@
             relative_time: (1.0, clock::Instant::ZERO),
             limit: None,
             used_up: None,
+            leaving: false,
             breaker: outlier::Breaker::new(),
         }
     }
@@ -171,6 +174,7 @@
             self.relative_time = (1.0, now);
             self.limit = None;
             self.used_up = None;
+            self.leaving = false;
             self.breaker = outlier::Breaker::new();
             self.warming = None;
         }
@@ -293,7 +297,8 @@
 
     /// Whether calls may be sent to it at all.
     pub(super) fn is_open(&self) -> bool {
-        self.listed && self.phase != view::Phase::Draining && self.slots > 0
+        let leaves = self.leaving || self.phase == view::Phase::Draining;
+        self.listed && !leaves && self.slots > 0
     }
 
     /// Whether the policies may choose it for a call of `rank`.
@@ -370,6 +375,7 @@
             None => notice::Notice::default(),
         };
         self.limit = notice.limit.map(|rate| (rate, now));
+        self.leaving |= notice.leaving;
     }
 
     fn record_load(&mut self, load: admit::Load, now: clock::Instant) {
--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -30,24 +30,27 @@
 #[derive(Debug, Default)]
 pub struct Notices {
     current: RefCell<Option<Current>>,
-    counts: notice::Counts,
+    side: notice::CallSide,
 }
 
 impl Notices {
     /// No notice yet.
-    pub fn new(counts: notice::Counts) -> Self {
-        Self { counts, ..Self::default() }
+    pub fn new(side: notice::CallSide) -> Self {
+        Self { side, ..Self::default() }
     }
 
     /// Counts a call that was refused because the limit was used up.
     pub fn record_refused(&self) {
-        self.counts.refused.inc();
+        self.side.counts.refused.inc();
     }
 
-    /// Applies the notice of `local` to the counts and returns it.
+    /// Publishes the notice of `local` to the counts and the other duties, and returns it.
     pub fn publish(&self, local: Option<&node::LocalUpstream>) -> notice::Notice {
         let notice = local.map(|local| self.of(local)).unwrap_or_default();
-        self.counts.limited.set(i64::from(notice.limit.is_some()));
+        self.side.counts.limited.set(i64::from(notice.limit.is_some()));
+        self.side.counts.leaving.set(i64::from(notice.leaving));
+        let leaving = local.filter(|_| notice.leaving).map(|local| local.upstream.incarnation);
+        self.side.leaving.send_if_modified(|old| std::mem::replace(old, leaving) != leaving);
         notice
     }
 
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -25,7 +25,6 @@
 use crate::proxy::upload;
 use crate::quarantine;
 use crate::retry;
-use crate::view;
 
 /// Maximum number of connections tried if they close before anything was sent.
 const MAX_CONNECTION_TRIES: u8 = 3;
@@ -197,7 +196,7 @@
     let upstream = &local.upstream;
     let wanted = upstream.service == spec.service
         && spec.class.is_none_or(|class| upstream.class == class)
-        && upstream.phase != view::Phase::Draining
+        && !state.is_upstream_leaving(local)
         && !state.is_draining();
     if wanted { Ok((**local).clone()) } else { Err(NOT_HERE) }
 }
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -401,13 +401,14 @@
             |local| self.limits(&local.upstream),
         ));
         self.apply_notice();
-        self.update_admission(local.as_deref());
     }
 
     /// Applies a changed notice of the local upstream.
     pub fn apply_notice(&self) {
-        let notice = self.notices.publish(self.local.borrow().as_deref());
+        let local = self.local.borrow().clone();
+        let notice = self.notices.publish(local.as_deref());
         self.slots.set_rate(notice.limit);
+        self.update_admission(local.as_deref());
     }
 
     /// Takes over what another node has heard of the local upstream.
@@ -452,7 +453,7 @@
     /// Refuses the calls that wait for an upstream that is leaving, and admits calls again for its
     /// successor.
     fn update_admission(&self, local: Option<&node::LocalUpstream>) {
-        let leaving = local.is_some_and(|l| l.upstream.phase == view::Phase::Draining);
+        let leaving = local.is_some_and(|local| self.is_upstream_leaving(local));
         if leaving || self.is_draining() {
             self.slots.drain();
         } else {
@@ -460,10 +461,16 @@
         }
     }
 
+    /// Whether the upstream `local` takes no new calls: it announces its drain, or has said in an
+    /// answer that it leaves.
+    pub fn is_upstream_leaving(&self, local: &node::LocalUpstream) -> bool {
+        local.upstream.phase == view::Phase::Draining || self.notices.of(local).leaving
+    }
+
     /// Address of the local upstream; `None` while there is none, or it is leaving.
     pub fn serving_address(&self) -> Option<net::SocketAddr> {
         let local = self.local.borrow();
-        let local = local.as_ref().filter(|l| l.upstream.phase != view::Phase::Draining);
+        let local = local.as_ref().filter(|local| !self.is_upstream_leaving(local));
         local.map(|local| local.address)
     }
 
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -39,8 +39,8 @@
     pub quarantine: quarantine::CallSide,
     /// Counts of the limits of organisations.
     pub quotas: quota::Counts,
-    /// Counts of what the local upstream says of itself.
-    pub notices: notice::Counts,
+    /// Counts what the local upstream says of itself, and tells other duties that it leaves.
+    pub notices: notice::CallSide,
     /// Roll-outs: the progress seen by this node, and their status in the mesh.
     pub rollouts: rollout::shell::Channels,
 }
--- a/tests/calls/limits.rs
+++ b/tests/calls/limits.rs
@@ -99,17 +99,70 @@
     });
 }
 
+/// Two upstreams of which one leaves: each runs a call for a while, so that both get calls.
+async fn leaving_and_other() -> (fake::Fake, fake::Fake) {
+    let run = |headers: &'static str| {
+        move |request: &fake::Request| {
+            let wait = vec![Step::Wait(time::Duration::from_millis(20))];
+            [wait, answer_with(request, headers)].concat()
+        }
+    };
+    (fake::Fake::start(run("upstream-leaving: 1\r\n")).await, fake::Fake::start(run("")).await)
+}
+
+/// Makes `count` calls at once and returns how many were not answered by an upstream.
+async fn call_at_once(node: &rig::Node, count: usize, name: &str) -> usize {
+    let calls = (0..count).map(|number| {
+        rig::call(node, rig::request("GET", "/browse", &format!("{name}-{number}")), b"")
+    });
+    let answers = futures_util::future::join_all(calls).await;
+    answers.iter().filter(|answer| answer.outcome() != "ran").count()
+}
+
 #[test]
 fn no_call_reaches_an_upstream_that_has_said_that_it_leaves() {
     rig::run(async {
-        let leaving = upstream_that_says("upstream-leaving: 1\r\n").await;
-        let free = fake::Fake::start(fake::echo).await;
-        let upstreams = [None, Some(leaving.address), Some(free.address)];
+        let (leaving, other) = leaving_and_other().await;
+        let upstreams = [None, Some(leaving.address), Some(other.address)];
         let nodes = rig::nodes(&upstreams, &rig::Claims::default()).await;
-        let answers = call_steadily(&nodes[0], time::Duration::from_secs(1)).await;
-        let refused = answers.iter().find(|a| a.outcome() != "ran");
-        assert!(refused.is_none(), "the other upstream serves: {refused:?}");
-        let got = leaving.requests().len();
-        assert_eq!(got, 1, "of {} calls only the first could reach it", answers.len());
+        assert_eq!(call_at_once(&nodes[0], 4, "first").await, 0, "calls that run end well");
+        let before = leaving.requests().len();
+        assert!(before > 0);
+        for round in 0..20 {
+            assert_eq!(call_at_once(&nodes[0], 4, &format!("round-{round}")).await, 0);
+        }
+        assert_eq!(leaving.requests().len(), before);
+    });
+}
+
+#[test]
+fn the_last_upstream_of_a_service_gets_no_call_once_it_leaves() {
+    rig::run(async {
+        let (leaving, _) = leaving_and_other().await;
+        let nodes = rig::nodes(&[None, Some(leaving.address)], &rig::Claims::default()).await;
+        assert_eq!(call_at_once(&nodes[0], 2, "first").await, 0);
+        let before = leaving.requests().len();
+        let answer = rig::call(&nodes[0], rig::request("GET", "/browse", "late"), b"").await;
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert_eq!(leaving.requests().len(), before);
+    });
+}
+
+#[test]
+fn a_node_that_starts_anew_sends_no_call_to_an_upstream_that_leaves() {
+    rig::run(async {
+        let (leaving, _) = leaving_and_other().await;
+        let mut nodes = rig::nodes(&[None, Some(leaving.address)], &rig::Claims::default()).await;
+        rig::name_upstream(&nodes[1], "i-1");
+        assert_eq!(call_at_once(&nodes[0], 1, "first").await, 0);
+        let owner = nodes.pop().unwrap();
+        nodes.push(rig::restart(owner, leaving.address, "i-1", &rig::Claims::default()).await);
+        rig::join(&nodes).await;
+        assert_eq!(call_at_once(&nodes[0], 4, "after").await, 4);
+        assert_eq!(leaving.requests().len(), 1);
+        // Its successor under another name gets calls.
+        rig::replace_upstream(&mut nodes[1], "i-2");
+        rig::join(&nodes).await;
+        assert_eq!(call_at_once(&nodes[0], 1, "next").await, 0);
     });
 }
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -195,6 +195,17 @@
     });
 }
 
+/// Replaces the upstream beside `node` by the next incarnation, named `instance`, at its address.
+pub fn replace_upstream(node: &mut Node, instance: &str) {
+    node.local.send_modify(|local| {
+        let mut next = local.as_deref().unwrap().clone();
+        next.instance = instance.into();
+        next.upstream.incarnation += 1;
+        node.upstream = Some(next.upstream.clone());
+        *local = Some(Arc::new(next));
+    });
+}
+
 /// Ends `node` without a stop and starts it anew at its address, beside the same upstream.
 pub async fn restart(
     node: Node,
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -99,6 +99,7 @@
         applied,
         view,
         trial: watch::Sender::default().subscribe(),
+        leaving: watch::Sender::default().subscribe(),
         local: watch::channel(None).0,
         reach,
         tallies,
