--- a/src/bench/policies/case.rs
+++ b/src/bench/policies/case.rs
@@ -93,12 +93,15 @@
     Skew,
     /// The calls arrive at twenty times as many entry nodes, each of which gets few of them.
     Many,
+    /// One names a limit of a quarter of what it could run. The calls arrive at as many entry nodes as
+    /// the largest mesh has.
+    Limited,
     /// All refuse connections, which the membership has not detected.
     Outage,
 }
 
 impl Fault {
-    const ALL: [Fault; 8] = [
+    const ALL: [Fault; 9] = [
         Fault::None,
         Fault::Slow,
         Fault::Dead,
@@ -106,6 +109,7 @@
         Fault::Cold,
         Fault::Skew,
         Fault::Many,
+        Fault::Limited,
         Fault::Outage,
     ];
 
@@ -119,6 +123,7 @@
             Self::Cold => "cold",
             Self::Skew => "skew",
             Self::Many => "many",
+            Self::Limited => "limited",
             Self::Outage => "outage",
         }
     }
--- a/src/bench/policies/mod.rs
+++ b/src/bench/policies/mod.rs
@@ -26,7 +26,7 @@
     /// Seed of every random number
     #[bpaf(argument("SEED"), fallback(1))]
     pub seed: u64,
-    /// Only runs with this fault: none, slow, dead, lying, cold, skew, many or outage
+    /// Only runs with this fault: none, slow, dead, lying, cold, skew, many, limited or outage
     #[bpaf(argument("FAULT"), optional)]
     pub fault: Option<String>,
     /// Only runs at this load, in percent of capacity
@@ -85,7 +85,7 @@
 
 fn print(rows: &[Row]) {
     println!(
-        "{:<9}{:>5}  {:<19}{:<8}{:>8}{:>8}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}",
+        "{:<9}{:>5}  {:<19}{:<8}{:>8}{:>8}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}",
         "fault",
         "load",
         "policy",
@@ -97,11 +97,13 @@
         "p99.9 us",
         "attempts",
         "timeouts",
-        "unknown"
+        "unknown",
+        "limited",
+        "of limit"
     );
     for Row { case, figures } in rows {
         println!(
-            "{:<9}{:>4}%  {:<19}{:<8}{:>8.4}{:>8.4}{:>9}{:>9}{:>9}{:>9.4}{:>9}{:>9}",
+            "{:<9}{:>4}%  {:<19}{:<8}{:>8.4}{:>8.4}{:>9}{:>9}{:>9}{:>9.4}{:>9}{:>9}{:>9}{:>9.3}",
             case.fault.name(),
             case.percent,
             case.policy.name(),
@@ -114,6 +116,8 @@
             figures.attempts,
             figures.timeouts,
             figures.unknown,
+            figures.limited,
+            figures.limit_share,
         );
     }
 }
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -15,6 +15,7 @@
 use crate::bench::policies::upstream;
 use crate::clock;
 use crate::configs;
+use crate::notice;
 use crate::pick;
 use crate::retry;
 
@@ -40,6 +41,8 @@
     Receive { answer: usize },
     /// The caller's deadline has passed.
     Expire { call: usize },
+    /// An upstream names a limit.
+    NameLimit { at: usize },
     /// The cancellation of an attempt reaches the owner node.
     Cancel { ticket: u64, at: usize },
 }
@@ -51,6 +54,7 @@
     attempt: u8,
     outcome: retry::Outcome,
     load: Option<admit::Load>,
+    notice: Option<notice::Relayed>,
     retry_after: Option<time::Duration>,
 }
 
@@ -64,6 +68,8 @@
     kind: setup::Kind,
     since: clock::Instant,
     attempt: u8,
+    /// Attempts that were refused at the limit of an upstream.
+    limited: u8,
     /// The choice and start of the attempt in flight.
     choice: Option<(pick::Choice, clock::Instant)>,
     counted: bool,
@@ -96,11 +102,14 @@
     let Ok(tally) = tally::Tally::new() else { unreachable!("constant bounds") };
     let mut model = Model::new(policy, case, seconds, seed, tally);
     model.push(0, Event::Arrive { entry: 0 });
+    if case.fault == case::Fault::Limited {
+        model.push(setup::LIMITED_AT_US, Event::NameLimit { at: 0 });
+    }
     while let Some(cmp::Reverse((at, _, event))) = model.queue.pop() {
         model.now = at;
         model.handle(event);
     }
-    model.tally.figures(model.capacity(seconds))
+    model.tally.figures(model.capacity(seconds), &model.upstreams[0].limited_starts)
 }
 
 impl<P: Copy + pick::Policy> Model<P> {
@@ -151,6 +160,10 @@
             Event::Wake { at } => self.gate(at, admit::Event::Tick),
             Event::Receive { answer } => self.receive(self.answers[answer]),
             Event::Expire { call } => self.expire(call),
+            Event::NameLimit { at } => {
+                let named = self.upstreams[at].name_limit();
+                self.gate(at, named);
+            }
             Event::Cancel { ticket, at } => self.cancel(ticket, at),
         }
     }
@@ -167,7 +180,8 @@
         if counted {
             self.tally.arrived(kind);
         }
-        let call = Call { entry, kind, since: self.now, attempt: 0, choice: None, counted };
+        let call =
+            Call { entry, kind, since: self.now, attempt: 0, limited: 0, choice: None, counted };
         self.calls.push(call);
         self.entries[entry].budget.record_arrival();
         let call = self.calls.len() - 1;
@@ -204,7 +218,8 @@
     fn reach(&mut self, call: usize, attempt: u8, at: usize) {
         if self.upstreams[at].dead {
             let outcome = retry::Outcome::NotRun(retry::Reason::Unreachable);
-            let answer = Answer { call, attempt, outcome, load: None, retry_after: None };
+            let (load, notice, retry_after) = (None, None, None);
+            let answer = Answer { call, attempt, outcome, load, notice, retry_after };
             return self.answer(at, answer);
         }
         let one = &self.calls[call];
@@ -281,7 +296,8 @@
         let (call, attempt) =
             ((ticket.0 / TICKETS_PER_CALL) as usize, (ticket.0 % TICKETS_PER_CALL) as u8);
         let load = Some(self.upstreams[at].gate.load());
-        self.answer(at, Answer { call, attempt, outcome, load, retry_after });
+        let notice = self.upstreams[at].notice;
+        self.answer(at, Answer { call, attempt, outcome, load, notice, retry_after });
     }
 
     fn answer(&mut self, at: usize, answer: Answer) {
@@ -292,27 +308,22 @@
 
     fn receive(&mut self, answer: Answer) {
         if self.calls[answer.call].attempt == answer.attempt {
-            self.report_end(answer.call, answer.outcome, answer.load);
+            self.report_end(&answer);
             self.settle(answer.call, answer.outcome, answer.retry_after);
         }
     }
 
     /// Reports the end of the attempt in flight to the picker and returns its choice; `None` if the
     /// call has no attempt in flight.
-    fn report_end(
-        &mut self,
-        call: usize,
-        outcome: retry::Outcome,
-        load: Option<admit::Load>,
-    ) -> Option<pick::Choice> {
-        let one = &mut self.calls[call];
+    fn report_end(&mut self, answer: &Answer) -> Option<pick::Choice> {
+        let one = &mut self.calls[answer.call];
         let (choice, since) = one.choice?;
         let report = pick::Report {
-            outcome,
-            load,
+            outcome: answer.outcome,
+            load: answer.load,
             relative_time: None,
-            notice: None,
-            retry_after: None,
+            notice: answer.notice,
+            retry_after: answer.retry_after,
             latency: self.now.since(since),
         };
         self.entries[one.entry].picker.ended(choice, &report, self.now);
@@ -325,11 +336,15 @@
         outcome: retry::Outcome,
         retry_after: Option<time::Duration>,
     ) {
+        let limited = outcome == retry::Outcome::NotRun(retry::Reason::Limited);
         let one = &mut self.calls[call];
+        if limited && one.counted {
+            self.tally.limited();
+        }
         let state = retry::Call {
             idempotent: one.kind == setup::Kind::Browse,
-            attempt: one.attempt,
-            limited: 0,
+            attempt: one.attempt - one.limited,
+            limited: one.limited,
             max_attempts: if self.case.retry == case::Retry::None { 1 } else { MAX_ATTEMPTS },
             depth: 0,
             outer_attempt: 1,
@@ -339,6 +354,7 @@
             host: one.choice.take().map(|(choice, _)| choice.host),
             retry_after,
         };
+        one.limited += u8::from(limited);
         let budget = &mut self.entries[one.entry].budget;
         match retry::decide(&state, outcome, budget, self.now) {
             retry::Decision::Again { avoid } => self.attempt(call, avoid.as_slice()),
@@ -363,7 +379,9 @@
         }
         let (attempt, entry) = (one.attempt, one.entry);
         let outcome = retry::Outcome::Unknown(retry::Reason::Timeout);
-        if let Some(choice) = self.report_end(call, outcome, None) {
+        let (load, notice, retry_after) = (None, None, None);
+        let answer = Answer { call, attempt, outcome, load, notice, retry_after };
+        if let Some(choice) = self.report_end(&answer) {
             let at = setup::index(choice.host);
             let ticket = call as u64 * TICKETS_PER_CALL + u64::from(attempt);
             self.push(setup::delay_us(entry, at), Event::Cancel { ticket, at });
--- a/src/bench/policies/setup.rs
+++ b/src/bench/policies/setup.rs
@@ -18,6 +18,12 @@
 pub(super) const HOSTS: usize = 9;
 /// Number of entry nodes under [`case::Fault::Many`].
 const MANY_ENTRIES: usize = 180;
+/// Number of entry nodes under [`case::Fault::Limited`].
+const LARGEST_MESH: usize = 2800;
+/// When the limited upstream names its limit.
+pub(super) const LIMITED_AT_US: u64 = 1_000_000;
+/// The limit that it names, in thousandths of a call a second: a quarter of what it could run.
+pub(super) const LIMIT_MILLIS: u64 = 225_000;
 /// Slots of an upstream.
 pub(super) const SLOTS: u16 = 9;
 /// Slots that a lying upstream really has.
@@ -85,7 +91,11 @@
 
 /// Number of entry nodes.
 pub(super) fn entries(fault: case::Fault) -> usize {
-    if fault == case::Fault::Many { MANY_ENTRIES } else { HOSTS }
+    match fault {
+        case::Fault::Many => MANY_ENTRIES,
+        case::Fault::Limited => LARGEST_MESH,
+        _ => HOSTS,
+    }
 }
 
 /// The zone of the host with `index`.
--- a/src/bench/policies/tally.rs
+++ b/src/bench/policies/tally.rs
@@ -1,8 +1,12 @@
 //! Counts and results of one run.
 
+use std::time;
+
 use serde::Serialize;
 
+use crate::admit;
 use crate::bench::policies::setup;
+use crate::clock;
 use crate::retry;
 
 /// The results of one run.
@@ -30,6 +34,10 @@
     pub timeouts: u64,
     /// Calls that may have run, the timeouts included.
     pub unknown: u64,
+    /// Attempts refused at the limit of an upstream.
+    pub limited: u64,
+    /// Most calls that started at a limited upstream in four seconds, as a share of what is allowed.
+    pub limit_share: f64,
 }
 
 /// Counts while a run goes on.
@@ -43,8 +51,12 @@
     refused: u64,
     timeouts: u64,
     unknown: u64,
+    limited: u64,
 }
 
+/// Span over which calls at a limited upstream are counted.
+const LIMIT_SPAN: time::Duration = time::Duration::from_secs(4);
+
 /// Largest time that is recorded; larger ones count as this.
 const MAX_TIME_US: u64 = 10_000_000;
 
@@ -60,6 +72,7 @@
             refused: 0,
             timeouts: 0,
             unknown: 0,
+            limited: 0,
         })
     }
 
@@ -72,6 +85,10 @@
         self.attempts += 1;
     }
 
+    pub(super) fn limited(&mut self) {
+        self.limited += 1;
+    }
+
     pub(super) fn ended(&mut self, kind: setup::Kind, outcome: retry::Outcome, micros: u64) {
         match outcome {
             retry::Outcome::Ran => {
@@ -90,7 +107,7 @@
     }
 
     /// The results, given that the upstreams could have run `capacity` calls.
-    pub(super) fn figures(&self, capacity: f64) -> Figures {
+    pub(super) fn figures(&self, capacity: f64, limited_starts: &[clock::Instant]) -> Figures {
         let [browses, orders] = self.offered.map(|n| n as f64);
         let best_orders = orders.min(capacity);
         let best_browses = browses.min(capacity - best_orders);
@@ -109,6 +126,18 @@
             refused_p99_us: self.refusals_us.value_at_quantile(0.99),
             timeouts: self.timeouts,
             unknown: self.unknown,
+            limited: self.limited,
+            limit_share: limit_share(limited_starts),
         }
     }
 }
+
+/// Most of the `starts` at a limited upstream, in ascending order, in one span, as a share of the
+/// one and a half times its limit, and five calls, that are allowed.
+fn limit_share(starts: &[clock::Instant]) -> f64 {
+    let rate = admit::Rate::from_millis(setup::LIMIT_MILLIS);
+    let allowed = 1.5 * rate.calls_in(LIMIT_SPAN) + 5.0;
+    let end = |first: clock::Instant| starts.partition_point(|at| *at < first + LIMIT_SPAN);
+    let counts = starts.iter().enumerate().map(|(index, first)| end(*first) - index);
+    counts.max().unwrap_or_default() as f64 / allowed
+}
--- a/src/bench/policies/tests.rs
+++ b/src/bench/policies/tests.rs
@@ -7,9 +7,13 @@
 
 const SECONDS: u64 = 3;
 
+/// Time of a run with a limited upstream: longer than the span over which its calls are counted.
+const LIMITED_SECONDS: u64 = 6;
+
 fn run(fault: case::Fault, percent: u32) -> policies::tally::Figures {
+    let seconds = if fault == case::Fault::Limited { LIMITED_SECONDS } else { SECONDS };
     let (policy, retry) = (case::Policy::Cheapest3, case::Retry::Served);
-    policies::measure(case::Case { policy, retry, fault, percent }, SECONDS, 1).figures
+    policies::measure(case::Case { policy, retry, fault, percent }, seconds, 1).figures
 }
 
 #[rstest]
@@ -50,3 +54,18 @@
     let (slow, healthy) = (run(case::Fault::Slow, 50), run(case::Fault::None, 50));
     assert!(slow.p99_us * 2 <= healthy.p99_us * 3, "{slow:?} against {healthy:?}");
 }
+
+#[rstest]
+#[case::half(50)]
+#[case::full(90)]
+#[case::overloaded(200)]
+fn a_limited_upstream_of_the_largest_mesh_gets_what_its_limit_allows(#[case] percent: u32) {
+    let figures = run(case::Fault::Limited, percent);
+    assert!(figures.limit_share <= 1.0, "{figures:?}");
+}
+
+#[test]
+fn no_call_is_refused_for_a_limit_while_there_is_room_elsewhere() {
+    let figures = run(case::Fault::Limited, 50);
+    assert_eq!((figures.refused, figures.unknown), (0, 0), "{figures:?}");
+}
--- a/src/bench/policies/upstream.rs
+++ b/src/bench/policies/upstream.rs
@@ -7,6 +7,7 @@
 use crate::bench::policies::case;
 use crate::bench::policies::setup;
 use crate::clock;
+use crate::notice;
 
 /// Standard deviation of the logarithm of the call times.
 const SIGMA: f64 = 0.5;
@@ -19,6 +20,10 @@
     /// Maximum number of concurrent calls; fewer than it announces if it is lying.
     pub(super) slots: u16,
     pub(super) dead: bool,
+    /// What it says of itself.
+    pub(super) notice: Option<notice::Relayed>,
+    /// When the calls started that began after it named a limit.
+    pub(super) limited_starts: Vec<clock::Instant>,
     /// Time for which a tick of the gate is scheduled.
     pub(super) wake: Option<clock::Instant>,
     slow: f64,
@@ -39,12 +44,22 @@
             running: Vec::new(),
             slots: if lying { setup::LYING_SLOTS } else { setup::SLOTS },
             dead: fault == case::Fault::Outage || (hit && fault == case::Fault::Dead),
+            notice: None,
+            limited_starts: Vec::new(),
             wake: None,
             slow: if hit && fault == case::Fault::Slow { setup::SLOW_FACTOR } else { 1.0 },
             cold: hit && fault == case::Fault::Cold,
         }
     }
 
+    /// Names its limit.
+    pub(super) fn name_limit(&mut self) -> admit::Event {
+        let limit = Some(admit::Rate::from_millis(setup::LIMIT_MILLIS));
+        let notice = notice::Notice { limit, leaving: false };
+        self.notice = Some(notice::Relayed { incarnation: 0, identity: None, notice });
+        admit::Event::Rate(limit)
+    }
+
     /// Mean time of a call at `now`, in microseconds.
     pub(super) fn mean(&self, now: clock::Instant) -> f64 {
         let warm = now.as_micros() as f64 / setup::WARMUP.as_micros() as f64;
@@ -67,6 +82,9 @@
             return None;
         }
         self.running.push(ticket);
+        if self.notice.is_some() {
+            self.limited_starts.push(now);
+        }
         Some((self.mean(now) * log_normal(rng)) as u64)
     }
 
