test(soak): upstreams that limit themselves, change their mind, leave unannounced and are restarted

The stand-in names a limit and its leave in its answers, announces itself under a name with its start time, and enforces nothing. The soak counts starts in each four seconds while a limit is named, and those after a leave.

--- a/soak/src/args.rs
+++ b/soak/src/args.rs
@@ -20,11 +20,14 @@
     /// Time over which faults begin, in seconds
     #[bpaf(argument("SECONDS"), fallback(8))]
     pub seconds: u64,
+    /// Upstreams name no limits and don't say that they leave
+    pub silent: bool,
 }
 
 impl Args {
     /// Size of the fleet and length of a round.
     pub const fn shape(&self) -> series::Shape {
-        series::Shape { hosts: self.hosts, length_ms: self.seconds * 1000 }
+        let length_ms = self.seconds * 1000;
+        series::Shape { hosts: self.hosts, length_ms, notices: !self.silent }
     }
 }
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -15,8 +15,14 @@
 /// covers the answer to the announcement and a call that was admitted just before.
 const MAX_START_AFTER_DRAIN_MS: u64 = 500;
 
+/// Span over which the calls at an upstream with a limit are counted.
+const SPAN_MS: u64 = 4000;
+
+/// Time from the first answer that names a limit until calls count against it.
+const NEWS_MS: u64 = 500;
+
 /// A promise that was broken.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Breach {
     /// A call that may run only once ran more often.
@@ -73,6 +79,24 @@
         /// Time from the announcement to the last start, in milliseconds.
         after_ms: u64,
     },
+    /// More calls started at an upstream in four seconds than the limit that it named allows.
+    #[serde(rename = "limit")]
+    OverLimit {
+        /// The limit, in calls a second.
+        rate: f64,
+        /// Calls that started.
+        starts: usize,
+        /// Calls that are allowed.
+        allowed: usize,
+    },
+    /// Calls started at an upstream too long after it first said that it leaves.
+    #[serde(rename = "left")]
+    StartAfterLeave {
+        /// Calls that started.
+        starts: usize,
+        /// Time from its first answer that said so to the last start, in milliseconds.
+        after_ms: u64,
+    },
     /// A node went back to an older version without a restart of its process.
     #[serde(rename = "backwards")]
     VersionRegressed {
@@ -146,6 +170,8 @@
         breaches.extend(results.iter().filter_map(|result| check_cut_off(&runs, result)));
     }
     breaches.extend(records.iter().filter_map(check_drain));
+    breaches.extend(records.iter().filter_map(check_limits));
+    breaches.extend(records.iter().filter_map(|record| check_leave(series, record)));
     breaches.extend(check_served(results));
     breaches
 }
@@ -195,6 +221,39 @@
     (after_ms > MAX_START_AFTER_DRAIN_MS).then_some(Breach::StartAfterDrain { after_ms })
 }
 
+/// Counts the starts in each span while a limit is named, once its news has travelled.
+fn check_limits(record: &record::Record) -> Option<Breach> {
+    let mut starts: Vec<u64> = record.runs.values().map(|run| run.unix_ms).collect();
+    starts.sort_unstable();
+    let ends = record.limits.iter().skip(1).map(|next| next.unix_ms).chain([u64::MAX]);
+    record.limits.iter().zip(ends).filter(|(named, _)| named.rate > 0.0).find_map(|(named, end)| {
+        let from = starts.partition_point(|at| *at < named.unix_ms + NEWS_MS);
+        let to = starts.partition_point(|at| *at < end);
+        let limited = starts.get(from..to).unwrap_or_default();
+        let starts = most_in_a_span(limited);
+        let allowed = (1.5 * named.rate * SPAN_MS as f64 / 1000.0 + 5.0) as usize;
+        (starts > allowed).then_some(Breach::OverLimit { rate: named.rate, starts, allowed })
+    })
+}
+
+/// The most of `times`, in ascending order, in one span.
+fn most_in_a_span(times: &[u64]) -> usize {
+    let end = |first: u64| times.partition_point(|at| *at < first + SPAN_MS);
+    let counts = times.iter().enumerate().map(|(index, first)| end(*first) - index);
+    counts.max().unwrap_or_default()
+}
+
+/// A node that was started anew meanwhile may send the upstream one round of calls from entry nodes
+/// that have not heard of its leave.
+fn check_leave(series: &series::Series, record: &record::Record) -> Option<Breach> {
+    let from = record.leaving_unix_ms? + MAX_START_AFTER_DRAIN_MS;
+    let late: Vec<u64> = record.runs.values().map(|r| r.unix_ms).filter(|at| *at > from).collect();
+    let restarts = series.steps.iter().any(|step| matches!(step.act, series::Act::Start(_)));
+    let allowed = if restarts { usize::from(setup::SLOTS) } else { 0 };
+    let after_ms = late.iter().max()?.saturating_sub(record.leaving_unix_ms?);
+    (late.len() > allowed).then_some(Breach::StartAfterLeave { starts: late.len(), after_ms })
+}
+
 /// A round in which less than a tenth of the calls are served proves nothing.
 fn check_served(results: &[load::TryResult]) -> Option<Breach> {
     let served = results.iter().filter(|r| r.outcome == load::Outcome::Served).count() as u64;
--- a/soak/src/player.rs
+++ b/soak/src/player.rs
@@ -116,6 +116,8 @@
             Act::Truncate(host, percent) => {
                 control(fleet, host, json!({ "cut": fraction(percent) })).await
             }
+            Act::Limit(host, rate) => control(fleet, host, json!({ "limit": rate as f64 })).await,
+            Act::Leave(host) => control(fleet, host, json!({ "leaving": true })).await,
             Act::Break(host, fault) => {
                 self.network_faults.insert(host, fault);
                 self.apply_rules(fleet).await
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -21,6 +21,14 @@
 /// Mean time between the starts of two faults: shorter than most faults, so that some overlap.
 const MEAN_GAP_MS: u64 = 700;
 
+/// How long a limit is named, or an upstream leaves: long enough for a whole span over which its
+/// calls are counted.
+const MIN_NOTICE_MS: u64 = 1000;
+const MAX_NOTICE_MS: u64 = 8000;
+
+/// Mean time between two notices of upstreams.
+const MEAN_NOTICE_GAP_MS: u64 = 1500;
+
 /// Size of the fleet and length of a round.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
@@ -28,6 +36,8 @@
     pub hosts: usize,
     /// Time during which faults start, in milliseconds.
     pub length_ms: u64,
+    /// Whether upstreams name limits, and say that they leave, in their answers.
+    pub notices: bool,
 }
 
 /// A network fault between a host and the others.
@@ -89,6 +99,10 @@
     /// An upstream truncates a percentage of its answers; 0 ends this.
     #[serde(rename = "garble")]
     Truncate(usize, u8),
+    /// An upstream names a limit, in calls a second, in its answers; 0 ends this.
+    Limit(usize, u64),
+    /// An upstream says in its answers that it leaves, and announces nothing.
+    Leave(usize),
     /// Starts a network fault.
     Break(usize, NetworkFault),
     /// Ends the network fault of a host.
@@ -137,6 +151,9 @@
             steps.extend(pair.1.map(|(after, act)| Step { at_ms: at_ms + after, act }));
             at_ms += rng.random_range(1..=2 * MEAN_GAP_MS);
         }
+        if shape.notices && !planned {
+            steps.extend(draw_notices(seed, shape));
+        }
         steps.sort_by_key(|step| step.at_ms);
         Self { seed, planned, steps }
     }
@@ -180,6 +197,32 @@
     }
 }
 
+/// Upstreams that name a limit and change their mind, or leave without an announcement and end some
+/// time later. Drawn apart from the other acts, which are the same without these.
+fn draw_notices(seed: u64, shape: Shape) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut steps = Vec::new();
+    let mut at_ms = FIRST_FAULT_MS;
+    while at_ms < shape.length_ms {
+        let host = rng.random_range(0..shape.hosts);
+        let later_ms = at_ms + rng.random_range(MIN_NOTICE_MS..MAX_NOTICE_MS);
+        let acts = match rng.random_range(0..4) {
+            0 => (Act::Leave(host), Act::Crash(host)),
+            1 => (Act::Limit(host, draw_rate(&mut rng)), Act::Limit(host, draw_rate(&mut rng))),
+            _ => (Act::Limit(host, draw_rate(&mut rng)), Act::Limit(host, 0)),
+        };
+        steps.push(Step { at_ms, act: acts.0 });
+        steps.push(Step { at_ms: later_ms, act: acts.1 });
+        at_ms += rng.random_range(1..=2 * MEAN_NOTICE_GAP_MS);
+    }
+    steps
+}
+
+/// A limit well below the share of an upstream in the calls of a round.
+fn draw_rate(rng: &mut SmallRng) -> u64 {
+    rng.random_range(1..=5)
+}
+
 fn draw_network_fault(rng: &mut SmallRng) -> NetworkFault {
     const ALL: [NetworkFault; 6] = [
         NetworkFault::Cut,
--- a/soak/src/setup.rs
+++ b/soak/src/setup.rs
@@ -16,6 +16,9 @@
 /// Attempts that one call may have. A call that runs more often breaks a promise.
 pub const MAX_ATTEMPTS: u32 = 3;
 
+/// Calls that an upstream runs at once.
+pub const SLOTS: u16 = 9;
+
 /// Reads a second: enough that each host has some in flight at any time.
 const BROWSES_PER_S: f64 = 60.0;
 /// Orders a second, half of them with an idempotency key.
@@ -95,7 +98,7 @@
             "kinds": [kind("browse", true, 1000), kind("order", false, 100_000)]
         }],
         "upstreams": [{
-            "name": SERVICE, "service": SERVICE, "slots": 9, "connections": 130, "warmup_ms": 0
+            "name": SERVICE, "service": SERVICE, "slots": SLOTS, "connections": 130, "warmup_ms": 0
         }],
         "routes": [route("browse", "/browse", "GET"), route("order", "/orders", "POST")]
     });
--- a/soak/tests/promises.rs
+++ b/soak/tests/promises.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 
-const SHAPE: series::Shape = series::Shape { hosts: 5, length_ms: 8000 };
+const SHAPE: series::Shape = series::Shape { hosts: 5, length_ms: 8000, notices: false };
 
 fn result(id: &str, outcome: load::Outcome) -> load::TryResult {
     load::TryResult {
@@ -136,3 +136,50 @@
         kinds.map(|step| std::mem::discriminant(&step.act)).map(|d| format!("{d:?}")).collect();
     assert_eq!(kinds.len(), 15, "every act is drawn");
 }
+
+/// A record of an upstream whose calls start every `gap_ms`.
+fn record_of_calls(gap_ms: u64) -> record::Record {
+    let mut record = record::Record::default();
+    for number in 0..6000 / gap_ms {
+        let id = SmolStr::new(format!("call-{number}"));
+        record.start(&id, None, "/browse", 1000 + number * gap_ms);
+    }
+    record
+}
+
+fn breaches_of_record(record: record::Record) -> Vec<check::Breach> {
+    let series = series::Series { seed: 1, planned: false, steps: Vec::new() };
+    let results: Vec<_> = record.runs.keys().map(|id| result(id, load::Outcome::Served)).collect();
+    check::check(&series, &results, &[record])
+}
+
+#[rstest]
+#[case::within_the_limit(200, true)]
+#[case::three_times_the_limit(66, false)]
+fn calls_beyond_a_named_limit_are_found(#[case] gap_ms: u64, #[case] kept: bool) {
+    let mut record = record_of_calls(gap_ms);
+    record.say(5.0, false, 1000);
+    let breaches = breaches_of_record(record);
+    let over = matches!(breaches[..], [check::Breach::OverLimit { allowed: 35, .. }]);
+    assert_eq!((breaches.is_empty(), over), (kept, !kept), "{breaches:?}");
+}
+
+#[rstest]
+#[case::not_named_any_longer(0.0)]
+#[case::raised(50.0)]
+fn calls_are_counted_while_a_limit_is_named(#[case] next: f64) {
+    let mut record = record_of_calls(50);
+    record.say(1.0, false, 1000);
+    record.say(next, false, 1400);
+    assert_eq!(breaches_of_record(record), []);
+}
+
+#[test]
+fn a_call_at_an_upstream_that_has_said_that_it_leaves_is_found() {
+    let mut record = record_of_calls(100);
+    record.say(0.0, true, 6700);
+    assert_eq!(breaches_of_record(record.clone()), []);
+    record.leaving_unix_ms = Some(2000);
+    let breaches = breaches_of_record(record);
+    assert!(matches!(breaches[..], [check::Breach::StartAfterLeave { .. }]), "{breaches:?}");
+}
--- a/soak/tests/round.rs
+++ b/soak/tests/round.rs
@@ -5,12 +5,16 @@
 use rstest::rstest;
 
 /// Small and short, so that every run of the tests can include it.
-const SHORT: series::Shape = series::Shape { hosts: 4, length_ms: 4000 };
+const SHORT: series::Shape = series::Shape { hosts: 4, length_ms: 4000, notices: false };
 
 /// Default shape of the command line.
-const DEFAULT: series::Shape = series::Shape { hosts: 5, length_ms: 8000 };
+const DEFAULT: series::Shape = series::Shape { hosts: 5, length_ms: 8000, notices: false };
+
+/// The same with upstreams that name limits and leave in their answers.
+const NOTICES: series::Shape = series::Shape { notices: true, ..DEFAULT };
 
 #[rstest]
+#[case::notices(1, NOTICES)]
 #[case::planned_work(4, SHORT)]
 #[case::faults(3, SHORT)]
 // The soak itself was at fault: at the end of a stop it killed a node that had been started again
--- a/src/standin/upstream/announce.rs
+++ b/src/standin/upstream/announce.rs
@@ -16,8 +16,9 @@
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
 /// Time limit of one announcement or withdrawal.
 const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// Path of the node's endpoint for announcements.
-const PATH: &str = "/upstream";
+/// Path of the node's endpoint for announcements, with the name of the instance. Each process has
+/// the same name; its start time tells it from the one before.
+const PATH: &str = "/upstream/standin";
 
 /// Announces the upstream at `address` to the node at `admin` periodically, and immediately when
 /// `woken` is notified; never returns.
@@ -38,9 +39,10 @@
 }
 
 /// Withdraws the announcement.
-pub async fn withdraw(admin: net::SocketAddr) {
+pub async fn withdraw(shared: &state::Shared, admin: net::SocketAddr) {
     let method = ::http::Method::DELETE;
-    let done = http::json(admin, method, PATH, &serde_json::Value::Null, REQUEST_TIMEOUT).await;
+    let body = json!({ "born": shared.born });
+    let done = http::json(admin, method, PATH, &body, REQUEST_TIMEOUT).await;
     if let Err(error) = done {
         log::warn!("can't withdraw the announcement from the node: {error}");
     }
@@ -58,6 +60,7 @@
         "slots": shared.options.slots,
         "connections": shared.options.connections,
         "phase": name(shared.phase()),
+        "born": shared.born,
     });
     match http::json(admin, ::http::Method::PUT, PATH, &body, REQUEST_TIMEOUT).await {
         Ok(answer) if answer.status().is_success() => true,
--- a/src/standin/upstream/faults.rs
+++ b/src/standin/upstream/faults.rs
@@ -35,6 +35,11 @@
     pub cut: f64,
     /// Pause before each part of a response, in milliseconds.
     pub trickle_ms: u64,
+    /// Limit that it names in its responses, in calls a second; 0 if it names none. It does not
+    /// enforce it.
+    pub limit: f64,
+    /// Whether it says in its responses that it is leaving.
+    pub leaving: bool,
 }
 
 /// A change of faults: fields that are absent stay as they are.
@@ -55,6 +60,10 @@
     pub cut: Option<f64>,
     /// See [`Faults::trickle_ms`].
     pub trickle_ms: Option<u64>,
+    /// See [`Faults::limit`].
+    pub limit: Option<f64>,
+    /// See [`Faults::leaving`].
+    pub leaving: Option<bool>,
     /// If true, the upstream starts to drain, which can't be undone.
     pub drain: Option<bool>,
 }
@@ -70,6 +79,8 @@
             shed: change.shed.unwrap_or(self.shed),
             cut: change.cut.unwrap_or(self.cut),
             trickle_ms: change.trickle_ms.unwrap_or(self.trickle_ms),
+            limit: change.limit.unwrap_or(self.limit),
+            leaving: change.leaving.unwrap_or(self.leaving),
         }
     }
 
--- a/src/standin/upstream/record.rs
+++ b/src/standin/upstream/record.rs
@@ -25,8 +25,17 @@
     pub unix_ms: u64,
 }
 
+/// A limit that an upstream names in its responses from a time on.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct NamedLimit {
+    /// Calls a second; 0 if it names none any more.
+    pub rate: f64,
+    /// Wall-clock time of the first such response, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
 /// All runs of one upstream.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Record {
     /// By request id.
     pub runs: collections::BTreeMap<SmolStr, Run>,
@@ -44,6 +53,11 @@
     pub unix_ms: u64,
     /// Wall-clock time at which the drain began, in milliseconds since the Unix epoch.
     pub drain_unix_ms: Option<u64>,
+    /// The limits named, in order.
+    pub limits: Vec<NamedLimit>,
+    /// Wall-clock time of the first response that said that it leaves, in milliseconds since the
+    /// Unix epoch.
+    pub leaving_unix_ms: Option<u64>,
     /// Runs started that are not in `runs` because there were too many ids.
     pub lost: u64,
 }
@@ -67,6 +81,16 @@
         run.unix_ms = unix_ms;
     }
 
+    /// Records what a response at `unix_ms` says of the upstream.
+    pub fn say(&mut self, limit: f64, leaving: bool, unix_ms: u64) {
+        if self.limits.last().map_or(0.0, |named| named.rate) != limit {
+            self.limits.push(NamedLimit { rate: limit, unix_ms });
+        }
+        if leaving {
+            self.leaving_unix_ms.get_or_insert(unix_ms);
+        }
+    }
+
     /// Records that the run of `id` completed.
     pub fn end(&mut self, id: &SmolStr) {
         if let Some(run) = self.runs.get_mut(id) {
--- a/src/standin/upstream/run.rs
+++ b/src/standin/upstream/run.rs
@@ -14,6 +14,7 @@
 use crate::proxy::headers;
 use crate::standin::upstream;
 use crate::standin::upstream::control;
+use crate::standin::upstream::faults;
 use crate::standin::upstream::state;
 
 mod reply;
@@ -93,10 +94,27 @@
     request: http::Request<body::Incoming>,
 ) -> http::Response<Body> {
     let call = Call::from_request(&request);
-    match start(shared, &call) {
+    let mut answer = match start(shared, &call) {
         state::Verdict::Run(time) => run(shared, &call, time, request.into_body()).await,
         state::Verdict::Shed => shed(),
         state::Verdict::Hang => std::future::pending().await,
+    };
+    say(shared, answer.headers_mut());
+    answer
+}
+
+/// Sets the headers that tell what the upstream says of itself, and records them.
+fn say(shared: &state::Shared, map: &mut http::HeaderMap) {
+    let mut state = shared.state();
+    let faults::Faults { limit, leaving, .. } = state.faults;
+    state.record.say(limit, leaving, shared.clock.unix_millis());
+    if limit > 0.0
+        && let Ok(limit) = http::HeaderValue::from_str(&limit.to_string())
+    {
+        map.insert(headers::LIMIT, limit);
+    }
+    if leaving {
+        map.insert(headers::LEAVING, http::HeaderValue::from_static(headers::LEAVES));
     }
 }
 
--- a/src/standin/upstream/server.rs
+++ b/src/standin/upstream/server.rs
@@ -84,7 +84,7 @@
         handle.idle().await;
         if let (Some(admin), Some(heartbeat)) = (handle.shared.options.admin, heartbeat) {
             heartbeat.abort();
-            announce::withdraw(admin).await;
+            announce::withdraw(&handle.shared, admin).await;
         }
         closed.send_replace(true);
         let _ended = tokio::join!(calls, controls);
--- a/src/standin/upstream/state.rs
+++ b/src/standin/upstream/state.rs
@@ -53,13 +53,17 @@
     pub options: options::Options,
     /// Time.
     pub clock: clock::System,
+    /// When the process started, in milliseconds since the Unix epoch.
+    pub born: u64,
     state: Mutex<State>,
 }
 
 impl Shared {
     /// The state of an upstream that starts now.
     pub fn new(options: options::Options) -> Arc<Self> {
-        Arc::new(Self { options, clock: clock::System::new(), state: Mutex::default() })
+        let clock = clock::System::new();
+        let born = clock.unix_millis();
+        Arc::new(Self { options, clock, born, state: Mutex::default() })
     }
 
     /// The state, locked.
