fix(proxy): a late answer of the upstream before says nothing of its successor

An answer that comes after the next incarnation has given a notice replaced it, so that a limit or a leave of the successor was forgotten until its next answer. Found by reading; a_late_answer_of_the_incarnation_before_changes_nothing fails without the check.

--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -86,6 +86,9 @@
         trace: &trace::Trace,
         now: clock::Instant,
     ) -> bool {
+        if self.is_superseded(local) {
+            return false;
+        }
         let known = self.current(local);
         let before = self.of(local);
         let named = dialect.named_limit(map);
@@ -138,6 +141,13 @@
         true
     }
 
+    /// Whether a later incarnation than `local` has given a notice: a late answer of the one before
+    /// says nothing of it.
+    fn is_superseded(&self, local: &node::LocalUpstream) -> bool {
+        let current = self.current.borrow();
+        current.as_ref().is_some_and(|current| current.incarnation > local.upstream.incarnation)
+    }
+
     fn current(&self, local: &node::LocalUpstream) -> Option<Current> {
         let current = self.current.borrow();
         current.clone().filter(|current| current.incarnation == local.upstream.incarnation)
--- a/src/proxy/notices/tests.rs
+++ b/src/proxy/notices/tests.rs
@@ -117,3 +117,11 @@
     assert!(!notices.learn(&upstream, &relayed, &trace, clock::Instant::ZERO));
     assert_eq!(notices.of(&upstream).limit, None);
 }
+
+#[test]
+fn a_late_answer_of_the_incarnation_before_changes_nothing() {
+    let (notices, next) = (notices::Notices::default(), local("i-2", 2));
+    read(&notices, &next, &[("upstream-limit", "2"), ("upstream-leaving", "1")]);
+    assert!(!read(&notices, &local("i-1", 1), &[("upstream-limit", "9")]));
+    assert_eq!(notices.of(&next), notice::Notice { limit: limit(2000), leaving: true });
+}
