--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -7,7 +7,6 @@
 use http::header;
 use hyper::body::Body as _;
 
-use crate::admit;
 use crate::claim;
 use crate::clock;
 use crate::host;
@@ -15,8 +14,8 @@
 use crate::pick;
 use crate::proxy::body;
 use crate::proxy::call_spec;
+use crate::proxy::choice;
 use crate::proxy::headers;
-use crate::proxy::inbound_link;
 use crate::proxy::internode;
 use crate::proxy::organisations;
 use crate::proxy::owner;
@@ -95,7 +94,7 @@
 
     /// The target to pick for `group`, in the keys of `current`, the configuration from which the
     /// picker's table was built. `None` if that configuration lacks the service or class.
-    fn target(
+    pub(super) fn target(
         &self,
         current: &Arc<mesh::Applied>,
         group: rollout::VersionGroup,
@@ -118,7 +117,7 @@
         })
     }
 
-    fn spec(&self) -> call_spec::CallSpec<'_> {
+    pub(super) fn spec(&self) -> call_spec::CallSpec<'_> {
         call_spec::CallSpec {
             service: &self.service().name,
             class: self.class().map(|c| c.name.as_str()),
@@ -296,8 +295,7 @@
     // one.
     let check = state.quarantine.check_entry(|| call.fingerprint(&state.fingerprinter));
     check.map_err(|refusal| Failed { refusal, host: None })?;
-    let transfer_cost = transfer_cost(state, call);
-    let choice = choose(state, call, transfer_cost, avoid);
+    let choice = choice::choose(state, call, avoid);
     let choice = choice.map_err(|refusal| Failed { refusal, host: None })?;
     resources.start_attempt(state.ctx, &state.picker, choice);
     let mut request = call.request(attempt, state.dialect.verbose);
@@ -324,43 +322,6 @@
     })
 }
 
-/// Picks the upstream for an attempt, among the versions that the roll-out selects for this call.
-///
-/// # Errors
-///
-/// There is no upstream, or all of them have used up the limits that they name.
-fn choose<C: claim::Claims>(
-    state: &state::State<C>,
-    call: &Call,
-    transfer_cost: pick::TransferCost,
-    avoid: &[host::HostId],
-) -> Result<pick::Choice, refuse::Refusal> {
-    let (now, service) = (state.ctx.now(), &call.service().name);
-    let current = state.applied();
-    let pick = |group| {
-        let target = call.target(&current, group)?;
-        state.picker.borrow_mut().pick_with_cost(target, transfer_cost, now, avoid)
-    };
-    let group = state.rollouts.next_group(service, now);
-    let choice = pick(group).or_else(|| pick(state.rollouts.fallback(service, group)?));
-    choice.ok_or_else(|| no_upstream(state, call, &current))
-}
-
-/// The refusal of a call for which there is no upstream.
-fn no_upstream<C: claim::Claims>(
-    state: &state::State<C>,
-    call: &Call,
-    current: &Arc<mesh::Applied>,
-) -> refuse::Refusal {
-    let (now, rank) = (state.ctx.now(), call.spec().rank());
-    let target = call.target(current, rollout::VersionGroup::Any);
-    let room_at = target.and_then(|target| state.picker.borrow().room_at(target, rank, now));
-    room_at.map_or(refuse::Refusal::not_run(retry::Reason::NoUpstream), |room_at| {
-        let retry_after = admit::stagger(room_at.since(now), admit::Ticket(state.next_number()));
-        refuse::Refusal::not_run(retry::Reason::Limited).retry_in(retry_after)
-    })
-}
-
 /// Records an answer of the old version of a service during a roll-out.
 fn record_old<C: claim::Claims>(
     state: &state::State<C>,
@@ -376,15 +337,6 @@
     }
 }
 
-/// The cost of transferring the call's body and answer.
-fn transfer_cost<C: claim::Claims>(state: &state::State<C>, call: &Call) -> pick::TransferCost {
-    let unit = u64::from(state.settings.call.cross_bytes);
-    let bytes = call.body.bytes() + state.sizes.borrow().expected(&call.kind().name);
-    let cross = if unit == 0 { 0.0 } else { bytes as f32 / unit as f32 };
-    let link = inbound_link::link_time(&state.settings.proxy, bytes);
-    pick::TransferCost { cross_zone: cross, link_us: link, rank: call.spec().rank() }
-}
-
 /// Replaces the reason of an unknown outcome by that of the request's body, if the body ended
 /// early.
 fn with_body_fault(outcome: retry::Outcome, fault: Option<retry::Reason>) -> retry::Outcome {
--- /dev/null
+++ b/src/proxy/choice.rs
@@ -0,0 +1,64 @@
+//! Picks the upstream for an attempt of a call.
+
+use std::sync::Arc;
+
+use crate::admit;
+use crate::claim;
+use crate::host;
+use crate::mesh;
+use crate::pick;
+use crate::proxy::call;
+use crate::proxy::inbound_link;
+use crate::proxy::refuse;
+use crate::proxy::state;
+use crate::retry;
+use crate::rollout;
+
+/// Picks the upstream for an attempt, among the versions that the roll-out selects for this call.
+///
+/// # Errors
+///
+/// There is no upstream, or all of them have used up the limits that they name.
+pub fn choose<C: claim::Claims>(
+    state: &state::State<C>,
+    call: &call::Call,
+    avoid: &[host::HostId],
+) -> Result<pick::Choice, refuse::Refusal> {
+    let (now, service) = (state.ctx.now(), &call.service().name);
+    let current = state.applied();
+    let transfer_cost = transfer_cost(state, call);
+    let pick = |group| {
+        let target = call.target(&current, group)?;
+        state.picker.borrow_mut().pick_with_cost(target, transfer_cost, now, avoid)
+    };
+    let group = state.rollouts.next_group(service, now);
+    let choice = pick(group).or_else(|| pick(state.rollouts.fallback(service, group)?));
+    choice.ok_or_else(|| no_upstream(state, call, &current))
+}
+
+/// The refusal of a call for which there is no upstream.
+fn no_upstream<C: claim::Claims>(
+    state: &state::State<C>,
+    call: &call::Call,
+    current: &Arc<mesh::Applied>,
+) -> refuse::Refusal {
+    let (now, rank) = (state.ctx.now(), call.spec().rank());
+    let target = call.target(current, rollout::VersionGroup::Any);
+    let room_at = target.and_then(|target| state.picker.borrow().room_at(target, rank, now));
+    room_at.map_or(refuse::Refusal::not_run(retry::Reason::NoUpstream), |room_at| {
+        let retry_after = admit::stagger(room_at.since(now), admit::Ticket(state.next_number()));
+        refuse::Refusal::not_run(retry::Reason::Limited).retry_in(retry_after)
+    })
+}
+
+/// The cost of transferring the call's body and answer.
+fn transfer_cost<C: claim::Claims>(
+    state: &state::State<C>,
+    call: &call::Call,
+) -> pick::TransferCost {
+    let unit = u64::from(state.settings.call.cross_bytes);
+    let bytes = call.body.bytes() + state.sizes.borrow().expected(&call.kind().name);
+    let cross = if unit == 0 { 0.0 } else { bytes as f32 / unit as f32 };
+    let link = inbound_link::link_time(&state.settings.proxy, bytes);
+    pick::TransferCost { cross_zone: cross, link_us: link, rank: call.spec().rank() }
+}
