fix(spread): a node that knows no other one notices a restored store within seconds

Operators' new versions came into force up to ten seconds after a store had come back from an older copy, where a node knew no other one; callers of routes that came with them were answered 404 meanwhile.

Cause: a host that knows no other waits five times longer in its reads, and a read that waits shows the new epoch at its end only. Ruled out: the debug log and the single look-up (the nodes' logs show the epoch first at 10.0 s, the end of the read that waited). A longer wait now holds for the first records only; before them nothing can be older, and that is where it saves the calls of a mesh that starts (a_host_that_knows_no_other_reads_little is unchanged).

a_node_that_knows_no_other_one_notices_a_restore_within_seconds failed before.

--- a/src/spread/read_schedule.rs
+++ b/src/spread/read_schedule.rs
@@ -19,7 +19,7 @@
 /// some that read the log for it.
 const LONE_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
-/// How many times longer than others such a host waits for new records.
+/// How many times longer than others such a host waits for the first records.
 const LONE_WAIT_FACTOR: u32 = 5;
 
 /// A node's part in reading the log for its zone.
@@ -76,6 +76,8 @@
     failures: u32,
     standby_interval: time::Duration,
     poll_wait: time::Duration,
+    /// Whether a read has brought records.
+    has_records: bool,
 }
 
 impl ReadSchedule {
@@ -88,6 +90,7 @@
             failures: 0,
             standby_interval: time::Duration::from_millis(settings.standby_ms),
             poll_wait: wait,
+            has_records: false,
         }
     }
 
@@ -109,11 +112,12 @@
         self.outstanding
     }
 
-    /// How long a read at the log's end may wait for a new record.
+    /// How long a read at the log's end may wait for a new record. Once there are records, a longer
+    /// wait would hide that the log was restored from an older copy: only the end of a read shows it.
     pub fn wait(&self, role: Role) -> time::Duration {
         match role {
-            Role::Follow => self.poll_wait,
-            Role::Lone => self.poll_wait * LONE_WAIT_FACTOR,
+            Role::Lone if !self.has_records => self.poll_wait * LONE_WAIT_FACTOR,
+            Role::Follow | Role::Lone => self.poll_wait,
             Role::Standby if self.standby_interval.is_zero() => self.poll_wait,
             Role::Standby | Role::Idle => time::Duration::ZERO,
         }
@@ -135,6 +139,7 @@
     ) {
         self.outstanding = None;
         self.failures = 0;
+        self.has_records |= result != ReadResult::Empty;
         let delay = match (result, role) {
             (ReadResult::MoreRecords, _) => None,
             (_, Role::Standby) => Some(
