fix(proxy): a refusal of a node that has just started does not make others forget a limit

A node that starts anew refuses calls until its upstream has announced itself, and such a refusal carries no notice: entry nodes forgot the limit and the calls after it reached the upstream without one until its first answer (4 of 4 at once with a limit of one a second, the test below with the old condition). Only an answer of the upstream without a notice now says that the limit has gone.

The limiter drops times that were given too long ago also where no call starts.

--- a/src/admit/limiter.rs
+++ b/src/admit/limiter.rs
@@ -84,9 +84,7 @@
     /// Records that `call` starts.
     pub(super) fn start(&mut self, call: &admit::Call, now: clock::Instant) {
         self.bucket.take(1, now);
-        while self.given.front().is_some_and(|(at, _)| now.since(*at) > KEPT_TIME) {
-            self.given.pop_front();
-        }
+        self.drop_expired(now);
         if call.returning {
             let own = self.given.iter().position(|(at, rank)| *at <= now && *rank == call.rank());
             own.and_then(|own| self.given.remove(own));
@@ -98,6 +96,7 @@
     pub(super) fn book(&mut self, call: &admit::Call, now: clock::Instant) -> time::Duration {
         let reserved = self.rate.time_of(self.reserved(call.rank(), now));
         let wait = (self.bucket.book(1, now) + reserved).min(MAX_RETRY_AFTER);
+        self.drop_expired(now);
         if self.given.len() < MAX_KEPT && wait < MAX_RETRY_AFTER {
             let at = now + wait;
             let index = self.given.partition_point(|(other, _)| *other <= at);
@@ -106,6 +105,13 @@
         wait
     }
 
+    /// Drops the times that were given too long ago for room to be kept.
+    fn drop_expired(&mut self, now: clock::Instant) {
+        while self.given.front().is_some_and(|(at, _)| now.since(*at) > KEPT_TIME) {
+            self.given.pop_front();
+        }
+    }
+
     /// Refused callers of `rank` or a higher one whose time has come.
     fn kept(&self, rank: admit::Rank, now: clock::Instant) -> usize {
         let has_come = |at: clock::Instant| at <= now && now.since(at) <= KEPT_TIME;
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -36,8 +36,9 @@
 
 /// Chooses upstreams for the calls of one entry node.
 ///
-/// Draining upstreams, and those whose limit is used up, are never chosen. Unreachable and ejected ones are chosen only if there is no
-/// other, so that a fault of many upstreams never leaves a call without a candidate.
+/// Draining upstreams, and those whose limit is used up, are never chosen. Unreachable and ejected
+/// ones are chosen only if there is no other, so that a fault of many upstreams never leaves a call
+/// without a candidate.
 #[derive(Debug)]
 pub struct Picker<P = pick::Cheapest> {
     origin: table::Origin,
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -58,6 +58,13 @@
     pub deadline: clock::Instant,
 }
 
+/// The attempts of a call so far, as [`retry::Call`] counts them.
+#[derive(Clone, Copy, Debug)]
+struct Tries {
+    attempt: u8,
+    limited: u8,
+}
+
 /// An attempt that failed.
 struct Failed {
     refusal: refuse::Refusal,
@@ -186,11 +193,11 @@
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let mut avoid = Vec::new();
-    let (mut attempt, mut limited) = (1, 0);
+    let mut tries = Tries { attempt: 1, limited: 0 };
     let mut previous = None;
     let mut unknown = None;
     loop {
-        let mut failed = match try_once(state, call, attempt, &avoid, &mut resources).await {
+        let mut failed = match try_once(state, call, tries.attempt, &avoid, &mut resources).await {
             Ok(answer) => {
                 // The retry budget of a service is a share of its callers' calls. Nested calls may
                 // be three times as many and would raise the budget beyond that share.
@@ -206,8 +213,8 @@
             failed.refusal = previous.unwrap_or(failed.refusal);
         }
         unknown = unknown.or(unknown_reason(failed.refusal.outcome));
-        let decision = decide(state, call, (attempt, limited), &failed);
-        log_failure(state, call, attempt, &failed, &decision);
+        let decision = decide(state, call, tries, &failed);
+        log_failure(state, call, tries.attempt, &failed, &decision);
         match decision {
             retry::Decision::Again { avoid: host } => avoid.extend(host),
             retry::Decision::Final { outcome, retry_after } => {
@@ -221,9 +228,9 @@
         }
         previous = Some(failed.refusal);
         if failed.is_limited() {
-            limited += 1;
+            tries.limited += 1;
         } else {
-            attempt += 1;
+            tries.attempt += 1;
         }
     }
 }
@@ -239,13 +246,13 @@
 fn decide<C: claim::Claims>(
     state: &state::State<C>,
     call: &Call,
-    (attempt, limited): (u8, u8),
+    tries: Tries,
     failed: &Failed,
 ) -> retry::Decision {
     let facts = retry::Call {
         idempotent: call.kind().idempotent,
-        attempt,
-        limited,
+        attempt: tries.attempt,
+        limited: tries.limited,
         max_attempts: call.kind().attempts.unwrap_or(state.settings.call.attempts),
         depth: call.head.depth.max(u8::from(call.nested)),
         outer_attempt: call.head.outer_attempt,
@@ -361,7 +368,9 @@
     }
     let end = state.timer(call.deadline) + REPLY_GRACE;
     let answer = internode::call(&state.links, host, request, end).await;
-    if answer.load.is_some() {
+    // A refusal without a notice tells nothing: the node may have started anew and not know its
+    // upstream yet.
+    if answer.notice.is_some() || answer.ran.is_some() {
         state.heard.borrow_mut().record(host, answer.notice, state.ctx.now());
     }
     if let Some(attempt) = resources.attempt.as_mut() {
--- a/src/proxy/heard.rs
+++ b/src/proxy/heard.rs
@@ -29,7 +29,8 @@
 }
 
 impl Heard {
-    /// Records the notice in an answer of the node on `host`; `None` if there was none.
+    /// Records the notice with an answer of the upstream beside the node on `host`; `None` if there
+    /// was none.
     pub fn record(
         &mut self,
         host: host::HostId,
--- a/tests/calls/limits.rs
+++ b/tests/calls/limits.rs
@@ -88,6 +88,13 @@
         let owner = nodes.pop().unwrap();
         nodes.push(rig::restart(owner, limited.address, "i-1", &rig::Claims::default()).await);
         rig::join(&nodes).await;
+        // By then the entry node takes the limit for no longer used up.
+        tokio::time::sleep(time::Duration::from_millis(1200)).await;
+        // Calls also come before the upstream has announced itself to the new process.
+        let upstream = nodes[1].local.send_replace(None);
+        rig::call(&nodes[0], rig::request("GET", "/browse", "early"), b"").await;
+        nodes[1].local.send_replace(upstream);
+        rig::join(&nodes).await;
         let calls = (0..4).map(|n| {
             let request = rig::request("GET", "/browse", &format!("after-{n}"));
             rig::call(&nodes[0], request, b"")
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -104,6 +104,8 @@
     /// The calls duty; it ends after a drain.
     pub task: task::JoinHandle<Result<(), proxy::Error>>,
     upstream: Option<view::Upstream>,
+    /// Number of the process at its address, from 1.
+    incarnation: u64,
 }
 
 impl Drop for Node {
@@ -175,7 +177,7 @@
     let hosts = nodes.iter().map(|node| view::Host {
         id: node.id,
         locality: Arc::clone(&locality),
-        incarnation: 1,
+        incarnation: node.incarnation,
         health: view::Health::Alive,
         upstream: node.upstream.clone().map(Arc::new),
     });
@@ -213,10 +215,11 @@
     instance: &str,
     claims: &Claims,
 ) -> Node {
-    let address = node.id.member_addr();
+    let (address, incarnation) = (node.id.member_addr(), node.incarnation + 1);
     drop(node);
     until(|| std::net::TcpListener::bind(host::HostId::new(address).inner_addr()).is_ok()).await;
-    let node = start(settings(address), Some(upstream), 4, claims);
+    let mut node = start(settings(address), Some(upstream), 4, claims);
+    node.incarnation = incarnation;
     name_upstream(&node, instance);
     until(|| std::net::TcpStream::connect(node.id.inner_addr()).is_ok()).await;
     node
@@ -260,7 +263,18 @@
     let ctx =
         context::Context { clock: clock::System::new(), seed: u64::from(id.member_addr().port()) };
     let task = task::spawn_local(shell::run(ctx, Arc::new(settings), wiring));
-    Node { id, stage, local, tallies, view, applied, quarantine, task, upstream: described }
+    Node {
+        id,
+        stage,
+        local,
+        tallies,
+        view,
+        applied,
+        quarantine,
+        task,
+        upstream: described,
+        incarnation: 1,
+    }
 }
 
 /// Runs a test on one thread.
