refactor: one bound for upstreams that name a limit, one way to ask whether a call was limited

The bound of LIMIT (calls in four seconds, one and a half times the limit and five) stood three times, in the limiter's tests, the model of policies and the soak; it now stands in bench::named_limit, with the same span, factor and slack. Five places compared an outcome with the reason limited: Outcome::is_limited. Reading a notice looked the known one up twice for each answer, now once. Rate had a text form that nothing used.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -4,6 +4,8 @@
 use std::net;
 
 use dandelionspool::bench::load;
+use dandelionspool::bench::named_limit;
+use dandelionspool::clock;
 use dandelionspool::standin::upstream::record;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -15,9 +17,6 @@
 /// covers the answer to the announcement and a call that was admitted just before.
 const MAX_START_AFTER_DRAIN_MS: u64 = 500;
 
-/// Span over which the calls at an upstream with a limit are counted.
-const SPAN_MS: u64 = 4000;
-
 /// Time from the first answer that names a limit until calls count against it.
 const NEWS_MS: u64 = 500;
 
@@ -230,19 +229,13 @@
         let from = starts.partition_point(|at| *at < named.unix_ms + NEWS_MS);
         let to = starts.partition_point(|at| *at < end);
         let limited = starts.get(from..to).unwrap_or_default();
-        let starts = most_in_a_span(limited);
-        let allowed = (1.5 * named.rate * SPAN_MS as f64 / 1000.0 + 5.0) as usize;
+        let limited: Vec<_> = limited.iter().copied().map(clock::Instant::from_millis).collect();
+        let starts = named_limit::most_starts(&limited);
+        let allowed = named_limit::allowed(named.rate);
         (starts > allowed).then_some(Breach::OverLimit { rate: named.rate, starts, allowed })
     })
 }
 
-/// The most of `times`, in ascending order, in one span.
-fn most_in_a_span(times: &[u64]) -> usize {
-    let end = |first: u64| times.partition_point(|at| *at < first + SPAN_MS);
-    let counts = times.iter().enumerate().map(|(index, first)| end(*first) - index);
-    counts.max().unwrap_or_default()
-}
-
 /// A node that was started anew meanwhile may send the upstream one round of calls from entry nodes
 /// that have not heard of its leave.
 fn check_leave(series: &series::Series, record: &record::Record) -> Option<Breach> {
--- a/src/admit/limiter/tests.rs
+++ b/src/admit/limiter/tests.rs
@@ -7,12 +7,10 @@
 use rstest::rstest;
 
 use crate::admit;
+use crate::bench::named_limit;
 use crate::clock;
 use crate::retry;
 
-/// A span over which calls are counted.
-const SPAN_MS: u64 = 4000;
-
 const ORDER: u32 = 10;
 const BROWSE: u32 = 1;
 
@@ -85,20 +83,13 @@
         verdict
     }
 
-    /// The most starts in any span, of those from `from` on.
-    fn most_in_a_span(&self, from: u64) -> usize {
-        let starts: Vec<u64> = self.starts.iter().copied().filter(|at| *at >= from).collect();
-        let in_span = |first: u64| starts.partition_point(|at| *at < first + SPAN_MS);
-        let counts = starts.iter().enumerate().map(|(index, first)| in_span(*first) - index);
-        counts.max().unwrap_or_default()
+    /// The most starts in any span.
+    fn most_in_a_span(&self) -> usize {
+        let starts: Vec<clock::Instant> = self.starts.iter().copied().map(at).collect();
+        named_limit::most_starts(&starts)
     }
 }
 
-/// One and a half times what `rate` allows in a span, and five calls.
-fn allowed(rate: f64) -> usize {
-    (1.5 * rate * SPAN_MS as f64 / 1000.0 + 5.0) as usize
-}
-
 #[rstest]
 #[case::nothing("0", 0.0)]
 #[case::less_than_one("0.4", 0.4)]
@@ -117,8 +108,12 @@
             upstream.call(weight, now);
         }
     }
-    let most = upstream.most_in_a_span(0);
-    assert!(most <= allowed(rate), "{most} calls, {} allowed", allowed(rate));
+    let most = upstream.most_in_a_span();
+    assert!(
+        most <= named_limit::allowed(rate),
+        "{most} calls, {} allowed",
+        named_limit::allowed(rate)
+    );
     assert!(upstream.starts.len() > (rate * 20.0) as usize, "{} calls", upstream.starts.len());
 }
 
@@ -133,8 +128,8 @@
         }
         upstream.call(BROWSE, now);
     }
-    let most = upstream.most_in_a_span(0);
-    assert!(most <= allowed(20.0), "{most} calls");
+    let most = upstream.most_in_a_span();
+    assert!(most <= named_limit::allowed(20.0), "{most} calls");
 }
 
 #[test]
--- a/src/admit/rate.rs
+++ b/src/admit/rate.rs
@@ -1,6 +1,5 @@
 //! Rates of calls that upstreams name as their limits.
 
-use std::fmt;
 use std::str;
 use std::time;
 
@@ -57,12 +56,6 @@
 #[error("not a rate: a decimal number without sign or exponent expected")]
 pub struct Malformed;
 
-impl fmt::Display for Rate {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.per_second())
-    }
-}
-
 impl str::FromStr for Rate {
     type Err = Malformed;
 
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod load;
 pub mod log;
+pub mod named_limit;
 pub mod policies;
 pub mod quotas;
 pub mod upstream;
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -336,7 +336,7 @@
         outcome: retry::Outcome,
         retry_after: Option<time::Duration>,
     ) {
-        let limited = outcome == retry::Outcome::NotRun(retry::Reason::Limited);
+        let limited = outcome.is_limited();
         let one = &mut self.calls[call];
         if limited && one.counted {
             self.tally.limited();
--- a/src/bench/policies/tally.rs
+++ b/src/bench/policies/tally.rs
@@ -1,10 +1,9 @@
 //! Counts and results of one run.
 
-use std::time;
-
 use serde::Serialize;
 
 use crate::admit;
+use crate::bench::named_limit;
 use crate::bench::policies::setup;
 use crate::clock;
 use crate::retry;
@@ -54,9 +53,6 @@
     limited: u64,
 }
 
-/// Span over which calls at a limited upstream are counted.
-const LIMIT_SPAN: time::Duration = time::Duration::from_secs(4);
-
 /// Largest time that is recorded; larger ones count as this.
 const MAX_TIME_US: u64 = 10_000_000;
 
@@ -108,6 +104,8 @@
 
     /// The results, given that the upstreams could have run `capacity` calls.
     pub(super) fn figures(&self, capacity: f64, limited_starts: &[clock::Instant]) -> Figures {
+        let limit = admit::Rate::from_millis(setup::LIMIT_MILLIS);
+        let allowed = named_limit::allowed(limit.per_second());
         let [browses, orders] = self.offered.map(|n| n as f64);
         let best_orders = orders.min(capacity);
         let best_browses = browses.min(capacity - best_orders);
@@ -127,17 +125,7 @@
             timeouts: self.timeouts,
             unknown: self.unknown,
             limited: self.limited,
-            limit_share: limit_share(limited_starts),
+            limit_share: named_limit::most_starts(limited_starts) as f64 / allowed as f64,
         }
     }
 }
-
-/// Most of the `starts` at a limited upstream, in ascending order, in one span, as a share of the
-/// one and a half times its limit, and five calls, that are allowed.
-fn limit_share(starts: &[clock::Instant]) -> f64 {
-    let rate = admit::Rate::from_millis(setup::LIMIT_MILLIS);
-    let allowed = 1.5 * rate.calls_in(LIMIT_SPAN) + 5.0;
-    let end = |first: clock::Instant| starts.partition_point(|at| *at < first + LIMIT_SPAN);
-    let counts = starts.iter().enumerate().map(|(index, first)| end(*first) - index);
-    counts.max().unwrap_or_default() as f64 / allowed
-}
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -337,7 +337,7 @@
             self.record_load(load, now);
             self.record_notice(report.notice.as_ref(), now);
         }
-        if report.outcome == retry::Outcome::NotRun(retry::Reason::Limited) {
+        if report.outcome.is_limited() {
             self.used_up = Some((now + report.retry_after.unwrap_or_default(), rank));
         }
         if let Some(ratio) = report.relative_time {
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -72,13 +72,6 @@
     host: Option<host::HostId>,
 }
 
-impl Failed {
-    /// Whether the limit that the upstream names was used up.
-    fn is_limited(&self) -> bool {
-        self.refusal.outcome == retry::Outcome::NotRun(retry::Reason::Limited)
-    }
-}
-
 impl Call {
     fn route(&self) -> &mesh::Route {
         self.applied.mesh.route(self.route)
@@ -227,7 +220,7 @@
             }
         }
         previous = Some(failed.refusal);
-        if failed.is_limited() {
+        if failed.refusal.outcome.is_limited() {
             tries.limited += 1;
         } else {
             tries.attempt += 1;
--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -14,7 +14,7 @@
 mod tests;
 
 /// The latest notice of an incarnation of the upstream.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Current {
     incarnation: u32,
     notice: notice::Notice,
@@ -90,7 +90,7 @@
             return false;
         }
         let known = self.current(local);
-        let before = self.of(local);
+        let before = known.map_or_else(notice::Notice::default, |known| known.notice);
         let named = dialect.named_limit(map);
         let malformed = named.is_err();
         let notice = notice::Notice {
@@ -124,8 +124,8 @@
             return false;
         }
         let known = self.current(local);
-        let before = self.of(local);
-        let answered = known.as_ref().is_some_and(|known| known.answered);
+        let before = known.map_or_else(notice::Notice::default, |known| known.notice);
+        let answered = known.is_some_and(|known| known.answered);
         let notice = notice::Notice {
             limit: if answered { before.limit } else { relayed.notice.limit },
             leaving: before.leaving || relayed.notice.leaving,
@@ -149,7 +149,7 @@
     }
 
     fn current(&self, local: &node::LocalUpstream) -> Option<Current> {
-        let current = self.current.borrow();
-        current.clone().filter(|current| current.incarnation == local.upstream.incarnation)
+        let current = *self.current.borrow();
+        current.filter(|current| current.incarnation == local.upstream.incarnation)
     }
 }
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -170,7 +170,7 @@
 }
 
 fn refusal_answer(refusal: &refuse::Refusal) -> http::Response<body::Reply> {
-    let limited = refusal.outcome == retry::Outcome::NotRun(retry::Reason::Limited);
+    let limited = refusal.outcome.is_limited();
     let mut answer = reply::answer(refusal, true);
     if limited {
         let full = header::HeaderValue::from_static(retry::Reason::Full.as_str());
--- a/src/retry/decide.rs
+++ b/src/retry/decide.rs
@@ -76,7 +76,7 @@
     if outcome == retry::Outcome::Ran {
         budget.record_served();
     }
-    let again = if outcome == retry::Outcome::NotRun(retry::Reason::Limited) {
+    let again = if outcome.is_limited() {
         is_diverted(call, now)
     } else {
         is_allowed(call, outcome, now) && budget.take()
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -28,6 +28,11 @@
 }
 
 impl Outcome {
+    /// Whether the call was refused because the limit that the upstream names was used up.
+    pub fn is_limited(self) -> bool {
+        self == Self::NotRun(Reason::Limited)
+    }
+
     /// Why the call was not served completely; `None` if it was.
     pub const fn reason(self) -> Option<Reason> {
         match self {
