--- a/src/configs/call.rs
+++ b/src/configs/call.rs
@@ -25,6 +25,23 @@
     /// Size of a call and its answer, in bytes, that justifies waiting one more service time to
     /// stay in the own availability zone; 0 if traffic between zones costs nothing.
     pub cross_bytes: u32,
+    /// Whether the choice of an upstream takes account of the delay of the nodes beside the
+    /// upstreams.
+    pub node_delay: bool,
+    /// Time after the first of several upstreams became unreachable in which upstreams that have
+    /// answered since are preferred, in milliseconds; 0 to prefer none.
+    pub loss_window_ms: u64,
+    /// Whether slots of the local upstream are reserved for calls of kinds of priority 0.
+    pub urgent_room: bool,
+    /// Whether a call is refused before its body is read from another node if the transfer of the
+    /// body would make it late.
+    pub body_room: bool,
+    /// Whether a call whose upstream was unreachable is sent to another one without using up an
+    /// attempt or the retry budget.
+    pub divert_unreachable: bool,
+    /// Whether nested calls are retried only where the other nested calls of the same running call
+    /// have succeeded.
+    pub sibling_repeats: bool,
 }
 
 impl Default for Call {
@@ -39,6 +56,12 @@
             slow_factor: 3,
             load_half_ms: 5,
             cross_bytes: 0,
+            node_delay: false,
+            loss_window_ms: 0,
+            urgent_room: false,
+            body_room: false,
+            divert_unreachable: false,
+            sibling_repeats: false,
         }
     }
 }
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -21,6 +21,7 @@
 pub mod local;
 pub mod log;
 pub mod member;
+pub mod overload;
 pub mod proxy;
 pub mod quota;
 pub mod spread;
@@ -58,6 +59,8 @@
     pub log: log::Log,
     /// Membership.
     pub member: member::Member,
+    /// Overload protection.
+    pub overload: overload::Overload,
     /// Listeners and connections of the call path.
     pub proxy: proxy::Proxy,
     /// Limits of organisations.
@@ -112,6 +115,7 @@
             claim: claim::Claim::default(),
             log: log::Log::default(),
             member: member::Member::default(),
+            overload: overload::Overload::default(),
             proxy: proxy::Proxy::default(),
             quota: quota::Quota::default(),
             spread: spread::Spread::default(),
