--- /dev/null
+++ b/src/admit/tests/invariants.rs
@@ -0,0 +1,155 @@
+//! Checks random steps of a gate against a simple model.
+
+use std::collections;
+use std::time;
+
+use proptest::prelude::*;
+
+use super::Harness;
+use crate::admit;
+
+/// A step of the model; an index selects one of the calls.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Arrive { weight: u32, timeout: u64 },
+    End(prop::sample::Index),
+    Shed(prop::sample::Index),
+    Leave(prop::sample::Index),
+    Limits { slots: u16, queue: u16 },
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (1_u32..4, 1_u64..400).prop_map(|(weight, timeout)| Step::Arrive {
+            weight,
+            timeout,
+        }),
+        5 => any::<prop::sample::Index>().prop_map(Step::End),
+        1 => any::<prop::sample::Index>().prop_map(Step::Leave),
+        1 => any::<prop::sample::Index>().prop_map(Step::Shed),
+        1 => (0_u16..4, 0_u16..5).prop_map(|(slots, queue)| Step::Limits { slots, queue }),
+        4 => (1_u64..60).prop_map(Step::Pass),
+    ]
+}
+
+/// Checks every action of a gate against a simple model of it.
+struct Model {
+    harness: Harness,
+    now: u64,
+    limit: usize,
+    next: u64,
+    running: Vec<u64>,
+    /// Weight of each waiter; tickets rise with arrival.
+    waiting: collections::BTreeMap<u64, u32>,
+    drained: bool,
+}
+
+impl Model {
+    fn new() -> Self {
+        Self {
+            harness: Harness::new(2, 3),
+            now: 0,
+            limit: 2,
+            next: 0,
+            running: Vec::new(),
+            waiting: collections::BTreeMap::new(),
+            drained: false,
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive { weight, timeout } => {
+                self.next += 1;
+                self.waiting.insert(self.next, weight);
+                let actions = self.harness.arrive(self.next, weight, self.now + timeout, self.now);
+                self.check(&actions);
+            }
+            Step::End(index) if !self.running.is_empty() => {
+                let ticket = self.running.swap_remove(index.index(self.running.len()));
+                let actions = self.harness.end(ticket, self.now);
+                self.check(&actions);
+            }
+            Step::Shed(index) if !self.running.is_empty() => {
+                let ticket = self.running.swap_remove(index.index(self.running.len()));
+                self.handle(admit::Event::Shed { ticket: admit::Ticket(ticket) });
+            }
+            Step::Leave(index) if self.next > 0 => self.leave(index.index(self.next as usize)),
+            Step::Limits { slots, queue } => {
+                self.limit = usize::from(slots);
+                let limits = admit::Limits { slots, connections: 100, queue };
+                self.handle(admit::Event::Limits(limits));
+            }
+            Step::Pass(millis) => {
+                self.now += millis;
+                self.handle(admit::Event::Tick);
+            }
+            Step::End(_) | Step::Leave(_) | Step::Shed(_) => {}
+        }
+        let slots = usize::from(self.harness.gate.load().slots);
+        assert!(slots <= self.limit);
+        assert!(self.drained || self.waiting.is_empty() || self.running.len() >= slots);
+    }
+
+    fn leave(&mut self, ticket: usize) {
+        let ticket = ticket as u64 + 1;
+        self.running.retain(|t| *t != ticket);
+        self.waiting.remove(&ticket);
+        self.handle(admit::Event::Cancelled { ticket: admit::Ticket(ticket) });
+    }
+
+    fn handle(&mut self, event: admit::Event) {
+        let actions = self.harness.handle(event, self.now);
+        self.check(&actions);
+    }
+
+    fn check(&mut self, actions: &[admit::Action]) {
+        for action in actions {
+            match action {
+                admit::Action::Run { ticket } => self.check_run(ticket.0),
+                admit::Action::Refuse { ticket, retry_after, .. } => {
+                    assert!(self.waiting.remove(&ticket.0).is_some(), "answered twice");
+                    assert!(*retry_after > time::Duration::ZERO);
+                }
+            }
+        }
+    }
+
+    fn check_run(&mut self, ticket: u64) {
+        assert!(!self.drained, "admitted after a drain");
+        let weight = self.waiting.remove(&ticket).expect("answered twice");
+        let ahead = |(t, w): (&u64, &u32)| *w > weight || (*w == weight && *t < ticket);
+        assert!(!self.waiting.iter().any(ahead), "out of order");
+        self.running.push(ticket);
+        assert!(self.running.len() <= self.limit, "more than the slots run");
+    }
+
+    fn finish(&mut self) {
+        self.handle(admit::Event::Drain);
+        self.drained = true;
+        self.step(Step::Arrive { weight: 9, timeout: 100 });
+        assert!(self.waiting.is_empty(), "a call has no answer");
+        for ticket in std::mem::take(&mut self.running) {
+            assert!(!self.harness.gate.is_drained());
+            let actions = self.harness.end(ticket, self.now);
+            self.check(&actions);
+        }
+        assert!(self.harness.gate.is_drained());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    /// Slots are never exceeded, each arrival gets one answer, waiters run in order of weight and
+    /// arrival, and nothing runs after a drain.
+    #[test]
+    fn a_gate_keeps_its_invariants(steps in prop::collection::vec(step(), 1..120)) {
+        let mut model = Model::new();
+        for step in steps {
+            model.step(step);
+        }
+        model.finish();
+    }
+}
