refactor(proxy): encode and decode the queue weight in one file

Owner nodes are to recognise calls of kinds of priority 0 by their weight in the queue. The encoding moves out of proxy::call unchanged, and the decoding stands beside it.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -19,6 +19,7 @@
 use crate::proxy::internode;
 use crate::proxy::organisations;
 use crate::proxy::owner;
+use crate::proxy::queue_weight;
 use crate::proxy::received_body;
 use crate::proxy::refuse;
 use crate::proxy::request_head;
@@ -122,7 +123,7 @@
             service: &self.service().name,
             class: self.class().map(|c| c.name.as_str()),
             kind: &self.kind().name,
-            weight: queue_weight(self.kind(), self.caller.as_ref()),
+            weight: queue_weight::encode(self.kind(), self.caller.as_ref()),
             organisation: self.caller.as_ref().map(|caller| &caller.name),
             nested: self.nested,
             returning: self.returning,
@@ -161,20 +162,6 @@
     }
 }
 
-/// Weight of a call of `kind` in the owner node's queue: organisations of higher priority (a lower
-/// number) come first, then kinds of higher priority, then those of greater weight. A call whose
-/// organisation is not known comes after all others.
-fn queue_weight(kind: &mesh::Kind, caller: Option<&organisations::Caller>) -> u32 {
-    /// Bits for the weight within a priority. The maximum weight of a configuration fits.
-    const WEIGHT_BITS: u32 = 20;
-    /// Bits for the priority of a kind.
-    const KIND_BITS: u32 = 8;
-    let above_lowest = |priority| mesh::LOWEST_PRIORITY.saturating_sub(priority);
-    let organisation = u32::from(caller.map_or(0, |caller| above_lowest(caller.priority)));
-    let urgency = organisation << KIND_BITS | u32::from(u8::MAX - kind.priority);
-    (urgency << WEIGHT_BITS) | kind.weight.min((1 << WEIGHT_BITS) - 1)
-}
-
 /// Makes attempts until one is answered or no other attempt is allowed.
 ///
 /// # Errors
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -35,6 +35,7 @@
 pub mod peer;
 pub mod pool;
 pub mod quarantine_filter;
+pub mod queue_weight;
 pub mod quotas;
 pub mod received_body;
 pub mod refuse;
