feat(admit): reserve slots for urgent calls

Long calls held all slots of an upstream when a short urgent call arrived, which then waited until one of them ended. With call.urgent_room, the gate keeps as many slots free as urgent and nested calls occupy on average plus the square root of that, less those that run, and at most a third; none while no urgent call has arrived for a second. A call whose target leaves twice its expected wait and run waits while the queue has capacity. Urgent calls are told by the queue weight. Without the switch the gate decides as before.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -6,6 +6,7 @@
 use crate::admit::concurrency;
 use crate::admit::limiter;
 use crate::admit::queue;
+use crate::admit::reservation;
 use crate::admit::service_times;
 use crate::admit::wait_ratio;
 use crate::clock;
@@ -14,11 +15,17 @@
 /// Shortest wait that a refusal asks for.
 const MIN_WAIT: time::Duration = time::Duration::from_millis(1);
 
+/// A call tolerates a delay if its target leaves more than this many times its expected wait and
+/// run.
+const TOLERANCE: u32 = 2;
+
 /// A running call.
 #[derive(Clone, Copy, Debug)]
 struct Running {
     ticket: admit::Ticket,
     kind: admit::Kind,
+    /// Whether it may take a reserved slot.
+    takes_any: bool,
     /// Other calls that ran when it started.
     others: usize,
     since: clock::Instant,
@@ -27,8 +34,9 @@
 /// The gate of one upstream, through which every call to it passes.
 ///
 /// Invariants: at most as many calls run as there are slots or connections, except for calls that
-/// ran before the limits were lowered; no call waits while a slot is free; no call is admitted
-/// after a drain; no more calls wait than may start within the limit that the upstream names.
+/// ran before the limits were lowered; after each event, no call waits while a slot is free that it
+/// may use; no call is admitted after a drain; no more calls wait than may start within the limit
+/// that the upstream names.
 #[derive(Debug)]
 pub struct Gate {
     limits: admit::Limits,
@@ -38,6 +46,7 @@
     draining: bool,
     running: Vec<Running>,
     queue: queue::Queue,
+    reservation: reservation::Reservation,
     times: service_times::ServiceTimes,
     ratio: wait_ratio::WaitRatio,
 }
@@ -52,11 +61,23 @@
             draining: false,
             running: Vec::with_capacity(limits.concurrency()),
             queue: queue::Queue::default(),
+            reservation: reservation::Reservation::default(),
             times: service_times::ServiceTimes::default(),
             ratio: wait_ratio::WaitRatio::default(),
         }
     }
 
+    /// Reserves slots for the calls whose weight `is_urgent` accepts; `None` reserves nothing.
+    pub fn set_urgent(&mut self, is_urgent: Option<admit::IsUrgent>) {
+        self.reservation.set_urgent(is_urgent);
+    }
+
+    /// Whether `call` may have to wait while slots are free. A reservation shrinks with time, so the
+    /// gate needs ticks while such a call waits.
+    pub fn may_hold_back(&self, call: &admit::Call) -> bool {
+        self.reservation.is_enabled() && !self.reservation.takes_any_slot(call)
+    }
+
     /// Handles `event` and appends the actions that it causes to `actions`.
     pub fn handle(
         &mut self,
@@ -64,6 +85,10 @@
         now: clock::Instant,
         actions: &mut Vec<admit::Action>,
     ) {
+        if self.has_slot() {
+            // The reservation may have shrunk since the last event.
+            self.process_queue(now, actions);
+        }
         match event {
             admit::Event::Arrive(call) => self.arrive(call, now, actions),
             admit::Event::Ended { ticket } => self.record_end(ticket, now),
@@ -119,16 +144,17 @@
         if let Some(limiter) = &mut self.limiter {
             limiter.arrived(call.rank(), now);
         }
+        self.reservation.arrived(&call, now);
         match self.rejection(&call, now) {
             Some(reason) => self.refuse(call, reason, now, actions),
-            None if self.has_slot() => self.run(call, now, actions),
+            None if self.may_start(&call, now) => self.run(call, now, actions),
             None => self.enqueue(call, now),
         }
     }
 
     fn enqueue(&mut self, call: admit::Call, now: clock::Instant) {
         let position = self.position(&call, now);
-        let expected = self.expected_wait(position, now);
+        let expected = self.expected_wait(position, &call, now);
         self.queue.insert(position, queue::Waiter { call, since: now, expected });
     }
 
@@ -136,7 +162,7 @@
     pub fn preview(&mut self, call: &admit::Call, now: clock::Instant) -> Option<admit::Action> {
         match self.rejection(call, now) {
             Some(reason) => Some(self.refusal(call, reason, now)),
-            None => self.has_slot().then_some(admit::Action::Run { ticket: call.ticket }),
+            None => self.may_start(call, now).then_some(admit::Action::Run { ticket: call.ticket }),
         }
     }
 
@@ -166,11 +192,15 @@
             Some(retry::Reason::TooLate)
         } else if self.exceeds_rate(call, position, now) {
             Some(retry::Reason::Limited)
-        } else if self.has_slot() {
+        } else if self.may_start(call, now) {
             None
         } else if self.misses_deadline(position, call, now) {
             Some(retry::Reason::TooLate)
-        } else if !call.nested && self.queue.len() > 0 && self.is_late(position, call, now) {
+        } else if !call.nested
+            && self.queue.len() > 0
+            && self.is_late(position, call, now)
+            && !self.tolerates_delay(position, call, now)
+        {
             Some(retry::Reason::Full)
         } else {
             None
@@ -191,10 +221,18 @@
     /// that one upstream can carry, 91% of the served calls are in time instead of 8%, and as many
     /// are served; see the test `calls_are_served_in_time_under_overload`.
     fn is_late(&self, position: usize, waiter: &admit::Call, now: clock::Instant) -> bool {
-        let wait = self.ratio.correct(self.expected_wait(position, now));
+        let wait = self.ratio.correct(self.expected_wait(position, waiter, now));
         now + wait + self.times.high_estimate(waiter.kind) >= waiter.target
     }
 
+    /// Whether `call`, queued at `position`, has so much time that it waits instead of being
+    /// refused, while slots are reserved for others.
+    fn tolerates_delay(&self, position: usize, call: &admit::Call, now: clock::Instant) -> bool {
+        let expected = self.expected_wait(position, call, now) + self.times.mean(call.kind);
+        let held_back = self.reserved(now) > 0 && !self.reservation.takes_any_slot(call);
+        held_back && now + expected * TOLERANCE < call.target
+    }
+
     /// Refuses waiters for which there is no room or no time, and gives free slots to the others.
     fn process_queue(&mut self, now: clock::Instant, actions: &mut Vec<admit::Action>) {
         while self.concurrency.get() == 0 {
@@ -210,8 +248,7 @@
             let Some(waiter) = self.queue.pop_back() else { break };
             self.refuse(waiter, retry::Reason::Limited, now, actions);
         }
-        while self.has_slot() {
-            let Some(waiter) = self.queue.pop_front() else { break };
+        while let Some(waiter) = self.remove_next(now) {
             let queue::Waiter { call, since, expected } = waiter;
             if self.times.misses(call.kind, call.deadline, time::Duration::ZERO, now) {
                 self.refuse(call, retry::Reason::TooLate, now, actions);
@@ -231,6 +268,19 @@
         }
     }
 
+    /// Removes the first waiter for which a slot is free.
+    fn remove_next(&mut self, now: clock::Instant) -> Option<queue::Waiter> {
+        let free = self.free_slots();
+        if free == 0 {
+            None
+        } else if free > self.kept_free(now) {
+            self.queue.pop_front()
+        } else {
+            let reservation = &self.reservation;
+            self.queue.remove_waiter(|call| reservation.takes_any_slot(call))
+        }
+    }
+
     /// Whether the answer to `call` is likely to miss its target even if the call starts now.
     ///
     /// More urgent calls overtake a waiter after it was admitted. If it has become late by then and
@@ -243,28 +293,62 @@
 
     /// Removes a waiter that can't meet its deadline.
     fn remove_too_late(&mut self, now: clock::Instant) -> Option<admit::Call> {
-        let (slots, since_last_start) = (self.shared_slots(), self.since_last_start(now));
-        let mut work = self.running_time(since_last_start);
-        let times = &self.times;
+        let since_last_start = self.since_last_start(now);
+        let work = self.running_time(since_last_start);
+        let (slots, shared) = (self.slots(), self.shared_slots(now));
+        let (times, reservation) = (&self.times, &self.reservation);
+        // The work before a call that may take any slot, and before one that may not.
+        let (mut urgent, mut all) = (work, work);
         self.queue.remove_first(|waiter| {
-            let wait = work / slots;
-            work += times.mean(waiter.kind).max(since_last_start);
+            let takes_any = reservation.takes_any_slot(waiter);
+            let wait = if takes_any && shared < slots { urgent / slots } else { all / shared };
+            let run = times.mean(waiter.kind).max(since_last_start);
+            all += run;
+            if takes_any {
+                urgent += run;
+            }
             times.misses(waiter.kind, waiter.deadline, wait, now)
         })
     }
 
     /// Whether a call that is queued at `position` can't meet its deadline.
     fn misses_deadline(&self, position: usize, waiter: &admit::Call, now: clock::Instant) -> bool {
-        self.times.misses(waiter.kind, waiter.deadline, self.expected_wait(position, now), now)
+        let wait = self.expected_wait(position, waiter, now);
+        self.times.misses(waiter.kind, waiter.deadline, wait, now)
     }
 
-    /// Time until a slot is free for a call that is queued at `position`, counted from 0.
-    fn expected_wait(&self, position: usize, now: clock::Instant) -> time::Duration {
+    /// Time until a slot that `call` may use is free if it is queued at `position`, counted from 0.
+    fn expected_wait(
+        &self,
+        position: usize,
+        call: &admit::Call,
+        now: clock::Instant,
+    ) -> time::Duration {
+        let slots = self.slots();
+        if self.reservation.takes_any_slot(call) && self.shared_slots(now) < slots {
+            let before = self.queue.iter().take(position);
+            self.wait_behind(before.filter(|w| self.reservation.takes_any_slot(w)), slots, now)
+        } else {
+            self.shared_wait(position, now)
+        }
+    }
+
+    /// The same for a call that may not take a reserved slot.
+    fn shared_wait(&self, position: usize, now: clock::Instant) -> time::Duration {
+        self.wait_behind(self.queue.iter().take(position), self.shared_slots(now), now)
+    }
+
+    /// Time until one of `slots` is free behind the running calls and those of `ahead`.
+    fn wait_behind<'a>(
+        &self,
+        ahead: impl Iterator<Item = &'a admit::Call>,
+        slots: u32,
+        now: clock::Instant,
+    ) -> time::Duration {
         let since_last_start = self.since_last_start(now);
-        let ahead = self.queue.iter().take(position);
         let ahead: time::Duration =
             ahead.map(|w| self.times.mean(w.kind).max(since_last_start)).sum();
-        (self.running_time(since_last_start) + ahead) / self.shared_slots()
+        (self.running_time(since_last_start) + ahead) / slots
     }
 
     /// Mean service time of the running calls, at least `since_last_start`: the service time of
@@ -275,23 +359,51 @@
         (work / calls).max(since_last_start)
     }
 
-    /// Slots for which the calls wait, at least one.
-    fn shared_slots(&self) -> u32 {
+    /// All slots, at least one.
+    fn slots(&self) -> u32 {
         u32::try_from(self.concurrency.get().max(1)).unwrap_or(u32::MAX)
     }
 
+    /// Slots that any call may use, at least one.
+    fn shared_slots(&self, now: clock::Instant) -> u32 {
+        let reserved = u32::try_from(self.reserved(now)).unwrap_or(u32::MAX);
+        self.slots().saturating_sub(reserved).max(1)
+    }
+
+    /// Slots that are reserved, whether or not calls run there that may take them.
+    fn reserved(&self, now: clock::Instant) -> usize {
+        self.reservation.reserved(self.concurrency.get(), now)
+    }
+
+    /// Slots that are kept free for calls that may take any.
+    fn kept_free(&self, now: clock::Instant) -> usize {
+        let running = self.running.iter().filter(|r| r.takes_any).count();
+        self.reservation.kept_free(self.concurrency.get(), running, now)
+    }
+
+    /// Whether a slot is free that `call` may use.
+    fn may_start(&self, call: &admit::Call, now: clock::Instant) -> bool {
+        let kept = if self.reservation.takes_any_slot(call) { 0 } else { self.kept_free(now) };
+        self.free_slots() > kept
+    }
+
+    fn free_slots(&self) -> usize {
+        if self.draining { 0 } else { self.concurrency.get().saturating_sub(self.running.len()) }
+    }
+
     /// Time since a call last started; zero if none runs.
     fn since_last_start(&self, now: clock::Instant) -> time::Duration {
         self.running.iter().map(|r| now.since(r.since)).min().unwrap_or_default()
     }
 
     fn has_slot(&self) -> bool {
-        !self.draining && self.running.len() < self.concurrency.get()
+        self.free_slots() > 0
     }
 
     fn run(&mut self, waiter: admit::Call, now: clock::Instant, actions: &mut Vec<admit::Action>) {
         let (ticket, kind, others) = (waiter.ticket, waiter.kind, self.running.len());
-        self.running.push(Running { ticket, kind, others, since: now });
+        let takes_any = self.reservation.takes_any_slot(&waiter);
+        self.running.push(Running { ticket, kind, takes_any, others, since: now });
         if let Some(limiter) = &mut self.limiter {
             limiter.start(&waiter, now);
         }
@@ -317,7 +429,10 @@
         let limiter = self.limiter.as_mut().filter(|_| reason == retry::Reason::Limited);
         let retry_after = match limiter {
             Some(limiter) => limiter.book(call, now).max(MIN_WAIT),
-            None => self.retry_after(call.ticket, now),
+            None => {
+                let wait = self.expected_wait(self.queue.len(), call, now);
+                stagger(wait.max(MIN_WAIT), call.ticket)
+            }
         };
         admit::Action::Refuse { ticket: call.ticket, reason, retry_after }
     }
@@ -325,12 +440,16 @@
     /// Time after which the caller of `ticket` may retry: at least until the waiting calls have
     /// started, and up to twice as long, depending on the ticket.
     pub fn retry_after(&self, ticket: admit::Ticket, now: clock::Instant) -> time::Duration {
-        stagger(self.expected_wait(self.queue.len(), now).max(MIN_WAIT), ticket)
+        stagger(self.shared_wait(self.queue.len(), now).max(MIN_WAIT), ticket)
     }
 
     fn record_end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
         if let Some(run) = self.remove_running(ticket) {
-            self.times.record(run.kind, now.since(run.since));
+            let took = now.since(run.since);
+            self.times.record(run.kind, took);
+            if run.takes_any {
+                self.reservation.ended(took);
+            }
             self.concurrency.ended(run.others);
         }
     }
@@ -358,6 +477,7 @@
         self.limiter = None;
         self.concurrency = concurrency::Limit::new(&self.limits);
         self.times = service_times::ServiceTimes::default();
+        self.reservation.restart();
     }
 
     fn cancel(&mut self, ticket: admit::Ticket) {
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -10,6 +10,7 @@
 mod load;
 mod queue;
 mod rate;
+mod reservation;
 mod service_times;
 #[cfg(test)]
 mod tests;
@@ -32,6 +33,9 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Kind(pub u16);
 
+/// Whether a call of this weight is urgent, so that slots are reserved for its like.
+pub type IsUrgent = fn(weight: u32) -> bool;
+
 /// A call at its gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Call {
--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -80,7 +80,15 @@
         &mut self,
         matches: impl FnMut(&admit::Call) -> bool,
     ) -> Option<admit::Call> {
+        self.remove_waiter(matches).map(|waiter| waiter.call)
+    }
+
+    /// The same, with what was recorded when the call was queued.
+    pub(super) fn remove_waiter(
+        &mut self,
+        matches: impl FnMut(&admit::Call) -> bool,
+    ) -> Option<Waiter> {
         let index = self.iter().position(matches)?;
-        self.waiters.remove(index).map(|waiter| waiter.call)
+        self.waiters.remove(index)
     }
 }
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -11,6 +11,7 @@
 
 mod invariants;
 mod overload;
+mod reservation;
 
 const BROWSE: u32 = 1;
 const ORDER: u32 = 10;
--- a/src/proxy/local_upstream.rs
+++ b/src/proxy/local_upstream.rs
@@ -21,6 +21,7 @@
         }
         let address = local.as_ref().map(|l| l.address);
         self.pool.close_idle(address);
+        self.slots.reserve_urgent(self.settings.call.urgent_room);
         self.slots.set_limits(local.as_ref().map_or_else(
             || admit::Limits { slots: 0, connections: 0, queue: 0 },
             |local| self.limits(&local.upstream),
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -11,12 +11,17 @@
 use crate::admit;
 use crate::clock;
 use crate::context;
+use crate::proxy::queue_weight;
 use crate::retry;
 
 /// Granularity of the runtime's timers, added to a wait so that the gate's deadline has passed when
 /// it ends.
 const TIMER_GRANULARITY: time::Duration = time::Duration::from_millis(1);
 
+/// How often a waiting call checks whether the slots that are free are still reserved. Without an
+/// event at the gate, the reservation ends a second after the last urgent call.
+const RESERVATION_CHECK: time::Duration = time::Duration::from_millis(100);
+
 /// The decision of the gate on a call.
 type Verdict = Result<(), Refused>;
 
@@ -129,15 +134,21 @@
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
         }
-        let remaining = deadline.since(self.ctx.now()) + TIMER_GRANULARITY;
-        let mut verdict = tokio::time::timeout(remaining, &mut receiver).await;
-        if verdict.is_err() {
+        let checks = self.gate.borrow().may_hold_back(&call);
+        let verdict = loop {
+            let remaining = deadline.since(self.ctx.now()) + TIMER_GRANULARITY;
+            let wait = if checks { remaining.min(RESERVATION_CHECK) } else { remaining };
+            if let Ok(verdict) = tokio::time::timeout(wait, &mut receiver).await {
+                break verdict;
+            }
             self.handle(admit::Event::Tick);
-            verdict = Ok(receiver.await);
-        }
+            if wait == remaining {
+                break receiver.await;
+            }
+        };
         match verdict {
-            Ok(Ok(verdict)) => verdict.map(|()| slot),
-            Ok(Err(_)) | Err(_) => {
+            Ok(verdict) => verdict.map(|()| slot),
+            Err(_) => {
                 Err(Refused { reason: retry::Reason::TooLate, retry_after: time::Duration::ZERO })
             }
         }
@@ -161,6 +172,12 @@
         }
     }
 
+    /// Reserves slots for urgent calls, or none.
+    pub fn reserve_urgent(&self, enabled: bool) {
+        let is_urgent = enabled.then_some(queue_weight::is_urgent as admit::IsUrgent);
+        self.gate.borrow_mut().set_urgent(is_urgent);
+    }
+
     /// Applies a change of the limits.
     pub fn set_limits(&self, limits: admit::Limits) {
         self.handle(admit::Event::Limits(limits));
