feat(proxy): refuse calls whose bodies the link would make late

An owner node read a body from the entry node whatever was pending on its link, so that bodies of calls that were then late or refused used up the link. With call.body_room, the preview of the gate counts the time of the pending bytes and of the body: a call that they make miss its deadline is refused, and so is one that the pending bytes make late. A nested call is refused only for its deadline. A body that fits into one window does not wait for the others.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -158,11 +158,50 @@
         self.queue.insert(position, queue::Waiter { call, since: now, expected });
     }
 
-    /// The action for `call` if it came now; `None` if it would wait.
-    pub fn preview(&mut self, call: &admit::Call, now: clock::Instant) -> Option<admit::Action> {
-        match self.rejection(call, now) {
-            Some(reason) => Some(self.refusal(call, reason, now)),
-            None => self.may_start(call, now).then_some(admit::Action::Run { ticket: call.ticket }),
+    /// The action for `call` if the transfer of its body began now, or, with a `transfer` of no time,
+    /// if the call came now; `None` if it would wait.
+    ///
+    /// A call that the transfer makes miss its deadline is refused, even if a slot is free. So is one
+    /// that other bodies on the link make late: if it were admitted, its bytes would make others
+    /// late, too; see the test `bodies_of_calls_that_would_be_late_are_not_read`. A nested call is
+    /// refused only for its deadline.
+    pub fn preview(
+        &mut self,
+        call: &admit::Call,
+        transfer: &admit::Transfer,
+        now: clock::Instant,
+    ) -> Option<admit::Action> {
+        // The queue is assumed to be as long as now when the body is received.
+        let later = call.sooner(transfer.total());
+        let reason = self.rejection(&later, now).or_else(|| {
+            let position = self.position(&later, now);
+            let free = self.may_start(call, now);
+            let wait =
+                if free { time::Duration::ZERO } else { self.expected_wait(position, call, now) };
+            let misses = |c: &admit::Call| self.times.misses(c.kind, c.deadline, wait, now);
+            let is_late = |c: &admit::Call| self.ends_late(wait, c, now);
+            if misses(&later) && !misses(call) {
+                Some(retry::Reason::TooLate)
+            } else if !call.nested
+                && !transfer.before.is_zero()
+                && is_late(&later)
+                && !is_late(call)
+                && !self.tolerates_delay(position, &later, now)
+            {
+                Some(retry::Reason::Full)
+            } else {
+                None
+            }
+        });
+        let Some(reason) = reason else {
+            return self.may_start(call, now).then_some(admit::Action::Run { ticket: call.ticket });
+        };
+        match self.refusal(call, reason, now) {
+            admit::Action::Refuse { ticket, reason, retry_after } => {
+                let retry_after = retry_after.max(transfer.before);
+                Some(admit::Action::Refuse { ticket, reason, retry_after })
+            }
+            run @ admit::Action::Run { .. } => Some(run),
         }
     }
 
@@ -221,8 +260,12 @@
     /// that one upstream can carry, 91% of the served calls are in time instead of 8%, and as many
     /// are served; see the test `calls_are_served_in_time_under_overload`.
     fn is_late(&self, position: usize, waiter: &admit::Call, now: clock::Instant) -> bool {
-        let wait = self.ratio.correct(self.expected_wait(position, waiter, now));
-        now + wait + self.times.high_estimate(waiter.kind) >= waiter.target
+        self.ends_late(self.expected_wait(position, waiter, now), waiter, now)
+    }
+
+    /// Whether a call that is expected to wait for `wait` may well be answered after its target.
+    fn ends_late(&self, wait: time::Duration, call: &admit::Call, now: clock::Instant) -> bool {
+        now + self.ratio.correct(wait) + self.times.high_estimate(call.kind) >= call.target
     }
 
     /// Whether `call`, queued at `position`, has so much time that it waits instead of being
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -57,6 +57,15 @@
     pub deadline: clock::Instant,
 }
 
+/// Time until the body of a call is received. The call reaches the gate after that.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Transfer {
+    /// For the bytes that come before those of the body.
+    pub before: time::Duration,
+    /// For the body itself.
+    pub own: time::Duration,
+}
+
 /// Priority of a call; the highest runs first.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
@@ -91,6 +100,22 @@
     pub(crate) const fn rank(&self) -> Rank {
         Rank { nested: self.nested, weight: self.weight }
     }
+
+    /// The call with its target and deadline sooner by `time`.
+    pub(crate) fn sooner(self, time: time::Duration) -> Self {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let sooner = |end: clock::Instant| {
+            clock::Instant::from_micros(end.as_micros().saturating_sub(micros))
+        };
+        Self { target: sooner(self.target), deadline: sooner(self.deadline), ..self }
+    }
+}
+
+impl Transfer {
+    /// The time as a whole.
+    pub const fn total(&self) -> time::Duration {
+        self.before.saturating_add(self.own)
+    }
 }
 
 impl Limits {
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::retry;
 
+mod bodies;
 mod invariants;
 mod overload;
 mod reservation;
--- a/src/proxy/inbound_link.rs
+++ b/src/proxy/inbound_link.rs
@@ -17,6 +17,7 @@
 use tokio::sync;
 use tokio::time;
 
+use crate::admit;
 use crate::configs;
 use crate::proxy::error;
 use crate::proxy::received_body;
@@ -41,6 +42,8 @@
 
 const BITS_PER_BYTE: f64 = 8.0;
 
+const MICROS_PER_SECOND: f64 = 1e6;
+
 /// How a link is shared between bodies.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Plan {
@@ -102,6 +105,21 @@
         Turn { link: self, permit: None, remaining: bytes }
     }
 
+    /// Time until a body of `size` is received that starts now. A body that fits into one window
+    /// doesn't wait for the pending ones.
+    pub fn transfer(
+        &self,
+        settings: &configs::proxy::Proxy,
+        size: &hyper::body::SizeHint,
+    ) -> admit::Transfer {
+        let time = |bytes| {
+            Duration::from_secs_f64(f64::from(link_time(settings, bytes)) / MICROS_PER_SECOND)
+        };
+        let short = size.upper().is_some_and(|bytes| bytes <= u64::from(self.plan.window));
+        let before = if short { 0 } else { self.pending_bytes() };
+        admit::Transfer { before: time(before), own: time(size.exact().unwrap_or(size.lower())) }
+    }
+
     /// Bytes that will be received before those of a body that starts now.
     pub const fn pending_bytes(&self) -> u64 {
         self.pending.get()
--- a/src/proxy/inbound_link/tests.rs
+++ b/src/proxy/inbound_link/tests.rs
@@ -41,6 +41,24 @@
     assert_eq!(link.pending_bytes(), 0);
 }
 
+/// A link of 15 Mbit/s carries 60 kB in 32 ms, and a window of 4687 bytes has no turn to wait for.
+#[test]
+fn a_transfer_takes_the_time_of_the_pending_bytes_and_of_the_body() {
+    let settings = configs::proxy::Proxy { link_mbps: 15.0, ..configs::proxy::Proxy::default() };
+    let link = inbound_link::InboundLink::new(inbound_link::Plan::new(&settings));
+    let _pending = link.turn(120_000);
+    let millis = |settings, size: hyper::body::SizeHint| {
+        let transfer = link.transfer(settings, &size);
+        (transfer.before.as_millis(), transfer.own.as_millis())
+    };
+    let exact = hyper::body::SizeHint::with_exact;
+    assert_eq!(millis(&settings, exact(60_000)), (64, 32));
+    assert_eq!(millis(&settings, exact(4687)), (0, 2));
+    assert_eq!(millis(&settings, hyper::body::SizeHint::default()), (64, 0), "of unknown length");
+    let unknown = configs::proxy::Proxy::default();
+    assert_eq!(millis(&unknown, exact(60_000)), (0, 0), "the rate of the link is not known");
+}
+
 /// Simulates uploads over one link of 6.5 Mbit/s and short calls behind them, in virtual time.
 struct Link {
     plan: inbound_link::Plan,
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -7,6 +7,7 @@
 use hyper::body::Body as _;
 use tokio::time;
 
+use crate::admit;
 use crate::claim;
 use crate::clock;
 use crate::node;
@@ -145,7 +146,7 @@
     Ok(http::Response::from_parts(parts, reply))
 }
 
-/// Refuses a call that would not be admitted now, before its body is read.
+/// Refuses a call that would not be admitted now, before its body of `size` is read.
 ///
 /// # Errors
 ///
@@ -154,9 +155,15 @@
     state: &state::State<C>,
     spec: &call_spec::CallSpec<'_>,
     headers: &header::HeaderMap,
+    size: &hyper::body::SizeHint,
 ) -> Result<(), refuse::Refusal> {
     find_upstream(state, spec)?;
-    let preview = state.slots.preview(&slot_request(state, spec));
+    let transfer = if state.settings.call.body_room {
+        state.inbound_link.transfer(&state.settings.proxy, size)
+    } else {
+        admit::Transfer::default()
+    };
+    let preview = state.slots.preview(&slot_request(state, spec), &transfer);
     preview.map_err(|refused| log_refusal(state, spec, headers, refused))
 }
 
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -128,12 +128,12 @@
     incoming: Incoming,
 ) -> Result<upload::Body, refuse::Refusal> {
     let received = received_body::ReceivedBody::new(incoming, received_body::Carrier::Http2);
+    let size = received.size_hint();
     if !received.is_end_stream() {
-        owner::preview(state, spec, &parts.headers)?;
+        owner::preview(state, spec, &parts.headers, &size)?;
     }
     // The entry node has checked the size against the limit of the kind.
     let bounds = state.bounds(u64::MAX);
-    let size = received.size_hint();
     let mut turn = state.inbound_link.turn(size.exact().unwrap_or(size.lower()));
     let read = upload::Body::read(received, &bounds, &mut turn);
     let end = state.timer(owner::slot_deadline(state.ctx.now(), spec.deadline));
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -154,17 +154,21 @@
         }
     }
 
-    /// Whether [`Self::enter`] would admit or queue a call that arrived now.
+    /// Whether [`Self::enter`] would admit or queue a call the transfer of whose body began now.
     ///
     /// # Errors
     ///
     /// The gate's refusal.
-    pub fn preview(&self, request: &Request<'_>) -> Result<(), Refused> {
+    pub fn preview(
+        &self,
+        request: &Request<'_>,
+        transfer: &admit::Transfer,
+    ) -> Result<(), Refused> {
         let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
         let kind = self.kinds.borrow_mut().number(request.kind);
         let &Request { weight, nested, returning, target, deadline, .. } = request;
         let call = admit::Call { ticket, kind, weight, nested, returning, target, deadline };
-        match self.gate.borrow_mut().preview(&call, self.ctx.now()) {
+        match self.gate.borrow_mut().preview(&call, transfer, self.ctx.now()) {
             Some(admit::Action::Refuse { reason, retry_after, .. }) => {
                 Err(Refused { reason, retry_after })
             }
