feat(proxy): count and log what reserved slots and the room for bodies do

An operator could not tell whether slots are reserved, how many calls wait beside them, or which calls are refused for the transfer of their bodies. The gate reports the reserved slots with the rate and the run time behind them; a log line tells when the first slot is reserved and when none is any more, once a second at most. The counts are kept in proxy::slots and not registered as metrics yet.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -272,7 +272,7 @@
     /// refused, while slots are reserved for others.
     fn tolerates_delay(&self, position: usize, call: &admit::Call, now: clock::Instant) -> bool {
         let expected = self.expected_wait(position, call, now) + self.times.mean(call.kind);
-        let held_back = self.reserved(now) > 0 && !self.reservation.takes_any_slot(call);
+        let held_back = self.reserved(now).slots > 0 && !self.reservation.takes_any_slot(call);
         held_back && now + expected * TOLERANCE < call.target
     }
 
@@ -409,15 +409,25 @@
 
     /// Slots that any call may use, at least one.
     fn shared_slots(&self, now: clock::Instant) -> u32 {
-        let reserved = u32::try_from(self.reserved(now)).unwrap_or(u32::MAX);
+        let reserved = u32::try_from(self.reserved(now).slots).unwrap_or(u32::MAX);
         self.slots().saturating_sub(reserved).max(1)
     }
 
-    /// Slots that are reserved, whether or not calls run there that may take them.
-    fn reserved(&self, now: clock::Instant) -> usize {
+    /// The slots that are reserved.
+    pub fn reserved(&self, now: clock::Instant) -> admit::Reserved {
         self.reservation.reserved(self.concurrency.get(), now)
     }
 
+    /// Whether a call like `call` waits although a slot is free, as that slot is reserved.
+    pub fn is_held_back(&self, call: &admit::Call, now: clock::Instant) -> bool {
+        self.free_slots() > 0 && !self.may_start(call, now)
+    }
+
+    /// Whether `call` would run or wait if it came now.
+    pub fn admits(&self, call: &admit::Call, now: clock::Instant) -> bool {
+        self.rejection(call, now).is_none()
+    }
+
     /// Slots that are kept free for calls that may take any.
     fn kept_free(&self, now: clock::Instant) -> usize {
         let running = self.running.iter().filter(|r| r.takes_any).count();
--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -84,6 +84,17 @@
     pub left: usize,
 }
 
+/// Slots that a gate reserves, and the measurements from which it follows.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Reserved {
+    /// Slots that are reserved, whether or not calls run there that may take them.
+    pub slots: usize,
+    /// Arrivals a second of the calls that may take any slot.
+    pub per_second: f64,
+    /// Mean run time of such calls.
+    pub run_time: time::Duration,
+}
+
 /// Limits of a gate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
--- a/src/admit/reservation.rs
+++ b/src/admit/reservation.rs
@@ -86,11 +86,15 @@
         self.run_time = None;
     }
 
-    /// Of `slots`, those that are reserved, whether or not calls run there that may take them.
-    pub(super) fn reserved(&self, slots: usize, now: clock::Instant) -> usize {
+    /// What is reserved of `slots`.
+    pub(super) fn reserved(&self, slots: usize, now: clock::Instant) -> admit::Reserved {
         let mean = self.occupied(now);
-        // The conversion saturates.
-        ((mean + mean.sqrt()).ceil() as usize).min(slots / SLOTS_PER_RESERVED)
+        admit::Reserved {
+            // The conversion saturates.
+            slots: ((mean + mean.sqrt()).ceil() as usize).min(slots / SLOTS_PER_RESERVED),
+            per_second: self.per_second(now),
+            run_time: self.run_time.unwrap_or_default(),
+        }
     }
 
     /// Slots that are kept free while `running` calls run that may take any slot: another call
@@ -107,8 +111,12 @@
         if self.is_urgent.is_none() || !self.last_urgent.is_some_and(recent) {
             return 0.0;
         }
-        let rate = self.arrivals_at(now) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
-        rate * self.run_time.unwrap_or_default().as_secs_f64()
+        self.per_second(now) * self.run_time.unwrap_or_default().as_secs_f64()
+    }
+
+    /// Arrivals a second of the calls that may take any slot.
+    fn per_second(&self, now: clock::Instant) -> f64 {
+        self.arrivals_at(now) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
     }
 
     fn arrivals_at(&self, now: clock::Instant) -> f64 {
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time;
 
+use prometheus_client::metrics::{counter, gauge};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
@@ -14,6 +15,9 @@
 use crate::proxy::queue_weight;
 use crate::retry;
 
+#[cfg(test)]
+mod tests;
+
 /// Granularity of the runtime's timers, added to a wait so that the gate's deadline has passed when
 /// it ends.
 const TIMER_GRANULARITY: time::Duration = time::Duration::from_millis(1);
@@ -22,6 +26,9 @@
 /// event at the gate, the reservation ends a second after the last urgent call.
 const RESERVATION_CHECK: time::Duration = time::Duration::from_millis(100);
 
+/// Minimum time between two log lines on reserved slots.
+const LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// The decision of the gate on a call.
 type Verdict = Result<(), Refused>;
 
@@ -51,6 +58,17 @@
     pub deadline: clock::Instant,
 }
 
+/// Counts of the slots that are reserved for urgent calls, and of the room for bodies.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// Slots that are reserved.
+    pub reserved: gauge::Gauge,
+    /// Calls that waited although a slot was free, as it was reserved.
+    pub held_back: counter::Counter,
+    /// Calls refused before their body was read, as the link would have made them late.
+    pub body_refused: counter::Counter,
+}
+
 /// Assigns the numbers by which the gate identifies kinds.
 #[derive(Debug, Default)]
 struct Kinds {
@@ -89,6 +107,10 @@
     waiters: RefCell<collections::HashMap<admit::Ticket, oneshot::Sender<Verdict>>>,
     next: Cell<u64>,
     kinds: RefCell<Kinds>,
+    counts: Counts,
+    /// When a log line last said whether slots are reserved; whether they are, according to it; and
+    /// how many calls had been held back by then.
+    logged: Cell<(clock::Instant, bool, u64)>,
     /// Kept between events to save an allocation for each one.
     actions: RefCell<Vec<admit::Action>>,
 }
@@ -112,10 +134,17 @@
             waiters: RefCell::default(),
             next: Cell::new(0),
             kinds: RefCell::default(),
+            counts: Counts::default(),
+            logged: Cell::default(),
             actions: RefCell::default(),
         }
     }
 
+    /// The same, counting in `counts`.
+    pub fn with_counts(self, counts: Counts) -> Self {
+        Self { counts, ..self }
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -134,6 +163,9 @@
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
         }
+        if self.gate.borrow().is_held_back(&call, self.ctx.now()) {
+            self.counts.held_back.inc();
+        }
         let checks = self.gate.borrow().may_hold_back(&call);
         let verdict = loop {
             let remaining = deadline.since(self.ctx.now()) + TIMER_GRANULARITY;
@@ -168,8 +200,13 @@
         let kind = self.kinds.borrow_mut().number(request.kind);
         let &Request { weight, nested, returning, target, deadline, .. } = request;
         let call = admit::Call { ticket, kind, weight, nested, returning, target, deadline };
-        match self.gate.borrow_mut().preview(&call, transfer, self.ctx.now()) {
+        let now = self.ctx.now();
+        let action = self.gate.borrow_mut().preview(&call, transfer, now);
+        match action {
             Some(admit::Action::Refuse { reason, retry_after, .. }) => {
+                if !transfer.total().is_zero() && self.gate.borrow().admits(&call, now) {
+                    self.counts.body_refused.inc();
+                }
                 Err(Refused { reason, retry_after })
             }
             Some(admit::Action::Run { .. }) | None => Ok(()),
@@ -182,6 +219,11 @@
         self.gate.borrow_mut().set_urgent(is_urgent);
     }
 
+    /// The slots that are reserved.
+    pub fn reserved(&self) -> admit::Reserved {
+        self.gate.borrow().reserved(self.ctx.now())
+    }
+
     /// Applies a change of the limits.
     pub fn set_limits(&self, limits: admit::Limits) {
         self.handle(admit::Event::Limits(limits));
@@ -239,6 +281,29 @@
             }
         }
         self.actions.replace(actions);
+        self.report_reserved();
+    }
+
+    /// Publishes the number of reserved slots, and logs when it becomes zero or no longer is.
+    fn report_reserved(&self) {
+        let (now, reserved) = (self.ctx.now(), self.reserved());
+        self.counts.reserved.set(i64::try_from(reserved.slots).unwrap_or(i64::MAX));
+        let (at, any, held_back) = self.logged.get();
+        if any == (reserved.slots > 0) || now.since(at) < LOG_INTERVAL {
+            return;
+        }
+        self.logged.set((now, reserved.slots > 0, self.counts.held_back.get()));
+        let load = self.load();
+        log::info!(
+            reserved = reserved.slots,
+            per_s = reserved.per_second,
+            run_ms = u64::try_from(reserved.run_time.as_millis()).unwrap_or(u64::MAX),
+            running = load.running,
+            waiting = load.waiting,
+            slots = load.slots,
+            held_back = self.counts.held_back.get() - held_back;
+            "the slots reserved for urgent calls have changed"
+        );
     }
 }
 
