feat(pick): the delay of nodes counts in the choice of an upstream

A node whose CPU is saturated doesn't refuse calls: they time out inside it, and entry nodes keep choosing the upstream beside it, whose slots are free. With `call.node_delay`, the owner node sends the time for which it held a call (`dandelionspool-held-us`), and the entry node measures the rest of each attempt. Its excess over the lowest delay of the list is added to the cost of the upstream and counts in the decision to leave a zone. The upstream beside the entry node is not measured. With the switch off, no header is sent and no measurement is kept.

Report has a field more, so the model of policies and the benchmark of the picker set it to None.

--- a/benches/pick.rs
+++ b/benches/pick.rs
@@ -97,6 +97,7 @@
         notice: None,
         retry_after: None,
         latency,
+        node_delay: None,
     };
     picker.ended(choice, hint::black_box(&report), now);
 }
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -325,6 +325,7 @@
             notice: answer.notice,
             retry_after: answer.retry_after,
             latency: self.now.since(since),
+            node_delay: None,
         };
         self.entries[one.entry].picker.ended(choice, &report, self.now);
         Some(choice)
--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -4,6 +4,7 @@
 //! outstanding calls to it, and the load that it reported with its answers. Entry nodes share
 //! nothing else.
 
+mod delay;
 mod outlier;
 mod peer;
 mod picker;
@@ -59,6 +60,10 @@
     pub rank: admit::Rank,
 }
 
+/// Service time that is assumed of an upstream without answers, in microseconds. The services of the
+/// users take 15 to 290 ms.
+const DEFAULT_SERVICE_US: f32 = 100_000.0;
+
 impl TransferCost {
     /// No cost to any host or zone.
     pub const FREE: TransferCost = TransferCost {
@@ -70,9 +75,6 @@
     /// The cost of a call to an upstream in `tier` with a service time of `service_us`; `None` if
     /// that is unknown.
     fn for_tier(&self, tier: usize, service_us: Option<f32>) -> f32 {
-        /// Service time that is assumed of an upstream without answers, in microseconds. The
-        /// services of the users take 15 to 290 ms.
-        const DEFAULT_SERVICE_US: f32 = 100_000.0;
         let link = self.link_us / service_us.unwrap_or(DEFAULT_SERVICE_US);
         match tier {
             0 => 0.0,
@@ -113,4 +115,6 @@
     pub retry_after: Option<time::Duration>,
     /// Time from the start to the end of the attempt.
     pub latency: time::Duration,
+    /// Time of the attempt for which the upstream's node did not hold it; `None` if unknown.
+    pub node_delay: Option<time::Duration>,
 }
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -8,6 +8,7 @@
 use crate::host;
 use crate::notice;
 use crate::pick;
+use crate::pick::delay;
 use crate::pick::outlier;
 use crate::retry;
 use crate::view;
@@ -54,6 +55,8 @@
     pub(super) mean_half_us: f32,
     /// An upstream that is this many times slower than its peers is an outlier.
     pub(super) slow_factor: f32,
+    /// Whether the delay of nodes counts.
+    pub(super) node_delay: bool,
 }
 
 impl Rules {
@@ -69,6 +72,7 @@
             load_half_us,
             mean_half_us: 2_000_000.0,
             slow_factor: f32::from(settings.slow_factor.max(2)),
+            node_delay: settings.node_delay,
         }
     }
 }
@@ -82,6 +86,8 @@
     /// Whether few enough upstreams are ejected for one more to be ejected because of failures or
     /// slowness.
     pub(super) can_eject: bool,
+    /// Lowest recent delay of the nodes, in microseconds.
+    pub(super) lowest_delay_us: f32,
 }
 
 /// The load that came with the last answer.
@@ -122,6 +128,8 @@
     service_us: u32,
     /// Run time as a multiple of the mean of all upstreams, and when it was last updated.
     relative_time: (f32, clock::Instant),
+    /// Delay of its node; not measured for the upstream beside the entry node.
+    pub(super) node_delay: delay::Delay,
     /// Limit that it names, and when that was last heard.
     limit: Option<(admit::Rate, clock::Instant)>,
     /// Until when its limit is used up, and up to which rank of calls.
@@ -148,6 +156,7 @@
             reported: None,
             service_us: 0,
             relative_time: (1.0, clock::Instant::ZERO),
+            node_delay: delay::Delay::default(),
             limit: None,
             used_up: None,
             leaving: false,
@@ -172,6 +181,7 @@
             self.reported = None;
             self.service_us = 0;
             self.relative_time = (1.0, now);
+            self.node_delay = delay::Delay::default();
             self.limit = None;
             self.used_up = None;
             self.leaving = false;
@@ -276,16 +286,31 @@
     }
 
     /// What one more call would cost at the upstream, in mean service times of its kind: the share
-    /// of the slots that is taken, and above 1 the wait, both multiplied by the relative run time.
+    /// of the slots that is taken, and above 1 the wait, both multiplied by the relative run time;
+    /// and the delay of its node.
     ///
     /// Upstreams of one service differ by a factor of two and more. Without the relative run time,
     /// nested calls were held up at the slow upstreams: over five days of load and faults on
     /// simulated hosts (three seeds each) 0.739 of the credit was earned instead of 0.755, and 85%
     /// of the calls were served instead of 87%.
-    pub(super) fn cost(&self, nested: bool, rules: &Rules, now: clock::Instant) -> f32 {
+    pub(super) fn cost(
+        &self,
+        nested: bool,
+        lowest_delay_us: f32,
+        rules: &Rules,
+        now: clock::Instant,
+    ) -> f32 {
         let fullness = self.fullness(rules, now);
         let wait = (fullness - FULL).max(0.0) * if nested { NESTED_WAIT_SHARE } else { 1.0 };
         self.relative_time(now) * (fullness.min(FULL) + wait)
+            + self.delay_cost(lowest_delay_us, now)
+    }
+
+    /// By how much the delay of its node exceeds the lowest one of the list, in mean service times
+    /// of the upstream.
+    pub(super) fn delay_cost(&self, lowest_delay_us: f32, now: clock::Instant) -> f32 {
+        let service_us = self.service_us().unwrap_or(pick::DEFAULT_SERVICE_US);
+        self.node_delay.excess_us(lowest_delay_us, now) / service_us
     }
 
     /// Whether the queue at its node would be full or nearly full with one more call.
@@ -344,6 +369,9 @@
             let known = self.relative_time(now);
             self.relative_time = (known + (ratio - known) / SMOOTHING, now);
         }
+        if let Some(measured) = report.node_delay.filter(|_| rules.node_delay) {
+            self.node_delay.record(measured, now);
+        }
         match verdict(report.outcome) {
             Verdict::Good if self.is_slow(aggregate, rules) => {
                 self.breaker.eject(&rules.breaker, now)
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -34,6 +34,37 @@
 /// are measured, too.
 const EXPLORE_ONE_IN: u32 = 200;
 
+/// The search for the upstream of one attempt.
+#[derive(Clone, Copy)]
+struct Search<'a> {
+    target: pick::Target,
+    cost: pick::TransferCost,
+    now: clock::Instant,
+    avoid: &'a [host::HostId],
+    /// Lowest recent delay of the nodes of the list, in microseconds.
+    lowest_delay_us: f32,
+}
+
+impl<'a> Search<'a> {
+    /// The candidates among `members`.
+    fn pool(
+        &self,
+        peers: &'a [pick::Peer],
+        members: &'a [u32],
+        rules: &'a peer::Rules,
+    ) -> pick::Pool<'a> {
+        pick::Pool {
+            peers,
+            members,
+            rules,
+            avoid: self.avoid,
+            now: self.now,
+            rank: self.cost.rank,
+            lowest_delay_us: self.lowest_delay_us,
+        }
+    }
+}
+
 /// Chooses upstreams for the calls of one entry node.
 ///
 /// Draining upstreams, and those whose limit is used up, are never chosen. Unreachable and ejected
@@ -119,8 +150,10 @@
         avoid: &[host::HostId],
     ) -> Option<pick::Choice> {
         let cost = self.scale_cost(target, cost);
-        let usable = self.pick_usable(target, cost, now, avoid);
-        let (index, tier) = usable.or_else(|| self.pick_fallback(target, cost.rank, now, avoid))?;
+        let lowest_delay_us = self.table.list(target).map_or(0.0, table::List::lowest_delay_us);
+        let search = Search { target, cost, now, avoid, lowest_delay_us };
+        let usable = self.pick_usable(&search);
+        let (index, tier) = usable.or_else(|| self.pick_fallback(&search))?;
         let host = self.table.peers[index as usize].host();
         Some(pick::Choice {
             host,
@@ -153,7 +186,7 @@
     /// Records that an attempt at `choice` has ended; called once for each [`Picker::started`].
     pub fn ended(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
         let good = report.outcome == retry::Outcome::Ran;
-        let aggregate = self.table.aggregate(choice.target, good);
+        let aggregate = self.table.aggregate(choice.target, good, now);
         let Some(peer) = self.table.peer_mut(choice.key) else { return };
         let before = peer.is_ejected();
         peer.ended(choice.rank, report, &aggregate, &self.rules, now);
@@ -169,28 +202,21 @@
 
     /// The best choice of the nearest tier, unless the call would wait there and not in a farther
     /// tier.
-    fn pick_usable(
-        &mut self,
-        target: pick::Target,
-        cost: pick::TransferCost,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, usize)> {
+    fn pick_usable(&mut self, search: &Search<'_>) -> Option<(u32, usize)> {
         let mut best: Option<(u32, usize, f32)> = None;
         let mut waits = true;
         // The transfer of a heavy call costs too much for exploration.
-        let light = cost.cross_zone < peer::FULL;
+        let light = search.cost.cross_zone < peer::FULL;
         let explores = light && self.rng.random_ratio(1, EXPLORE_ONE_IN);
         let first = if explores { table::OTHER_ZONE } else { 0 };
         for tier in (first..table::TIERS).chain(0..first) {
-            let Some((index, own)) = self.pick_tier(target, tier, cost.rank, now, avoid) else {
-                continue;
-            };
+            let Some((index, own)) = self.pick_tier(search, tier) else { continue };
             let chosen = &self.table.peers[index as usize];
-            let extra = self.extra_cost(chosen, tier, cost, now);
+            let extra = self.extra_cost(chosen, tier, search);
             if best.is_none_or(|(_, _, min)| own + extra < min) {
                 best = Some((index, tier, own + extra));
-                waits = chosen.fullness(&self.rules, now) + extra > peer::FULL;
+                let delay = chosen.delay_cost(search.lowest_delay_us, search.now);
+                waits = chosen.fullness(&self.rules, search.now) + delay + extra > peer::FULL;
             }
             // While a slot is free nearby, even at a slow upstream, no call is sent to a fast one
             // farther away.
@@ -202,7 +228,7 @@
         if tier < table::OTHER_ZONE || explores {
             return Some((index, tier));
         }
-        let near = self.best_in_zone(target, cost, now, avoid).filter(|(_, _, cost)| *cost <= min);
+        let near = self.best_in_zone(search).filter(|(_, _, cost)| *cost <= min);
         Some(near.map_or((index, tier), |(index, tier, _)| (index, tier)))
     }
 
@@ -224,19 +250,13 @@
     /// For most calls only a few of many upstreams are compared. Before a call is sent to another
     /// zone, all upstreams of the zone are, or else calls would leave zones in which an upstream is
     /// free.
-    fn best_in_zone(
-        &self,
-        target: pick::Target,
-        cost: pick::TransferCost,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, usize, f32)> {
-        let list = self.table.list(target)?;
+    fn best_in_zone(&self, search: &Search<'_>) -> Option<(u32, usize, f32)> {
+        let list = self.table.list(search.target)?;
         let near = (0..table::OTHER_ZONE).flat_map(|tier| {
-            let pool = self.pool(list, tier, cost.rank, now, avoid);
+            let pool = search.pool(&self.table.peers, list.tier(tier), &self.rules);
             let usable = (0..pool.len()).filter(move |&i| pool.is_usable(i));
             usable.map(move |i| {
-                let extra = self.extra_cost(pool.peer(i), tier, cost, now);
+                let extra = self.extra_cost(pool.peer(i), tier, search);
                 (pool.members[i], tier, pool.cost(i) + extra)
             })
         });
@@ -245,66 +265,33 @@
 
     /// What a call to `peer`, which is in `tier`, costs besides its share of the slots: the
     /// transfer, and a likely refusal.
-    fn extra_cost(
-        &self,
-        peer: &pick::Peer,
-        tier: usize,
-        cost: pick::TransferCost,
-        now: clock::Instant,
-    ) -> f32 {
-        let refusal = if peer.is_saturated(&self.rules, now) { REFUSAL_COST } else { 0.0 };
-        refusal + cost.for_tier(tier, peer.service_us())
-    }
-
-    /// The candidates of a call in `tier` of `list`.
-    fn pool<'a>(
-        &'a self,
-        list: &'a table::List,
-        tier: usize,
-        rank: admit::Rank,
-        now: clock::Instant,
-        avoid: &'a [host::HostId],
-    ) -> pick::Pool<'a> {
-        let (peers, members) = (&self.table.peers[..], list.tier(tier));
-        pick::Pool { peers, members, rules: &self.rules, avoid, now, rank }
+    fn extra_cost(&self, peer: &pick::Peer, tier: usize, search: &Search<'_>) -> f32 {
+        let saturated = peer.is_saturated(&self.rules, search.now);
+        let refusal = if saturated { REFUSAL_COST } else { 0.0 };
+        refusal + search.cost.for_tier(tier, peer.service_us())
     }
 
     /// The choice of the policy in `tier`, with its cost without the transfer.
-    fn pick_tier(
-        &mut self,
-        target: pick::Target,
-        tier: usize,
-        rank: admit::Rank,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, f32)> {
-        let list = self.table.list(target)?;
-        let members = list.tier(tier);
+    fn pick_tier(&mut self, search: &Search<'_>, tier: usize) -> Option<(u32, f32)> {
+        let list = self.table.list(search.target)?;
         let mut cursor = list.cursors[tier];
-        let pool =
-            pick::Pool { peers: &self.table.peers, members, rules: &self.rules, avoid, now, rank };
+        let pool = search.pool(&self.table.peers, list.tier(tier), &self.rules);
         let index = self.policy.choose(&pool, &mut cursor, &mut self.rng)?;
-        let chosen = (members[index], pool.cost(index));
-        self.table.list_mut(target)?.cursors[tier] = cursor;
+        let chosen = (pool.members[index], pool.cost(index));
+        self.table.list_mut(search.target)?.cursors[tier] = cursor;
         Some(chosen)
     }
 
     /// The upstream with the lowest fallback rank among those that do not drain.
-    fn pick_fallback(
-        &self,
-        target: pick::Target,
-        rank: admit::Rank,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, usize)> {
+    fn pick_fallback(&self, search: &Search<'_>) -> Option<(u32, usize)> {
         let peers = &self.table.peers;
-        let open = self.table.list(target)?.all().iter().copied().filter(|&i| {
+        let open = self.table.list(search.target)?.all().iter().copied().filter(|&i| {
             let peer = &peers[i as usize];
-            peer.is_open() && !peer.is_used_up(rank, now)
+            peer.is_open() && !peer.is_used_up(search.cost.rank, search.now)
         });
         let index = open.min_by_key(|&i| {
             let peer = &peers[i as usize];
-            (avoid.contains(&peer.host()), peer.fallback_rank(), peer.outstanding())
+            (search.avoid.contains(&peer.host()), peer.fallback_rank(), peer.outstanding())
         })?;
         Some((index, table::TIERS))
     }
--- a/src/pick/pool.rs
+++ b/src/pick/pool.rs
@@ -19,6 +19,8 @@
     pub(super) now: clock::Instant,
     /// Priority of the call.
     pub(super) rank: admit::Rank,
+    /// Lowest recent delay of the nodes of the list, in microseconds.
+    pub(super) lowest_delay_us: f32,
 }
 
 impl Pool<'_> {
@@ -45,7 +47,7 @@
 
     /// What a call would cost at `index`, in mean service times of its kind.
     pub fn cost(&self, index: usize) -> f32 {
-        self.peer(index).cost(self.rank.nested, self.rules, self.now)
+        self.peer(index).cost(self.rank.nested, self.lowest_delay_us, self.rules, self.now)
     }
 }
 
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -6,6 +6,7 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::pick::delay;
 use crate::pick::peer;
 use crate::rollout;
 use crate::view;
@@ -96,24 +97,32 @@
         peers: &[pick::Peer],
         good: bool,
         ejection_changes: u32,
+        now: clock::Instant,
     ) -> peer::Aggregate {
         if !good || self.remaining_results == 0 || self.computed_at != ejection_changes {
             self.computed_at = ejection_changes;
-            self.aggregate = self.compute(peers);
+            self.aggregate = self.compute(peers, now);
             self.remaining_results = AGGREGATE_RESULTS;
         }
         self.remaining_results -= 1;
         self.aggregate
     }
 
-    fn compute(&mut self, peers: &[pick::Peer]) -> peer::Aggregate {
+    /// Lowest recent delay of the nodes in microseconds, as of the last aggregate.
+    pub(super) const fn lowest_delay_us(&self) -> f32 {
+        self.aggregate.lowest_delay_us
+    }
+
+    fn compute(&mut self, peers: &[pick::Peer], now: clock::Instant) -> peer::Aggregate {
         let members = || self.members.iter().map(|&i| &peers[i as usize]);
         let ejected = members().filter(|p| p.is_ejected()).count();
         let can_eject = (ejected + 1) * 2 <= self.members.len();
+        let lowest_delay_us = delay::lowest_us(members().map(|p| &p.node_delay), now);
         self.service_times.clear();
         let known = self.members.iter().filter_map(|&i| peers[i as usize].service_us());
         self.service_times.extend(known);
-        peer::Aggregate { service_us: lower_median(&mut self.service_times), can_eject }
+        let service_us = lower_median(&mut self.service_times);
+        peer::Aggregate { service_us, can_eject, lowest_delay_us }
     }
 
     fn clear(&mut self) {
@@ -200,13 +209,19 @@
     }
 
     /// The aggregate of the peers that serve `target`.
-    pub(super) fn aggregate(&mut self, target: pick::Target, good: bool) -> peer::Aggregate {
+    pub(super) fn aggregate(
+        &mut self,
+        target: pick::Target,
+        good: bool,
+        now: clock::Instant,
+    ) -> peer::Aggregate {
         let groups = match target.class {
             Some(class) => self.classes.get_mut(usize::from(class.0)),
             None => self.services.get_mut(usize::from(target.service.0)),
         };
         let list = groups.map(|groups| groups.list_mut(target.group));
-        list.map(|l| l.aggregate(&self.peers, good, self.ejection_changes)).unwrap_or_default()
+        let changes = self.ejection_changes;
+        list.map(|l| l.aggregate(&self.peers, good, changes, now)).unwrap_or_default()
     }
 
     /// Records that a peer was ejected or admitted again, which changes the aggregates of its
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of the picker.
 
+mod delay;
+mod simulation;
+
 use std::collections;
 use std::net;
 use std::sync::Arc;
@@ -109,6 +112,7 @@
         notice: None,
         retry_after: None,
         latency: time::Duration::from_millis(1),
+        node_delay: None,
     }
 }
 
@@ -546,6 +550,7 @@
             notice: None,
             retry_after: None,
             latency,
+            node_delay: None,
         };
         picker.ended(choice, &report, at(round));
     }
@@ -602,6 +607,7 @@
             notice: None,
             retry_after: None,
             latency,
+            node_delay: None,
         };
         picker.ended(choice, &report, at(round));
     }
--- /dev/null
+++ b/src/pick/tests/simulation.rs
@@ -0,0 +1,197 @@
+//! Entry nodes and upstreams in virtual time: calls arrive evenly, wait for a slot at their
+//! upstream and run there; the node beside it may add a delay.
+
+use std::cmp;
+use std::collections;
+use std::time;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs;
+
+use super::{SHOP, at, id, locality, rebuild, serving};
+use crate::admit;
+use crate::clock;
+use crate::configs;
+use crate::pick;
+use crate::retry;
+
+/// Slots of each upstream.
+const SLOTS: usize = 9;
+
+/// The load and the faults of a simulation.
+pub(super) struct Plan {
+    /// Settings of the entry nodes.
+    pub(super) settings: configs::call::Call,
+    /// Upstreams, all in the zone of the entry nodes; at most 200.
+    pub(super) upstreams: u8,
+    /// Entry nodes.
+    pub(super) entries: usize,
+    /// Calls a second, all together.
+    pub(super) rate: u64,
+    /// Run times, evenly distributed.
+    pub(super) run_ms: std::ops::Range<u64>,
+    /// Time within which a call must be answered.
+    pub(super) target: time::Duration,
+    /// Delay that the node of upstream number `n`, from 0, adds to a call that arrives at a time.
+    pub(super) delay: fn(u8, u64) -> time::Duration,
+    /// Delay that the entry nodes add to each call.
+    pub(super) entry_delay: time::Duration,
+    /// Virtual duration of the simulation.
+    pub(super) seconds: u64,
+}
+
+/// Results of a simulation.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Results {
+    /// Calls that have ended.
+    pub(super) calls: u32,
+    /// Those that were answered within the target.
+    pub(super) in_time: u32,
+    /// Those that went to the first upstream.
+    pub(super) first: u32,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive,
+    /// The call reaches its upstream.
+    Reach(usize),
+    /// The call has run.
+    Ran(usize),
+    /// The response reaches the entry node.
+    Respond(usize),
+}
+
+#[derive(Clone, Copy)]
+struct Call {
+    entry: usize,
+    choice: pick::Choice,
+    upstream: usize,
+    arrived: clock::Instant,
+    /// Delays of the node and of the entry node.
+    delay: time::Duration,
+    load: Option<admit::Load>,
+}
+
+#[derive(Clone, Default)]
+struct Upstream {
+    running: usize,
+    waiting: collections::VecDeque<usize>,
+}
+
+struct Simulation {
+    plan: Plan,
+    rng: rngs::SmallRng,
+    events: collections::BinaryHeap<cmp::Reverse<(clock::Instant, u64, Event)>>,
+    sequence: u64,
+    pickers: Vec<pick::Picker>,
+    upstreams: Vec<Upstream>,
+    calls: Vec<Call>,
+    results: Results,
+}
+
+/// Runs a simulation; the same plan gives the same results.
+pub(super) fn run(plan: Plan) -> Results {
+    let hosts = serving(&vec!["a"; usize::from(plan.upstreams)]);
+    let pickers = (0..plan.entries).map(|entry| {
+        let mut picker = pick::Picker::new(locality("a"), &plan.settings, entry as u64);
+        rebuild(&mut picker, hosts.clone(), 0);
+        picker
+    });
+    let pickers = pickers.collect();
+    let upstreams = vec![Upstream::default(); usize::from(plan.upstreams)];
+    let mut simulation = Simulation {
+        plan,
+        rng: rngs::SmallRng::seed_from_u64(7),
+        events: collections::BinaryHeap::new(),
+        sequence: 0,
+        pickers,
+        upstreams,
+        calls: Vec::new(),
+        results: Results::default(),
+    };
+    simulation.push(at(0), Event::Arrive);
+    while let Some(cmp::Reverse((now, _, event))) = simulation.events.pop() {
+        simulation.handle(event, now);
+    }
+    simulation.results
+}
+
+impl Simulation {
+    fn push(&mut self, at: clock::Instant, event: Event) {
+        self.sequence += 1;
+        self.events.push(cmp::Reverse((at, self.sequence, event)));
+    }
+
+    fn handle(&mut self, event: Event, now: clock::Instant) {
+        match event {
+            Event::Arrive => self.arrive(now),
+            Event::Reach(call) => {
+                let upstream = &mut self.upstreams[self.calls[call].upstream];
+                upstream.waiting.push_back(call);
+                self.start_waiting(call, now);
+            }
+            Event::Ran(call) => {
+                let upstream = &mut self.upstreams[self.calls[call].upstream];
+                upstream.running -= 1;
+                let load = admit::Load {
+                    running: upstream.running as u16,
+                    waiting: upstream.waiting.len() as u16,
+                    slots: SLOTS as u16,
+                    service_us: 100_000,
+                };
+                self.calls[call].load = Some(load);
+                let delay = self.calls[call].delay;
+                self.push(now + delay, Event::Respond(call));
+                self.start_waiting(call, now);
+            }
+            Event::Respond(call) => self.respond(call, now),
+        }
+    }
+
+    fn arrive(&mut self, now: clock::Instant) {
+        let entry = self.rng.random_range(0..self.pickers.len());
+        let choice = self.pickers[entry].pick(SHOP, now, &[]).expect("a choice");
+        self.pickers[entry].started(choice, now);
+        let number = (0..self.plan.upstreams).find(|n| id(n + 1) == choice.host).expect("known");
+        let delay = (self.plan.delay)(number, now.as_micros() / 1000) + self.plan.entry_delay;
+        let upstream = usize::from(number);
+        self.calls.push(Call { entry, choice, upstream, arrived: now, delay, load: None });
+        self.results.first += u32::from(number == 0);
+        self.push(now, Event::Reach(self.calls.len() - 1));
+        let next = now + time::Duration::from_micros(1_000_000 / self.plan.rate);
+        if next < at(self.plan.seconds * 1000) {
+            self.push(next, Event::Arrive);
+        }
+    }
+
+    /// Starts a waiting call at the upstream of `call`, if a slot is free.
+    fn start_waiting(&mut self, call: usize, now: clock::Instant) {
+        let upstream = &mut self.upstreams[self.calls[call].upstream];
+        if upstream.running >= SLOTS {
+            return;
+        }
+        let Some(next) = upstream.waiting.pop_front() else { return };
+        upstream.running += 1;
+        let run = time::Duration::from_millis(self.rng.random_range(self.plan.run_ms.clone()));
+        self.push(now + run, Event::Ran(next));
+    }
+
+    fn respond(&mut self, call: usize, now: clock::Instant) {
+        let call = self.calls[call];
+        let latency = now.since(call.arrived);
+        let report = pick::Report {
+            outcome: retry::Outcome::Ran,
+            load: call.load,
+            relative_time: None,
+            notice: None,
+            retry_after: None,
+            latency,
+            node_delay: Some(call.delay),
+        };
+        self.pickers[call.entry].ended(call.choice, &report, now);
+        self.results.calls += 1;
+        self.results.in_time += u32::from(latency <= self.plan.target);
+    }
+}
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -12,6 +12,15 @@
 use crate::retry;
 use crate::rollout;
 
+/// What the entry node expects of an attempt at the upstream beside another node.
+#[derive(Clone, Copy, Debug)]
+pub struct Expected {
+    /// Mean run time of the call's kind; `None` if unknown.
+    pub run: Option<time::Duration>,
+    /// When the caller gives up.
+    pub deadline: clock::Instant,
+}
+
 /// An attempt at a picked upstream. Dropped before its end, it is reported as cancelled, since its
 /// caller has left.
 pub struct Attempt {
@@ -23,6 +32,8 @@
     notice: Option<notice::Relayed>,
     retry_after: Option<time::Duration>,
     relative_time: Option<f32>,
+    expected: Option<Expected>,
+    node_delay: Option<time::Duration>,
     state: retry::Attempt,
     ended: bool,
 }
@@ -46,6 +57,8 @@
             notice: None,
             retry_after: None,
             relative_time: None,
+            expected: None,
+            node_delay: None,
             state,
             ended: false,
         }
@@ -67,6 +80,19 @@
         self.relative_time = Some(relative_time);
     }
 
+    /// Sets what is expected of the node beside the upstream. Without it, the delay of that node is
+    /// not measured.
+    pub fn set_expected(&mut self, expected: Expected) {
+        self.expected = Some(expected);
+    }
+
+    /// Records the head of the node's response, with the time for which the node held the call.
+    /// Times above that of the attempt itself count as that time.
+    pub fn record_held(&mut self, held: Option<time::Duration>) {
+        let elapsed = self.ctx.now().since(self.started);
+        self.node_delay = held.map(|held| elapsed.saturating_sub(held));
+    }
+
     /// Whether it goes to the new version of a roll-out, which is still under trial.
     pub fn is_trial(&self) -> bool {
         self.choice.target.group == rollout::VersionGroup::New
@@ -96,10 +122,30 @@
             notice: self.notice,
             retry_after: self.retry_after,
             latency,
+            node_delay: self.node_delay.or_else(|| self.lost_delay(outcome, latency, now)),
         };
         self.picker.borrow_mut().ended(self.choice, &report, now);
         outcome
     }
+
+    /// The delay of a node that did not respond before the deadline, or whose response was lost:
+    /// the time of the attempt beyond the mean run time. `None` if the attempt shows no delay.
+    fn lost_delay(
+        &self,
+        outcome: retry::Outcome,
+        latency: time::Duration,
+        now: clock::Instant,
+    ) -> Option<time::Duration> {
+        let expected = self.expected.filter(|_| self.load.is_none())?;
+        let lost = match outcome.reason()? {
+            retry::Reason::Cut | retry::Reason::Timeout | retry::Reason::TooLate => true,
+            // A caller that gives up at its deadline may leave before this node's timer fires.
+            retry::Reason::Cancelled => now >= expected.deadline,
+            _ => false,
+        };
+        let delay = latency.saturating_sub(expected.run.filter(|_| lost)?);
+        (!delay.is_zero()).then_some(delay)
+    }
 }
 
 impl std::fmt::Debug for Attempt {
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -12,6 +12,7 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::proxy::attempt;
 use crate::proxy::body;
 use crate::proxy::call_spec;
 use crate::proxy::choice;
@@ -359,6 +360,10 @@
     if let Some(notice) = state.heard.borrow_mut().header(host, now) {
         request.headers_mut().insert(headers::NOTICE, notice);
     }
+    let run = state.run_times.borrow().mean(&call.kind().name);
+    if let Some(attempt) = resources.attempt.as_mut() {
+        attempt.set_expected(attempt::Expected { run, deadline: call.deadline });
+    }
     let end = state.timer(call.deadline) + REPLY_GRACE;
     let answer = internode::call(&state.links, host, request, end).await;
     // A refusal without a notice tells nothing: the node may have started anew and not know its
@@ -368,6 +373,7 @@
     }
     if let Some(attempt) = resources.attempt.as_mut() {
         attempt.set_load(answer.load, answer.notice);
+        attempt.record_held(answer.held);
     }
     let (mut parts, incoming) = answer.result?.into_parts();
     if let Some(ran) = answer.ran {
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -58,6 +58,9 @@
 pub const RETURNING: &str = "dandelionspool-returning";
 /// Between nodes: how long the upstream took to begin its answer, in microseconds.
 pub const RAN_US: &str = "dandelionspool-ran-us";
+/// Between nodes: how long the owner node held the call, from the head of the request to the head of
+/// the response, in microseconds; set on responses and refusals where `call.node_delay` is on.
+pub const HELD_US: &str = "dandelionspool-held-us";
 /// Between nodes: milliseconds remaining to meet the target latency of the call.
 pub const TARGET: &str = "dandelionspool-target-ms";
 /// Between nodes: class that the upstream must have.
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -32,13 +32,15 @@
     pub notice: Option<notice::Relayed>,
     /// Run time at the upstream.
     pub ran: Option<call_spec::RunTime>,
+    /// Time for which the node held the call; `None` if it sent none.
+    pub held: Option<time::Duration>,
     /// The upstream's answer, or why there is none.
     pub result: Result<http::Response<hyper::body::Incoming>, refuse::Refusal>,
 }
 
 impl From<refuse::Refusal> for Answer {
     fn from(refusal: refuse::Refusal) -> Self {
-        Self { load: None, notice: None, ran: None, result: Err(refusal) }
+        Self { load: None, notice: None, ran: None, held: None, result: Err(refusal) }
     }
 }
 
@@ -170,13 +172,15 @@
     let notice = map.remove(headers::NOTICE).and_then(|v| v.to_str().ok()?.parse().ok());
     let ran = map.remove(headers::RAN_US).and_then(|v| v.to_str().ok()?.parse().ok());
     let ran = ran.map(|micros| call_spec::RunTime(time::Duration::from_micros(micros)));
+    let held = map.remove(headers::HELD_US).and_then(|v| v.to_str().ok()?.parse().ok());
+    let held = held.map(time::Duration::from_micros);
     let outcome = map.remove(headers::OUTCOME);
     let result = match outcome.as_ref().map(header::HeaderValue::as_bytes) {
         Some(o) if o == headers::RAN.as_bytes() => Ok(answer),
         Some(o) if o == headers::NOT_RUN.as_bytes() => Err(refusal(&answer, true)),
         _ => Err(refusal(&answer, false)),
     };
-    Answer { load, notice, ran, result }
+    Answer { load, notice, ran, held, result }
 }
 
 fn refusal<B>(answer: &http::Response<B>, proven: bool) -> refuse::Refusal {
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -58,6 +58,7 @@
     state: &Rc<state::State<C>>,
     request: http::Request<Incoming>,
 ) -> http::Response<body::Reply> {
+    let arrived = state.ctx.now();
     let in_flight = Some(state.in_flight.enter());
     let resources = resources::Resources { in_flight, ..resources::Resources::default() };
     let result = run(state, request, resources).await;
@@ -71,6 +72,12 @@
         micros.set_sensitive(true);
         answer.headers_mut().insert(headers::RAN_US, micros);
     }
+    if state.settings.call.node_delay {
+        let held = state.ctx.now().since(arrived).as_micros();
+        let mut held = header::HeaderValue::from(u64::try_from(held).unwrap_or(u64::MAX));
+        held.set_sensitive(true);
+        answer.headers_mut().insert(headers::HELD_US, held);
+    }
     let load = state.load().to_string();
     if let Ok(mut load) = header::HeaderValue::from_str(&load) {
         load.set_sensitive(true);
