feat(pick): hosts that have responded since a simultaneous loss have precedence

After seven in ten hosts have lost power, a connection attempt to each lost one takes 250 ms and uses up an attempt, and the next attempt goes to another lost one. With `call.loss_window_ms`, attempts at two hosts of a list that end without a response within the window begin a loss; while it lasts, upstreams whose nodes have responded since its beginning have precedence, and one call in eight, idempotent ones first, goes to one that has not. It begins again where hosts fail that had responded since. A connection attempt shows the host lost from its start; any other attempt from its end. With a window of 0, nothing is recorded or compared.

--- a/benches/pick.rs
+++ b/benches/pick.rs
@@ -98,6 +98,7 @@
         retry_after: None,
         latency,
         node_delay: None,
+        responded_at: None,
     };
     picker.ended(choice, hint::black_box(&report), now);
 }
--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -326,6 +326,7 @@
             retry_after: answer.retry_after,
             latency: self.now.since(since),
             node_delay: None,
+            responded_at: None,
         };
         self.entries[one.entry].picker.ended(choice, &report, self.now);
         Some(choice)
--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -5,6 +5,7 @@
 //! nothing else.
 
 mod delay;
+mod loss;
 mod outlier;
 mod peer;
 mod picker;
@@ -17,6 +18,7 @@
 use std::time;
 
 use crate::admit;
+use crate::clock;
 use crate::host;
 use crate::mesh;
 use crate::notice;
@@ -58,6 +60,8 @@
     pub link_us: f32,
     /// Priority of the call; a nested one runs before new work at the upstream.
     pub rank: admit::Rank,
+    /// Whether the call may run twice without harm.
+    pub idempotent: bool,
 }
 
 /// Service time that is assumed of an upstream without answers, in microseconds. The services of the
@@ -70,6 +74,7 @@
         cross_zone: 0.0,
         link_us: 0.0,
         rank: admit::Rank { nested: false, weight: 0 },
+        idempotent: false,
     };
 
     /// The cost of a call to an upstream in `tier` with a service time of `service_us`; `None` if
@@ -84,6 +89,19 @@
     }
 }
 
+/// Attempts at two hosts of a list have failed so that many hosts may have been lost at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HostsLost {
+    /// The two hosts, that which failed first before the other.
+    pub hosts: [host::HostId; 2],
+    /// Time between the two failures.
+    pub apart: time::Duration,
+    /// Upstreams of the list.
+    pub upstreams: usize,
+    /// Those of them whose nodes have responded since the first failure.
+    pub responded: usize,
+}
+
 /// The upstream picked for one attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Choice {
@@ -117,4 +135,28 @@
     pub latency: time::Duration,
     /// Time of the attempt for which the upstream's node did not hold it; `None` if unknown.
     pub node_delay: Option<time::Duration>,
+    /// When the head of the response of the upstream's node came; `None` if there was none.
+    pub responded_at: Option<clock::Instant>,
+}
+
+impl Report {
+    /// Whether the host gave no sign of life.
+    fn is_silent(&self) -> bool {
+        use retry::Reason::{Cut, Timeout, TooLate, Unreachable};
+        let failed = matches!(self.outcome.reason(), Some(Cut | Timeout | TooLate | Unreachable));
+        failed && self.responded_at.is_none()
+    }
+
+    /// From when on a silent host, of which an attempt ended at `now`, is known not to respond. A
+    /// connection attempt, during which nothing is sent, found it so from its start; otherwise the
+    /// host may have been lost at any time of the attempt.
+    fn silent_since(&self, now: clock::Instant) -> clock::Instant {
+        match self.outcome.reason() {
+            Some(retry::Reason::TooLate | retry::Reason::Unreachable) => {
+                let latency = u64::try_from(self.latency.as_micros()).unwrap_or(u64::MAX);
+                clock::Instant::from_micros(now.as_micros().saturating_sub(latency))
+            }
+            _ => now,
+        }
+    }
 }
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -55,6 +55,8 @@
     pub(super) mean_half_us: f32,
     /// An upstream that is this many times slower than its peers is an outlier.
     pub(super) slow_factor: f32,
+    /// Time within which failures at two hosts count as a simultaneous loss; zero if none do.
+    pub(super) loss_window: time::Duration,
     /// Whether the delay of nodes counts.
     pub(super) node_delay: bool,
 }
@@ -72,6 +74,7 @@
             load_half_us,
             mean_half_us: 2_000_000.0,
             slow_factor: f32::from(settings.slow_factor.max(2)),
+            loss_window: time::Duration::from_millis(settings.loss_window_ms),
             node_delay: settings.node_delay,
         }
     }
@@ -130,6 +133,9 @@
     relative_time: (f32, clock::Instant),
     /// Delay of its node; not measured for the upstream beside the entry node.
     pub(super) node_delay: delay::Delay,
+    /// When its node last responded; `None` if it never did, or an attempt has failed since without
+    /// a response.
+    pub(super) responded_at: Option<clock::Instant>,
     /// Limit that it names, and when that was last heard.
     limit: Option<(admit::Rate, clock::Instant)>,
     /// Until when its limit is used up, and up to which rank of calls.
@@ -157,6 +163,7 @@
             service_us: 0,
             relative_time: (1.0, clock::Instant::ZERO),
             node_delay: delay::Delay::default(),
+            responded_at: None,
             limit: None,
             used_up: None,
             leaving: false,
@@ -182,6 +189,7 @@
             self.service_us = 0;
             self.relative_time = (1.0, now);
             self.node_delay = delay::Delay::default();
+            self.responded_at = None;
             self.limit = None;
             self.used_up = None;
             self.leaving = false;
@@ -369,6 +377,9 @@
             let known = self.relative_time(now);
             self.relative_time = (known + (ratio - known) / SMOOTHING, now);
         }
+        if report.responded_at.is_some() || report.is_silent() {
+            self.responded_at = report.responded_at;
+        }
         if let Some(measured) = report.node_delay.filter(|_| rules.node_delay) {
             self.node_delay.record(measured, now);
         }
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -10,6 +10,7 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::pick::loss;
 use crate::pick::peer;
 use crate::pick::table;
 use crate::retry;
@@ -43,6 +44,7 @@
     avoid: &'a [host::HostId],
     /// Lowest recent delay of the nodes of the list, in microseconds.
     lowest_delay_us: f32,
+    candidates: loss::Candidates,
 }
 
 impl<'a> Search<'a> {
@@ -61,6 +63,7 @@
             now: self.now,
             rank: self.cost.rank,
             lowest_delay_us: self.lowest_delay_us,
+            candidates: self.candidates,
         }
     }
 }
@@ -151,8 +154,13 @@
     ) -> Option<pick::Choice> {
         let cost = self.scale_cost(target, cost);
         let lowest_delay_us = self.table.list(target).map_or(0.0, table::List::lowest_delay_us);
-        let search = Search { target, cost, now, avoid, lowest_delay_us };
-        let usable = self.pick_usable(&search);
+        let candidates = self.candidates(target, cost.idempotent, now, avoid);
+        let mut search = Search { target, cost, now, avoid, lowest_delay_us, candidates };
+        let mut usable = self.pick_usable(&search);
+        while let Some(wider) = search.candidates.wider().filter(|_| usable.is_none()) {
+            search.candidates = wider;
+            usable = self.pick_usable(&search);
+        }
         let (index, tier) = usable.or_else(|| self.pick_fallback(&search))?;
         let host = self.table.peers[index as usize].host();
         Some(pick::Choice {
@@ -183,8 +191,65 @@
         }
     }
 
+    /// The candidates of a call during a simultaneous loss of hosts. Another attempt of a call that
+    /// has failed before is not sent to a host that may be lost.
+    fn candidates(
+        &mut self,
+        target: pick::Target,
+        idempotent: bool,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> loss::Candidates {
+        let window = self.rules.loss_window;
+        let list = self.table.list_mut(target).filter(|_| !window.is_zero());
+        list.map_or(loss::Candidates::All, |list| {
+            list.loss.candidates(idempotent, avoid.is_empty(), window, now)
+        })
+    }
+
     /// Records that an attempt at `choice` has ended; called once for each [`Picker::started`].
-    pub fn ended(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
+    /// Returns the simultaneous loss of hosts that it has shown.
+    pub fn ended(
+        &mut self,
+        choice: pick::Choice,
+        report: &pick::Report,
+        now: clock::Instant,
+    ) -> Option<pick::HostsLost> {
+        let lost = self.record_loss(choice, report, now);
+        self.record_end(choice, report, now);
+        lost
+    }
+
+    /// Records an attempt without a response. Returns the simultaneous loss of hosts that it has
+    /// shown.
+    fn record_loss(
+        &mut self,
+        choice: pick::Choice,
+        report: &pick::Report,
+        now: clock::Instant,
+    ) -> Option<pick::HostsLost> {
+        let window = self.rules.loss_window;
+        if window.is_zero() || !report.is_silent() {
+            return None;
+        }
+        let responded_at = self.table.peer(choice.key)?.responded_at;
+        let since = report.silent_since(now);
+        let failure = loss::Failure { key: choice.key, since, at: now };
+        let list = self.table.list_mut(choice.target)?;
+        let earlier = list.loss.record(failure, responded_at, window)?;
+        let first = self.table.peer(earlier.key).map_or(choice.host, pick::Peer::host);
+        let list = self.table.list(choice.target)?;
+        let responding = loss::Candidates::Responded(list.loss.since(window, now)?);
+        let peers = list.all().iter().map(|&index| &self.table.peers[index as usize]);
+        Some(pick::HostsLost {
+            hosts: [first, choice.host],
+            apart: now.since(earlier.at),
+            upstreams: list.all().len(),
+            responded: peers.filter(|peer| responding.include(peer.responded_at)).count(),
+        })
+    }
+
+    fn record_end(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
         let good = report.outcome == retry::Outcome::Ran;
         let aggregate = self.table.aggregate(choice.target, good, now);
         let Some(peer) = self.table.peer_mut(choice.key) else { return };
--- a/src/pick/pool.rs
+++ b/src/pick/pool.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::host;
 use crate::pick;
+use crate::pick::loss;
 use crate::pick::peer;
 use crate::pick::table;
 
@@ -21,6 +22,8 @@
     pub(super) rank: admit::Rank,
     /// Lowest recent delay of the nodes of the list, in microseconds.
     pub(super) lowest_delay_us: f32,
+    /// Which upstreams may be chosen, by the last response of their nodes.
+    pub(super) candidates: loss::Candidates,
 }
 
 impl Pool<'_> {
@@ -42,7 +45,9 @@
     /// Whether the upstream at `index` may be chosen.
     pub fn is_usable(&self, index: usize) -> bool {
         let peer = self.peer(index);
-        peer.is_usable(self.rank, self.now) && !self.avoid.contains(&peer.host())
+        self.candidates.include(peer.responded_at)
+            && peer.is_usable(self.rank, self.now)
+            && !self.avoid.contains(&peer.host())
     }
 
     /// What a call would cost at `index`, in mean service times of its kind.
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -7,6 +7,7 @@
 use crate::mesh;
 use crate::pick;
 use crate::pick::delay;
+use crate::pick::loss;
 use crate::pick::peer;
 use crate::rollout;
 use crate::view;
@@ -69,6 +70,8 @@
     ends: [usize; TIERS],
     /// A cursor for each tier.
     pub(super) cursors: [Cursor; TIERS],
+    /// Detects the simultaneous loss of its hosts.
+    pub(super) loss: loss::Loss,
     aggregate: peer::Aggregate,
     /// [`Table::ejection_changes`] when `aggregate` was computed.
     computed_at: u32,
@@ -241,6 +244,11 @@
         (peer.generation() == key.generation).then_some(peer)
     }
 
+    /// The peer of `key`; `None` if the key is no longer valid.
+    pub(super) fn peer(&self, key: pick::PeerKey) -> Option<&pick::Peer> {
+        self.peers.get(key.index as usize).filter(|peer| peer.generation() == key.generation)
+    }
+
     /// Builds the lists again for a new view or mesh.
     pub(super) fn rebuild(
         &mut self,
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the picker.
 
 mod delay;
+mod loss;
 mod simulation;
 
 use std::collections;
@@ -113,6 +114,7 @@
         retry_after: None,
         latency: time::Duration::from_millis(1),
         node_delay: None,
+        responded_at: None,
     }
 }
 
@@ -551,6 +553,7 @@
             retry_after: None,
             latency,
             node_delay: None,
+            responded_at: None,
         };
         picker.ended(choice, &report, at(round));
     }
@@ -608,6 +611,7 @@
             retry_after: None,
             latency,
             node_delay: None,
+            responded_at: None,
         };
         picker.ended(choice, &report, at(round));
     }
--- a/src/pick/tests/delay.rs
+++ b/src/pick/tests/delay.rs
@@ -33,6 +33,8 @@
         target: ms(250),
         delay,
         entry_delay: time::Duration::ZERO,
+        lost: |_, _| false,
+        counted_ms: 0..0,
         seconds: 20,
     }
 }
--- /dev/null
+++ b/src/pick/tests/loss.rs
@@ -0,0 +1,248 @@
+//! Tests of the selection after the simultaneous loss of hosts.
+
+use std::time;
+
+use rstest::rstest;
+
+use super::simulation;
+use super::{SHOP, UNREACHABLE, at, id, locality, rebuild, report, serving};
+use crate::clock;
+use crate::configs;
+use crate::host;
+use crate::pick;
+use crate::pick::loss;
+use crate::retry;
+
+const WINDOW: time::Duration = time::Duration::from_secs(2);
+
+fn settings(loss_window_ms: u64) -> configs::call::Call {
+    configs::call::Call { loss_window_ms, ..configs::call::Call::default() }
+}
+
+/// Seven in ten hosts are lost after 5 s; the others have capacity for all calls.
+fn lost_hosts(loss_window_ms: u64) -> simulation::Plan {
+    simulation::Plan {
+        settings: settings(loss_window_ms),
+        upstreams: 60,
+        entries: 40,
+        rate: 1200,
+        run_ms: 40..121,
+        target: time::Duration::from_millis(250),
+        delay: |_, _| time::Duration::ZERO,
+        entry_delay: time::Duration::ZERO,
+        lost: |number, millis| number % 10 < 7 && millis >= 5000,
+        counted_ms: 5300..6300,
+        seconds: 8,
+    }
+}
+
+/// Guards against calls that try one lost host after another, each with a whole time-out.
+#[test]
+fn after_the_loss_of_many_hosts_calls_reach_live_ones_at_their_first_attempt() {
+    let share = |window| {
+        let results = simulation::run(lost_hosts(window));
+        println!("window {window}: {results:?}");
+        f64::from(results.direct) / f64::from(results.counted)
+    };
+    let (on, off) = (share(5000), share(0));
+    println!("{on} on, {off} off");
+    assert!(on >= 0.8, "{on}");
+    assert!(off < 0.8, "{off}");
+}
+
+fn key(index: u32) -> pick::PeerKey {
+    pick::PeerKey { index, generation: 0 }
+}
+
+fn failure(index: u32, millis: u64) -> loss::Failure {
+    loss::Failure { key: key(index), since: at(millis.saturating_sub(250)), at: at(millis) }
+}
+
+#[rstest]
+#[case::one_host(&[(1, 300), (1, 400), (1, 500)], None)]
+#[case::two_hosts(&[(1, 300), (2, 400)], Some(50))]
+#[case::two_hosts_far_apart(&[(1, 300), (2, 2400)], None)]
+#[case::several_hosts(&[(1, 300), (1, 350), (2, 400), (3, 500)], Some(100))]
+fn a_loss_begins_with_the_first_of_two_failures_at_different_hosts(
+    #[case] failures: &[(u32, u64)],
+    #[case] began: Option<u64>,
+) {
+    let mut loss = loss::Loss::default();
+    for (index, millis) in failures {
+        loss.record(failure(*index, *millis), None, WINDOW);
+    }
+    let last = failures.last().expect("a failure").1;
+    assert_eq!(loss.since(WINDOW, at(last)), began.map(at));
+}
+
+#[test]
+fn a_loss_ends_when_fewer_than_two_hosts_fail_within_the_window() {
+    let mut loss = loss::Loss::default();
+    loss.record(failure(1, 300), None, WINDOW);
+    loss.record(failure(2, 400), None, WINDOW);
+    assert!(loss.since(WINDOW, at(2300)).is_some());
+    assert_eq!(loss.since(WINDOW, at(2301)), None);
+    // One host that goes on failing does not prolong it.
+    loss.record(failure(2, 2200), None, WINDOW);
+    assert_eq!(loss.since(WINDOW, at(2301)), None);
+    assert_eq!(loss.candidates(true, true, WINDOW, at(2301)), loss::Candidates::All);
+}
+
+/// Guards against precedence for hosts that have responded since a first loss and are lost in a
+/// second one.
+#[test]
+fn a_loss_begins_again_when_hosts_fail_that_have_responded_since() {
+    let mut loss = loss::Loss::default();
+    loss.record(failure(1, 300), None, WINDOW);
+    assert!(loss.record(failure(2, 400), None, WINDOW).is_some());
+    // Failed probes of lost hosts change nothing.
+    assert_eq!(loss.record(failure(3, 900), Some(at(20)), WINDOW), None);
+    assert_eq!(loss.record(failure(4, 1000), None, WINDOW), None);
+    assert_eq!(loss.since(WINDOW, at(1000)), Some(at(50)));
+    assert_eq!(loss.record(failure(5, 1500), Some(at(600)), WINDOW), None);
+    assert!(loss.record(failure(6, 1600), Some(at(600)), WINDOW).is_some());
+    assert_eq!(loss.since(WINDOW, at(1600)), Some(at(1250)));
+}
+
+/// How many of 80 calls are probes, of which every `one_in` is idempotent, and how many of the
+/// probes are idempotent.
+fn probes(one_in: u32) -> (u32, u32) {
+    let mut loss = loss::Loss::default();
+    loss.record(failure(1, 300), None, WINDOW);
+    loss.record(failure(2, 400), None, WINDOW);
+    let mut probes = (0, 0);
+    for call in 1..=80 {
+        let idempotent = call % one_in == 0;
+        if let loss::Candidates::Silent(_) = loss.candidates(idempotent, true, WINDOW, at(400)) {
+            probes.0 += 1;
+            probes.1 += u32::from(idempotent);
+        }
+    }
+    probes
+}
+
+#[rstest]
+#[case::all(1, (10, 10))]
+#[case::half(2, (10, 10))]
+#[case::few(5, (10, 10))]
+#[case::none(100, (9, 0))]
+fn one_call_in_eight_is_a_probe_and_idempotent_ones_come_first(
+    #[case] one_in: u32,
+    #[case] wanted: (u32, u32),
+) {
+    assert_eq!(probes(one_in), wanted);
+}
+
+#[test]
+fn a_further_attempt_of_a_call_is_never_a_probe() {
+    let mut loss = loss::Loss::default();
+    loss.record(failure(1, 300), None, WINDOW);
+    loss.record(failure(2, 400), None, WINDOW);
+    for _ in 0..50 {
+        let candidates = loss.candidates(true, false, WINDOW, at(400));
+        assert!(matches!(candidates, loss::Candidates::Responded(_)), "{candidates:?}");
+    }
+}
+
+fn numbered(hosts: u8) -> pick::Picker {
+    let mut picker = pick::Picker::new(locality("a"), &settings(2000), 7);
+    rebuild(&mut picker, serving(&vec!["a"; usize::from(hosts)]), 0);
+    picker
+}
+
+/// Ends a call at host `number` of nine at most.
+fn end(
+    picker: &mut pick::Picker,
+    number: u8,
+    outcome: retry::Outcome,
+    responded: bool,
+    millis: u64,
+) -> Option<pick::HostsLost> {
+    let others: Vec<host::HostId> = (1..10).filter(|n| *n != number).map(id).collect();
+    let choice = picker.pick(SHOP, at(millis), &others).expect("a choice");
+    assert_eq!(choice.host, id(number));
+    picker.started(choice, at(millis));
+    let responded_at: Option<clock::Instant> = responded.then_some(at(millis));
+    let report = pick::Report { responded_at, ..report(outcome, 1000) };
+    picker.ended(choice, &report, at(millis))
+}
+
+/// The hosts that 200 first attempts choose, without ends.
+fn chosen(picker: &mut pick::Picker, millis: u64) -> std::collections::BTreeSet<host::HostId> {
+    let choices = (0..200).filter_map(|_| picker.pick(SHOP, at(millis), &[]));
+    choices.map(|choice| choice.host).collect()
+}
+
+#[test]
+fn upstreams_whose_nodes_have_responded_since_have_precedence() {
+    let mut picker = numbered(6);
+    end(&mut picker, 3, retry::Outcome::Ran, true, 0);
+    assert_eq!(end(&mut picker, 1, UNREACHABLE, false, 100), None);
+    let lost = end(&mut picker, 2, UNREACHABLE, false, 110).expect("a loss");
+    assert_eq!((lost.hosts, lost.upstreams, lost.responded), ([id(1), id(2)], 6, 0));
+    assert_eq!(lost.apart, time::Duration::from_millis(10));
+    // No node has responded since, so that every upstream is a candidate that is not ejected.
+    assert_eq!(chosen(&mut picker, 120), [3, 4, 5, 6].map(id).into());
+    end(&mut picker, 4, retry::Outcome::Ran, true, 130);
+    let choices: Vec<_> =
+        (0..80).map(|_| picker.pick(SHOP, at(140), &[]).expect("a choice").host).collect();
+    let responded = choices.iter().filter(|host| **host == id(4)).count();
+    assert_eq!(responded, 70, "all but one in eight go to the one that has responded");
+    // After the window, all are candidates again.
+    assert_eq!(chosen(&mut picker, 60_000).len(), 6);
+}
+
+/// Guards against hosts that get no calls after their power is back.
+#[test]
+fn a_host_that_responds_to_a_probe_has_precedence_too() {
+    let mut picker = numbered(4);
+    end(&mut picker, 1, UNREACHABLE, false, 100);
+    end(&mut picker, 2, UNREACHABLE, false, 110);
+    end(&mut picker, 3, retry::Outcome::Ran, true, 120);
+    end(&mut picker, 1, retry::Outcome::Ran, true, 1000);
+    let avoid = [id(9)];
+    let choices = (0..100).filter_map(|_| picker.pick(SHOP, at(1000), &avoid));
+    let hosts: std::collections::BTreeSet<_> = choices.map(|choice| choice.host).collect();
+    assert_eq!(hosts, [1, 3].map(id).into());
+}
+
+/// Guards against a loss that is seen where the nodes are alive and only upstreams have gone, or
+/// where calls ended late at live nodes.
+#[rstest]
+#[case::upstreams_unreachable(UNREACHABLE, true, false)]
+#[case::hosts_unreachable(UNREACHABLE, false, true)]
+#[case::timed_out_at_the_node(retry::Outcome::Unknown(retry::Reason::Timeout), true, false)]
+#[case::timed_out(retry::Outcome::Unknown(retry::Reason::Timeout), false, true)]
+#[case::cut(retry::Outcome::Unknown(retry::Reason::Cut), false, true)]
+#[case::caller_left(retry::Outcome::Unknown(retry::Reason::Cancelled), false, false)]
+fn only_hosts_that_do_not_respond_are_lost(
+    #[case] outcome: retry::Outcome,
+    #[case] responded: bool,
+    #[case] lost: bool,
+) {
+    let mut picker = numbered(4);
+    end(&mut picker, 1, outcome, responded, 100);
+    assert_eq!(end(&mut picker, 2, outcome, responded, 110).is_some(), lost);
+}
+
+/// Guards against a change of any choice where the window is 0.
+#[test]
+fn without_a_window_no_choice_depends_on_responses() {
+    let choices = |responded: bool| {
+        let mut picker = pick::Picker::new(locality("a"), &settings(0), 7);
+        rebuild(&mut picker, serving(&["a", "a", "a", "b"]), 0);
+        let mut choices = Vec::new();
+        for millis in 0..500 {
+            let choice = picker.pick(SHOP, at(millis), &[]).expect("a choice");
+            picker.started(choice, at(millis));
+            let lost = choice.host == id(1) || choice.host == id(2);
+            let outcome = if lost { UNREACHABLE } else { retry::Outcome::Ran };
+            let responded_at = (responded && !lost).then_some(at(millis));
+            let report = pick::Report { responded_at, ..report(outcome, 1000) };
+            assert_eq!(picker.ended(choice, &report, at(millis)), None);
+            choices.push(choice);
+        }
+        choices
+    };
+    assert_eq!(choices(true), choices(false));
+}
--- a/src/pick/tests/simulation.rs
+++ b/src/pick/tests/simulation.rs
@@ -1,7 +1,6 @@
 //! Entry nodes and upstreams in virtual time: calls arrive evenly, wait for a slot at their
-//! upstream and run there; the node beside it may add a delay.
+//! upstream and run there; the node beside it may add a delay, or the host may be lost.
 
-use std::cmp;
 use std::collections;
 use std::time;
 
@@ -9,16 +8,26 @@
 use rand::SeedableRng;
 use rand::rngs;
 
-use super::{SHOP, at, id, locality, rebuild, serving};
+use super::{SHOP, UNREACHABLE, at, id, locality, rebuild, serving};
 use crate::admit;
 use crate::clock;
 use crate::configs;
+use crate::host;
 use crate::pick;
 use crate::retry;
 
 /// Slots of each upstream.
 const SLOTS: usize = 9;
 
+/// Attempts of a call.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Time after which a connection attempt to a lost host fails, the default of `proxy.connect_ms`.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// Time after which a call without a response fails.
+const DEADLINE: time::Duration = time::Duration::from_secs(1);
+
 /// The load and the faults of a simulation.
 pub(super) struct Plan {
     /// Settings of the entry nodes.
@@ -37,6 +46,10 @@
     pub(super) delay: fn(u8, u64) -> time::Duration,
     /// Delay that the entry nodes add to each call.
     pub(super) entry_delay: time::Duration,
+    /// Whether the host of upstream number `n`, from 0, is lost at a time.
+    pub(super) lost: fn(u8, u64) -> bool,
+    /// Period, in milliseconds, in which calls are counted for [`Results::direct`].
+    pub(super) counted_ms: std::ops::Range<u64>,
     /// Virtual duration of the simulation.
     pub(super) seconds: u64,
 }
@@ -50,9 +63,13 @@
     pub(super) in_time: u32,
     /// Those that went to the first upstream.
     pub(super) first: u32,
+    /// Calls that arrived in the counted period.
+    pub(super) counted: u32,
+    /// Those of them that were sent to a live host at their first attempt.
+    pub(super) direct: u32,
 }
 
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug)]
 enum Event {
     Arrive,
     /// The call reaches its upstream.
@@ -61,11 +78,15 @@
     Ran(usize),
     /// The response reaches the entry node.
     Respond(usize),
+    /// The attempt fails without a response.
+    Fail(usize, retry::Outcome),
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Call {
     entry: usize,
+    /// Hosts of the attempts that have failed.
+    avoid: Vec<host::HostId>,
     choice: pick::Choice,
     upstream: usize,
     arrived: clock::Instant,
@@ -83,7 +104,7 @@
 struct Simulation {
     plan: Plan,
     rng: rngs::SmallRng,
-    events: collections::BinaryHeap<cmp::Reverse<(clock::Instant, u64, Event)>>,
+    events: collections::BTreeMap<(clock::Instant, u64), Event>,
     sequence: u64,
     pickers: Vec<pick::Picker>,
     upstreams: Vec<Upstream>,
@@ -104,7 +125,7 @@
     let mut simulation = Simulation {
         plan,
         rng: rngs::SmallRng::seed_from_u64(7),
-        events: collections::BinaryHeap::new(),
+        events: collections::BTreeMap::new(),
         sequence: 0,
         pickers,
         upstreams,
@@ -112,7 +133,7 @@
         results: Results::default(),
     };
     simulation.push(at(0), Event::Arrive);
-    while let Some(cmp::Reverse((now, _, event))) = simulation.events.pop() {
+    while let Some(((now, _), event)) = simulation.events.pop_first() {
         simulation.handle(event, now);
     }
     simulation.results
@@ -121,7 +142,7 @@
 impl Simulation {
     fn push(&mut self, at: clock::Instant, event: Event) {
         self.sequence += 1;
-        self.events.push(cmp::Reverse((at, self.sequence, event)));
+        self.events.insert((at, self.sequence), event);
     }
 
     fn handle(&mut self, event: Event, now: clock::Instant) {
@@ -142,27 +163,54 @@
                     service_us: 100_000,
                 };
                 self.calls[call].load = Some(load);
-                let delay = self.calls[call].delay;
-                self.push(now + delay, Event::Respond(call));
+                let Call { delay, arrived, upstream, .. } = self.calls[call];
+                if self.is_lost(upstream, now) {
+                    let timeout = retry::Outcome::Unknown(retry::Reason::Timeout);
+                    self.push((arrived + DEADLINE).max(now), Event::Fail(call, timeout));
+                } else {
+                    self.push(now + delay, Event::Respond(call));
+                }
                 self.start_waiting(call, now);
             }
             Event::Respond(call) => self.respond(call, now),
+            Event::Fail(call, outcome) => self.fail(call, outcome, now),
         }
     }
 
+    fn is_lost(&self, upstream: usize, now: clock::Instant) -> bool {
+        (self.plan.lost)(upstream as u8, now.as_micros() / 1000)
+    }
+
     fn arrive(&mut self, now: clock::Instant) {
         let entry = self.rng.random_range(0..self.pickers.len());
-        let choice = self.pickers[entry].pick(SHOP, now, &[]).expect("a choice");
+        self.attempt(entry, Vec::new(), now);
+        let next = now + time::Duration::from_micros(1_000_000 / self.plan.rate);
+        if next < at(self.plan.seconds * 1000) {
+            self.push(next, Event::Arrive);
+        }
+    }
+
+    fn attempt(&mut self, entry: usize, avoid: Vec<host::HostId>, now: clock::Instant) {
+        let cost = pick::TransferCost { idempotent: true, ..pick::TransferCost::FREE };
+        let choice = self.pickers[entry].pick_with_cost(SHOP, cost, now, &avoid);
+        let choice = choice.expect("a choice");
         self.pickers[entry].started(choice, now);
         let number = (0..self.plan.upstreams).find(|n| id(n + 1) == choice.host).expect("known");
-        let delay = (self.plan.delay)(number, now.as_micros() / 1000) + self.plan.entry_delay;
+        let millis = now.as_micros() / 1000;
+        let delay = (self.plan.delay)(number, millis) + self.plan.entry_delay;
         let upstream = usize::from(number);
-        self.calls.push(Call { entry, choice, upstream, arrived: now, delay, load: None });
+        let lost = self.is_lost(upstream, now);
         self.results.first += u32::from(number == 0);
-        self.push(now, Event::Reach(self.calls.len() - 1));
-        let next = now + time::Duration::from_micros(1_000_000 / self.plan.rate);
-        if next < at(self.plan.seconds * 1000) {
-            self.push(next, Event::Arrive);
+        if avoid.is_empty() && self.plan.counted_ms.contains(&millis) {
+            self.results.counted += 1;
+            self.results.direct += u32::from(!lost);
+        }
+        self.calls.push(Call { entry, avoid, choice, upstream, arrived: now, delay, load: None });
+        let call = self.calls.len() - 1;
+        if lost {
+            self.push(now + CONNECT_TIMEOUT, Event::Fail(call, UNREACHABLE));
+        } else {
+            self.push(now, Event::Reach(call));
         }
     }
 
@@ -179,19 +227,43 @@
     }
 
     fn respond(&mut self, call: usize, now: clock::Instant) {
-        let call = self.calls[call];
-        let latency = now.since(call.arrived);
+        let Call { entry, choice, arrived, delay, load, .. } = self.calls[call];
+        let latency = now.since(arrived);
+        let outcome = retry::Outcome::Ran;
         let report = pick::Report {
-            outcome: retry::Outcome::Ran,
-            load: call.load,
+            outcome,
+            load,
             relative_time: None,
             notice: None,
             retry_after: None,
             latency,
-            node_delay: Some(call.delay),
+            node_delay: Some(delay),
+            responded_at: Some(now),
         };
-        self.pickers[call.entry].ended(call.choice, &report, now);
+        self.pickers[entry].ended(choice, &report, now);
         self.results.calls += 1;
         self.results.in_time += u32::from(latency <= self.plan.target);
     }
+
+    fn fail(&mut self, call: usize, outcome: retry::Outcome, now: clock::Instant) {
+        let Call { entry, choice, arrived, ref mut avoid, .. } = self.calls[call];
+        let mut avoid = std::mem::take(avoid);
+        let report = pick::Report {
+            outcome,
+            load: None,
+            relative_time: None,
+            notice: None,
+            retry_after: None,
+            latency: now.since(arrived),
+            node_delay: None,
+            responded_at: None,
+        };
+        self.pickers[entry].ended(choice, &report, now);
+        avoid.push(choice.host);
+        if avoid.len() < MAX_ATTEMPTS {
+            self.attempt(entry, avoid, now);
+        } else {
+            self.results.calls += 1;
+        }
+    }
 }
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -34,6 +34,7 @@
     relative_time: Option<f32>,
     expected: Option<Expected>,
     node_delay: Option<time::Duration>,
+    responded_at: Option<clock::Instant>,
     state: retry::Attempt,
     ended: bool,
 }
@@ -59,6 +60,7 @@
             relative_time: None,
             expected: None,
             node_delay: None,
+            responded_at: None,
             state,
             ended: false,
         }
@@ -66,6 +68,10 @@
 
     /// Sets the load, and what the upstream says of itself, that the answer carried.
     pub fn set_load(&mut self, load: Option<admit::Load>, notice: Option<notice::Relayed>) {
+        if load.is_some() {
+            // The head of a response may be recorded twice; the first time is that of its arrival.
+            self.responded_at.get_or_insert_with(|| self.ctx.now());
+        }
         self.load = load;
         self.notice = notice;
     }
@@ -123,8 +129,12 @@
             retry_after: self.retry_after,
             latency,
             node_delay: self.node_delay.or_else(|| self.lost_delay(outcome, latency, now)),
+            responded_at: self.responded_at,
         };
-        self.picker.borrow_mut().ended(self.choice, &report, now);
+        let lost = self.picker.borrow_mut().ended(self.choice, &report, now);
+        if let Some(lost) = lost {
+            log_loss(&lost);
+        }
         outcome
     }
 
@@ -148,6 +158,19 @@
     }
 }
 
+/// Logs a simultaneous loss of hosts.
+fn log_loss(lost: &pick::HostsLost) {
+    let [first, second] = lost.hosts.map(|host| host.to_string());
+    log::info!(
+        first = first.as_str(),
+        second = second.as_str(),
+        apart_ms = u64::try_from(lost.apart.as_millis()).unwrap_or(u64::MAX),
+        upstreams = lost.upstreams,
+        responded = lost.responded;
+        "several hosts were lost at once"
+    );
+}
+
 impl std::fmt::Debug for Attempt {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Attempt").field("choice", &self.choice).finish_non_exhaustive()
--- a/src/proxy/choice.rs
+++ b/src/proxy/choice.rs
@@ -60,5 +60,10 @@
     let bytes = call.body.bytes() + state.sizes.borrow().expected(&call.kind().name);
     let cross = if unit == 0 { 0.0 } else { bytes as f32 / unit as f32 };
     let link = inbound_link::link_time(&state.settings.proxy, bytes);
-    pick::TransferCost { cross_zone: cross, link_us: link, rank: call.spec().rank() }
+    pick::TransferCost {
+        cross_zone: cross,
+        link_us: link,
+        rank: call.spec().rank(),
+        idempotent: call.kind().idempotent,
+    }
 }
