fix(pick): a node without a measurement gets no more calls than the best of the others

Found by a test with stand-ins for owner nodes: beside a single measured node, whose delay was a few milliseconds, 39 of 40 calls went to a node 30 ms slower that sent no time, as one of the previous build. Nothing was subtracted where only one node was measured. Now the lowest recent delay is subtracted even then, so that a node that is not known costs as much as the best known one.

--- a/src/pick/delay.rs
+++ b/src/pick/delay.rs
@@ -17,10 +17,6 @@
 /// Age up to which a measurement counts for [`lowest_us`].
 const RECENT: time::Duration = time::Duration::from_secs(4);
 
-/// Recent measurements without which nothing is subtracted: with only one, the delay of the entry
-/// node can't be told from that of the other node.
-const MIN_MEASURED: usize = 2;
-
 /// The delay of one node.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Delay {
@@ -51,12 +47,14 @@
     }
 }
 
-/// The lowest recent delay in microseconds; 0 if fewer than two were measured recently. Each
-/// measurement includes the delay of the entry node itself, which the lowest one bounds.
+/// The lowest recent delay in microseconds; 0 if none was measured recently. Each measurement
+/// includes the delay of the entry node itself, which the lowest one bounds.
+///
+/// A node whose delay is not known thus costs as much as the best of the others: nodes of the
+/// previous build, which send no time, get no more calls than these.
 pub(super) fn lowest_us<'a>(delays: impl Iterator<Item = &'a Delay>, now: clock::Instant) -> f32 {
     let recent = delays.filter_map(|delay| delay.recent_us(now));
-    let (count, min) = recent.fold((0, f32::MAX), |(count, min), us| (count + 1, us.min(min)));
-    if count < MIN_MEASURED { 0.0 } else { min }
+    recent.min_by(f32::total_cmp).unwrap_or_default()
 }
 
 /// The share of a measurement made at `at` that is left at `now`.
