feat(pick): events and counters of slow nodes and lost hosts

The picker returns what the end of an attempt has shown, with the inputs of the decision: a node whose delay exceeds the lowest one by a mean service time, and a simultaneous loss of hosts. The entry node logs them, at most one line of each a second. The counters are not registered yet: the wiring between the duties belongs to other parts.

--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -5,6 +5,7 @@
 //! nothing else.
 
 mod delay;
+mod event;
 mod loss;
 mod outlier;
 mod peer;
@@ -26,6 +27,7 @@
 use crate::retry;
 use crate::rollout;
 
+pub use self::event::{Counts, Event, HostsLost, SlowNode};
 pub use self::peer::Peer;
 pub use self::picker::Picker;
 pub use self::policy::{Cheapest, LeastOutstanding, PowerOfTwo, RemainingCapacity, RoundRobin};
@@ -94,19 +96,6 @@
     }
 }
 
-/// Attempts at two hosts of a list have failed so that many hosts may have been lost at once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct HostsLost {
-    /// The two hosts, that which failed first before the other.
-    pub hosts: [host::HostId; 2],
-    /// Time between the two failures.
-    pub apart: time::Duration,
-    /// Upstreams of the list.
-    pub upstreams: usize,
-    /// Those of them whose nodes have responded since the first failure.
-    pub responded: usize,
-}
-
 /// The upstream picked for one attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Choice {
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -1,5 +1,7 @@
 //! The picker of one entry node.
 
+use std::time;
+
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs;
@@ -10,6 +12,7 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::pick::event;
 use crate::pick::loss;
 use crate::pick::peer;
 use crate::pick::table;
@@ -81,6 +84,9 @@
     rules: peer::Rules,
     rng: rngs::SmallRng,
     table: table::Table,
+    counts: pick::Counts,
+    loss_pace: event::Pace,
+    slow_pace: event::Pace,
 }
 
 impl Picker {
@@ -105,6 +111,9 @@
             rules: peer::Rules::new(settings),
             rng: rngs::SmallRng::seed_from_u64(seed),
             table: table::Table::default(),
+            counts: pick::Counts::default(),
+            loss_pace: event::Pace::default(),
+            slow_pace: event::Pace::default(),
         }
     }
 
@@ -114,6 +123,12 @@
         self
     }
 
+    /// Sets the counters of slow nodes and of lost hosts.
+    pub fn with_counts(mut self, counts: pick::Counts) -> Self {
+        self.counts = counts;
+        self
+    }
+
     /// Applies a new view or mesh without roll-outs; the state of hosts that stay is kept.
     pub fn rebuild(&mut self, view: &view::View, mesh: &mesh::Mesh, now: clock::Instant) {
         self.rebuild_with(view, mesh, &rollout::Table::default(), now);
@@ -162,6 +177,9 @@
             search.candidates = wider;
             usable = self.pick_usable(&search);
         }
+        if usable.is_some() && matches!(search.candidates, loss::Candidates::Silent(_)) {
+            self.counts.probes.inc();
+        }
         let (index, tier) = usable.or_else(|| self.pick_fallback(&search))?;
         let host = self.table.peers[index as usize].host();
         Some(pick::Choice {
@@ -209,16 +227,16 @@
     }
 
     /// Records that an attempt at `choice` has ended; called once for each [`Picker::started`].
-    /// Returns the simultaneous loss of hosts that it has shown.
+    /// Returns what it has shown of nodes and hosts, at most once a second.
     pub fn ended(
         &mut self,
         choice: pick::Choice,
         report: &pick::Report,
         now: clock::Instant,
-    ) -> Option<pick::HostsLost> {
-        let lost = self.record_loss(choice, report, now);
-        self.record_end(choice, report, now);
-        lost
+    ) -> Option<pick::Event> {
+        let lost = self.record_loss(choice, report, now).map(pick::Event::HostsLost);
+        let slow = self.record_end(choice, report, now).map(pick::Event::SlowNode);
+        lost.or(slow)
     }
 
     /// Records an attempt without a response. Returns the simultaneous loss of hosts that it has
@@ -238,6 +256,8 @@
         let failure = loss::Failure { key: choice.key, since, at: now };
         let list = self.table.list_mut(choice.target)?;
         let earlier = list.loss.record(failure, responded_at, window)?;
+        self.counts.losses.inc();
+        let skipped = self.loss_pace.admit(now)?;
         let first = self.table.peer(earlier.key).map_or(choice.host, pick::Peer::host);
         let list = self.table.list(choice.target)?;
         let responding = loss::Candidates::Responded(list.loss.since(window, now)?);
@@ -247,18 +267,36 @@
             apart: now.since(earlier.at),
             upstreams: list.all().len(),
             responded: peers.filter(|peer| responding.include(peer.responded_at)).count(),
+            skipped,
         })
     }
 
-    fn record_end(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
+    /// Records an attempt in the state of its upstream. Returns the node that it has shown to have
+    /// become slow.
+    fn record_end(
+        &mut self,
+        choice: pick::Choice,
+        report: &pick::Report,
+        now: clock::Instant,
+    ) -> Option<pick::SlowNode> {
         let good = report.outcome == retry::Outcome::Ran;
         let aggregate = self.table.aggregate(choice.target, good, now);
-        let Some(peer) = self.table.peer_mut(choice.key) else { return };
-        let before = peer.is_ejected();
+        let lowest_us = aggregate.lowest_delay_us;
+        let peer = self.table.peer_mut(choice.key)?;
+        let (ejected, delay_cost) = (peer.is_ejected(), peer.delay_cost(lowest_us, now));
         peer.ended(choice.rank, report, &aggregate, &self.rules, now);
-        if peer.is_ejected() != before {
+        let slow = delay_cost <= peer::FULL && peer.delay_cost(lowest_us, now) > peer::FULL;
+        let micros = |us: f32| time::Duration::from_micros(us as u64);
+        let excess = micros(peer.node_delay.excess_us(lowest_us, now));
+        let service = peer.service_us().map(micros);
+        if peer.is_ejected() != ejected {
             self.table.record_ejection_change();
         }
+        let measured = report.node_delay.filter(|_| slow)?;
+        self.counts.slow_nodes.inc();
+        let skipped = self.slow_pace.admit(now)?;
+        let lowest = micros(lowest_us);
+        Some(pick::SlowNode { host: choice.host, measured, excess, lowest, service, skipped })
     }
 
     /// The state of the upstream of `choice`; `None` if it is no longer kept.
--- a/src/pick/tests/loss.rs
+++ b/src/pick/tests/loss.rs
@@ -160,7 +160,7 @@
     outcome: retry::Outcome,
     responded: bool,
     millis: u64,
-) -> Option<pick::HostsLost> {
+) -> Option<pick::Event> {
     let others: Vec<host::HostId> = (1..10).filter(|n| *n != number).map(id).collect();
     let choice = picker.pick(SHOP, at(millis), &others).expect("a choice");
     assert_eq!(choice.host, id(number));
@@ -181,9 +181,11 @@
     let mut picker = numbered(6);
     end(&mut picker, 3, retry::Outcome::Ran, true, 0);
     assert_eq!(end(&mut picker, 1, UNREACHABLE, false, 100), None);
-    let lost = end(&mut picker, 2, UNREACHABLE, false, 110).expect("a loss");
-    assert_eq!((lost.hosts, lost.upstreams, lost.responded), ([id(1), id(2)], 6, 0));
-    assert_eq!(lost.apart, time::Duration::from_millis(10));
+    let apart = time::Duration::from_millis(10);
+    let hosts = [id(1), id(2)];
+    let lost = pick::HostsLost { hosts, apart, upstreams: 6, responded: 0, skipped: 0 };
+    let event = end(&mut picker, 2, UNREACHABLE, false, 110);
+    assert_eq!(event, Some(pick::Event::HostsLost(lost)));
     // No node has responded since, so that every upstream is a candidate that is not ejected.
     assert_eq!(chosen(&mut picker, 120), [3, 4, 5, 6].map(id).into());
     end(&mut picker, 4, retry::Outcome::Ran, true, 130);
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -131,9 +131,9 @@
             node_delay: self.node_delay.or_else(|| self.lost_delay(outcome, latency, now)),
             responded_at: self.responded_at,
         };
-        let lost = self.picker.borrow_mut().ended(self.choice, &report, now);
-        if let Some(lost) = lost {
-            log_loss(&lost);
+        let event = self.picker.borrow_mut().ended(self.choice, &report, now);
+        if let Some(event) = event {
+            log_event(&event);
         }
         outcome
     }
@@ -158,17 +158,35 @@
     }
 }
 
-/// Logs a simultaneous loss of hosts.
-fn log_loss(lost: &pick::HostsLost) {
-    let [first, second] = lost.hosts.map(|host| host.to_string());
-    log::info!(
-        first = first.as_str(),
-        second = second.as_str(),
-        apart_ms = u64::try_from(lost.apart.as_millis()).unwrap_or(u64::MAX),
-        upstreams = lost.upstreams,
-        responded = lost.responded;
-        "several hosts were lost at once"
-    );
+/// Logs what an attempt has shown of nodes and hosts.
+fn log_event(event: &pick::Event) {
+    let micros = |time: time::Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    match event {
+        pick::Event::HostsLost(lost) => {
+            let [first, second] = lost.hosts.map(|host| host.to_string());
+            log::info!(
+                first = first.as_str(),
+                second = second.as_str(),
+                apart_us = micros(lost.apart),
+                upstreams = lost.upstreams,
+                responded = lost.responded,
+                skipped = lost.skipped;
+                "several hosts were lost at once"
+            );
+        }
+        pick::Event::SlowNode(slow) => {
+            let host = slow.host.to_string();
+            log::info!(
+                host = host.as_str(),
+                measured_us = micros(slow.measured),
+                excess_us = micros(slow.excess),
+                lowest_us = micros(slow.lowest),
+                service_us = micros(slow.service.unwrap_or_default()),
+                skipped = slow.skipped;
+                "the node beside an upstream is slow"
+            );
+        }
+    }
 }
 
 impl std::fmt::Debug for Attempt {
