test(pick): events of slow nodes and lost hosts, and what attempts report on nodes

Guards against calls that time out inside a slow node and count as no measurement, against time-outs of an upstream that count as a delay of its node, and against a flood of log lines.

--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the picker.
 
 mod delay;
+mod event;
 mod loss;
 mod simulation;
 mod urgency;
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -12,6 +12,9 @@
 use crate::retry;
 use crate::rollout;
 
+#[cfg(test)]
+mod tests;
+
 /// What the entry node expects of an attempt at the upstream beside another node.
 #[derive(Clone, Copy, Debug)]
 pub struct Expected {
