--- a/tests/node_delay.rs
+++ b/tests/node_delay.rs
@@ -242,6 +242,7 @@
 fn a_time_that_is_too_long_harms_no_call() {
     rig::run(async {
         let [slow, fast] = shares(true, Some("18446744073709551615")).await;
+        println!("{slow} calls to the node with the time, {fast} to the other");
         assert_eq!(slow + fast, 40);
     });
 }
