test: urgent calls through an entry node, with and without the switch

Guards against urgency for calls of kinds of other priorities or with `call.urgent_room` off, and against urgent calls that take a free slot where they can only be late. The target of tests is renamed, as it covers more than the delay of nodes.

--- a/tests/node_delay.rs
+++ b/tests/selection.rs
@@ -1,5 +1,5 @@
-//! Measurement of the delay of nodes: the time for which an owner node holds a call, and entry
-//! nodes that get it from slow, older and hostile nodes.
+//! Selection of an upstream by an entry node, from what owner nodes report: the time for which they
+//! held a call, also from slow, older and hostile nodes, and run times of urgent calls.
 
 #[path = "calls/fake.rs"]
 #[allow(dead_code, reason = "shared with the tests of calls")]
@@ -141,26 +141,30 @@
 }
 
 impl Owner {
-    /// Takes the place of `node`. Calls are answered after `delay`, with the header `held`.
-    async fn replace(node: &rig::Node, delay: time::Duration, held: Option<&'static str>) -> Self {
+    /// Takes the place of `node`. Calls are answered after `delay`, as `answer` makes it.
+    async fn replace(
+        node: &rig::Node,
+        delay: time::Duration,
+        answer: impl Fn() -> http::Response<Full<Bytes>> + 'static,
+    ) -> Self {
         node.task.abort();
         let address = node.id.inner_addr();
         rig::until(|| node.task.is_finished()).await;
         let listener = TcpListener::bind(address).await.unwrap();
         let calls = Rc::<Cell<u32>>::default();
-        let count = Rc::clone(&calls);
+        let (count, answer) = (Rc::clone(&calls), Rc::new(answer));
         let task = task::spawn_local(async move {
             let mut open = task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                let count = Rc::clone(&count);
+                let (count, answer) = (Rc::clone(&count), Rc::clone(&answer));
                 let service = hyper::service::service_fn(
                     move |request: http::Request<hyper::body::Incoming>| {
-                        let count = Rc::clone(&count);
+                        let (count, answer) = (Rc::clone(&count), Rc::clone(&answer));
                         async move {
                             let response = if request.headers().contains_key(headers::SERVICE) {
                                 count.set(count.get() + 1);
                                 tokio::time::sleep(delay).await;
-                                answer(held)
+                                answer()
                             } else {
                                 http::Response::new(Full::new(Bytes::new()))
                             };
@@ -179,12 +183,11 @@
     }
 }
 
-/// The answer of an owner node to a call that ran for 1 ms, with the header `held`.
-fn answer(held: Option<&str>) -> http::Response<Full<Bytes>> {
-    let load = admit::Load { running: 0, waiting: 0, slots: 4, service_us: 1000 };
+/// The answer of an owner node to a call that ran for `ran_us`, with the header `held`.
+fn answer(held: Option<&str>, load: admit::Load, ran_us: u64) -> http::Response<Full<Bytes>> {
     let mut builder = http::Response::builder()
         .header(headers::OUTCOME, headers::RAN)
-        .header(headers::RAN_US, "1000")
+        .header(headers::RAN_US, ran_us)
         .header(headers::LOAD, load.to_string());
     if let Some(held) = held {
         builder = builder.header(headers::HELD_US, held);
@@ -198,15 +201,24 @@
     let upstreams = [None, Some(rig::address()), Some(rig::address())];
     let claims = rig::Claims::default();
     let nodes = rig::nodes_with(&upstreams, 4, &claims, with_switch(node_delay)).await;
-    let slow = Owner::replace(&nodes[1], time::Duration::from_millis(30), held).await;
-    let fast = Owner::replace(&nodes[2], time::Duration::ZERO, Some("0")).await;
-    for number in 0..40 {
+    let load = admit::Load { running: 0, waiting: 0, slots: 4, service_us: 1000 };
+    let delay = time::Duration::from_millis(30);
+    let slow = Owner::replace(&nodes[1], delay, move || answer(held, load, 1000)).await;
+    let fast =
+        Owner::replace(&nodes[2], time::Duration::ZERO, move || answer(Some("0"), load, 1000))
+            .await;
+    call_often(&nodes[0], 40).await;
+    [slow.calls.get(), fast.calls.get()]
+}
+
+/// Makes calls, one after another.
+async fn call_often(entry: &rig::Node, calls: u32) {
+    for number in 0..calls {
         let request = rig::request("GET", "/browse", &format!("r{number}"));
-        let answer = rig::call(&nodes[0], request, b"").await;
+        let answer = rig::call(entry, request, b"").await;
         assert_eq!((answer.status, answer.outcome()), (200, "ran"));
         assert_eq!(answer.text(), "whole");
     }
-    [slow.calls.get(), fast.calls.get()]
 }
 
 /// Guards against calls to a node that is slow while its upstream reports free slots.
@@ -246,3 +258,64 @@
         assert_eq!(slow + fast, 40);
     });
 }
+
+/// How many of 40 calls of kinds of `priority`, which should be answered within 500 ms, an entry
+/// node sends to each of two owner nodes: the first has no calls and runs them for 600 ms, the second
+/// has six calls waiting and runs them for 100 ms.
+async fn shares_by_run_time(urgent_room: bool, priority: u8) -> [u32; 2] {
+    let upstreams = [None, Some(rig::address()), Some(rig::address())];
+    let change = |mut settings: configs::Node| {
+        settings.call.urgent_room = urgent_room;
+        settings
+    };
+    let nodes = rig::nodes_with(&upstreams, 4, &rig::Claims::default(), change).await;
+    let mut applied = (*rig::applied(2)).clone();
+    let mut mesh = (*applied.mesh).clone();
+    for kind in &mut mesh.kinds {
+        kind.priority = priority;
+        kind.latency = Some(time::Duration::from_millis(500));
+    }
+    applied.mesh = Arc::new(mesh);
+    nodes[0].applied.send_replace(Arc::new(applied));
+    tokio::time::sleep(time::Duration::from_millis(60)).await;
+    let idle = admit::Load { running: 0, waiting: 0, slots: 4, service_us: 100_000 };
+    let load = Rc::new(Cell::new(idle));
+    let current = Rc::clone(&load);
+    let delay = time::Duration::from_millis(5);
+    let slow = Owner::replace(&nodes[1], delay, move || answer(None, idle, 600_000)).await;
+    let fast = Owner::replace(&nodes[2], delay, move || answer(None, current.get(), 100_000)).await;
+    // Several calls at a time use both upstreams, so that their run times are known.
+    for _ in 0..10 {
+        tokio::join!(
+            call_often(&nodes[0], 2),
+            call_often(&nodes[0], 2),
+            call_often(&nodes[0], 2),
+            call_often(&nodes[0], 2),
+            call_often(&nodes[0], 2),
+            call_often(&nodes[0], 2),
+        );
+    }
+    load.set(admit::Load { running: 4, waiting: 6, ..idle });
+    let before = [slow.calls.get(), fast.calls.get()];
+    call_often(&nodes[0], 40).await;
+    [slow.calls.get() - before[0], fast.calls.get() - before[1]]
+}
+
+/// Guards against urgent calls that take a free slot where they can only be late, and against a
+/// change for any other call.
+#[rstest]
+#[case::urgent(true, 0, false)]
+#[case::not_urgent(true, 1, true)]
+#[case::switch_off(false, 0, true)]
+fn urgent_calls_go_where_they_are_answered_in_time(
+    #[case] urgent_room: bool,
+    #[case] priority: u8,
+    #[case] to_slow: bool,
+) {
+    rig::run(async {
+        let [slow, fast] = shares_by_run_time(urgent_room, priority).await;
+        println!("{slow} to the slow upstream, {fast} to the fast one");
+        assert_eq!(slow > fast, to_slow, "{slow} and {fast}");
+        assert!(slow.max(fast) >= 30, "{slow} and {fast}");
+    });
+}
