--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -89,7 +89,7 @@
     /// Whether few enough upstreams are ejected for one more to be ejected because of failures or
     /// slowness.
     pub(super) can_eject: bool,
-    /// Delay above which that of a node counts, in microseconds, see [`delay::base_us`].
+    /// Delay above which that of a node counts, in microseconds; computed by `delay::base_us`.
     pub(super) base_delay_us: f32,
 }
 
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -45,7 +45,7 @@
     cost: pick::TransferCost,
     now: clock::Instant,
     avoid: &'a [host::HostId],
-    /// Delay above which that of a node counts, in microseconds, see [`delay::base_us`].
+    /// Delay above which that of a node counts, in microseconds; computed by `delay::base_us`.
     base_delay_us: f32,
     candidates: loss::Candidates,
 }
--- a/src/pick/pool.rs
+++ b/src/pick/pool.rs
@@ -21,7 +21,7 @@
     pub(super) now: clock::Instant,
     /// Priority of the call.
     pub(super) rank: admit::Rank,
-    /// Delay above which that of a node counts, in microseconds, see [`delay::base_us`].
+    /// Delay above which that of a node counts, in microseconds; computed by `delay::base_us`.
     pub(super) base_delay_us: f32,
     /// Which upstreams may be chosen, by the last response of their nodes.
     pub(super) candidates: loss::Candidates,
