--- a/src/bench/policies/model.rs
+++ b/src/bench/policies/model.rs
@@ -325,6 +325,8 @@
             notice: answer.notice,
             retry_after: answer.retry_after,
             latency: self.now.since(since),
+            node_delay: None,
+            responded_at: None,
         };
         self.entries[one.entry].picker.ended(choice, &report, self.now);
         Some(choice)
--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -4,6 +4,9 @@
 //! outstanding calls to it, and the load that it reported with its answers. Entry nodes share
 //! nothing else.
 
+mod delay;
+mod event;
+mod loss;
 mod outlier;
 mod peer;
 mod picker;
@@ -12,20 +15,24 @@
 mod table;
 #[cfg(test)]
 mod tests;
+mod urgency;
 
 use std::time;
 
 use crate::admit;
+use crate::clock;
 use crate::host;
 use crate::mesh;
 use crate::notice;
 use crate::retry;
 use crate::rollout;
 
+pub use self::event::{Counts, Event, HostsLost, SlowNode};
 pub use self::peer::Peer;
 pub use self::picker::Picker;
 pub use self::policy::{Cheapest, LeastOutstanding, PowerOfTwo, RemainingCapacity, RoundRobin};
 pub use self::pool::{Policy, Pool};
+pub use self::urgency::Urgency;
 
 /// Key of a [`Peer`] in the arena of its picker. A key outlives rebuilds; it becomes invalid when
 /// its host has left and its last call has ended.
@@ -57,22 +64,29 @@
     pub link_us: f32,
     /// Priority of the call; a nested one runs before new work at the upstream.
     pub rank: admit::Rank,
+    /// Whether the call may run twice without harm.
+    pub idempotent: bool,
+    /// What is known of a call of a kind of priority 0; `None` for other calls.
+    pub urgency: Option<Urgency>,
 }
 
+/// Service time that is assumed of an upstream without answers, in microseconds. The services of the
+/// users take 15 to 290 ms.
+const DEFAULT_SERVICE_US: f32 = 100_000.0;
+
 impl TransferCost {
     /// No cost to any host or zone.
     pub const FREE: TransferCost = TransferCost {
         cross_zone: 0.0,
         link_us: 0.0,
         rank: admit::Rank { nested: false, weight: 0 },
+        idempotent: false,
+        urgency: None,
     };
 
     /// The cost of a call to an upstream in `tier` with a service time of `service_us`; `None` if
     /// that is unknown.
     fn for_tier(&self, tier: usize, service_us: Option<f32>) -> f32 {
-        /// Service time that is assumed of an upstream without answers, in microseconds. The
-        /// services of the users take 15 to 290 ms.
-        const DEFAULT_SERVICE_US: f32 = 100_000.0;
         let link = self.link_us / service_us.unwrap_or(DEFAULT_SERVICE_US);
         match tier {
             0 => 0.0,
@@ -113,4 +127,30 @@
     pub retry_after: Option<time::Duration>,
     /// Time from the start to the end of the attempt.
     pub latency: time::Duration,
+    /// Time of the attempt for which the upstream's node did not hold it; `None` if unknown.
+    pub node_delay: Option<time::Duration>,
+    /// When the head of the response of the upstream's node came; `None` if there was none.
+    pub responded_at: Option<clock::Instant>,
+}
+
+impl Report {
+    /// Whether the host gave no sign of life.
+    fn is_silent(&self) -> bool {
+        use retry::Reason::{Cut, Timeout, TooLate, Unreachable};
+        let failed = matches!(self.outcome.reason(), Some(Cut | Timeout | TooLate | Unreachable));
+        failed && self.responded_at.is_none()
+    }
+
+    /// From when on a silent host, of which an attempt ended at `now`, is known not to respond. A
+    /// connection attempt, during which nothing is sent, found it so from its start; otherwise the
+    /// host may have been lost at any time of the attempt.
+    fn silent_since(&self, now: clock::Instant) -> clock::Instant {
+        match self.outcome.reason() {
+            Some(retry::Reason::TooLate | retry::Reason::Unreachable) => {
+                let latency = u64::try_from(self.latency.as_micros()).unwrap_or(u64::MAX);
+                clock::Instant::from_micros(now.as_micros().saturating_sub(latency))
+            }
+            _ => now,
+        }
+    }
 }
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -8,6 +8,7 @@
 use crate::host;
 use crate::notice;
 use crate::pick;
+use crate::pick::delay;
 use crate::pick::outlier;
 use crate::retry;
 use crate::view;
@@ -54,6 +55,10 @@
     pub(super) mean_half_us: f32,
     /// An upstream that is this many times slower than its peers is an outlier.
     pub(super) slow_factor: f32,
+    /// Time within which failures at two hosts count as a simultaneous loss; zero if none do.
+    pub(super) loss_window: time::Duration,
+    /// Whether the delay of nodes counts.
+    pub(super) node_delay: bool,
 }
 
 impl Rules {
@@ -69,6 +74,8 @@
             load_half_us,
             mean_half_us: 2_000_000.0,
             slow_factor: f32::from(settings.slow_factor.max(2)),
+            loss_window: time::Duration::from_millis(settings.loss_window_ms),
+            node_delay: settings.node_delay,
         }
     }
 }
@@ -82,6 +89,8 @@
     /// Whether few enough upstreams are ejected for one more to be ejected because of failures or
     /// slowness.
     pub(super) can_eject: bool,
+    /// Delay above which that of a node counts, in microseconds; computed by `delay::base_us`.
+    pub(super) base_delay_us: f32,
 }
 
 /// The load that came with the last answer.
@@ -122,6 +131,11 @@
     service_us: u32,
     /// Run time as a multiple of the mean of all upstreams, and when it was last updated.
     relative_time: (f32, clock::Instant),
+    /// Delay of its node; not measured for the upstream beside the entry node.
+    pub(super) node_delay: delay::Delay,
+    /// When its node last responded; `None` if it never did, or an attempt has failed since without
+    /// a response.
+    pub(super) responded_at: Option<clock::Instant>,
     /// Limit that it names, and when that was last heard.
     limit: Option<(admit::Rate, clock::Instant)>,
     /// Until when its limit is used up, and up to which rank of calls.
@@ -148,6 +162,8 @@
             reported: None,
             service_us: 0,
             relative_time: (1.0, clock::Instant::ZERO),
+            node_delay: delay::Delay::default(),
+            responded_at: None,
             limit: None,
             used_up: None,
             leaving: false,
@@ -172,6 +188,8 @@
             self.reported = None;
             self.service_us = 0;
             self.relative_time = (1.0, now);
+            self.node_delay = delay::Delay::default();
+            self.responded_at = None;
             self.limit = None;
             self.used_up = None;
             self.leaving = false;
@@ -276,16 +294,44 @@
     }
 
     /// What one more call would cost at the upstream, in mean service times of its kind: the share
-    /// of the slots that is taken, and above 1 the wait, both multiplied by the relative run time.
+    /// of the slots that is taken, and above 1 the wait, both multiplied by the relative run time;
+    /// and the delay of its node.
     ///
     /// Upstreams of one service differ by a factor of two and more. Without the relative run time,
     /// nested calls were held up at the slow upstreams: over five days of load and faults on
     /// simulated hosts (three seeds each) 0.739 of the credit was earned instead of 0.755, and 85%
     /// of the calls were served instead of 87%.
-    pub(super) fn cost(&self, nested: bool, rules: &Rules, now: clock::Instant) -> f32 {
+    pub(super) fn cost(
+        &self,
+        nested: bool,
+        base_delay_us: f32,
+        rules: &Rules,
+        now: clock::Instant,
+    ) -> f32 {
         let fullness = self.fullness(rules, now);
-        let wait = (fullness - FULL).max(0.0) * if nested { NESTED_WAIT_SHARE } else { 1.0 };
-        self.relative_time(now) * (fullness.min(FULL) + wait)
+        let wait = wait(fullness, nested);
+        self.relative_time(now) * (fullness.min(FULL) + wait) + self.delay_cost(base_delay_us, now)
+    }
+
+    /// By how much the delay of its node exceeds the base of the list, in mean service times
+    /// of the upstream.
+    pub(super) fn delay_cost(&self, base_delay_us: f32, now: clock::Instant) -> f32 {
+        let service_us = self.service_us().unwrap_or(pick::DEFAULT_SERVICE_US);
+        self.node_delay.excess_us(base_delay_us, now) / service_us
+    }
+
+    /// The time by which a call would miss its target at the upstream, see [`pick::Urgency`].
+    pub(super) fn lateness(
+        &self,
+        urgency: &pick::Urgency,
+        nested: bool,
+        base_delay_us: f32,
+        rules: &Rules,
+        now: clock::Instant,
+    ) -> f32 {
+        let wait = wait(self.fullness(rules, now), nested) + self.delay_cost(base_delay_us, now);
+        let service_us = self.service_us().unwrap_or(pick::DEFAULT_SERVICE_US);
+        urgency.lateness(wait * service_us, self.relative_time(now))
     }
 
     /// Whether the queue at its node would be full or nearly full with one more call.
@@ -344,6 +390,12 @@
             let known = self.relative_time(now);
             self.relative_time = (known + (ratio - known) / SMOOTHING, now);
         }
+        if report.responded_at.is_some() || report.is_silent() {
+            self.responded_at = report.responded_at;
+        }
+        if let Some(measured) = report.node_delay.filter(|_| rules.node_delay) {
+            self.node_delay.record(measured, now);
+        }
         match verdict(report.outcome) {
             Verdict::Good if self.is_slow(aggregate, rules) => {
                 self.breaker.eject(&rules.breaker, now)
@@ -390,6 +442,11 @@
     }
 }
 
+/// Expected wait of one more call at an upstream of `fullness`, in service times.
+fn wait(fullness: f32, nested: bool) -> f32 {
+    (fullness - FULL).max(0.0) * if nested { NESTED_WAIT_SHARE } else { 1.0 }
+}
+
 /// What a result shows about the upstream.
 enum Verdict {
     /// The upstream serves.
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -1,5 +1,7 @@
 //! The picker of one entry node.
 
+use std::time;
+
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs;
@@ -10,6 +12,8 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::pick::event;
+use crate::pick::loss;
 use crate::pick::peer;
 use crate::pick::table;
 use crate::retry;
@@ -19,7 +23,7 @@
 /// Cost of a likely refusal, in service times: as much as the transfer of a light call to another
 /// zone. A light call that its zone would refuse is sent to another one; for a heavy call the
 /// transfer would cost more.
-const REFUSAL_COST: f32 = 2.0;
+pub(super) const REFUSAL_COST: f32 = 2.0;
 
 /// Number of upstreams in a zone up to which the transfer to another zone costs what the settings
 /// say. Over full days on simulated hosts, a cost four times as high took up to 0.12 off what a
@@ -34,6 +38,40 @@
 /// are measured, too.
 const EXPLORE_ONE_IN: u32 = 200;
 
+/// The search for the upstream of one attempt.
+#[derive(Clone, Copy)]
+struct Search<'a> {
+    target: pick::Target,
+    cost: pick::TransferCost,
+    now: clock::Instant,
+    avoid: &'a [host::HostId],
+    /// Delay above which that of a node counts, in microseconds; computed by `delay::base_us`.
+    base_delay_us: f32,
+    candidates: loss::Candidates,
+}
+
+impl<'a> Search<'a> {
+    /// The candidates among `members`.
+    fn pool(
+        &self,
+        peers: &'a [pick::Peer],
+        members: &'a [u32],
+        rules: &'a peer::Rules,
+    ) -> pick::Pool<'a> {
+        pick::Pool {
+            peers,
+            members,
+            rules,
+            avoid: self.avoid,
+            now: self.now,
+            rank: self.cost.rank,
+            base_delay_us: self.base_delay_us,
+            candidates: self.candidates,
+            urgency: self.cost.urgency,
+        }
+    }
+}
+
 /// Chooses upstreams for the calls of one entry node.
 ///
 /// Draining upstreams, and those whose limit is used up, are never chosen. Unreachable and ejected
@@ -46,6 +84,9 @@
     rules: peer::Rules,
     rng: rngs::SmallRng,
     table: table::Table,
+    counts: pick::Counts,
+    loss_pace: event::Pace,
+    slow_pace: event::Pace,
 }
 
 impl Picker {
@@ -70,6 +111,9 @@
             rules: peer::Rules::new(settings),
             rng: rngs::SmallRng::seed_from_u64(seed),
             table: table::Table::default(),
+            counts: pick::Counts::default(),
+            loss_pace: event::Pace::default(),
+            slow_pace: event::Pace::default(),
         }
     }
 
@@ -79,6 +123,12 @@
         self
     }
 
+    /// Sets the counters of slow nodes and of lost hosts.
+    pub fn with_counts(mut self, counts: pick::Counts) -> Self {
+        self.counts = counts;
+        self
+    }
+
     /// Applies a new view or mesh without roll-outs; the state of hosts that stay is kept.
     pub fn rebuild(&mut self, view: &view::View, mesh: &mesh::Mesh, now: clock::Instant) {
         self.rebuild_with(view, mesh, &rollout::Table::default(), now);
@@ -119,8 +169,18 @@
         avoid: &[host::HostId],
     ) -> Option<pick::Choice> {
         let cost = self.scale_cost(target, cost);
-        let usable = self.pick_usable(target, cost, now, avoid);
-        let (index, tier) = usable.or_else(|| self.pick_fallback(target, cost.rank, now, avoid))?;
+        let base_delay_us = self.table.list(target).map_or(0.0, table::List::base_delay_us);
+        let candidates = self.candidates(target, cost.idempotent, now, avoid);
+        let mut search = Search { target, cost, now, avoid, base_delay_us, candidates };
+        let mut usable = self.pick_usable(&search);
+        while let Some(wider) = search.candidates.wider().filter(|_| usable.is_none()) {
+            search.candidates = wider;
+            usable = self.pick_usable(&search);
+        }
+        if usable.is_some() && matches!(search.candidates, loss::Candidates::Silent(_)) {
+            self.counts.probes.inc();
+        }
+        let (index, tier) = usable.or_else(|| self.pick_fallback(&search))?;
         let host = self.table.peers[index as usize].host();
         Some(pick::Choice {
             host,
@@ -150,16 +210,93 @@
         }
     }
 
+    /// The candidates of a call during a simultaneous loss of hosts. Another attempt of a call that
+    /// has failed before is not sent to a host that may be lost.
+    fn candidates(
+        &mut self,
+        target: pick::Target,
+        idempotent: bool,
+        now: clock::Instant,
+        avoid: &[host::HostId],
+    ) -> loss::Candidates {
+        let window = self.rules.loss_window;
+        let list = self.table.list_mut(target).filter(|_| !window.is_zero());
+        list.map_or(loss::Candidates::All, |list| {
+            list.loss.candidates(idempotent, avoid.is_empty(), window, now)
+        })
+    }
+
     /// Records that an attempt at `choice` has ended; called once for each [`Picker::started`].
-    pub fn ended(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
+    /// Returns what it has shown of nodes and hosts, at most once a second.
+    pub fn ended(
+        &mut self,
+        choice: pick::Choice,
+        report: &pick::Report,
+        now: clock::Instant,
+    ) -> Option<pick::Event> {
+        let lost = self.record_loss(choice, report, now).map(pick::Event::HostsLost);
+        let slow = self.record_end(choice, report, now).map(pick::Event::SlowNode);
+        lost.or(slow)
+    }
+
+    /// Records an attempt without a response. Returns the simultaneous loss of hosts that it has
+    /// shown.
+    fn record_loss(
+        &mut self,
+        choice: pick::Choice,
+        report: &pick::Report,
+        now: clock::Instant,
+    ) -> Option<pick::HostsLost> {
+        let window = self.rules.loss_window;
+        if window.is_zero() || !report.is_silent() {
+            return None;
+        }
+        let responded_at = self.table.peer(choice.key)?.responded_at;
+        let since = report.silent_since(now);
+        let failure = loss::Failure { key: choice.key, since, at: now };
+        let list = self.table.list_mut(choice.target)?;
+        let earlier = list.loss.record(failure, responded_at, window)?;
+        self.counts.losses.inc();
+        let skipped = self.loss_pace.admit(now)?;
+        let first = self.table.peer(earlier.key).map_or(choice.host, pick::Peer::host);
+        let list = self.table.list(choice.target)?;
+        let responding = loss::Candidates::Responded(list.loss.since(window, now)?);
+        let peers = list.all().iter().map(|&index| &self.table.peers[index as usize]);
+        Some(pick::HostsLost {
+            hosts: [first, choice.host],
+            apart: now.since(earlier.at),
+            upstreams: list.all().len(),
+            responded: peers.filter(|peer| responding.include(peer.responded_at)).count(),
+            skipped,
+        })
+    }
+
+    /// Records an attempt in the state of its upstream. Returns the node that it has shown to have
+    /// become slow.
+    fn record_end(
+        &mut self,
+        choice: pick::Choice,
+        report: &pick::Report,
+        now: clock::Instant,
+    ) -> Option<pick::SlowNode> {
         let good = report.outcome == retry::Outcome::Ran;
-        let aggregate = self.table.aggregate(choice.target, good);
-        let Some(peer) = self.table.peer_mut(choice.key) else { return };
-        let before = peer.is_ejected();
+        let aggregate = self.table.aggregate(choice.target, good, now);
+        let base_us = aggregate.base_delay_us;
+        let peer = self.table.peer_mut(choice.key)?;
+        let (ejected, delay_cost) = (peer.is_ejected(), peer.delay_cost(base_us, now));
         peer.ended(choice.rank, report, &aggregate, &self.rules, now);
-        if peer.is_ejected() != before {
+        let slow = delay_cost <= peer::FULL && peer.delay_cost(base_us, now) > peer::FULL;
+        let micros = |us: f32| time::Duration::from_micros(us as u64);
+        let excess = micros(peer.node_delay.excess_us(base_us, now));
+        let service = peer.service_us().map(micros);
+        if peer.is_ejected() != ejected {
             self.table.record_ejection_change();
         }
+        let measured = report.node_delay.filter(|_| slow)?;
+        self.counts.slow_nodes.inc();
+        let skipped = self.slow_pace.admit(now)?;
+        let base = micros(base_us);
+        Some(pick::SlowNode { host: choice.host, measured, excess, base, service, skipped })
     }
 
     /// The state of the upstream of `choice`; `None` if it is no longer kept.
@@ -169,28 +306,21 @@
 
     /// The best choice of the nearest tier, unless the call would wait there and not in a farther
     /// tier.
-    fn pick_usable(
-        &mut self,
-        target: pick::Target,
-        cost: pick::TransferCost,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, usize)> {
+    fn pick_usable(&mut self, search: &Search<'_>) -> Option<(u32, usize)> {
         let mut best: Option<(u32, usize, f32)> = None;
         let mut waits = true;
         // The transfer of a heavy call costs too much for exploration.
-        let light = cost.cross_zone < peer::FULL;
+        let light = search.cost.cross_zone < peer::FULL;
         let explores = light && self.rng.random_ratio(1, EXPLORE_ONE_IN);
         let first = if explores { table::OTHER_ZONE } else { 0 };
         for tier in (first..table::TIERS).chain(0..first) {
-            let Some((index, own)) = self.pick_tier(target, tier, cost.rank, now, avoid) else {
-                continue;
-            };
+            let Some((index, own)) = self.pick_tier(search, tier) else { continue };
             let chosen = &self.table.peers[index as usize];
-            let extra = self.extra_cost(chosen, tier, cost, now);
+            let extra = self.extra_cost(chosen, tier, search);
             if best.is_none_or(|(_, _, min)| own + extra < min) {
                 best = Some((index, tier, own + extra));
-                waits = chosen.fullness(&self.rules, now) + extra > peer::FULL;
+                let late = self.late_cost(chosen, search);
+                waits = chosen.fullness(&self.rules, search.now) + late + extra > peer::FULL;
             }
             // While a slot is free nearby, even at a slow upstream, no call is sent to a fast one
             // farther away.
@@ -202,7 +332,7 @@
         if tier < table::OTHER_ZONE || explores {
             return Some((index, tier));
         }
-        let near = self.best_in_zone(target, cost, now, avoid).filter(|(_, _, cost)| *cost <= min);
+        let near = self.best_in_zone(search).filter(|(_, _, cost)| *cost <= min);
         Some(near.map_or((index, tier), |(index, tier, _)| (index, tier)))
     }
 
@@ -224,87 +354,58 @@
     /// For most calls only a few of many upstreams are compared. Before a call is sent to another
     /// zone, all upstreams of the zone are, or else calls would leave zones in which an upstream is
     /// free.
-    fn best_in_zone(
-        &self,
-        target: pick::Target,
-        cost: pick::TransferCost,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, usize, f32)> {
-        let list = self.table.list(target)?;
+    fn best_in_zone(&self, search: &Search<'_>) -> Option<(u32, usize, f32)> {
+        let list = self.table.list(search.target)?;
         let near = (0..table::OTHER_ZONE).flat_map(|tier| {
-            let pool = self.pool(list, tier, cost.rank, now, avoid);
+            let pool = search.pool(&self.table.peers, list.tier(tier), &self.rules);
             let usable = (0..pool.len()).filter(move |&i| pool.is_usable(i));
             usable.map(move |i| {
-                let extra = self.extra_cost(pool.peer(i), tier, cost, now);
+                let extra = self.extra_cost(pool.peer(i), tier, search);
                 (pool.members[i], tier, pool.cost(i) + extra)
             })
         });
         near.min_by(|a, b| a.2.total_cmp(&b.2))
     }
 
-    /// What a call to `peer`, which is in `tier`, costs besides its share of the slots: the
-    /// transfer, and a likely refusal.
-    fn extra_cost(
-        &self,
-        peer: &pick::Peer,
-        tier: usize,
-        cost: pick::TransferCost,
-        now: clock::Instant,
-    ) -> f32 {
-        let refusal = if peer.is_saturated(&self.rules, now) { REFUSAL_COST } else { 0.0 };
-        refusal + cost.for_tier(tier, peer.service_us())
+    /// What a call to `peer` costs because of the delay of its node, and because an urgent call
+    /// misses its target there.
+    fn late_cost(&self, peer: &pick::Peer, search: &Search<'_>) -> f32 {
+        let &Search { cost, base_delay_us, now, .. } = search;
+        let lateness = cost.urgency.map_or(0.0, |urgency| {
+            peer.lateness(&urgency, cost.rank.nested, base_delay_us, &self.rules, now)
+        });
+        peer.delay_cost(base_delay_us, now) + lateness * REFUSAL_COST
     }
 
-    /// The candidates of a call in `tier` of `list`.
-    fn pool<'a>(
-        &'a self,
-        list: &'a table::List,
-        tier: usize,
-        rank: admit::Rank,
-        now: clock::Instant,
-        avoid: &'a [host::HostId],
-    ) -> pick::Pool<'a> {
-        let (peers, members) = (&self.table.peers[..], list.tier(tier));
-        pick::Pool { peers, members, rules: &self.rules, avoid, now, rank }
+    /// What a call to `peer`, which is in `tier`, costs besides its share of the slots: the
+    /// transfer, and a likely refusal.
+    fn extra_cost(&self, peer: &pick::Peer, tier: usize, search: &Search<'_>) -> f32 {
+        let saturated = peer.is_saturated(&self.rules, search.now);
+        let refusal = if saturated { REFUSAL_COST } else { 0.0 };
+        refusal + search.cost.for_tier(tier, peer.service_us())
     }
 
     /// The choice of the policy in `tier`, with its cost without the transfer.
-    fn pick_tier(
-        &mut self,
-        target: pick::Target,
-        tier: usize,
-        rank: admit::Rank,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, f32)> {
-        let list = self.table.list(target)?;
-        let members = list.tier(tier);
+    fn pick_tier(&mut self, search: &Search<'_>, tier: usize) -> Option<(u32, f32)> {
+        let list = self.table.list(search.target)?;
         let mut cursor = list.cursors[tier];
-        let pool =
-            pick::Pool { peers: &self.table.peers, members, rules: &self.rules, avoid, now, rank };
+        let pool = search.pool(&self.table.peers, list.tier(tier), &self.rules);
         let index = self.policy.choose(&pool, &mut cursor, &mut self.rng)?;
-        let chosen = (members[index], pool.cost(index));
-        self.table.list_mut(target)?.cursors[tier] = cursor;
+        let chosen = (pool.members[index], pool.cost(index));
+        self.table.list_mut(search.target)?.cursors[tier] = cursor;
         Some(chosen)
     }
 
     /// The upstream with the lowest fallback rank among those that do not drain.
-    fn pick_fallback(
-        &self,
-        target: pick::Target,
-        rank: admit::Rank,
-        now: clock::Instant,
-        avoid: &[host::HostId],
-    ) -> Option<(u32, usize)> {
+    fn pick_fallback(&self, search: &Search<'_>) -> Option<(u32, usize)> {
         let peers = &self.table.peers;
-        let open = self.table.list(target)?.all().iter().copied().filter(|&i| {
+        let open = self.table.list(search.target)?.all().iter().copied().filter(|&i| {
             let peer = &peers[i as usize];
-            peer.is_open() && !peer.is_used_up(rank, now)
+            peer.is_open() && !peer.is_used_up(search.cost.rank, search.now)
         });
         let index = open.min_by_key(|&i| {
             let peer = &peers[i as usize];
-            (avoid.contains(&peer.host()), peer.fallback_rank(), peer.outstanding())
+            (search.avoid.contains(&peer.host()), peer.fallback_rank(), peer.outstanding())
         })?;
         Some((index, table::TIERS))
     }
--- a/src/pick/pool.rs
+++ b/src/pick/pool.rs
@@ -6,7 +6,9 @@
 use crate::clock;
 use crate::host;
 use crate::pick;
+use crate::pick::loss;
 use crate::pick::peer;
+use crate::pick::picker;
 use crate::pick::table;
 
 /// The upstreams of one list that are in the same tier of distance.
@@ -19,6 +21,12 @@
     pub(super) now: clock::Instant,
     /// Priority of the call.
     pub(super) rank: admit::Rank,
+    /// Delay above which that of a node counts, in microseconds; computed by `delay::base_us`.
+    pub(super) base_delay_us: f32,
+    /// Which upstreams may be chosen, by the last response of their nodes.
+    pub(super) candidates: loss::Candidates,
+    /// See [`pick::TransferCost::urgency`].
+    pub(super) urgency: Option<pick::Urgency>,
 }
 
 impl Pool<'_> {
@@ -40,12 +48,20 @@
     /// Whether the upstream at `index` may be chosen.
     pub fn is_usable(&self, index: usize) -> bool {
         let peer = self.peer(index);
-        peer.is_usable(self.rank, self.now) && !self.avoid.contains(&peer.host())
+        self.candidates.include(peer.responded_at)
+            && peer.is_usable(self.rank, self.now)
+            && !self.avoid.contains(&peer.host())
     }
 
-    /// What a call would cost at `index`, in mean service times of its kind.
+    /// What a call would cost at `index`, in mean service times of its kind. An urgent call that
+    /// would miss its target there costs up to as much more as a refusal.
     pub fn cost(&self, index: usize) -> f32 {
-        self.peer(index).cost(self.rank.nested, self.rules, self.now)
+        let Self { base_delay_us, rules, now, .. } = *self;
+        let (peer, nested) = (self.peer(index), self.rank.nested);
+        let lateness = self
+            .urgency
+            .map_or(0.0, |urgency| peer.lateness(&urgency, nested, base_delay_us, rules, now));
+        peer.cost(nested, base_delay_us, rules, now) + lateness * picker::REFUSAL_COST
     }
 }
 
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -6,6 +6,8 @@
 use crate::host;
 use crate::mesh;
 use crate::pick;
+use crate::pick::delay;
+use crate::pick::loss;
 use crate::pick::peer;
 use crate::rollout;
 use crate::view;
@@ -68,13 +70,15 @@
     ends: [usize; TIERS],
     /// A cursor for each tier.
     pub(super) cursors: [Cursor; TIERS],
+    /// Detects the simultaneous loss of its hosts.
+    pub(super) loss: loss::Loss,
     aggregate: peer::Aggregate,
     /// [`Table::ejection_changes`] when `aggregate` was computed.
     computed_at: u32,
     /// Results until `aggregate` is computed again.
     remaining_results: u8,
-    /// Buffer for the median.
-    service_times: Vec<f32>,
+    /// Buffer for the median and the quartile.
+    buffer: Vec<f32>,
 }
 
 impl List {
@@ -96,24 +100,33 @@
         peers: &[pick::Peer],
         good: bool,
         ejection_changes: u32,
+        now: clock::Instant,
     ) -> peer::Aggregate {
         if !good || self.remaining_results == 0 || self.computed_at != ejection_changes {
             self.computed_at = ejection_changes;
-            self.aggregate = self.compute(peers);
+            self.aggregate = self.compute(peers, now);
             self.remaining_results = AGGREGATE_RESULTS;
         }
         self.remaining_results -= 1;
         self.aggregate
     }
 
-    fn compute(&mut self, peers: &[pick::Peer]) -> peer::Aggregate {
+    /// Delay above which that of a node counts, in microseconds, as of the last aggregate.
+    pub(super) const fn base_delay_us(&self) -> f32 {
+        self.aggregate.base_delay_us
+    }
+
+    fn compute(&mut self, peers: &[pick::Peer], now: clock::Instant) -> peer::Aggregate {
         let members = || self.members.iter().map(|&i| &peers[i as usize]);
         let ejected = members().filter(|p| p.is_ejected()).count();
         let can_eject = (ejected + 1) * 2 <= self.members.len();
-        self.service_times.clear();
-        let known = self.members.iter().filter_map(|&i| peers[i as usize].service_us());
-        self.service_times.extend(known);
-        peer::Aggregate { service_us: lower_median(&mut self.service_times), can_eject }
+        let mut buffer = std::mem::take(&mut self.buffer);
+        let base_delay_us = delay::base_us(members().map(|p| &p.node_delay), now, &mut buffer);
+        buffer.clear();
+        buffer.extend(members().filter_map(pick::Peer::service_us));
+        let service_us = lower_median(&mut buffer);
+        self.buffer = buffer;
+        peer::Aggregate { service_us, can_eject, base_delay_us }
     }
 
     fn clear(&mut self) {
@@ -200,13 +213,19 @@
     }
 
     /// The aggregate of the peers that serve `target`.
-    pub(super) fn aggregate(&mut self, target: pick::Target, good: bool) -> peer::Aggregate {
+    pub(super) fn aggregate(
+        &mut self,
+        target: pick::Target,
+        good: bool,
+        now: clock::Instant,
+    ) -> peer::Aggregate {
         let groups = match target.class {
             Some(class) => self.classes.get_mut(usize::from(class.0)),
             None => self.services.get_mut(usize::from(target.service.0)),
         };
         let list = groups.map(|groups| groups.list_mut(target.group));
-        list.map(|l| l.aggregate(&self.peers, good, self.ejection_changes)).unwrap_or_default()
+        let changes = self.ejection_changes;
+        list.map(|l| l.aggregate(&self.peers, good, changes, now)).unwrap_or_default()
     }
 
     /// Records that a peer was ejected or admitted again, which changes the aggregates of its
@@ -226,6 +245,11 @@
         (peer.generation() == key.generation).then_some(peer)
     }
 
+    /// The peer of `key`; `None` if the key is no longer valid.
+    pub(super) fn peer(&self, key: pick::PeerKey) -> Option<&pick::Peer> {
+        self.peers.get(key.index as usize).filter(|peer| peer.generation() == key.generation)
+    }
+
     /// Builds the lists again for a new view or mesh.
     pub(super) fn rebuild(
         &mut self,
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -1,5 +1,11 @@
 //! Tests of the picker.
 
+mod delay;
+mod event;
+mod loss;
+mod simulation;
+mod urgency;
+
 use std::collections;
 use std::net;
 use std::sync::Arc;
@@ -109,6 +115,8 @@
         notice: None,
         retry_after: None,
         latency: time::Duration::from_millis(1),
+        node_delay: None,
+        responded_at: None,
     }
 }
 
@@ -546,6 +554,8 @@
             notice: None,
             retry_after: None,
             latency,
+            node_delay: None,
+            responded_at: None,
         };
         picker.ended(choice, &report, at(round));
     }
@@ -602,6 +612,8 @@
             notice: None,
             retry_after: None,
             latency,
+            node_delay: None,
+            responded_at: None,
         };
         picker.ended(choice, &report, at(round));
     }
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -12,6 +12,18 @@
 use crate::retry;
 use crate::rollout;
 
+#[cfg(test)]
+mod tests;
+
+/// What the entry node expects of an attempt at the upstream beside another node.
+#[derive(Clone, Copy, Debug)]
+pub struct Expected {
+    /// Mean run time of the call's kind; `None` if unknown.
+    pub run: Option<time::Duration>,
+    /// When the caller gives up.
+    pub deadline: clock::Instant,
+}
+
 /// An attempt at a picked upstream. Dropped before its end, it is reported as cancelled, since its
 /// caller has left.
 pub struct Attempt {
@@ -23,6 +35,9 @@
     notice: Option<notice::Relayed>,
     retry_after: Option<time::Duration>,
     relative_time: Option<f32>,
+    expected: Option<Expected>,
+    node_delay: Option<time::Duration>,
+    responded_at: Option<clock::Instant>,
     state: retry::Attempt,
     ended: bool,
 }
@@ -46,6 +61,9 @@
             notice: None,
             retry_after: None,
             relative_time: None,
+            expected: None,
+            node_delay: None,
+            responded_at: None,
             state,
             ended: false,
         }
@@ -53,6 +71,10 @@
 
     /// Sets the load, and what the upstream says of itself, that the answer carried.
     pub fn set_load(&mut self, load: Option<admit::Load>, notice: Option<notice::Relayed>) {
+        if load.is_some() {
+            // The head of a response may be recorded twice; the first time is that of its arrival.
+            self.responded_at.get_or_insert_with(|| self.ctx.now());
+        }
         self.load = load;
         self.notice = notice;
     }
@@ -67,6 +89,19 @@
         self.relative_time = Some(relative_time);
     }
 
+    /// Sets what is expected of the node beside the upstream. Without it, the delay of that node is
+    /// not measured.
+    pub fn set_expected(&mut self, expected: Expected) {
+        self.expected = Some(expected);
+    }
+
+    /// Records the head of the node's response, with the time for which the node held the call.
+    /// Times above that of the attempt itself count as that time.
+    pub fn record_held(&mut self, held: Option<time::Duration>) {
+        let elapsed = self.ctx.now().since(self.started);
+        self.node_delay = held.map(|held| elapsed.saturating_sub(held));
+    }
+
     /// Whether it goes to the new version of a roll-out, which is still under trial.
     pub fn is_trial(&self) -> bool {
         self.choice.target.group == rollout::VersionGroup::New
@@ -96,10 +131,65 @@
             notice: self.notice,
             retry_after: self.retry_after,
             latency,
+            node_delay: self.node_delay.or_else(|| self.lost_delay(outcome, latency, now)),
+            responded_at: self.responded_at,
         };
-        self.picker.borrow_mut().ended(self.choice, &report, now);
+        let event = self.picker.borrow_mut().ended(self.choice, &report, now);
+        if let Some(event) = event {
+            log_event(&event);
+        }
         outcome
     }
+
+    /// The delay of a node that did not respond before the deadline, or whose response was lost:
+    /// the time of the attempt beyond the mean run time. `None` if the attempt shows no delay.
+    fn lost_delay(
+        &self,
+        outcome: retry::Outcome,
+        latency: time::Duration,
+        now: clock::Instant,
+    ) -> Option<time::Duration> {
+        let expected = self.expected.filter(|_| self.load.is_none())?;
+        let lost = match outcome.reason()? {
+            retry::Reason::Cut | retry::Reason::Timeout | retry::Reason::TooLate => true,
+            // A caller that gives up at its deadline may leave before this node's timer fires.
+            retry::Reason::Cancelled => now >= expected.deadline,
+            _ => false,
+        };
+        let delay = latency.saturating_sub(expected.run.filter(|_| lost)?);
+        (!delay.is_zero()).then_some(delay)
+    }
+}
+
+/// Logs what an attempt has shown of nodes and hosts.
+fn log_event(event: &pick::Event) {
+    let micros = |time: time::Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    match event {
+        pick::Event::HostsLost(lost) => {
+            let [first, second] = lost.hosts.map(|host| host.to_string());
+            log::info!(
+                first = first.as_str(),
+                second = second.as_str(),
+                apart_us = micros(lost.apart),
+                upstreams = lost.upstreams,
+                responded = lost.responded,
+                skipped = lost.skipped;
+                "several hosts were lost at once"
+            );
+        }
+        pick::Event::SlowNode(slow) => {
+            let host = slow.host.to_string();
+            log::info!(
+                host = host.as_str(),
+                measured_us = micros(slow.measured),
+                excess_us = micros(slow.excess),
+                base_us = micros(slow.base),
+                service_us = micros(slow.service.unwrap_or_default()),
+                skipped = slow.skipped;
+                "the node beside an upstream is slow"
+            );
+        }
+    }
 }
 
 impl std::fmt::Debug for Attempt {
--- a/src/proxy/choice.rs
+++ b/src/proxy/choice.rs
@@ -60,5 +60,22 @@
     let bytes = call.body.bytes() + state.sizes.borrow().expected(&call.kind().name);
     let cross = if unit == 0 { 0.0 } else { bytes as f32 / unit as f32 };
     let link = inbound_link::link_time(&state.settings.proxy, bytes);
-    pick::TransferCost { cross_zone: cross, link_us: link, rank: call.spec().rank() }
+    pick::TransferCost {
+        cross_zone: cross,
+        link_us: link,
+        rank: call.spec().rank(),
+        idempotent: call.kind().idempotent,
+        urgency: urgency(state, call),
+    }
+}
+
+/// The urgency of a call of a kind of priority 0; `None` before the first answer of its kind.
+fn urgency<C: claim::Claims>(state: &state::State<C>, call: &call::Call) -> Option<pick::Urgency> {
+    let kind = call.kind();
+    if !state.settings.call.urgent_room || kind.priority != 0 {
+        return None;
+    }
+    let spread = state.run_times.borrow().spread(&kind.name)?;
+    let left = call.target.since(state.ctx.now());
+    Some(pick::Urgency { mean: spread.mean, deviation: spread.deviation, left })
 }
