feat(retry): nested calls are retried only where their siblings succeed

Need: where an upstream sheds half of all calls at random, a run fails with one of its two nested calls, and the retry budget went to nested calls whose sibling then failed.

With call.sibling_repeats, the node beside the upstream records the nested calls of each running call. While less than half of the budget is left, a nested call that may be retried waits for its siblings, until half of its time has passed at most, and is retried only if none has failed or waits for a retry of its own. Nested calls leave a quarter of the budget. Whether runs survive the loss of a nested call is learned by the kind of the nested call, from ten runs on; where at most one in ten does, further nested calls of a run that lost one are refused as full. One such run in sixteen is exempt, so that a change is noticed. With false the code takes the same path as before.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -23,6 +23,7 @@
 use crate::proxy::refuse;
 use crate::proxy::request_head;
 use crate::proxy::resources;
+use crate::proxy::running_calls;
 use crate::proxy::state;
 use crate::proxy::trace;
 use crate::proxy::upload;
@@ -50,10 +51,15 @@
     pub caller: Option<organisations::Caller>,
     /// Whether the call is nested: made by a call that runs at the local upstream.
     pub nested: bool,
+    /// Its record beside those of the other nested calls of the same running call; `None` if it is
+    /// not nested, or if nested calls are not recorded.
+    pub nested_call: Option<running_calls::NestedCall>,
     /// Whether its caller was refused before and returns.
     pub returning: bool,
     /// Time by which the call must be answered to meet its target latency.
     pub target: clock::Instant,
+    /// When half of the time between its arrival and its deadline has passed.
+    pub halfway: clock::Instant,
     /// When the caller gives up.
     pub deadline: clock::Instant,
 }
@@ -185,6 +191,20 @@
 ///
 /// The refusal of the last attempt, with an unknown outcome if an earlier attempt may have run.
 pub async fn run<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    call: &Call,
+    resources: resources::Resources,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    let result = make_attempts(state, call, resources).await;
+    let failed = result.as_ref().map_or(true, |answer| answer.status().is_server_error());
+    if let Some(nested_call) = call.nested_call.as_ref().filter(|_| failed) {
+        nested_call.lose();
+    }
+    result
+}
+
+/// Like [`run`], without recording the result of a nested call.
+async fn make_attempts<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     call: &Call,
     mut resources: resources::Resources,
@@ -215,7 +235,7 @@
         let decision = if diverted {
             retry::Decision::Again { avoid: failed.host }
         } else {
-            decide(state, call, tries, &failed)
+            decide(state, call, tries, &failed).await
         };
         log_failure(state, call, tries.attempt, &failed, &decision);
         match decision {
@@ -270,16 +290,32 @@
     retry::diverts(&facts, &diversion, failed.refusal.outcome, state.ctx.now())
 }
 
-fn decide<C: claim::Claims>(
+/// Decides what follows the failed attempt. A nested call may wait for the others of its running
+/// call before.
+async fn decide<C: claim::Claims>(
     state: &state::State<C>,
     call: &Call,
     tries: Tries,
     failed: &Failed,
 ) -> retry::Decision {
     let facts = facts(state, call, tries, failed);
-    let now = state.ctx.now();
-    state
-        .budget(call.service(), |budget| retry::decide(&facts, failed.refusal.outcome, budget, now))
+    let outcome = failed.refusal.outcome;
+    let Some(nested_call) = &call.nested_call else {
+        let now = state.ctx.now();
+        return state.budget(call.service(), |budget| retry::decide(&facts, outcome, budget, now));
+    };
+    loop {
+        let (others, now) = (nested_call.others(), state.ctx.now());
+        let decision = state.budget(call.service(), |budget| {
+            retry::decide_nested(&facts, others, call.halfway, outcome, budget, now)
+        });
+        match decision {
+            retry::NestedDecision::Decided(decision) => return decision,
+            retry::NestedDecision::Wait { until } => {
+                nested_call.wait_others(state.timer(until)).await;
+            }
+        }
+    }
 }
 
 /// The state of `call` after an attempt that failed.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -7,6 +7,7 @@
 
 use http::header;
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 use tokio::task;
 
 use crate::claim;
@@ -25,6 +26,7 @@
 use crate::proxy::reply;
 use crate::proxy::request_head;
 use crate::proxy::resources;
+use crate::proxy::running_calls;
 use crate::proxy::state;
 use crate::proxy::trace;
 use crate::proxy::upload;
@@ -202,8 +204,14 @@
     let first_try = caller_try.map_or(started, |caller_try| caller_try.first);
     let target = applied.mesh.kind(kind).latency.map_or(deadline, |latency| first_try + latency);
     let limit = applied.mesh.body(kind);
-    let body = match read_body(state, incoming, limit, deadline).await {
-        Ok(body) => body,
+    let received = async {
+        let name = &applied.mesh.kind(kind).name;
+        let nested_call = begin_nested(state, &head.id, name)?;
+        let body = read_body(state, incoming, limit, deadline).await?;
+        Ok::<_, refuse::Refusal>((nested_call, body))
+    };
+    let (nested_call, body) = match received.await {
+        Ok(received) => received,
         Err(refusal) => {
             if let Some(count) = resources.count.take() {
                 count.ended(refusal.outcome);
@@ -220,8 +228,10 @@
         service,
         caller,
         nested,
+        nested_call,
         returning,
         target,
+        halfway: started + deadline.since(started) / 2,
         deadline,
     };
     let key = call.head.idempotency_key.clone().filter(|_| !call.kind().idempotent);
@@ -237,6 +247,27 @@
     run.await.unwrap_or(Err(refuse::Refusal::unknown(retry::Reason::Cancelled)))
 }
 
+/// Records the nested call `id` of the kind `kind` with the running call that makes it.
+///
+/// # Errors
+///
+/// That call has lost another nested call and doesn't survive that, so that it would be run for
+/// nothing.
+fn begin_nested<C: claim::Claims>(
+    state: &state::State<C>,
+    id: &header::HeaderValue,
+    kind: &SmolStr,
+) -> Result<Option<running_calls::NestedCall>, refuse::Refusal> {
+    if !state.settings.call.sibling_repeats {
+        return Ok(None);
+    }
+    let begun = state.running.begin_nested(id, kind);
+    begun.map_err(|error| {
+        log::debug!(kind = kind.as_str(), error:% = error; "a nested call is not sent");
+        refuse::Refusal::not_run(retry::Reason::Full).retry_in(state.retry_delay())
+    })
+}
+
 /// A call of a caller that sent the time for which it waits.
 #[derive(Clone, Copy, Debug)]
 struct CallerTry {
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -3,6 +3,10 @@
 /// Cost of an extra attempt, in hundredths of a token.
 const ATTEMPT_COST: u32 = 100;
 
+/// Share of the bucket, one in this many, that nested calls leave to the calls of callers: a caller
+/// gains nothing from retries of nested calls if its own call can't be retried.
+const RESERVED_ONE_IN: u32 = 4;
+
 /// What fills the bucket.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Earn {
@@ -71,6 +75,18 @@
         enough
     }
 
+    /// Whether an extra attempt of a nested call may be taken: nested calls leave a quarter, in whole
+    /// attempts.
+    pub const fn has_nested(&self) -> bool {
+        let reserved = self.capacity / RESERVED_ONE_IN / ATTEMPT_COST * ATTEMPT_COST;
+        self.remaining >= ATTEMPT_COST + reserved
+    }
+
+    /// Whether less than half of the bucket is left.
+    pub const fn is_low(&self) -> bool {
+        self.remaining * 2 < self.capacity
+    }
+
     /// Number of extra attempts left.
     pub const fn remaining(&self) -> u32 {
         self.remaining / ATTEMPT_COST
--- a/src/retry/decide.rs
+++ b/src/retry/decide.rs
@@ -112,6 +112,11 @@
     if again {
         return Decision::Again { avoid: call.host };
     }
+    refuse(call, outcome)
+}
+
+/// The decision to make no other attempt after one that ended with `outcome`.
+pub(super) fn refuse(call: &Call, outcome: retry::Outcome) -> Decision {
     Decision::Final { outcome, retry_after: retry_after(call, outcome) }
 }
 
@@ -149,7 +154,7 @@
 }
 
 /// Whether another attempt is allowed, if the budget has one.
-fn is_allowed(call: &Call, outcome: retry::Outcome, now: clock::Instant) -> bool {
+pub(super) fn is_allowed(call: &Call, outcome: retry::Outcome, now: clock::Instant) -> bool {
     let Some(reason) = outcome.reason() else {
         return false;
     };
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -8,13 +8,16 @@
 mod budget;
 mod decide;
 mod reason;
+mod siblings;
 #[cfg(test)]
 mod tests;
 
 pub use self::attempt::{Attempt, Event};
 pub use self::budget::{Budget, Earn};
 pub use self::decide::{Call, Decision, Diversion, connect_timeout, decide, diverts};
+use self::decide::{is_allowed, refuse};
 pub use self::reason::Reason;
+pub use self::siblings::{NestedDecision, Others, Siblings, Survival, decide_nested};
 
 /// How an attempt, or a whole call, ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions on retries.
 
+mod siblings;
+
 use std::net;
 use std::time;
 
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -5,6 +5,7 @@
 mod fake;
 mod idempotency;
 mod limits;
+mod nested;
 mod organisations;
 mod path;
 mod pipelining;
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -208,6 +208,17 @@
     });
 }
 
+/// Makes the upstream beside `node` one of `service`, whose class has the same name.
+pub fn set_service(node: &mut Node, service: &'static str) {
+    node.local.send_modify(|local| {
+        let mut changed = local.as_deref().unwrap().clone();
+        changed.upstream.service = service.into();
+        changed.upstream.class = service.into();
+        node.upstream = Some(changed.upstream.clone());
+        *local = Some(Arc::new(changed));
+    });
+}
+
 /// Ends `node` without a stop and starts it anew at its address, beside the same upstream.
 pub async fn restart(
     node: Node,
