--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -233,6 +233,7 @@
         let outcome = failed.refusal.outcome;
         let diverted = diverts(state, call, tries, &failed, &avoid);
         let decision = if diverted {
+            state.running.counts().diverted.inc();
             retry::Decision::Again { avoid: failed.host }
         } else {
             decide(state, call, tries, &failed).await
@@ -311,6 +312,10 @@
         });
         match decision {
             retry::NestedDecision::Decided(decision) => return decision,
+            retry::NestedDecision::GiveUp(decision) => {
+                state.running.counts().given_up.inc();
+                return decision;
+            }
             retry::NestedDecision::Wait { until } => {
                 nested_call.wait_others(state.timer(until)).await;
             }
--- a/src/proxy/running_calls.rs
+++ b/src/proxy/running_calls.rs
@@ -90,6 +90,7 @@
     quarantine: Option<Rc<quarantine_filter::QuarantineFilter>>,
     /// Whether running calls survive the loss of nested calls.
     survival: RefCell<retry::Survival>,
+    counts: retry::Counts,
 }
 
 /// A call that counts as running until this is dropped.
@@ -115,6 +116,16 @@
         Self { crashes, quarantine: Some(quarantine), ..Self::default() }
     }
 
+    /// Counts decisions on retries in `counts`.
+    pub fn with_counts(self, counts: retry::Counts) -> Self {
+        Self { counts, ..self }
+    }
+
+    /// Counts of the decisions on retries.
+    pub const fn counts(&self) -> &retry::Counts {
+        &self.counts
+    }
+
     /// Whether the call numbered `key` runs.
     pub fn has(&self, key: u64) -> bool {
         self.list.borrow().iter().any(|entry| entry.key == key)
@@ -169,6 +180,7 @@
         let Some(parent) = parent else { return Ok(None) };
         let record = Rc::clone(parent.nested.get_or_insert_default());
         if !record.siblings.borrow_mut().begin(&self.survival.borrow()) {
+            self.counts.not_sent.inc();
             return Err(Lost);
         }
         let (calls, kind) = (Rc::clone(self), kind.clone());
@@ -225,6 +237,7 @@
 
     /// Waits until the others have ended or one of them is lost, until `end` at the latest.
     pub async fn wait_others(&self, end: time::Instant) {
+        self.calls.counts.waited.inc();
         self.record.siblings.borrow_mut().pause();
         self.paused.set(true);
         self.record.changed.notify_waiters();
--- a/src/proxy/running_calls/tests.rs
+++ b/src/proxy/running_calls/tests.rs
@@ -209,3 +209,21 @@
     drop(first);
     assert_eq!(second.others(), Some(NONE));
 }
+
+#[tokio::test(start_paused = true)]
+async fn waits_and_calls_that_are_not_sent_are_counted() {
+    let counts = retry::Counts::default();
+    let calls = Rc::new(RunningCalls::default().with_counts(counts.clone()));
+    let fail = || {
+        let mut running = enter(&calls, PARENT);
+        nested(&calls, "9c41d07be2a35f68.1").lose();
+        running.set_status(http::StatusCode::BAD_GATEWAY);
+    };
+    (0..10).for_each(|_| fail());
+    let _running = enter(&calls, PARENT);
+    let first = nested(&calls, "9c41d07be2a35f68.1");
+    first.wait_others(wait_end()).await;
+    first.lose();
+    assert!(is_refused(&calls));
+    assert_eq!((counts.waited.get(), counts.not_sent.get()), (1, 1));
+}
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod budget;
+mod counts;
 mod decide;
 mod reason;
 mod siblings;
@@ -14,6 +15,7 @@
 
 pub use self::attempt::{Attempt, Event};
 pub use self::budget::{Budget, Earn};
+pub use self::counts::Counts;
 pub use self::decide::{Call, Decision, Diversion, connect_timeout, decide, diverts};
 use self::decide::{is_allowed, refuse};
 pub use self::reason::Reason;
--- a/src/retry/siblings.rs
+++ b/src/retry/siblings.rs
@@ -183,6 +183,9 @@
         /// End of the wait.
         until: clock::Instant,
     },
+    /// Answer the caller at once, with this decision: a retry would be allowed, but others of the
+    /// run have failed.
+    GiveUp(retry::Decision),
 }
 
 /// Decides what to do with the nested `call` after an attempt that ended with `outcome`. `others`
@@ -203,13 +206,15 @@
     if outcome.is_limited() {
         return NestedDecision::Decided(retry::decide(call, outcome, budget, now));
     }
-    let mut again = retry::is_allowed(call, outcome, now) && budget.has_nested();
+    let again = retry::is_allowed(call, outcome, now) && budget.has_nested();
     if let Some(others) = others.filter(|_| again && budget.is_low()) {
         let failed = others.lost || others.waiting > 0;
         if !failed && others.running > 0 && now < wait_until {
             return NestedDecision::Wait { until: wait_until };
         }
-        again = !failed;
+        if failed {
+            return NestedDecision::GiveUp(retry::refuse(call, outcome));
+        }
     }
     if again && budget.take() {
         return NestedDecision::Decided(retry::Decision::Again { avoid: call.host });
--- a/src/retry/tests/siblings.rs
+++ b/src/retry/tests/siblings.rs
@@ -60,14 +60,19 @@
     matches!(decision, retry::Decision::Final { .. })
 }
 
+fn is_given_up(decision: retry::NestedDecision) -> bool {
+    let retry::NestedDecision::GiveUp(decision) = decision else { return false };
+    matches!(decision, retry::Decision::Final { .. })
+}
+
 #[test]
 fn with_a_scarce_budget_a_nested_call_is_retried_only_beside_successful_ones() {
     assert_eq!(decide(others(0, 0, false), 4, NOW), AGAIN);
     assert_eq!(decide(others(1, 0, false), 4, NOW), WAIT);
     assert_eq!(decide(others(1, 0, false), 4, HALFWAY), AGAIN, "half of its time is left");
-    assert!(is_final(decide(others(0, 0, true), 4, NOW)));
-    assert!(is_final(decide(others(1, 0, true), 4, NOW)), "it must not wait for nothing");
-    assert!(is_final(decide(others(0, 1, false), 4, NOW)), "the run needs two retries");
+    assert!(is_given_up(decide(others(0, 0, true), 4, NOW)));
+    assert!(is_given_up(decide(others(1, 0, true), 4, NOW)), "it must not wait for nothing");
+    assert!(is_given_up(decide(others(0, 1, false), 4, NOW)), "the run needs two retries");
 }
 
 #[test]
