test(retry): a retried nested call waits; attempts of a call are bounded

A new test bounds the attempts of a call in a total outage: four more than it may have. The count of failures in a row saturates, as a configuration may allow 255 attempts.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -251,7 +251,8 @@
             }
         }
         previous = Some(failed.refusal);
-        tries.unreachable = if outcome.is_unreachable() { tries.unreachable + 1 } else { 0 };
+        tries.unreachable =
+            if outcome.is_unreachable() { tries.unreachable.saturating_add(1) } else { 0 };
         if outcome.is_limited() {
             tries.limited += 1;
         } else if diverted {
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -217,6 +217,28 @@
     assert!(!is_diverted(&retry::Call { answered_bytes: 1, ..picked() }, &diversion(0)));
 }
 
+/// In a total outage, replacements must not multiply the attempts without a bound.
+#[test]
+fn a_call_has_at_most_four_attempts_beyond_those_that_it_may_have() {
+    let mut budget = retry::Budget::new(0, 100);
+    let mut call = retry::Call { idempotent: true, ..picked() };
+    let (mut total, mut diverted) = (1, 0);
+    loop {
+        if retry::diverts(&call, &diversion(diverted), UNREACHABLE, clock::Instant::ZERO) {
+            diverted += 1;
+        } else if matches!(
+            retry::decide(&call, UNREACHABLE, &mut budget, clock::Instant::ZERO),
+            retry::Decision::Again { .. }
+        ) {
+            call.attempt += 1;
+        } else {
+            break;
+        }
+        total += 1;
+    }
+    assert_eq!((total, call.attempt, budget.remaining()), (7, 3, 98));
+}
+
 /// A replacement that can only miss the deadline delays the refusal and serves nobody.
 #[test]
 fn no_attempt_is_replaced_that_could_not_run_before_the_deadline() {
--- a/tests/calls/nested.rs
+++ b/tests/calls/nested.rs
@@ -14,7 +14,7 @@
 use crate::rig;
 
 /// How long the upstream takes for a nested call with the id `.late`.
-const LATE: time::Duration = time::Duration::from_millis(80);
+const LATE: time::Duration = time::Duration::from_millis(160);
 
 /// How long it takes for a call that makes nested calls, so that these end before.
 const RUN: time::Duration = time::Duration::from_millis(400);
@@ -171,12 +171,16 @@
 fn a_nested_call_is_retried_after_the_others_have_ended() {
     rig::run(async {
         let caller = Caller::taught(true, "500 Internal Server Error").await;
-        caller.run("run-0001", &["once", "late"]).await;
-        let ids: Vec<_> =
-            caller.parts.requests().iter().map(|r| r.header("x-request-id")).collect();
-        let last: Vec<_> = ids[ids.len() - 3..].iter().map(String::as_str).collect();
-        assert_eq!(last[2], "run-0001.once", "{last:?}");
-        assert!(last[..2].contains(&"run-0001.late"), "{last:?}");
+        let once = async {
+            rig::until(|| caller.runs("run-0001.late") > 0).await;
+            let began = time::Instant::now();
+            let answer = caller.nested("run-0001", "once").await;
+            (began.elapsed(), answer)
+        };
+        let (_, (took, answer)) = tokio::join!(caller.run("run-0001", &["late"]), once);
+        assert_eq!(answer.outcome(), "ran");
+        // A retry at once would be answered after a quarter of that time.
+        assert!(took > LATE * 3 / 4, "{took:?}");
     });
 }
 
