--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -25,6 +25,7 @@
 use crate::proxy::refuse;
 use crate::proxy::request_head;
 use crate::proxy::resources;
+use crate::proxy::running_calls;
 use crate::proxy::state;
 use crate::proxy::trace;
 use crate::proxy::upload;
@@ -52,19 +53,28 @@
     pub caller: Option<organisations::Caller>,
     /// Whether the call is nested: made by a call that runs at the local upstream.
     pub nested: bool,
+    /// Its record beside those of the other nested calls of the same running call; `None` if it is
+    /// not nested, or if nested calls are not recorded.
+    pub nested_call: Option<running_calls::NestedCall>,
     /// Whether its caller was refused before and returns.
     pub returning: bool,
     /// Time by which the call must be answered to meet its target latency.
     pub target: clock::Instant,
+    /// When half of the time between its arrival and its deadline has passed.
+    pub halfway: clock::Instant,
     /// When the caller gives up.
     pub deadline: clock::Instant,
 }
 
 /// The attempts of a call so far, as [`retry::Call`] counts them.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Tries {
     attempt: u8,
     limited: u8,
+    /// Attempts that reached no upstream and were replaced, as in [`retry::Diversion`].
+    diverted: u8,
+    /// Attempts in a row that reached no upstream.
+    unreachable: u8,
 }
 
 /// An attempt that failed.
@@ -169,16 +179,30 @@
 ///
 /// The refusal of the last attempt, with an unknown outcome if an earlier attempt may have run.
 pub async fn run<C: claim::Claims>(
+    state: &Rc<state::State<C>>,
+    call: &Call,
+    resources: resources::Resources,
+) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    let result = make_attempts(state, call, resources).await;
+    let failed = result.as_ref().map_or(true, |answer| answer.status().is_server_error());
+    if let Some(nested_call) = call.nested_call.as_ref().filter(|_| failed) {
+        nested_call.lose();
+    }
+    result
+}
+
+/// Like [`run`], without recording the result of a nested call.
+async fn make_attempts<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     call: &Call,
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let mut avoid = Vec::new();
-    let mut tries = Tries { attempt: 1, limited: 0 };
+    let mut tries = Tries { attempt: 1, ..Tries::default() };
     let mut previous = None;
     let mut unknown = None;
     loop {
-        let mut failed = match try_once(state, call, tries.attempt, &avoid, &mut resources).await {
+        let mut failed = match try_once(state, call, tries, &avoid, &mut resources).await {
             Ok(answer) => {
                 // The retry budget of a service is a share of its callers' calls. Nested calls may
                 // be three times as many and would raise the budget beyond that share.
@@ -194,7 +218,14 @@
             failed.refusal = previous.unwrap_or(failed.refusal);
         }
         unknown = unknown.or(unknown_reason(failed.refusal.outcome));
-        let decision = decide(state, call, tries, &failed);
+        let outcome = failed.refusal.outcome;
+        let diverted = diverts(state, call, tries, &failed, &avoid);
+        let decision = if diverted {
+            state.running.counts().diverted.inc();
+            retry::Decision::Again { avoid: failed.host }
+        } else {
+            decide(state, call, tries, &failed).await
+        };
         log_failure(state, call, tries.attempt, &failed, &decision);
         match decision {
             retry::Decision::Again { avoid: host } => avoid.extend(host),
@@ -208,8 +239,12 @@
             }
         }
         previous = Some(failed.refusal);
-        if failed.refusal.outcome.is_limited() {
+        tries.unreachable =
+            if outcome.is_unreachable() { tries.unreachable.saturating_add(1) } else { 0 };
+        if outcome.is_limited() {
             tries.limited += 1;
+        } else if diverted {
+            tries.diverted += 1;
         } else {
             tries.attempt += 1;
         }
@@ -224,13 +259,67 @@
     }
 }
 
-fn decide<C: claim::Claims>(
+/// Whether the failed attempt is replaced by one at another host. `avoid` are the hosts of the
+/// attempts before.
+fn diverts<C: claim::Claims>(
+    state: &state::State<C>,
+    call: &Call,
+    tries: Tries,
+    failed: &Failed,
+    avoid: &[host::HostId],
+) -> bool {
+    if !state.settings.call.divert_unreachable {
+        return false;
+    }
+    let diversion = retry::Diversion {
+        diverted: tries.diverted,
+        repeated: failed.host.is_some_and(|host| avoid.contains(&host)),
+        run_time: state.run_times.borrow().mean(&call.kind().name).unwrap_or_default(),
+    };
+    let facts = facts(state, call, tries, failed);
+    retry::diverts(&facts, &diversion, failed.refusal.outcome, state.ctx.now())
+}
+
+/// Decides what follows the failed attempt. A nested call may wait for the others of its running
+/// call before.
+async fn decide<C: claim::Claims>(
     state: &state::State<C>,
     call: &Call,
     tries: Tries,
     failed: &Failed,
 ) -> retry::Decision {
-    let facts = retry::Call {
+    let facts = facts(state, call, tries, failed);
+    let outcome = failed.refusal.outcome;
+    let Some(nested_call) = &call.nested_call else {
+        let now = state.ctx.now();
+        return state.budget(call.service(), |budget| retry::decide(&facts, outcome, budget, now));
+    };
+    loop {
+        let (others, now) = (nested_call.others(), state.ctx.now());
+        let decision = state.budget(call.service(), |budget| {
+            retry::decide_nested(&facts, others, call.halfway, outcome, budget, now)
+        });
+        match decision {
+            retry::NestedDecision::Decided(decision) => return decision,
+            retry::NestedDecision::GiveUp(decision) => {
+                state.running.counts().given_up.inc();
+                return decision;
+            }
+            retry::NestedDecision::Wait { until } => {
+                nested_call.wait_others(state.timer(until)).await;
+            }
+        }
+    }
+}
+
+/// The state of `call` after an attempt that failed.
+fn facts<C: claim::Claims>(
+    state: &state::State<C>,
+    call: &Call,
+    tries: Tries,
+    failed: &Failed,
+) -> retry::Call {
+    retry::Call {
         idempotent: call.kind().idempotent,
         attempt: tries.attempt,
         limited: tries.limited,
@@ -242,10 +331,7 @@
         buffered: call.body.is_repeatable(),
         host: failed.host,
         retry_after: failed.refusal.retry_after,
-    };
-    let now = state.ctx.now();
-    state
-        .budget(call.service(), |budget| retry::decide(&facts, failed.refusal.outcome, budget, now))
+    }
 }
 
 /// Logs a failed attempt and whether another one follows.
@@ -275,7 +361,7 @@
 async fn try_once<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     call: &Call,
-    attempt: u8,
+    tries: Tries,
     avoid: &[host::HostId],
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, Failed> {
@@ -286,7 +372,7 @@
     let choice = choice::choose(state, call, avoid);
     let choice = choice.map_err(|refusal| Failed { refusal, host: None })?;
     resources.start_attempt(state.ctx, &state.picker, choice);
-    let mut request = call.request(attempt, state.dialect.verbose);
+    let mut request = call.request(tries.attempt, state.dialect.verbose);
     let result = if choice.host == state.me {
         internode::set_host(&mut request, call.head.host.as_ref());
         let result = owner::run(state, &call.spec(), request, resources).await;
@@ -295,7 +381,7 @@
         }
         result
     } else {
-        remote(state, call, choice.host, request, resources).await
+        remote(state, call, tries, choice.host, request, resources).await
     };
     record_old(state, call, choice.target.group, &result);
     if let Ok(answer) = &result {
@@ -338,6 +424,7 @@
 async fn remote<C: claim::Claims>(
     state: &state::State<C>,
     call: &Call,
+    tries: Tries,
     host: host::HostId,
     mut request: http::Request<upload::Upload>,
     resources: &mut resources::Resources,
@@ -352,7 +439,8 @@
         attempt.set_expected(attempt::Expected { run, deadline: call.deadline });
     }
     let end = state.timer(call.deadline) + REPLY_GRACE;
-    let answer = internode::call(&state.links, host, request, end).await;
+    let limit = connect_timeout(state, call, tries);
+    let answer = internode::call_within(&state.links, host, request, end, limit).await;
     // A refusal without a notice tells nothing: the node may have started anew and not know its
     // upstream yet.
     if answer.notice.is_some() || answer.ran.is_some() {
@@ -373,3 +461,17 @@
         body::Reply::read(received, state.settings.proxy.whole_bytes, end, resources).await?;
     Ok(http::Response::from_parts(parts, reply))
 }
+
+/// How long the next attempt waits for a connection to another node; `None`: as long as the
+/// connections wait by themselves.
+fn connect_timeout<C: claim::Claims>(
+    state: &state::State<C>,
+    call: &Call,
+    tries: Tries,
+) -> Option<time::Duration> {
+    state.settings.call.divert_unreachable.then(|| {
+        let usual = time::Duration::from_millis(state.settings.proxy.connect_ms);
+        let remaining = call.deadline.since(state.ctx.now());
+        retry::connect_timeout(tries.unreachable, remaining, usual)
+    })
+}
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -6,15 +6,20 @@
 
 mod attempt;
 mod budget;
+mod counts;
 mod decide;
 mod reason;
+mod siblings;
 #[cfg(test)]
 mod tests;
 
 pub use self::attempt::{Attempt, Event};
 pub use self::budget::{Budget, Earn};
-pub use self::decide::{Call, Decision, decide};
+pub use self::counts::Counts;
+pub use self::decide::{Call, Decision, Diversion, connect_timeout, decide, diverts};
+use self::decide::{is_allowed, refuse};
 pub use self::reason::Reason;
+pub use self::siblings::{NestedDecision, Others, Siblings, Survival, decide_nested};
 
 /// How an attempt, or a whole call, ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -33,6 +38,12 @@
         self == Self::NotRun(Reason::Limited)
     }
 
+    /// Whether no connection to the host or its upstream could be made, so that nothing of the call
+    /// was sent to the upstream.
+    pub fn is_unreachable(self) -> bool {
+        self == Self::NotRun(Reason::Unreachable)
+    }
+
     /// Why the call was not served completely; `None` if it was.
     pub const fn reason(self) -> Option<Reason> {
         match self {
