feat(pick): calls leave their zone only in proportion to how much emptier others are

An entry node takes zones that it has not heard of lately for empty ones. It now keeps the fullness that other zones reported, and sends a call there with a probability that rises with the difference to its own zone.

--- a/src/configs/call.rs
+++ b/src/configs/call.rs
@@ -42,6 +42,9 @@
     /// Whether nested calls are retried only where the other nested calls of the same running call
     /// have succeeded.
     pub sibling_repeats: bool,
+    /// Whether calls leave their availability zone only in proportion to how much emptier others
+    /// are.
+    pub zone_overflow: bool,
 }
 
 impl Default for Call {
@@ -62,6 +65,7 @@
             body_room: false,
             divert_unreachable: false,
             sibling_repeats: false,
+            zone_overflow: false,
         }
     }
 }
--- a/src/pick/event.rs
+++ b/src/pick/event.rs
@@ -52,7 +52,7 @@
     pub skipped: u64,
 }
 
-/// Counts of slow nodes and of lost hosts.
+/// Counts of slow nodes, of lost hosts and of calls that stayed in their availability zone.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
     /// Simultaneous losses of hosts.
@@ -61,6 +61,8 @@
     pub probes: counter::Counter,
     /// Nodes that have become slow.
     pub slow_nodes: counter::Counter,
+    /// Calls that stayed in their zone, as the other one was not known to be emptier.
+    pub kept_in_zone: counter::Counter,
 }
 
 /// Limits events of one sort to one a second.
--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod loss;
 mod outlier;
+mod overflow;
 mod peer;
 mod picker;
 mod policy;
--- /dev/null
+++ b/src/pick/overflow.rs
@@ -0,0 +1,46 @@
+//! Overflow of calls to other availability zones.
+//!
+//! Handles zones that are all busy: by chance a call would wait in its own zone while an upstream of
+//! another one looks free, in each zone alike, so that calls cross between the same two zones in both
+//! directions. Calls leave a zone in proportion to how much busier it is than the zone that they go
+//! to, as the calls that went there before have shown.
+
+/// Least share of the calls that would leave the zone and do, so that a change is noticed.
+const MIN_SHARE: f32 = 1.0 / 16.0;
+
+/// Difference of fullness between two zones at which every call that would wait leaves the fuller
+/// one: half of the slots of each upstream.
+const FULL_SHARE_GAP: f32 = 0.5;
+
+/// Weight of a new measurement: one in this many.
+const SMOOTHING: f32 = 4.0;
+
+/// Identifies an availability zone among those that a picker has seen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct ZoneKey(pub(super) u8);
+
+/// How full other zones were found, for the upstreams of one list.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Overflow {
+    /// Mean fullness by zone; `None` before a call came back from there. Bounded by the number of
+    /// values of [`ZoneKey`].
+    zones: Vec<Option<f32>>,
+}
+
+impl Overflow {
+    /// Records that an upstream in `zone` reported this `fullness`.
+    pub(super) fn record(&mut self, zone: ZoneKey, fullness: f32) {
+        let index = usize::from(zone.0);
+        if index >= self.zones.len() {
+            self.zones.resize(index + 1, None);
+        }
+        let known = self.zones[index].get_or_insert(fullness);
+        *known += (fullness - *known) / SMOOTHING;
+    }
+
+    /// The share of the calls that would leave a zone of fullness `own` for `zone`, and may.
+    pub(super) fn share(&self, zone: ZoneKey, own: f32) -> f32 {
+        let known = self.zones.get(usize::from(zone.0)).copied().flatten();
+        known.map_or(1.0, |known| ((own - known) / FULL_SHARE_GAP).clamp(MIN_SHARE, 1.0))
+    }
+}
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -10,6 +10,7 @@
 use crate::pick;
 use crate::pick::delay;
 use crate::pick::outlier;
+use crate::pick::overflow;
 use crate::retry;
 use crate::view;
 
@@ -59,6 +60,8 @@
     pub(super) loss_window: time::Duration,
     /// Whether the delay of nodes counts.
     pub(super) node_delay: bool,
+    /// Whether calls leave a zone only for emptier ones.
+    pub(super) zone_overflow: bool,
 }
 
 impl Rules {
@@ -76,6 +79,7 @@
             slow_factor: f32::from(settings.slow_factor.max(2)),
             loss_window: time::Duration::from_millis(settings.loss_window_ms),
             node_delay: settings.node_delay,
+            zone_overflow: settings.zone_overflow,
         }
     }
 }
@@ -117,6 +121,8 @@
     generation: u32,
     /// Whether it is in the current view and mesh.
     pub(super) listed: bool,
+    /// Availability zone of the host.
+    pub(super) zone: overflow::ZoneKey,
     health: view::Health,
     phase: view::Phase,
     slots: u16,
@@ -153,6 +159,7 @@
             upstream_incarnation: 0,
             generation,
             listed: false,
+            zone: overflow::ZoneKey::default(),
             health: view::Health::Alive,
             phase: view::Phase::Serving,
             slots: 0,
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -285,6 +285,11 @@
         let peer = self.table.peer_mut(choice.key)?;
         let (ejected, delay_cost) = (peer.is_ejected(), peer.delay_cost(base_us, now));
         peer.ended(choice.rank, report, &aggregate, &self.rules, now);
+        let (zone, fullness) = (peer.zone, peer.fullness(&self.rules, now));
+        if self.rules.zone_overflow && !choice.same_zone && report.load.is_some() {
+            self.table.record_overflow(choice.target, zone, fullness);
+        }
+        let peer = self.table.peer_mut(choice.key)?;
         let slow = delay_cost <= peer::FULL && peer.delay_cost(base_us, now) > peer::FULL;
         let micros = |us: f32| time::Duration::from_micros(us as u64);
         let excess = micros(peer.node_delay.excess_us(base_us, now));
@@ -332,10 +337,39 @@
         if tier < table::OTHER_ZONE || explores {
             return Some((index, tier));
         }
-        let near = self.best_in_zone(search).filter(|(_, _, cost)| *cost <= min);
+        let near = self.best_in_zone(search);
+        let stays =
+            near.is_some_and(|(_, _, cost)| cost <= min) || self.keeps_in_zone(search, index);
+        let near = near.filter(|_| stays);
         Some(near.map_or((index, tier), |(index, tier, _)| (index, tier)))
     }
 
+    /// Whether a call that would leave its zone for the upstream at `index` stays, as that zone is
+    /// not known to be emptier. Other attempts than the first go wherever there may be a slot.
+    fn keeps_in_zone(&mut self, search: &Search<'_>, index: u32) -> bool {
+        if !self.rules.zone_overflow || !search.avoid.is_empty() {
+            return false;
+        }
+        let Some(list) = self.table.list(search.target) else { return false };
+        let Some(own) = self.zone_fullness(list, search.now) else { return false };
+        let share = list.overflow.share(self.table.peers[index as usize].zone, own);
+        let stays = self.rng.random::<f32>() >= share;
+        if stays {
+            self.counts.kept_in_zone.inc();
+        }
+        stays
+    }
+
+    /// Mean fullness of the open upstreams in the own zone; `None` if there are none.
+    fn zone_fullness(&self, list: &table::List, now: clock::Instant) -> Option<f32> {
+        let near = (0..table::OTHER_ZONE).flat_map(|tier| list.tier(tier));
+        let open = near.map(|&i| &self.table.peers[i as usize]).filter(|peer| peer.is_open());
+        let (sum, count) = open.fold((0.0, 0_u16), |(sum, count), peer| {
+            (sum + peer.fullness(&self.rules, now), count + 1)
+        });
+        (count > 0).then(|| sum / f32::from(count))
+    }
+
     /// Scales the cost of a transfer to another zone with the size of the own zone: the more
     /// upstreams share a load, the fewer calls wait by chance while another upstream is free. Over
     /// full days of overload on simulated hosts, in zones of 18 upstreams, a quarter to a third
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -2,12 +2,15 @@
 
 use std::collections;
 
+use smol_str::SmolStr;
+
 use crate::clock;
 use crate::host;
 use crate::mesh;
 use crate::pick;
 use crate::pick::delay;
 use crate::pick::loss;
+use crate::pick::overflow;
 use crate::pick::peer;
 use crate::rollout;
 use crate::view;
@@ -72,6 +75,8 @@
     pub(super) cursors: [Cursor; TIERS],
     /// Detects the simultaneous loss of its hosts.
     pub(super) loss: loss::Loss,
+    /// How full other availability zones were found.
+    pub(super) overflow: overflow::Overflow,
     aggregate: peer::Aggregate,
     /// [`Table::ejection_changes`] when `aggregate` was computed.
     computed_at: u32,
@@ -151,6 +156,8 @@
     classes: Vec<Groups>,
     /// How often a peer was ejected or admitted again.
     ejection_changes: u32,
+    /// Names of the availability zones, by their keys.
+    zones: Vec<SmolStr>,
 }
 
 /// The upstreams of one service or class, by version group.
@@ -228,6 +235,18 @@
         list.map(|l| l.aggregate(&self.peers, good, changes, now)).unwrap_or_default()
     }
 
+    /// Records that an upstream for `target` in another availability zone reported its load.
+    pub(super) fn record_overflow(
+        &mut self,
+        target: pick::Target,
+        zone: overflow::ZoneKey,
+        fullness: f32,
+    ) {
+        if let Some(list) = self.list_mut(target) {
+            list.overflow.record(zone, fullness);
+        }
+    }
+
     /// Records that a peer was ejected or admitted again, which changes the aggregates of its
     /// lists.
     pub(super) const fn record_ejection_change(&mut self) {
@@ -269,8 +288,10 @@
                     continue;
                 }
                 let index = self.index(host.id);
+                let zone = self.zone(&host.locality.zone);
                 let peer = &mut self.peers[index as usize];
                 peer.update(host, upstream, class.slots, service.queue, class.warmup, now);
+                peer.zone = zone;
                 let tier = origin.tier(host);
                 let open =
                     host.health == view::Health::Alive && upstream.phase != view::Phase::Draining;
@@ -282,6 +303,17 @@
         self.sweep();
     }
 
+    /// The key of the availability zone `name`. The last key stands for all zones beyond the number
+    /// of keys.
+    fn zone(&mut self, name: &SmolStr) -> overflow::ZoneKey {
+        let known = self.zones.iter().position(|zone| zone == name);
+        let index = known.unwrap_or(self.zones.len());
+        if known.is_none() && index < usize::from(u8::MAX) {
+            self.zones.push(name.clone());
+        }
+        overflow::ZoneKey(u8::try_from(index).unwrap_or(u8::MAX))
+    }
+
     fn reset(&mut self, mesh: &mesh::Mesh) {
         self.services.resize_with(mesh.services.len(), Groups::default);
         self.classes.resize_with(mesh.classes.len(), Groups::default);
--- a/src/pick/tests.rs
+++ b/src/pick/tests.rs
@@ -3,6 +3,7 @@
 mod delay;
 mod event;
 mod loss;
+mod overflow;
 mod simulation;
 mod urgency;
 
--- a/src/pick/tests/delay.rs
+++ b/src/pick/tests/delay.rs
@@ -28,6 +28,8 @@
         settings: settings(node_delay),
         upstreams: 20,
         entries: 8,
+        zones: &["a"],
+        demand: &[1],
         rate: 1152,
         run_ms: 80..121,
         speed: |_| 1.0,
--- a/src/pick/tests/loss.rs
+++ b/src/pick/tests/loss.rs
@@ -25,6 +25,8 @@
         settings: settings(loss_window_ms),
         upstreams: 60,
         entries: 40,
+        zones: &["a"],
+        demand: &[1],
         rate: 1200,
         run_ms: 40..121,
         speed: |_| 1.0,
--- a/src/pick/tests/simulation.rs
+++ b/src/pick/tests/simulation.rs
@@ -35,10 +35,14 @@
 pub(super) struct Plan {
     /// Settings of the entry nodes.
     pub(super) settings: configs::call::Call,
-    /// Upstreams, all in the zone of the entry nodes; at most 200.
+    /// Upstreams; at most 200.
     pub(super) upstreams: u8,
     /// Entry nodes.
     pub(super) entries: usize,
+    /// Availability zones, over which upstreams and entry nodes are spread in turn.
+    pub(super) zones: &'static [&'static str],
+    /// Share of the calls that arrive in each zone, as a weight.
+    pub(super) demand: &'static [u32],
     /// Calls a second, all together.
     pub(super) rate: u64,
     /// Run times, evenly distributed.
@@ -72,6 +76,8 @@
     pub(super) in_time: u32,
     /// Those that went to the first upstream.
     pub(super) first: u32,
+    /// Attempts that went to another zone.
+    pub(super) crossed: u32,
     /// Calls that arrived in the counted period.
     pub(super) counted: u32,
     /// Those of them that were sent to a live host at their first attempt.
@@ -128,9 +134,10 @@
 
 /// Runs a simulation; the same plan gives the same results.
 pub(super) fn run(plan: Plan) -> Results {
-    let hosts = serving(&vec!["a"; usize::from(plan.upstreams)]);
+    let zone = |number: usize| plan.zones[number % plan.zones.len()];
+    let hosts = serving(&(0..usize::from(plan.upstreams)).map(zone).collect::<Vec<_>>());
     let pickers = (0..plan.entries).map(|entry| {
-        let mut picker = pick::Picker::new(locality("a"), &plan.settings, entry as u64);
+        let mut picker = pick::Picker::new(locality(zone(entry)), &plan.settings, entry as u64);
         rebuild(&mut picker, hosts.clone(), 0);
         picker
     });
@@ -205,7 +212,7 @@
     }
 
     fn arrive(&mut self, now: clock::Instant) {
-        let entry = self.rng.random_range(0..self.pickers.len());
+        let entry = self.draw_entry();
         let long = self.rng.random_bool(self.plan.long_share);
         self.attempt(entry, long, Vec::new(), now);
         let next = now + time::Duration::from_micros(1_000_000 / self.plan.rate);
@@ -214,6 +221,22 @@
         }
     }
 
+    /// An entry node, according to the demand of the zones.
+    fn draw_entry(&mut self) -> usize {
+        let (zones, demand) = (self.plan.zones.len(), self.plan.demand);
+        let in_zone = self.rng.random_range(0..self.pickers.len() / zones);
+        if zones == 1 {
+            return in_zone;
+        }
+        let mut draw = self.rng.random_range(0..demand.iter().sum());
+        let zone = demand.iter().position(|weight| {
+            let found = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            found
+        });
+        in_zone * zones + zone.unwrap_or_default()
+    }
+
     fn attempt(&mut self, entry: usize, long: bool, avoid: Vec<host::HostId>, now: clock::Instant) {
         let mean = time::Duration::from_millis((self.plan.run_ms.start + self.plan.run_ms.end) / 2);
         let deviation = mean / 4;
@@ -229,6 +252,7 @@
         let upstream = usize::from(number);
         let lost = self.is_lost(upstream, now);
         self.results.first += u32::from(number == 0);
+        self.results.crossed += u32::from(!choice.same_zone);
         if avoid.is_empty() && self.plan.counted_ms.contains(&millis) {
             self.results.counted += 1;
             self.results.direct += u32::from(!lost);
--- a/src/pick/tests/urgency.rs
+++ b/src/pick/tests/urgency.rs
@@ -23,6 +23,8 @@
         settings: configs::call::Call::default(),
         upstreams: 18,
         entries: 8,
+        zones: &["a"],
+        demand: &[1],
         rate: 1000,
         run_ms: 60..113,
         speed: |number| if number.is_multiple_of(3) { 1.6 } else { 0.7 },
