feat(overload): measure the delay of a node's own work

A node whose CPU is saturated answers late, but reports free slots, so that entry nodes keep choosing the upstream beside it. With overload.delay_ms above 0 a task measures while a call is in flight how late a timer of the calls thread fires; the minimum of 100 ms, and of two measurements at least, is the standing delay. It is reported with the load as a wait (three task wake-ups outside the run time), and the time budget of calls of other nodes is reduced by the two wake-ups before it is read.

With 0, the default, nothing is measured and nothing differs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 //! | membership | [`member`] | [`member::shell`] |
 //! | distribution | [`spread`] | [`spread::shell`] |
 //! | calls | [`pick`], [`admit`], [`retry`] | [`proxy`] |
+//! | overload of a node | [`overload`] | [`proxy`] |
 //! | versions of upstreams | [`rollout`] | [`rollout::shell`], [`proxy`] |
 //! | limits of organisations | [`quota`] | [`proxy`] |
 //! | requests that crash upstreams | [`quarantine`] | [`proxy`] |
@@ -47,6 +48,7 @@
 pub mod mesh;
 pub mod node;
 pub mod notice;
+pub mod overload;
 pub mod pick;
 pub mod proxy;
 pub mod quarantine;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -118,6 +118,7 @@
     incoming: Incoming,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let in_flight = Some(state.in_flight.enter());
+    state.overload.call_entered();
     let started = state.ctx.now();
     if state.is_draining() {
         return Err(refuse::Refusal::not_run(retry::Reason::Draining).retry_in(state.retry_delay()));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -31,6 +31,7 @@
 pub mod local_upstream;
 pub mod notices;
 pub mod organisations;
+pub mod overload;
 pub mod owner;
 pub mod peer;
 pub mod pool;
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -59,6 +59,7 @@
     request: http::Request<Incoming>,
 ) -> http::Response<body::Reply> {
     let in_flight = Some(state.in_flight.enter());
+    state.overload.call_entered();
     let resources = resources::Resources { in_flight, ..resources::Resources::default() };
     let result = run(state, request, resources).await;
     let mut answer = match result {
@@ -100,6 +101,10 @@
     let organisation = parts.headers.get(headers::ORGANISATION).cloned();
     let target = request_head::number(&parts.headers, headers::TARGET)?.unwrap_or(remaining);
     let now = state.ctx.now();
+    // The time budget was sent with the request, which has waited in this node since.
+    let waited = state.overload.arrival_delay(now);
+    let remaining = time::Duration::from_millis(remaining).saturating_sub(waited);
+    let target = time::Duration::from_millis(target).saturating_sub(waited);
     if let Some(notice) = text(headers::NOTICE).and_then(|text| text.parse().ok()) {
         state.learn_notice(&notice);
     }
@@ -111,8 +116,8 @@
         organisation: organisation.as_ref(),
         nested: parts.headers.contains_key(headers::INNER),
         returning: parts.headers.contains_key(headers::RETURNING),
-        target: now + time::Duration::from_millis(target),
-        deadline: now + time::Duration::from_millis(remaining),
+        target: now + target,
+        deadline: now + remaining,
     };
     let body = read_body(state, &spec, &parts, incoming).await?;
     let request = internode::unwrap(parts, body.attempt())?;
--- a/src/proxy/shell.rs
+++ b/src/proxy/shell.rs
@@ -14,6 +14,7 @@
 use crate::mesh;
 use crate::node;
 use crate::proxy::error;
+use crate::proxy::overload;
 use crate::proxy::serve;
 use crate::proxy::state;
 use crate::proxy::wiring;
@@ -71,6 +72,7 @@
         spawn(Rc::clone(&state.quotas).run()),
         spawn(follow_stop(Rc::clone(&state), wiring.stage.clone())),
         spawn(maintain(Rc::clone(&state), wiring.tallies.clone())),
+        spawn(overload::measure(Rc::clone(&state))),
     ];
     let mut callers = spawn(serve::callers(Rc::clone(&state), callers, closing.clone()));
     let mut nodes = spawn(serve::nodes(Rc::clone(&state), nodes, closing));
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -31,6 +31,7 @@
 use crate::proxy::inbound_link;
 use crate::proxy::links;
 use crate::proxy::notices;
+use crate::proxy::overload;
 use crate::proxy::pool;
 use crate::proxy::quarantine_filter;
 use crate::proxy::quotas;
@@ -125,6 +126,8 @@
     pub body_memory: Rc<body_memory::BodyMemory>,
     /// Schedules long bodies from other nodes on this host's link.
     pub inbound_link: inbound_link::InboundLink,
+    /// Overload protection.
+    pub overload: overload::Overload,
     /// When the last answers must be sent; `None` until a planned stop begins.
     pub answer_deadline: Cell<Option<clock::Instant>>,
     /// The first number given out by [`State::next_number`].
@@ -201,6 +204,7 @@
             traffic_split: RefCell::default(),
             body_memory: Rc::new(body_memory::BodyMemory::new(proxy.kept_bytes)),
             inbound_link: inbound_link::InboundLink::new(inbound_link::Plan::new(proxy)),
+            overload: overload::Overload::new(&settings.overload),
             answer_deadline: Cell::new(None),
             first_number: ctx.seed_for("call"),
             next: Cell::new(0),
@@ -277,10 +281,12 @@
     }
 
     /// The load of the local upstream as reported to other nodes. It includes the wait for the
-    /// host's link, converted to the number of waiting calls that would cause an equal wait.
+    /// host's link and the delay of this node's own work, converted to the number of waiting calls
+    /// that would cause an equal wait.
     pub fn load(&self) -> admit::Load {
         let wait = inbound_link::link_time(&self.settings.proxy, self.inbound_link.pending_bytes());
-        self.slots.load().and_wait(wait)
+        let delay = self.overload.extra_wait(self.ctx.now());
+        self.slots.load().and_wait(wait + delay.as_micros() as f32)
     }
 
     /// Records a run time in the mean of its kind, and its ratio to that mean in the attempt of
