feat(overload): refuse calls early while the node's own work is delayed

A node whose CPU is saturated refused nothing: requests waited in sockets and run queues until their callers had given up. overload::Controller lowers the share of admitted calls while the standing delay is above overload.delay_ms, refuses the least urgent calls first, and within a priority those of organisations that exceed an equal share. proxy::caller refuses a call before it gets a lane, after one more parse of its head: 503 overloaded, not run, on the open connection unless a body is yet to arrive. Nested calls and requests that can't be served at all pass on.

The delay is the longer of a timer's lateness and of one pass through the tasks: a timer of 20 ms showed 4 ms where each pass took 25 ms.

--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -24,6 +24,7 @@
 use crate::proxy::body;
 use crate::proxy::entry;
 use crate::proxy::frame;
+use crate::proxy::overload;
 use crate::proxy::refuse;
 use crate::proxy::state;
 use crate::proxy::wiring;
@@ -58,8 +59,8 @@
 enum Output {
     /// Served by hyper on a lane.
     Lane { pipe: ReadHalf<DuplexStream>, progress: Rc<Progress> },
-    /// A refusal of bytes that are no valid request. The connection ends after it.
-    Refusal(Bytes),
+    /// A refusal made without hyper. `close`: the connection ends after it.
+    Refusal { bytes: Bytes, close: bool },
 }
 
 /// Progress of the request of a lane and of its answer.
@@ -187,7 +188,15 @@
                 if self.is_ending() {
                     return Ok(false);
                 }
-                *lane = self.start_lane(head).await;
+                let (parsed, rest) = self.buffer.split_at(step.bytes);
+                let open = !head.close && (step.end || self.framer.has_body(rest));
+                match overload::refuse(&self.state, parsed, !open) {
+                    Some(bytes) => self.refuse_overloaded(bytes, !open).await,
+                    None => *lane = self.start_lane(head).await,
+                }
+                if lane.is_none() && self.is_ending() {
+                    return Ok(false);
+                }
             }
             if let Some(pipe) = lane {
                 // Fails if the lane has answered before the end of the body; the rest is discarded.
@@ -229,6 +238,19 @@
         Some(input)
     }
 
+    /// Sends the refusal `bytes` of the next request in its turn; waits while too many requests are
+    /// unanswered. `close`: the connection ends after it, as the request has a body that has yet to
+    /// arrive, or the caller wants it.
+    async fn refuse_overloaded(&mut self, bytes: Bytes, close: bool) {
+        let number = self.latest.get() + 1;
+        self.latest.set(number);
+        let progress = Progress { number, close: Cell::new(close), ..Progress::default() };
+        self.newest = Some(Rc::new(progress));
+        self.unanswered.send_modify(|unanswered| *unanswered += 1);
+        // The writer has ended only if the connection has.
+        let _ = self.answers.send(Output::Refusal { bytes, close }).await;
+    }
+
     /// Waits until the caller closes the connection; discards what it sends.
     async fn wait_disconnect(&mut self) -> End {
         self.discard().await;
@@ -264,7 +286,8 @@
         log::info!(reason:% = fault; "refused an invalid request of a caller");
         self.unanswered.send_modify(|unanswered| *unanswered += 1);
         // The writer has ended only if the connection has.
-        let _ = self.answers.send(Output::Refusal(refusal_response(&refusal))).await;
+        let bytes = refusal_response(&refusal);
+        let _ = self.answers.send(Output::Refusal { bytes, close: true }).await;
         self.wait_disconnect().await
     }
 }
@@ -290,10 +313,10 @@
         while let Some(answer) = self.queue.recv().await {
             let ended = match answer {
                 Output::Lane { pipe, progress } => self.copy(pipe, &progress, &mut buffer).await,
-                Output::Refusal(bytes) => {
-                    let written = self.output.write_all(&bytes).await;
-                    Some(if written.is_ok() { End::Written } else { End::Disconnected })
-                }
+                Output::Refusal { bytes, close } => match self.output.write_all(&bytes).await {
+                    Ok(()) => close.then_some(End::Written),
+                    Err(_) => Some(End::Disconnected),
+                },
             };
             self.unanswered.send_modify(|unanswered| *unanswered = unanswered.saturating_sub(1));
             if let Some(end) = ended {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -240,7 +240,7 @@
 
 /// A call of a caller that sent the time for which it waits.
 #[derive(Clone, Copy, Debug)]
-struct CallerTry {
+pub(super) struct CallerTry {
     key: caller_retries::Key,
     /// When the caller made its first try.
     first: clock::Instant,
@@ -250,7 +250,7 @@
 
 /// Looks up whether the request `head`, which arrived at `now`, is a retry. `None` if its caller
 /// did not send the time for which it waits.
-fn caller_try<C: claim::Claims>(
+pub(super) fn caller_try<C: claim::Claims>(
     state: &state::State<C>,
     head: &request_head::RequestHead,
     now: clock::Instant,
@@ -262,12 +262,12 @@
 }
 
 /// Records a failed try, so that a retry of its caller is recognised.
-fn record_failed<C: claim::Claims>(state: &state::State<C>, failed: Option<CallerTry>) {
+pub(super) fn record_failed<C: claim::Claims>(state: &state::State<C>, failed: Option<CallerTry>) {
     let Some(CallerTry { key, first, until }) = failed else { return };
     state.caller_retries.borrow_mut().record(key, first, until);
 }
 
-fn find_route<C: claim::Claims>(
+pub(super) fn find_route<C: claim::Claims>(
     state: &state::State<C>,
     applied: &mesh::Applied,
     head: &request_head::RequestHead,
--- a/src/proxy/frame.rs
+++ b/src/proxy/frame.rs
@@ -98,6 +98,12 @@
         self.state == State::Head
     }
 
+    /// Whether `bytes`, which follow the parts returned before, hold the rest of a body of known
+    /// length.
+    pub fn has_body(&self, bytes: &[u8]) -> bool {
+        matches!(self.state, State::Sized(remaining) if remaining <= bytes.len() as u64)
+    }
+
     /// Finds the next part of a request in `bytes`, which follow the parts returned before.
     ///
     /// # Errors
