--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -13,6 +13,7 @@
 
 use crate::admin::status;
 use crate::notice;
+use crate::overload;
 use crate::quarantine;
 use crate::quota;
 use crate::ring;
@@ -25,6 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Arc<Mutex<registry::Registry>>,
+    overload: overload::Counts,
 }
 
 impl Default for Metrics {
@@ -34,10 +36,22 @@
 }
 
 impl Metrics {
-    /// Creates an empty registry.
+    /// Creates a registry that has only the metrics of the overload protection.
     pub fn new() -> Self {
-        let registry = registry::Registry::with_prefix(PREFIX);
-        Self { registry: Arc::new(Mutex::new(registry)) }
+        let mut registry = registry::Registry::with_prefix(PREFIX);
+        let overload = overload::Counts::default();
+        let help = "Calls refused because the node is overloaded";
+        registry.register("overload_refused", help, overload.refused.clone());
+        let help = "Standing delay of the node's own work in seconds";
+        registry.register("overload_delay_seconds", help, overload.delay.clone());
+        let help = "Share of the new calls of callers that is admitted";
+        registry.register("overload_admitted_share", help, overload.share.clone());
+        Self { registry: Arc::new(Mutex::new(registry)), overload }
+    }
+
+    /// The metrics of the overload protection, which the call path updates.
+    pub const fn overload(&self) -> &overload::Counts {
+        &self.overload
     }
 
     /// Adds `metric` under `name` and returns a handle that updates it. `help` must not end with a
--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -144,6 +144,7 @@
             local: local.as_deref(),
             log: *self.reachability.borrow(),
             ready: self.readiness().ready(),
+            overload: self.metrics.overload(),
             traffic: &self.traffic,
         };
         source.status()
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -9,6 +9,7 @@
 use crate::host;
 use crate::logs::reachability;
 use crate::node;
+use crate::overload;
 use crate::traffic;
 use crate::version;
 use crate::view;
@@ -65,6 +66,17 @@
     pub connections: u16,
 }
 
+/// What the overload protection of a node does.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Overload {
+    /// Standing delay of the node's own work, in milliseconds.
+    pub delay_ms: f64,
+    /// Share of the new calls of callers that is admitted.
+    pub admitted_share: f64,
+    /// Calls refused because the node was overloaded.
+    pub refused: u64,
+}
+
 /// Status of one node.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Status {
@@ -92,6 +104,9 @@
     pub members: Members,
     /// Known upstreams by service and phase.
     pub upstreams: collections::BTreeMap<SmolStr, Upstreams>,
+    /// What its overload protection does; `None` from a node of an older build.
+    #[serde(default)]
+    pub overload: Option<Overload>,
     /// Its control traffic by purpose.
     pub traffic: collections::BTreeMap<SmolStr, Counts>,
 }
@@ -115,6 +130,8 @@
     pub log: reachability::Reachability,
     /// Whether it may take calls.
     pub ready: bool,
+    /// The metrics of its overload protection.
+    pub overload: &'a overload::Counts,
     /// Its control traffic.
     pub traffic: &'a traffic::Traffic,
 }
@@ -136,6 +153,7 @@
             local: self.local.map(local),
             members: members(self.view),
             upstreams: upstreams(self.view),
+            overload: Some(overload(self.overload)),
             traffic: counts.map(|(name, counts)| (SmolStr::new_static(name), counts)).collect(),
         }
     }
@@ -184,6 +202,14 @@
     }
 }
 
+fn overload(counts: &overload::Counts) -> Overload {
+    Overload {
+        delay_ms: counts.delay.get() * 1e3,
+        admitted_share: counts.share.get(),
+        refused: counts.refused.get(),
+    }
+}
+
 fn members(view: &view::View) -> Members {
     let mut members = Members::default();
     for host in &view.hosts {
--- a/src/admin/tests/report.rs
+++ b/src/admin/tests/report.rs
@@ -28,6 +28,7 @@
         local: None,
         members: status::Members::default(),
         upstreams: collections::BTreeMap::new(),
+        overload: None,
         traffic: collections::BTreeMap::new(),
     }
 }
