fix(tests): no two tests of the operators' port use one address

the_mesh_status_lists_a_host_that_does_not_answer takes the address of host 6 for absent, while an_upstream_that_has_said_that_it_leaves_drains_whatever_it_announces starts a node there. Run at the same time, the absent host answers: (3, 3, true) in place of (2, 3, false).

--- a/src/admin/tests/served.rs
+++ b/src/admin/tests/served.rs
@@ -219,7 +219,7 @@
 #[tokio::test]
 async fn an_upstream_that_has_said_that_it_leaves_drains_whatever_it_announces() {
     in_local_set(async {
-        let mut ends = start(6);
+        let mut ends = start(7);
         assert_eq!(ends.get("/live").await.0, 204);
         ends.apply();
         assert_eq!(ends.put("shop-host").await, 204);
