--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -120,6 +120,7 @@
     incoming: Incoming,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let in_flight = Some(state.in_flight.enter());
+    state.overload.call_entered();
     let started = state.ctx.now();
     if state.is_draining() {
         return Err(refuse::Refusal::not_run(retry::Reason::Draining).retry_in(state.retry_delay()));
@@ -270,7 +271,7 @@
 
 /// A call of a caller that sent the time for which it waits.
 #[derive(Clone, Copy, Debug)]
-struct CallerTry {
+pub(super) struct CallerTry {
     key: caller_retries::Key,
     /// When the caller made its first try.
     first: clock::Instant,
@@ -280,7 +281,7 @@
 
 /// Looks up whether the request `head`, which arrived at `now`, is a retry. `None` if its caller
 /// did not send the time for which it waits.
-fn caller_try<C: claim::Claims>(
+pub(super) fn caller_try<C: claim::Claims>(
     state: &state::State<C>,
     head: &request_head::RequestHead,
     now: clock::Instant,
@@ -292,12 +293,12 @@
 }
 
 /// Records a failed try, so that a retry of its caller is recognised.
-fn record_failed<C: claim::Claims>(state: &state::State<C>, failed: Option<CallerTry>) {
+pub(super) fn record_failed<C: claim::Claims>(state: &state::State<C>, failed: Option<CallerTry>) {
     let Some(CallerTry { key, first, until }) = failed else { return };
     state.caller_retries.borrow_mut().record(key, first, until);
 }
 
-fn find_route<C: claim::Claims>(
+pub(super) fn find_route<C: claim::Claims>(
     state: &state::State<C>,
     applied: &mesh::Applied,
     head: &request_head::RequestHead,
