--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -136,6 +136,7 @@
             quarantine: quarantine::channel().0,
             quotas: Default::default(),
             notices: Default::default(),
+            picks: Default::default(),
             rollouts: Default::default(),
         };
         let (_stage_sender, stage) = watch::channel(node::Stage::Run);
--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -14,6 +14,7 @@
 use crate::admin::status;
 use crate::notice;
 use crate::overload;
+use crate::pick;
 use crate::quarantine;
 use crate::quota;
 use crate::ring;
@@ -90,6 +91,18 @@
         self.register("upstream_limit_refused", help, counts.refused.clone());
     }
 
+    /// Adds the counts of slow nodes and of lost hosts.
+    pub fn picks(&self, counts: &pick::Counts) {
+        let rows = [
+            ("pick_slow_nodes", "Nodes found slow", &counts.slow_nodes),
+            ("pick_losses", "Simultaneous losses of hosts", &counts.losses),
+            ("pick_probes", "Calls to hosts silent since such a loss", &counts.probes),
+        ];
+        for (name, help, counter) in rows {
+            self.register(name, help, counter.clone());
+        }
+    }
+
     /// Adds the counts of the limits of organisations.
     pub fn quotas(&self, counts: &quota::Counts) {
         let rows = [
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -18,6 +18,7 @@
 use crate::node::lifecycle;
 use crate::node::ports;
 use crate::notice;
+use crate::pick;
 use crate::proxy;
 use crate::quarantine;
 use crate::quota;
@@ -178,6 +179,8 @@
         self.metrics.quotas(&quotas);
         let notices = notice::Counts::default();
         self.metrics.notices(&notices);
+        let picks = pick::Counts::default();
+        self.metrics.picks(&picks);
         let member = self.member(member::shell::Wiring {
             applied: applied.clone(),
             view: view_sender,
@@ -240,6 +243,7 @@
             quarantine: suspects,
             quotas,
             notices: notice::CallSide { counts: notices, leaving },
+            picks,
             rollouts: rollout::shell::Channels { progress, statuses, trial },
         })?;
         Ok((calls, vec![member, spread, ledger, admin, rollout]))
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -146,7 +146,8 @@
         let me = host::HostId::new(settings.listen);
         let locality =
             view::Locality { region: settings.region.clone(), zone: settings.zone.clone() };
-        let mut picker = pick::Picker::new(locality, &settings.call, ctx.seed_for("pick"));
+        let mut picker = pick::Picker::new(locality, &settings.call, ctx.seed_for("pick"))
+            .with_counts(wiring.picks.clone());
         if settings.proxy.link_mbps > 0.0 {
             picker = picker.with_host(me);
         }
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -7,6 +7,7 @@
 use crate::mesh;
 use crate::node;
 use crate::notice;
+use crate::pick;
 use crate::proxy::dialect;
 use crate::quarantine;
 use crate::quota;
@@ -41,6 +42,8 @@
     pub quotas: quota::Counts,
     /// Counts what the local upstream says of itself, and tells other duties that it leaves.
     pub notices: notice::CallSide,
+    /// Counts of slow nodes and of lost hosts.
+    pub picks: pick::Counts,
     /// Roll-outs: the progress seen by this node, and their status in the mesh.
     pub rollouts: rollout::shell::Channels,
 }
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -269,6 +269,7 @@
         quarantine: call_side,
         quotas: Default::default(),
         notices: Default::default(),
+        picks: Default::default(),
         rollouts: Default::default(),
     };
     let ctx =
