--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -137,6 +137,7 @@
             quotas: Default::default(),
             notices: Default::default(),
             picks: Default::default(),
+            retries: Default::default(),
             rollouts: Default::default(),
         };
         let (_stage_sender, stage) = watch::channel(node::Stage::Run);
--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -17,6 +17,7 @@
 use crate::pick;
 use crate::quarantine;
 use crate::quota;
+use crate::retry;
 use crate::ring;
 use crate::traffic;
 
@@ -97,6 +98,7 @@
             ("pick_slow_nodes", "Nodes found slow", &counts.slow_nodes),
             ("pick_losses", "Simultaneous losses of hosts", &counts.losses),
             ("pick_probes", "Calls to hosts silent since such a loss", &counts.probes),
+            ("pick_kept_in_zone", "Calls kept in their busy zone", &counts.kept_in_zone),
         ];
         for (name, help, counter) in rows {
             self.register(name, help, counter.clone());
@@ -117,6 +119,23 @@
         }
     }
 
+    /// Adds the counts of the decisions on retries.
+    pub fn retries(&self, counts: &retry::Counts) {
+        let rows = [
+            (
+                "retry_diverted",
+                "Attempts at unreachable hosts that were replaced",
+                &counts.diverted,
+            ),
+            ("retry_inner_waited", "Waits of nested calls for their siblings", &counts.waited),
+            ("retry_inner_given_up", "Nested calls not retried for siblings", &counts.given_up),
+            ("retry_inner_not_sent", "Nested calls not sent for siblings", &counts.not_sent),
+        ];
+        for (name, help, counter) in rows {
+            self.register(name, help, counter.clone());
+        }
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -22,6 +22,7 @@
 use crate::proxy;
 use crate::quarantine;
 use crate::quota;
+use crate::retry;
 use crate::ring;
 use crate::rollout;
 use crate::spread;
@@ -181,6 +182,8 @@
         self.metrics.notices(&notices);
         let picks = pick::Counts::default();
         self.metrics.picks(&picks);
+        let retries = retry::Counts::default();
+        self.metrics.retries(&retries);
         let member = self.member(member::shell::Wiring {
             applied: applied.clone(),
             view: view_sender,
@@ -244,6 +247,7 @@
             quotas,
             notices: notice::CallSide { counts: notices, leaving },
             picks,
+            retries,
             rollouts: rollout::shell::Channels { progress, statuses, trial },
         })?;
         Ok((calls, vec![member, spread, ledger, admin, rollout]))
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -226,7 +226,7 @@
         } else {
             decide(state, call, tries, &failed).await
         };
-        log_failure(state, call, tries.attempt, &failed, &decision);
+        log_failure(state, call, tries, &failed, &decision, diverted);
         match decision {
             retry::Decision::Again { avoid: host } => avoid.extend(host),
             retry::Decision::Final { outcome, retry_after } => {
@@ -338,9 +338,10 @@
 fn log_failure<C: claim::Claims>(
     state: &state::State<C>,
     call: &Call,
-    number: u8,
+    tries: Tries,
     failed: &Failed,
     decision: &retry::Decision,
+    diverted: bool,
 ) {
     let now = state.ctx.now();
     let attempt = trace::Attempt {
@@ -348,9 +349,12 @@
         route: &call.route().name,
         service: &call.service().name,
         host: failed.host,
-        number,
+        number: tries.attempt,
         outcome: failed.refusal.outcome,
         again: matches!(decision, retry::Decision::Again { .. }),
+        diverted,
+        budget: state.budget(call.service(), |budget| budget.remaining()),
+        others: call.nested_call.as_ref().and_then(running_calls::NestedCall::others),
         nested: call.nested,
         remaining: call.deadline.since(now),
     };
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -186,10 +186,10 @@
             heard: RefCell::default(),
             last_upstream: RefCell::default(),
             caller_retries: RefCell::default(),
-            running: Rc::new(running_calls::RunningCalls::new(
-                Rc::clone(&crashes),
-                Rc::clone(&quarantine),
-            )),
+            running: Rc::new(
+                running_calls::RunningCalls::new(Rc::clone(&crashes), Rc::clone(&quarantine))
+                    .with_counts(wiring.retries.clone()),
+            ),
             quarantine,
             crashes,
             quotas: Rc::new(quotas::Quotas::new(
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -70,6 +70,12 @@
     pub outcome: retry::Outcome,
     /// Whether another attempt follows.
     pub again: bool,
+    /// Whether that one replaces this one, which reached no upstream.
+    pub diverted: bool,
+    /// Retries left in the budget of the service.
+    pub budget: u32,
+    /// The other nested calls of the same running call; `None` if they were ignored.
+    pub others: Option<retry::Others>,
     /// Whether the call is nested.
     pub nested: bool,
     /// Time remaining until the deadline.
@@ -292,6 +298,12 @@
             outcome = refuse::name(attempt.outcome),
             reason = reason(attempt.outcome),
             again = attempt.again,
+            diverted = attempt.diverted,
+            budget = attempt.budget,
+            siblings = attempt.others.is_some(),
+            siblings_running = attempt.others.map_or(0, |others| others.running),
+            siblings_waiting = attempt.others.map_or(0, |others| others.waiting),
+            sibling_lost = attempt.others.is_some_and(|others| others.lost),
             inner = attempt.nested,
             left_ms = millis(attempt.remaining),
             skipped;
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -11,6 +11,7 @@
 use crate::proxy::dialect;
 use crate::quarantine;
 use crate::quota;
+use crate::retry;
 use crate::ring;
 use crate::rollout;
 use crate::usage;
@@ -44,6 +45,8 @@
     pub notices: notice::CallSide,
     /// Counts of slow nodes and of lost hosts.
     pub picks: pick::Counts,
+    /// Counts of the decisions on retries.
+    pub retries: retry::Counts,
     /// Roll-outs: the progress seen by this node, and their status in the mesh.
     pub rollouts: rollout::shell::Channels,
 }
--- a/tests/calls/nested.rs
+++ b/tests/calls/nested.rs
@@ -161,6 +161,8 @@
             caller.run("run-0001", &["once", "lost"]).await;
             let sent = ["once", "lost"].map(|name| caller.runs(&format!("run-0001.{name}")));
             assert!(!sibling_repeats || sent == [1, 1], "{sent:?}");
+            let given_up = caller.nodes[0].retries.given_up.get();
+            assert_eq!(given_up, if sibling_repeats { 2 } else { 0 });
             let answers = caller.run("run-0002", &["once", "late"]).await;
             assert_eq!(outcomes(&answers), [expected, "ran"]);
         }
@@ -199,6 +201,7 @@
         assert_eq!(answer.header("dandelionspool-reason"), "full");
         assert!(!answer.header("retry-after").is_empty());
         assert_eq!(caller.runs("run-0001.good"), 0);
+        assert_eq!(caller.nodes[0].retries.not_sent.get(), 1);
         let answers = caller.run("run-0002", &["good"]).await;
         assert_eq!(outcomes(&answers), ["ran"], "another run has lost nothing");
     });
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -22,6 +22,7 @@
 use dandelionspool::proxy::shell;
 use dandelionspool::proxy::wiring;
 use dandelionspool::quarantine;
+use dandelionspool::retry;
 use dandelionspool::ring;
 use dandelionspool::usage;
 use dandelionspool::version;
@@ -103,6 +104,8 @@
     pub quarantine: quarantine::MemberSide,
     /// The calls duty; it ends after a drain.
     pub task: task::JoinHandle<Result<(), proxy::Error>>,
+    /// Counts of its decisions on retries.
+    pub retries: retry::Counts,
     upstream: Option<view::Upstream>,
     /// Number of the process at its address, from 1.
     incarnation: u64,
@@ -258,6 +261,7 @@
     let (applied, versions) = watch::channel(applied(1));
     let (sender, tallies) = ring::bounded(64);
     let (call_side, quarantine) = quarantine::channel();
+    let retries = retry::Counts::default();
     let wiring = wiring::Wiring {
         applied: versions,
         view: views,
@@ -270,6 +274,7 @@
         quotas: Default::default(),
         notices: Default::default(),
         picks: Default::default(),
+        retries: retries.clone(),
         rollouts: Default::default(),
     };
     let ctx =
@@ -284,6 +289,7 @@
         applied,
         quarantine,
         task,
+        retries,
         upstream: described,
         incarnation: 1,
     }
--- a/tests/calls/unreachable.rs
+++ b/tests/calls/unreachable.rs
@@ -109,6 +109,7 @@
         assert!(before >= 10, "the load must refuse calls: {before} of {CALLS}");
         assert!(after * 10 <= before, "{after} of {before} are still refused");
         assert_eq!(fleet.runs(), usize::try_from(CALLS).unwrap() - after, "each ran once");
+        assert!(fleet.entry.retries.diverted.get() > 0);
     });
 }
 
