--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -327,6 +327,11 @@
         self.node_delay.excess_us(base_delay_us, now) / service_us
     }
 
+    /// The share of its slots that is taken with one more call, and the cost of the delay of its node.
+    pub(super) fn load_cost(&self, base_us: f32, rules: &Rules, now: clock::Instant) -> f32 {
+        self.fullness(rules, now) + self.delay_cost(base_us, now)
+    }
+
     /// The time by which a call would miss its target at the upstream, see [`pick::Urgency`].
     pub(super) fn lateness(
         &self,
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -14,6 +14,7 @@
 use crate::pick;
 use crate::pick::event;
 use crate::pick::loss;
+use crate::pick::overflow;
 use crate::pick::peer;
 use crate::pick::table;
 use crate::retry;
@@ -285,9 +286,9 @@
         let peer = self.table.peer_mut(choice.key)?;
         let (ejected, delay_cost) = (peer.is_ejected(), peer.delay_cost(base_us, now));
         peer.ended(choice.rank, report, &aggregate, &self.rules, now);
-        let (zone, fullness) = (peer.zone, peer.fullness(&self.rules, now));
+        let (zone, load) = (peer.zone, peer.load_cost(base_us, &self.rules, now));
         if self.rules.zone_overflow && !choice.same_zone && report.load.is_some() {
-            self.table.record_overflow(choice.target, zone, fullness);
+            self.table.record_overflow(choice.target, zone, load);
         }
         let peer = self.table.peer_mut(choice.key)?;
         let slow = delay_cost <= peer::FULL && peer.delay_cost(base_us, now) > peer::FULL;
@@ -338,35 +339,44 @@
             return Some((index, tier));
         }
         let near = self.best_in_zone(search);
-        let stays =
-            near.is_some_and(|(_, _, cost)| cost <= min) || self.keeps_in_zone(search, index);
-        let near = near.filter(|_| stays);
+        let near = near.filter(|&(near, _, cost)| {
+            cost <= min || self.stays_in_zone(search, near, self.table.peers[index as usize].zone)
+        });
         Some(near.map_or((index, tier), |(index, tier, _)| (index, tier)))
     }
 
-    /// Whether a call that would leave its zone for the upstream at `index` stays, as that zone is
-    /// not known to be emptier. Other attempts than the first go wherever there may be a slot.
-    fn keeps_in_zone(&mut self, search: &Search<'_>, index: u32) -> bool {
-        if !self.rules.zone_overflow || !search.avoid.is_empty() {
+    /// Whether a call stays in its zone, at the upstream at `near`, although a slot may be free in
+    /// `other`, as that zone is not known to be emptier.
+    ///
+    /// That holds for calls that would merely wait. Other attempts than the first, and calls that
+    /// would be refused or late because of their node, leave.
+    fn stays_in_zone(&mut self, search: &Search<'_>, near: u32, other: overflow::ZoneKey) -> bool {
+        let peer = &self.table.peers[near as usize];
+        let refused = peer.is_saturated(&self.rules, search.now);
+        let late = self.late_cost(peer, search) > peer::FULL;
+        if !self.rules.zone_overflow || !search.avoid.is_empty() || refused || late {
             return false;
         }
         let Some(list) = self.table.list(search.target) else { return false };
-        let Some(own) = self.zone_fullness(list, search.now) else { return false };
-        let share = list.overflow.share(self.table.peers[index as usize].zone, own);
-        let stays = self.rng.random::<f32>() >= share;
+        let Some(own) = self.zone_load(list, search) else { return false };
+        let stays = self.rng.random::<f32>() >= list.overflow.leaving_share(other, own);
         if stays {
             self.counts.kept_in_zone.inc();
         }
         stays
     }
 
-    /// Mean fullness of the open upstreams in the own zone; `None` if there are none.
-    fn zone_fullness(&self, list: &table::List, now: clock::Instant) -> Option<f32> {
-        let near = (0..table::OTHER_ZONE).flat_map(|tier| list.tier(tier));
-        let open = near.map(|&i| &self.table.peers[i as usize]).filter(|peer| peer.is_open());
-        let (sum, count) = open.fold((0.0, 0_u16), |(sum, count), peer| {
-            (sum + peer.fullness(&self.rules, now), count + 1)
-        });
+    /// Mean load of the upstreams in the own zone that the call may use; `None` if there are none.
+    fn zone_load(&self, list: &table::List, search: &Search<'_>) -> Option<f32> {
+        let (mut sum, mut count) = (0.0, 0_u16);
+        for tier in 0..table::OTHER_ZONE {
+            let pool = search.pool(&self.table.peers, list.tier(tier), &self.rules);
+            for index in (0..pool.len()).filter(|&index| pool.is_usable(index)) {
+                let peer = pool.peer(index);
+                sum += peer.load_cost(search.base_delay_us, &self.rules, search.now);
+                count += 1;
+            }
+        }
         (count > 0).then(|| sum / f32::from(count))
     }
 
--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -75,7 +75,7 @@
     pub(super) cursors: [Cursor; TIERS],
     /// Detects the simultaneous loss of its hosts.
     pub(super) loss: loss::Loss,
-    /// How full other availability zones were found.
+    /// Load of other availability zones.
     pub(super) overflow: overflow::Overflow,
     aggregate: peer::Aggregate,
     /// [`Table::ejection_changes`] when `aggregate` was computed.
@@ -240,10 +240,10 @@
         &mut self,
         target: pick::Target,
         zone: overflow::ZoneKey,
-        fullness: f32,
+        load: f32,
     ) {
         if let Some(list) = self.list_mut(target) {
-            list.overflow.record(zone, fullness);
+            list.overflow.record(zone, load);
         }
     }
 
