feat(admin): metrics and log fields of reserved slots and the room for bodies

The counts of proxy::slots were not registered: slots_reserved, slots_held_back_total and body_refused_total now are. The lines of a refused and of a sampled call tell how many slots were reserved.

--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -138,6 +138,7 @@
             notices: Default::default(),
             picks: Default::default(),
             retries: Default::default(),
+            slots: Default::default(),
             rollouts: Default::default(),
         };
         let (_stage_sender, stage) = watch::channel(node::Stage::Run);
--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -15,6 +15,7 @@
 use crate::notice;
 use crate::overload;
 use crate::pick;
+use crate::proxy::slots;
 use crate::quarantine;
 use crate::quota;
 use crate::retry;
@@ -105,6 +106,15 @@
         }
     }
 
+    /// Adds the counts of the slots reserved for urgent calls, and of the room for bodies.
+    pub fn slots(&self, counts: &slots::Counts) {
+        self.register("slots_reserved", "Slots reserved for urgent calls", counts.reserved.clone());
+        let help = "Calls that waited although a slot was free, as it was reserved";
+        self.register("slots_held_back", help, counts.held_back.clone());
+        let help = "Calls refused before their bodies were read, as the link would make them late";
+        self.register("body_refused", help, counts.body_refused.clone());
+    }
+
     /// Adds the counts of the limits of organisations.
     pub fn quotas(&self, counts: &quota::Counts) {
         let rows = [
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -184,6 +184,8 @@
         self.metrics.picks(&picks);
         let retries = retry::Counts::default();
         self.metrics.retries(&retries);
+        let slots = proxy::slots::Counts::default();
+        self.metrics.slots(&slots);
         let member = self.member(member::shell::Wiring {
             applied: applied.clone(),
             view: view_sender,
@@ -248,6 +250,7 @@
             notices: notice::CallSide { counts: notices, leaving },
             picks,
             retries,
+            slots,
             rollouts: rollout::shell::Channels { progress, statuses, trial },
         })?;
         Ok((calls, vec![member, spread, ledger, admin, rollout]))
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -139,6 +139,7 @@
             waited: began.since(arrived),
             ran: now.since(began),
             load: state.slots.load(),
+            reserved: state.slots.reserved().slots,
             remaining: spec.deadline.since(now),
         };
         state.trace.ran(&ran, now);
@@ -289,6 +290,7 @@
         nested: spec.nested,
         reason: refused.reason,
         load: state.slots.load(),
+        reserved: state.slots.reserved().slots,
         limit: state.limit_in_force(),
         target: spec.target.since(now),
         remaining: spec.deadline.since(now),
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -172,7 +172,7 @@
             applied: RefCell::default(),
             picker: Rc::new(RefCell::new(picker)),
             budgets: RefCell::default(),
-            slots: Rc::new(slots::Slots::new(ctx)),
+            slots: Rc::new(slots::Slots::new(ctx).with_counts(wiring.slots.clone())),
             pool: Rc::new(pool::Pool::new(idle)),
             links: links::Links::new(me, seal.clone(), Arc::clone(&settings)),
             held_answers: Rc::new(held_answers::HeldAnswers::new(limits)),
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -106,6 +106,8 @@
     pub reason: retry::Reason,
     /// Load of the upstream.
     pub load: admit::Load,
+    /// Slots that are reserved for urgent calls.
+    pub reserved: usize,
     /// The limit that the upstream names; `None` if it names none.
     pub limit: Option<LimitInForce>,
     /// Time remaining to meet the target latency.
@@ -168,6 +170,8 @@
     pub ran: time::Duration,
     /// Load of the upstream after the call.
     pub load: admit::Load,
+    /// Slots that are reserved for urgent calls then.
+    pub reserved: usize,
     /// Time remaining until the deadline.
     pub remaining: time::Duration,
 }
@@ -277,6 +281,7 @@
             running = ran.load.running,
             waiting = ran.load.waiting,
             slots = ran.load.slots,
+            reserved = ran.reserved,
             service_us = ran.load.service_us,
             left_ms = millis(ran.remaining),
             sample = SAMPLE_ONE_IN,
@@ -346,6 +351,7 @@
             running = refused.load.running,
             waiting = refused.load.waiting,
             slots = refused.load.slots,
+            reserved = refused.reserved,
             service_us = refused.load.service_us,
             limit_per_s = refused.limit.map_or(0.0, |limit| limit.allowance.rate.per_second()),
             limit_left = refused.limit.map_or(0, |limit| limit.allowance.left),
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -9,6 +9,7 @@
 use crate::notice;
 use crate::pick;
 use crate::proxy::dialect;
+use crate::proxy::slots;
 use crate::quarantine;
 use crate::quota;
 use crate::retry;
@@ -47,6 +48,8 @@
     pub picks: pick::Counts,
     /// Counts of the decisions on retries.
     pub retries: retry::Counts,
+    /// Counts of the slots reserved for urgent calls, and of the room for bodies.
+    pub slots: slots::Counts,
     /// Roll-outs: the progress seen by this node, and their status in the mesh.
     pub rollouts: rollout::shell::Channels,
 }
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -275,6 +275,7 @@
         notices: Default::default(),
         picks: Default::default(),
         retries: retries.clone(),
+        slots: Default::default(),
         rollouts: Default::default(),
     };
     let ctx =
