--- a/soak/src/args.rs
+++ b/soak/src/args.rs
@@ -22,12 +22,20 @@
     pub seconds: u64,
     /// Upstreams name no limits and don't say that they leave
     pub silent: bool,
+    /// Nodes protect themselves from overload, reserve slots for orders, and choose upstreams and
+    /// retries selectively
+    pub overload: bool,
 }
 
 impl Args {
     /// Size of the fleet and length of a round.
     pub const fn shape(&self) -> series::Shape {
         let length_ms = self.seconds * 1000;
-        series::Shape { hosts: self.hosts, length_ms, notices: !self.silent }
+        series::Shape {
+            hosts: self.hosts,
+            length_ms,
+            notices: !self.silent,
+            overload: self.overload,
+        }
     }
 }
--- a/soak/src/player.rs
+++ b/soak/src/player.rs
@@ -39,6 +39,7 @@
     pub version: u64,
     /// Number of publications so far.
     publications: u64,
+    shape: series::Shape,
     /// Network faults in force, by host.
     network_faults: collections::BTreeMap<usize, series::NetworkFault>,
     /// Hosts whose node was killed or asked to stop, and has not been started since.
@@ -49,13 +50,14 @@
 
 impl Player {
     /// Creates a player for a fleet that runs `version`.
-    pub fn new(version: u64) -> Self {
+    pub fn new(version: u64, shape: series::Shape) -> Self {
         let network_faults = collections::BTreeMap::new();
         let down_nodes = collections::BTreeSet::new();
         Self {
             records: Vec::new(),
             version,
             publications: 0,
+            shape,
             network_faults,
             down_nodes,
             draining: Vec::new(),
@@ -134,7 +136,8 @@
                 self.publications += 1;
                 // The log service may not accept a publication during an outage; later acts publish
                 // again when it is over.
-                if let Ok(version) = setup::publish(fleet, self.version, self.publications).await {
+                let turn = self.publications;
+                if let Ok(version) = setup::publish(fleet, self.version, turn, self.shape).await {
                     self.version = version;
                 }
                 Ok(())
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -43,7 +43,7 @@
     let (stop, stop_receiver) = tokio::sync::oneshot::channel();
     let watch = tokio::spawn(watch::Watch::new(&fleet).run(stop_receiver));
     let calls = tokio::spawn(load::drive(setup::load(&fleet, &series)));
-    let mut player = player::Player::new(1);
+    let mut player = player::Player::new(1, shape);
     player.play(&mut fleet, &series).await?;
     let tally = calls.await??;
     let mut breaches = await_convergence(&mut fleet, player.version).await;
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -38,6 +38,8 @@
     pub length_ms: u64,
     /// Whether upstreams name limits, and say that they leave, in their answers.
     pub notices: bool,
+    /// Whether the parts for hard load are switched on.
+    pub overload: bool,
 }
 
 /// A network fault between a host and the others.
--- a/soak/src/setup.rs
+++ b/soak/src/setup.rs
@@ -5,6 +5,7 @@
 
 use dandelionspool::bench::fleet;
 use dandelionspool::bench::load;
+use dandelionspool::configs;
 use serde_json::json;
 
 use crate::Error;
@@ -25,6 +26,12 @@
 const ORDERS_PER_S: f64 = 40.0;
 /// Size of an order: more than one flow control window of a connection between nodes.
 const ORDER_BYTES: usize = 20_000;
+/// Delay above which nodes refuse calls: short, so that faults on a busy machine reach it.
+const OVERLOAD_DELAY_MS: u64 = 5;
+/// Window in which hosts count as lost at once.
+const LOSS_WINDOW_MS: u64 = 3000;
+/// Bandwidth of each host's link: orders take a third of it at times.
+const LINK_MBPS: f64 = 50.0;
 /// Time that callers continue after the last act, in seconds.
 const LOAD_AFTER_LAST_ACT_S: f64 = 2.0;
 
@@ -37,15 +44,35 @@
     let dir = std::env::temp_dir();
     let file =
         dir.join(format!("dandelionspool-soak-{}-{}.json", std::process::id(), file_number()));
-    write_configuration(&file, 0)?;
+    write_configuration(&file, 0, shape)?;
     let group = fleet::Group::new(SERVICE, shape.hosts).mean_ms(5.0).grace_ms(500);
     let plan = fleet::Plan::new(fleet::Programs::beside()?);
-    let plan = plan.group(group).faults().configuration(&file);
+    let plan = plan.group(group).faults().configuration(&file).settings(settings(shape));
     let fleet = fleet::Fleet::start(plan).await;
     fs::remove_file(&file)?;
     Ok(fleet?)
 }
 
+/// The settings of the nodes.
+fn settings(shape: series::Shape) -> configs::Node {
+    let mut settings = configs::Node::default();
+    if shape.overload {
+        settings.overload.delay_ms = OVERLOAD_DELAY_MS;
+        settings.call = configs::call::Call {
+            node_delay: true,
+            loss_window_ms: LOSS_WINDOW_MS,
+            urgent_room: true,
+            body_room: true,
+            divert_unreachable: true,
+            sibling_repeats: true,
+            zone_overflow: true,
+            ..settings.call
+        };
+        settings.proxy.link_mbps = LINK_MBPS;
+    }
+    settings
+}
+
 /// A number that differs for each configuration file of this process.
 fn file_number() -> u64 {
     static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
@@ -57,9 +84,14 @@
 /// # Errors
 ///
 /// The publish command can't be run, or fails.
-pub async fn publish(fleet: &fleet::Fleet, base: u64, turn: u64) -> Result<u64, Error> {
+pub async fn publish(
+    fleet: &fleet::Fleet,
+    base: u64,
+    turn: u64,
+    shape: series::Shape,
+) -> Result<u64, Error> {
     let file = fleet.dir().join(format!("mesh-{turn}.json"));
-    write_configuration(&file, turn)?;
+    write_configuration(&file, turn, shape)?;
     let done = fleet.publish(&file, base, &["--json", "--wait-ms", "20000"]).await?;
     done.version().ok_or(Error::Publish(done.code))
 }
@@ -81,10 +113,12 @@
         .keep()
 }
 
-fn write_configuration(file: &path::Path, turn: u64) -> Result<(), Error> {
+fn write_configuration(file: &path::Path, turn: u64, shape: series::Shape) -> Result<(), Error> {
+    // Orders are urgent beside reads of a lower priority.
+    let priority = |idempotent: bool| u8::from(idempotent && shape.overload);
     let kind = |name, idempotent, body_bytes| {
         json!({ "name": name, "weight": 1, "idempotent": idempotent, "body_bytes": body_bytes,
-                "attempts": MAX_ATTEMPTS })
+                "attempts": MAX_ATTEMPTS, "priority": priority(idempotent) })
     };
     let route = |name, path, method| {
         json!({ "name": name, "path": path, "methods": [method], "service": SERVICE,
--- a/soak/tests/promises.rs
+++ b/soak/tests/promises.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 
-const SHAPE: series::Shape = series::Shape { hosts: 5, length_ms: 8000, notices: false };
+const SHAPE: series::Shape =
+    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false };
 
 fn result(id: &str, outcome: load::Outcome) -> load::TryResult {
     load::TryResult {
--- a/soak/tests/round.rs
+++ b/soak/tests/round.rs
@@ -5,16 +5,22 @@
 use rstest::rstest;
 
 /// Small and short, so that every run of the tests can include it.
-const SHORT: series::Shape = series::Shape { hosts: 4, length_ms: 4000, notices: false };
+const SHORT: series::Shape =
+    series::Shape { hosts: 4, length_ms: 4000, notices: false, overload: false };
 
 /// Default shape of the command line.
-const DEFAULT: series::Shape = series::Shape { hosts: 5, length_ms: 8000, notices: false };
+const DEFAULT: series::Shape =
+    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false };
 
 /// The same with upstreams that name limits and leave in their answers.
 const NOTICES: series::Shape = series::Shape { notices: true, ..DEFAULT };
 
+/// The same with the parts for hard load switched on.
+const OVERLOAD: series::Shape = series::Shape { overload: true, ..NOTICES };
+
 #[rstest]
 #[case::notices(1, NOTICES)]
+#[case::overload(5, OVERLOAD)]
 #[case::planned_work(4, SHORT)]
 #[case::faults(3, SHORT)]
 // The soak itself was at fault: at the end of a stop it killed a node that had been started again
