--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -139,6 +139,7 @@
             picks: Default::default(),
             retries: Default::default(),
             slots: Default::default(),
+            overload: Default::default(),
             rollouts: Default::default(),
         };
         let (_stage_sender, stage) = watch::channel(node::Stage::Run);
--- a/benches/overload.rs
+++ b/benches/overload.rs
@@ -166,6 +166,10 @@
             quarantine: quarantine::channel().0,
             quotas: Default::default(),
             notices: Default::default(),
+            overload: Default::default(),
+            picks: Default::default(),
+            retries: Default::default(),
+            slots: Default::default(),
             rollouts: Default::default(),
         };
         shell::run(context::Context::system(), Arc::new(settings), wiring).await.unwrap();
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -251,6 +251,7 @@
             picks,
             retries,
             slots,
+            overload: self.metrics.overload().clone(),
             rollouts: rollout::shell::Channels { progress, statuses, trial },
         })?;
         Ok((calls, vec![member, spread, ledger, admin, rollout]))
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -489,6 +489,7 @@
         | retry::Reason::LogDown
         | retry::Reason::NoRoute
         | retry::Reason::OverLimit
+        | retry::Reason::Overloaded
         | retry::Reason::Quarantined
         | retry::Reason::TooDeep
         | retry::Reason::TooLarge
--- a/src/proxy/overload.rs
+++ b/src/proxy/overload.rs
@@ -51,9 +51,6 @@
 /// passed on.
 const MAX_FIELDS: usize = 64;
 
-/// Name of the reason that callers are told.
-const OVERLOADED: &str = "overloaded";
-
 /// Overload protection of a node.
 #[derive(Debug)]
 pub struct Overload {
@@ -197,7 +194,7 @@
     if active.controller.borrow_mut().admit(priority, charged, began) == overload::Verdict::Admit {
         return None;
     }
-    let refusal = refuse::Refusal::not_run(retry::Reason::Full).retry_in(state.retry_delay());
+    let refusal = refuse::Refusal::not_run(retry::Reason::Overloaded).retry_in(state.retry_delay());
     active.counts.refused.inc();
     entry::record_failed(state, entry::caller_try(state, &head, began));
     count_refused(state, &applied, kind, began, &refusal);
@@ -210,12 +207,8 @@
     };
     state.trace.ended(&ended, now);
     let mut answer = reply::answer(&refusal, state.dialect.verbose);
-    if state.dialect.verbose {
-        let reason = header::HeaderValue::from_static(OVERLOADED);
-        answer.headers_mut().insert(headers::REASON, reason);
-    }
     answer.headers_mut().insert(&state.dialect.id, head.id);
-    Some(reply::encode(&answer, OVERLOADED, head_only, close))
+    Some(reply::encode(&answer, retry::Reason::Overloaded.as_str(), head_only, close))
 }
 
 /// Counts the refused call of `kind` that arrived at `began`.
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -205,7 +205,7 @@
             traffic_split: RefCell::default(),
             body_memory: Rc::new(body_memory::BodyMemory::new(proxy.kept_bytes)),
             inbound_link: inbound_link::InboundLink::new(inbound_link::Plan::new(proxy)),
-            overload: overload::Overload::new(&settings.overload, Default::default()),
+            overload: overload::Overload::new(&settings.overload, wiring.overload.clone()),
             answer_deadline: Cell::new(None),
             first_number: ctx.seed_for("call"),
             next: Cell::new(0),
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -7,6 +7,7 @@
 use crate::mesh;
 use crate::node;
 use crate::notice;
+use crate::overload;
 use crate::pick;
 use crate::proxy::dialect;
 use crate::proxy::slots;
@@ -50,6 +51,8 @@
     pub retries: retry::Counts,
     /// Counts of the slots reserved for urgent calls, and of the room for bodies.
     pub slots: slots::Counts,
+    /// Metrics of the overload protection.
+    pub overload: overload::Counts,
     /// Roll-outs: the progress seen by this node, and their status in the mesh.
     pub rollouts: rollout::shell::Channels,
 }
--- a/src/retry/reason.rs
+++ b/src/retry/reason.rs
@@ -30,6 +30,8 @@
     NotReady,
     /// The organisation has used up its limit.
     OverLimit,
+    /// The node has more calls than its CPU can serve.
+    Overloaded,
     /// The request is quarantined, since upstreams crashed while they ran it.
     Quarantined,
     /// The deadline passed before the answer was complete.
@@ -50,7 +52,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 20] = [
+    pub const ALL: [Reason; 21] = [
         Reason::Cancelled,
         Reason::Conflict,
         Reason::Cut,
@@ -63,6 +65,7 @@
         Reason::NoUpstream,
         Reason::NotReady,
         Reason::OverLimit,
+        Reason::Overloaded,
         Reason::Quarantined,
         Reason::Timeout,
         Reason::TooDeep,
@@ -88,6 +91,7 @@
             Self::NoUpstream => "no-upstream",
             Self::NotReady => "not-ready",
             Self::OverLimit => "over-limit",
+            Self::Overloaded => "overloaded",
             Self::Quarantined => "quarantined",
             Self::Timeout => "timeout",
             Self::TooDeep => "too-deep",
@@ -108,6 +112,7 @@
             | Self::Limited
             | Self::Malformed
             | Self::NotReady
+            | Self::Overloaded
             | Self::Timeout
             | Self::TooLate
             | Self::Unreachable
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -276,6 +276,7 @@
         picks: Default::default(),
         retries: retries.clone(),
         slots: Default::default(),
+        overload: Default::default(),
         rollouts: Default::default(),
     };
     let ctx =
