fix(pick): hosts that are only late do not count as lost

Where nodes were late, or one caller had a tiny deadline, the whole list counted as lost, and the late nodes lost the time of their last response.

A host that has responded to any call since the attempt began is no longer silent. `timeout` and `too-late` in less than the connection time-out show nothing. A failure reaches back by at most that time-out, whatever the deadline. The time of the last response no longer goes back when an older call ends later.

--- a/src/pick/mod.rs
+++ b/src/pick/mod.rs
@@ -135,23 +135,38 @@
 }
 
 impl Report {
-    /// Whether the host gave no sign of life.
-    fn is_silent(&self) -> bool {
+    /// Whether the attempt got no sign of life of its host. One that ended at its deadline in less
+    /// than `connect_timeout` does not show that: a live host may need as long for a connection.
+    fn is_silent(&self, connect_timeout: time::Duration) -> bool {
         use retry::Reason::{Cut, Timeout, TooLate, Unreachable};
-        let failed = matches!(self.outcome.reason(), Some(Cut | Timeout | TooLate | Unreachable));
+        let failed = match self.outcome.reason() {
+            Some(Cut | Unreachable) => true,
+            Some(Timeout | TooLate) => self.latency >= connect_timeout,
+            _ => false,
+        };
         failed && self.responded_at.is_none()
     }
 
     /// From when on a silent host, of which an attempt ended at `now`, is known not to respond. A
-    /// connection attempt, during which nothing is sent, found it so from its start; otherwise the
-    /// host may have been lost at any time of the attempt.
-    fn silent_since(&self, now: clock::Instant) -> clock::Instant {
+    /// connection attempt, during which nothing is sent, found it so from its start, at most
+    /// `connect_timeout` ago; otherwise the host may have been lost at any time of the attempt.
+    fn silent_since(&self, connect_timeout: time::Duration, now: clock::Instant) -> clock::Instant {
         match self.outcome.reason() {
             Some(retry::Reason::TooLate | retry::Reason::Unreachable) => {
-                let latency = u64::try_from(self.latency.as_micros()).unwrap_or(u64::MAX);
-                clock::Instant::from_micros(now.as_micros().saturating_sub(latency))
+                before(now, self.latency.min(connect_timeout))
             }
             _ => now,
         }
     }
+
+    /// When the attempt that ended at `now` started.
+    fn started_at(&self, now: clock::Instant) -> clock::Instant {
+        before(now, self.latency)
+    }
+}
+
+/// The instant that is `time` before `now`; the first one if there is none.
+fn before(now: clock::Instant, time: time::Duration) -> clock::Instant {
+    let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    clock::Instant::from_micros(now.as_micros().saturating_sub(micros))
 }
--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -58,6 +58,8 @@
     pub(super) slow_factor: f32,
     /// Time within which failures at two hosts count as a simultaneous loss; zero if none do.
     pub(super) loss_window: time::Duration,
+    /// Time-out of connection attempts to other nodes.
+    pub(super) connect_timeout: time::Duration,
     /// Whether the delay of nodes counts.
     pub(super) node_delay: bool,
     /// Whether calls leave a zone only for emptier ones.
@@ -78,6 +80,9 @@
             mean_half_us: 2_000_000.0,
             slow_factor: f32::from(settings.slow_factor.max(2)),
             loss_window: time::Duration::from_millis(settings.loss_window_ms),
+            connect_timeout: time::Duration::from_millis(
+                configs::proxy::Proxy::default().connect_ms,
+            ),
             node_delay: settings.node_delay,
             zone_overflow: settings.zone_overflow,
         }
@@ -139,8 +144,8 @@
     relative_time: (f32, clock::Instant),
     /// Delay of its node; not measured for the upstream beside the entry node.
     pub(super) node_delay: delay::Delay,
-    /// When its node last responded; `None` if it never did, or an attempt has failed since without
-    /// a response.
+    /// When its node last responded; `None` if it never did, or an attempt that started later has
+    /// failed without a response.
     pub(super) responded_at: Option<clock::Instant>,
     /// Limit that it names, and when that was last heard.
     limit: Option<(admit::Rate, clock::Instant)>,
@@ -376,6 +381,18 @@
         self.breaker.started(&rules.breaker, now);
     }
 
+    /// Whether an attempt that ended at `now` shows that its host does not respond. A response to
+    /// any call since the start of the attempt shows that the node is only late.
+    pub(super) fn is_silent(
+        &self,
+        report: &pick::Report,
+        rules: &Rules,
+        now: clock::Instant,
+    ) -> bool {
+        let started = report.started_at(now);
+        report.is_silent(rules.connect_timeout) && self.responded_at.is_none_or(|at| at < started)
+    }
+
     /// Records the end of a call of `rank`.
     pub(super) fn ended(
         &mut self,
@@ -397,9 +414,11 @@
             let known = self.relative_time(now);
             self.relative_time = (known + (ratio - known) / SMOOTHING, now);
         }
-        if report.responded_at.is_some() || report.is_silent() {
-            self.responded_at = report.responded_at;
-        }
+        self.responded_at = if self.is_silent(report, rules, now) {
+            None
+        } else {
+            self.responded_at.max(report.responded_at)
+        };
         if let Some(measured) = report.node_delay.filter(|_| rules.node_delay) {
             self.node_delay.record(measured, now);
         }
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -129,6 +129,13 @@
         self
     }
 
+    /// Sets the time-out of connection attempts to other nodes, `proxy.connect_ms`; the default is
+    /// that of the setting.
+    pub const fn with_connect_timeout(mut self, timeout: time::Duration) -> Self {
+        self.rules.connect_timeout = timeout;
+        self
+    }
+
     /// Applies a new view or mesh without roll-outs; the state of hosts that stay is kept.
     pub fn rebuild(&mut self, view: &view::View, mesh: &mesh::Mesh, now: clock::Instant) {
         self.rebuild_with(view, mesh, &rollout::Table::default(), now);
@@ -239,7 +246,7 @@
         lost.or(slow)
     }
 
-    /// Records an attempt without a response. Returns the simultaneous loss of hosts that it has
+    /// Records an attempt that shows that its host does not respond. Returns the simultaneous loss of hosts that it has
     /// shown.
     fn record_loss(
         &mut self,
@@ -248,11 +255,12 @@
         now: clock::Instant,
     ) -> Option<pick::HostsLost> {
         let window = self.rules.loss_window;
-        if window.is_zero() || !report.is_silent() {
+        let peer = self.table.peer(choice.key)?;
+        if window.is_zero() || !peer.is_silent(report, &self.rules, now) {
             return None;
         }
-        let responded_at = self.table.peer(choice.key)?.responded_at;
-        let since = report.silent_since(now);
+        let responded_at = peer.responded_at;
+        let since = report.silent_since(self.rules.connect_timeout, now);
         let failure = loss::Failure { key: choice.key, since, at: now };
         let list = self.table.list_mut(choice.target)?;
         let earlier = list.loss.record(failure, responded_at, window)?;
