fix(proxy): a body that its caller broke off shows nothing of the node

An attempt whose caller broke off the body of its request ends as `cut` without a response. It counted as a host without a response and, beyond the mean run time, as a delay of the node, so that one caller who broke off its uploads could make hosts count as lost or slow.

The attempt records that its caller broke it off; the picker then records its end alone.

Tests: both new cases broken_off of proxy::attempt::tests fail without the change.

--- a/src/pick/peer.rs
+++ b/src/pick/peer.rs
@@ -414,11 +414,7 @@
             let known = self.relative_time(now);
             self.relative_time = (known + (ratio - known) / SMOOTHING, now);
         }
-        self.responded_at = if self.is_silent(report, rules, now) {
-            None
-        } else {
-            self.responded_at.max(report.responded_at)
-        };
+        self.responded_at = self.responded_at.max(report.responded_at);
         if let Some(measured) = report.node_delay.filter(|_| rules.node_delay) {
             self.node_delay.record(measured, now);
         }
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -246,6 +246,13 @@
         lost.or(slow)
     }
 
+    /// Records, instead of [`Picker::ended`], that an attempt at `choice` has ended as its caller
+    /// broke off the body of the request: that there was no response shows nothing of the host.
+    pub fn broken_off(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
+        let report = pick::Report { node_delay: None, ..*report };
+        self.record_end(choice, &report, now);
+    }
+
     /// Records an attempt that shows that its host does not respond. Returns the simultaneous loss of hosts that it has
     /// shown.
     fn record_loss(
@@ -255,11 +262,11 @@
         now: clock::Instant,
     ) -> Option<pick::HostsLost> {
         let window = self.rules.loss_window;
-        let peer = self.table.peer(choice.key)?;
+        let peer = self.table.peer_mut(choice.key)?;
         if window.is_zero() || !peer.is_silent(report, &self.rules, now) {
             return None;
         }
-        let responded_at = peer.responded_at;
+        let responded_at = peer.responded_at.take();
         let since = report.silent_since(self.rules.connect_timeout, now);
         let failure = loss::Failure { key: choice.key, since, at: now };
         let list = self.table.list_mut(choice.target)?;
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -38,6 +38,8 @@
     expected: Option<Expected>,
     node_delay: Option<time::Duration>,
     responded_at: Option<clock::Instant>,
+    /// Whether the caller broke off the body of the request.
+    broken_off: bool,
     state: retry::Attempt,
     ended: bool,
 }
@@ -64,6 +66,7 @@
             expected: None,
             node_delay: None,
             responded_at: None,
+            broken_off: false,
             state,
             ended: false,
         }
@@ -102,6 +105,12 @@
         self.node_delay = held.map(|held| elapsed.saturating_sub(held));
     }
 
+    /// Records that the caller broke off the body of the request. How the attempt ends then shows
+    /// nothing of the node: neither a delay nor that its host is lost.
+    pub fn record_broken_off(&mut self) {
+        self.broken_off = true;
+    }
+
     /// Whether it goes to the new version of a roll-out, which is still under trial.
     pub fn is_trial(&self) -> bool {
         self.choice.target.group == rollout::VersionGroup::New
@@ -134,6 +143,10 @@
             node_delay: self.node_delay.or_else(|| self.lost_delay(outcome, latency, now)),
             responded_at: self.responded_at,
         };
+        if self.broken_off {
+            self.picker.borrow_mut().broken_off(self.choice, &report, now);
+            return outcome;
+        }
         let event = self.picker.borrow_mut().ended(self.choice, &report, now);
         if let Some(event) = event {
             log_event(&event);
--- a/src/proxy/attempt/tests.rs
+++ b/src/proxy/attempt/tests.rs
@@ -34,8 +34,18 @@
     host::HostId::new(net::SocketAddr::from(([127, 0, 0, number], 7100)))
 }
 
-/// A picker for two upstreams in one zone.
+/// A picker for two upstreams in one zone that counts the delay of nodes.
 fn picker(now: clock::Instant) -> Rc<RefCell<pick::Picker>> {
+    let settings = configs::call::Call { node_delay: true, ..configs::call::Call::default() };
+    picker_with(&settings, pick::Counts::default(), now)
+}
+
+/// A picker for two upstreams in one zone.
+fn picker_with(
+    settings: &configs::call::Call,
+    counts: pick::Counts,
+    now: clock::Instant,
+) -> Rc<RefCell<pick::Picker>> {
     let objectives = mesh::Objectives {
         availability: 0.99,
         latency: ms(100),
@@ -79,8 +89,7 @@
         health: view::Health::Alive,
         upstream: upstream.clone(),
     });
-    let settings = configs::call::Call { node_delay: true, ..configs::call::Call::default() };
-    let mut picker = pick::Picker::new(locality, &settings, 7);
+    let mut picker = pick::Picker::new(locality, settings, 7).with_counts(counts);
     picker.rebuild(&view::View::new(hosts.to_vec()), &mesh, now);
     Rc::new(RefCell::new(picker))
 }
@@ -167,3 +176,42 @@
     });
     assert!(picked > 0);
 }
+
+/// Guards against a delay of nodes whose callers broke off the bodies of their requests.
+#[rstest]
+#[case::broken_off(true, false)]
+#[case::lost(false, true)]
+fn an_attempt_that_its_caller_broke_off_shows_no_delay(
+    #[case] broken_off: bool,
+    #[case] slow: bool,
+) {
+    let picked = picked_after(ms(1000), |mut attempt| {
+        if broken_off {
+            attempt.record_broken_off();
+        }
+        attempt.end(retry::Event::PossiblyRan(retry::Reason::Cut));
+    });
+    assert_eq!(picked == 0, slow, "{picked} of 20 calls go there");
+}
+
+/// Guards against hosts that count as lost as one caller broke off its uploads.
+#[rstest]
+#[case::broken_off(true, 0)]
+#[case::lost(false, 1)]
+fn an_attempt_that_its_caller_broke_off_shows_no_lost_host(
+    #[case] broken_off: bool,
+    #[case] losses: u64,
+) {
+    let ctx = context::Context::system();
+    let settings = configs::call::Call { loss_window_ms: 2000, ..configs::call::Call::default() };
+    let counts = pick::Counts::default();
+    let picker = picker_with(&settings, counts.clone(), ctx.now());
+    for number in [1, 2] {
+        let mut attempt = attempt(ctx, &picker, number, ctx.now() + ms(1000));
+        if broken_off {
+            attempt.record_broken_off();
+        }
+        attempt.end(retry::Event::PossiblyRan(retry::Reason::Cut));
+    }
+    assert_eq!(counts.losses.get(), losses);
+}
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -394,8 +394,12 @@
         state.sizes.borrow_mut().record(&call.kind().name, bytes);
     }
     result.map_err(|mut refusal| {
+        let fault = call.body.fault();
+        if let Some(attempt) = resources.attempt.as_mut().filter(|_| fault.is_some()) {
+            attempt.record_broken_off();
+        }
         let outcome = resources.fail_attempt(refusal.outcome, refusal.retry_after);
-        refusal.outcome = with_body_fault(outcome, call.body.fault());
+        refusal.outcome = with_body_fault(outcome, fault);
         Failed { refusal, host: Some(choice.host) }
     })
 }
