fix(proxy): a run takes no longer than its attempt

Another node may send any number as `dandelionspool-ran-us`. It entered the mean run time of the kind, which is subtracted from attempts without a response and decides on urgent calls and diversions: one wrong number hid the delay of all nodes for many calls. It is bounded by the time of the attempt, as `dandelionspool-held-us` is.

Tests: three of the new tests and cases of proxy::internode::tests fail without the bound.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -448,7 +448,8 @@
     }
     let end = state.timer(call.deadline) + REPLY_GRACE;
     let limit = connect_timeout(state, call, tries);
-    let answer = internode::call_within(&state.links, host, request, end, limit).await;
+    let mut answer = internode::call_within(&state.links, host, request, end, limit).await;
+    answer.bound_ran(state.ctx.now().since(now));
     // A refusal without a notice tells nothing: the node may have started anew and not know its
     // upstream yet.
     if answer.notice.is_some() || answer.ran.is_some() {
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -17,6 +17,9 @@
 use crate::proxy::upload;
 use crate::retry;
 
+#[cfg(test)]
+mod tests;
+
 /// Authority of a call without a host.
 const NO_HOST: &str = "none.invalid";
 
@@ -38,6 +41,14 @@
     pub result: Result<http::Response<hyper::body::Incoming>, refuse::Refusal>,
 }
 
+impl Answer {
+    /// Bounds the run time by `elapsed`, the time of the attempt. The other node may send any
+    /// number, and the mean run time of the kind follows it.
+    pub fn bound_ran(&mut self, elapsed: time::Duration) {
+        self.ran = self.ran.map(|ran| call_spec::RunTime(ran.0.min(elapsed)));
+    }
+}
+
 impl From<refuse::Refusal> for Answer {
     fn from(refusal: refuse::Refusal) -> Self {
         Self { load: None, notice: None, ran: None, held: None, result: Err(refusal) }
