fix(pick): a loss of hosts ends with the service of its list

Lists are kept by their position in the configuration. Where a new configuration put another service or class at that position, failures at hosts of the former one counted for it. The lists now start anew when the name at their position differs; the cursors and the fullness of other zones go with them.

Tests: all four cases of a_loss_ends_with_the_service_or_class_of_its_list fail without the change.

--- a/src/pick/table.rs
+++ b/src/pick/table.rs
@@ -163,6 +163,8 @@
 /// The upstreams of one service or class, by version group.
 #[derive(Clone, Debug, Default)]
 struct Groups {
+    /// Name of the service or class; the lists start anew when another one takes their position.
+    name: SmolStr,
     any: List,
     new: List,
     old: List,
@@ -193,7 +195,12 @@
         self.any.push(index, tier);
     }
 
-    fn clear(&mut self) {
+    /// Removes the upstreams. The other state of the lists is kept if they are still those of the
+    /// service or class `name`.
+    fn reset(&mut self, name: &SmolStr) {
+        if self.name != *name {
+            *self = Self { name: name.clone(), ..Self::default() };
+        }
         self.any.clear();
         self.new.clear();
         self.old.clear();
@@ -317,7 +324,12 @@
     fn reset(&mut self, mesh: &mesh::Mesh) {
         self.services.resize_with(mesh.services.len(), Groups::default);
         self.classes.resize_with(mesh.classes.len(), Groups::default);
-        self.services.iter_mut().chain(&mut self.classes).for_each(Groups::clear);
+        for (groups, service) in self.services.iter_mut().zip(&mesh.services) {
+            groups.reset(&service.name);
+        }
+        for (groups, class) in self.classes.iter_mut().zip(&mesh.classes) {
+            groups.reset(&class.name);
+        }
         self.peers.iter_mut().for_each(|p| p.listed = false);
     }
 
--- a/src/pick/tests/loss.rs
+++ b/src/pick/tests/loss.rs
@@ -1,17 +1,21 @@
 //! Tests of the selection after the simultaneous loss of hosts.
 
+use std::sync::Arc;
 use std::time;
 
 use rstest::rstest;
+use smol_str::SmolStr;
 
 use super::simulation;
-use super::{SHOP, UNREACHABLE, at, id, locality, rebuild, report, serving};
+use super::{SHOP, UNREACHABLE, at, id, locality, rebuild, report, serving, shop};
 use crate::clock;
 use crate::configs;
 use crate::host;
+use crate::mesh;
 use crate::pick;
 use crate::pick::loss;
 use crate::retry;
+use crate::view;
 
 const WINDOW: time::Duration = time::Duration::from_secs(2);
 
@@ -310,6 +314,58 @@
     );
 }
 
+/// The configuration with another service, of one class, before or in place of the shop.
+fn with_other_service(keep_shop: bool) -> mesh::Mesh {
+    let mut mesh = shop();
+    let service = mesh::Service { name: SmolStr::new_static("stock"), ..mesh.services[0].clone() };
+    let class = mesh::Class { name: SmolStr::new_static("stock-large"), ..mesh.classes[0].clone() };
+    mesh.services.insert(0, service);
+    mesh.classes[0].service = mesh::ServiceKey(1);
+    mesh.classes.insert(0, class);
+    if !keep_shop {
+        mesh.services.truncate(1);
+        mesh.classes.truncate(1);
+    }
+    mesh
+}
+
+/// Guards against failures at the hosts of one service that count for another one, which a new
+/// configuration has put in its place.
+#[rstest]
+#[case::service_replaced(None, false)]
+#[case::service_inserted(None, true)]
+#[case::class_replaced(Some(mesh::ClassKey(0)), false)]
+#[case::class_inserted(Some(mesh::ClassKey(0)), true)]
+fn a_loss_ends_with_the_service_or_class_of_its_list(
+    #[case] class: Option<mesh::ClassKey>,
+    #[case] keep_shop: bool,
+) {
+    let target = pick::Target { class, ..SHOP };
+    let fail = |picker: &mut pick::Picker, number: u8, millis: u64| {
+        let others: Vec<host::HostId> = (1..10).filter(|n| *n != number).map(id).collect();
+        let choice = picker.pick(target, at(millis), &others).expect("a choice");
+        assert_eq!(choice.host, id(number));
+        picker.started(choice, at(millis));
+        picker.ended(choice, &report(UNREACHABLE, 1000), at(millis))
+    };
+    let mut hosts = serving(&["a"; 4]);
+    for host in &mut hosts[2..] {
+        let mut upstream = view::Upstream::clone(host.upstream.as_ref().expect("an upstream"));
+        upstream.service = SmolStr::new_static("stock");
+        upstream.class = SmolStr::new_static("stock-large");
+        host.upstream = Some(Arc::new(upstream));
+    }
+    let view = view::View::new(hosts);
+    let mut picker = pick::Picker::new(locality("a"), &settings(2000), 7);
+    picker.rebuild(&view, &shop(), at(0));
+    assert_eq!(fail(&mut picker, 1, 100), None);
+    picker.rebuild(&view, &with_other_service(keep_shop), at(105));
+    assert_eq!(fail(&mut picker, 3, 110), None);
+    // The same configuration keeps what its lists have recorded.
+    picker.rebuild(&view, &with_other_service(keep_shop), at(115));
+    assert!(fail(&mut picker, 4, 120).is_some());
+}
+
 /// Guards against a change of any choice where the window is 0.
 #[test]
 fn without_a_window_no_choice_depends_on_responses() {
