--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -394,8 +394,12 @@
         state.sizes.borrow_mut().record(&call.kind().name, bytes);
     }
     result.map_err(|mut refusal| {
+        let fault = call.body.fault();
+        if let Some(attempt) = resources.attempt.as_mut().filter(|_| fault.is_some()) {
+            attempt.record_broken_off();
+        }
         let outcome = resources.fail_attempt(refusal.outcome, refusal.retry_after);
-        refusal.outcome = with_body_fault(outcome, call.body.fault());
+        refusal.outcome = with_body_fault(outcome, fault);
         Failed { refusal, host: Some(choice.host) }
     })
 }
@@ -444,7 +448,8 @@
     }
     let end = state.timer(call.deadline) + REPLY_GRACE;
     let limit = connect_timeout(state, call, tries);
-    let answer = internode::call_within(&state.links, host, request, end, limit).await;
+    let mut answer = internode::call_within(&state.links, host, request, end, limit).await;
+    answer.bound_ran(state.ctx.now().since(now));
     // A refusal without a notice tells nothing: the node may have started anew and not know its
     // upstream yet.
     if answer.notice.is_some() || answer.ran.is_some() {
