fix(proxy): the head of a response counts as one without a load

The time of a response was set only where its load header could be parsed, so that the host of a node that sent none could count as lost, and its time-outs as a delay. It is set where the head of the response is read.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -75,13 +75,18 @@
     /// Sets the load, and what the upstream says of itself, that the answer carried.
     pub fn set_load(&mut self, load: Option<admit::Load>, notice: Option<notice::Relayed>) {
         if load.is_some() {
-            // The head of a response may be recorded twice; the first time is that of its arrival.
-            self.responded_at.get_or_insert_with(|| self.ctx.now());
+            self.record_response();
         }
         self.load = load;
         self.notice = notice;
     }
 
+    /// Records that the head of the node's response has arrived. It may be recorded twice; the first
+    /// time counts.
+    pub fn record_response(&mut self) {
+        self.responded_at.get_or_insert_with(|| self.ctx.now());
+    }
+
     /// Sets the time after which the upstream's node has room for the call that it refused.
     pub fn set_retry_after(&mut self, retry_after: Option<time::Duration>) {
         self.retry_after = retry_after;
@@ -162,7 +167,7 @@
         latency: time::Duration,
         now: clock::Instant,
     ) -> Option<time::Duration> {
-        let expected = self.expected.filter(|_| self.load.is_none())?;
+        let expected = self.expected.filter(|_| self.responded_at.is_none())?;
         let lost = match outcome.reason()? {
             retry::Reason::Cut | retry::Reason::Timeout | retry::Reason::TooLate => true,
             // A caller that gives up at its deadline may leave before this node's timer fires.
--- a/src/proxy/attempt/tests.rs
+++ b/src/proxy/attempt/tests.rs
@@ -215,3 +215,34 @@
     }
     assert_eq!(counts.losses.get(), losses);
 }
+
+/// Guards against responses without a load that count as none, so that the hosts of nodes that send
+/// no load, or one that can't be parsed, count as lost or slow.
+#[rstest]
+#[case::responded(true, 0)]
+#[case::silent(false, 1)]
+fn a_response_without_a_load_is_a_response(#[case] responded: bool, #[case] losses: u64) {
+    let ctx = context::Context::system();
+    let settings = configs::call::Call { loss_window_ms: 2000, ..configs::call::Call::default() };
+    let counts = pick::Counts::default();
+    let picker = picker_with(&settings, counts.clone(), ctx.now());
+    for number in [1, 2] {
+        let mut attempt = attempt(ctx, &picker, number, ctx.now() + ms(1000));
+        if responded {
+            attempt.record_response();
+        }
+        attempt.set_load(None, None);
+        attempt.end(retry::Event::PossiblyRan(retry::Reason::Cut));
+    }
+    assert_eq!(counts.losses.get(), losses);
+}
+
+#[test]
+fn a_response_without_a_load_is_no_delay_of_the_node() {
+    let picked = picked_after(ms(1000), |mut attempt| {
+        attempt.record_response();
+        attempt.set_load(None, None);
+        attempt.end(retry::Event::PossiblyRan(retry::Reason::Timeout));
+    });
+    assert!(picked > 0);
+}
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -456,6 +456,9 @@
         state.heard.borrow_mut().record(host, answer.notice, state.ctx.now());
     }
     if let Some(attempt) = resources.attempt.as_mut() {
+        if answer.responded {
+            attempt.record_response();
+        }
         attempt.set_load(answer.load, answer.notice);
         attempt.record_held(answer.held);
     }
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -29,6 +29,8 @@
 /// The answer of another node.
 #[derive(Debug)]
 pub struct Answer {
+    /// Whether the node sent the head of a response, with or without a load.
+    pub responded: bool,
     /// Load of the node's upstream.
     pub load: Option<admit::Load>,
     /// What the upstream says of itself.
@@ -51,7 +53,14 @@
 
 impl From<refuse::Refusal> for Answer {
     fn from(refusal: refuse::Refusal) -> Self {
-        Self { load: None, notice: None, ran: None, held: None, result: Err(refusal) }
+        Self {
+            responded: false,
+            load: None,
+            notice: None,
+            ran: None,
+            held: None,
+            result: Err(refusal),
+        }
     }
 }
 
@@ -202,7 +211,7 @@
         Some(o) if o == headers::NOT_RUN.as_bytes() => Err(refusal(&answer, true)),
         _ => Err(refusal(&answer, false)),
     };
-    Answer { load, notice, ran, held, result }
+    Answer { responded: true, load, notice, ran, held, result }
 }
 
 fn refusal<B>(answer: &http::Response<B>, proven: bool) -> refuse::Refusal {
