fix(pick): a slow node found together with a loss of hosts is reported

An attempt returns one event. Where it had shown a loss of hosts and a slow node, the second was counted and its line never written. It is now returned at the next end of an attempt; a further one that is found meanwhile together with another loss is counted as skipped.

Tests: a_slow_node_found_together_with_a_loss_is_reported_next fails without the change.

--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -87,6 +87,9 @@
     counts: pick::Counts,
     loss_pace: event::Pace,
     slow_pace: event::Pace,
+    /// A slow node that was found together with a loss of hosts; the next end of an attempt reports
+    /// it.
+    held_slow: Option<pick::SlowNode>,
 }
 
 impl Picker {
@@ -114,6 +117,7 @@
             counts: pick::Counts::default(),
             loss_pace: event::Pace::default(),
             slow_pace: event::Pace::default(),
+            held_slow: None,
         }
     }
 
@@ -234,16 +238,28 @@
     }
 
     /// Records that an attempt at `choice` has ended; called once for each [`Picker::started`].
-    /// Returns what it has shown of nodes and hosts, at most once a second.
+    /// Returns what it has shown of nodes and hosts, at most once a second; a slow node that was found
+    /// together with a loss of hosts is returned at the next end.
     pub fn ended(
         &mut self,
         choice: pick::Choice,
         report: &pick::Report,
         now: clock::Instant,
     ) -> Option<pick::Event> {
-        let lost = self.record_loss(choice, report, now).map(pick::Event::HostsLost);
-        let slow = self.record_end(choice, report, now).map(pick::Event::SlowNode);
-        lost.or(slow)
+        let lost = self.record_loss(choice, report, now);
+        let slow = self.record_end(choice, report, now);
+        let (first, second) = match self.held_slow.take() {
+            Some(held) => (Some(held), slow),
+            None => (slow, None),
+        };
+        let Some(lost) = lost else {
+            self.held_slow = second;
+            return first.map(pick::Event::SlowNode);
+        };
+        let skipped = second.map_or(0, |slow| slow.skipped + 1);
+        self.held_slow =
+            first.map(|slow| pick::SlowNode { skipped: slow.skipped + skipped, ..slow });
+        Some(pick::Event::HostsLost(lost))
     }
 
     /// Records, instead of [`Picker::ended`], that an attempt at `choice` has ended as its caller
--- a/src/pick/tests/event.rs
+++ b/src/pick/tests/event.rs
@@ -88,3 +88,29 @@
     }
     assert_eq!(counts.probes.get(), 9);
 }
+
+/// Guards against a slow node that is counted and never reported, as the attempt that showed it has
+/// shown a loss of hosts, too.
+#[test]
+fn a_slow_node_found_together_with_a_loss_is_reported_next() {
+    let counts = pick::Counts::default();
+    let mut picker = picker(&counts);
+    for round in 0..20 {
+        end(&mut picker, 3, Some(ms(1)), round);
+    }
+    let mut time_out = |number: u8, millis: u64| {
+        let others: Vec<host::HostId> = (1..10).filter(|n| *n != number).map(id).collect();
+        let choice = picker.pick(SHOP, at(millis), &others).expect("a choice");
+        picker.started(choice, at(millis));
+        let outcome = retry::Outcome::Unknown(retry::Reason::Timeout);
+        let node_delay = (number == 2).then_some(ms(500));
+        let silent = pick::Report { latency: ms(500), node_delay, ..report(outcome, 100_000) };
+        picker.ended(choice, &silent, at(millis))
+    };
+    assert_eq!(time_out(1, 1000), None);
+    assert!(matches!(time_out(2, 1010), Some(pick::Event::HostsLost(_))));
+    let event = end(&mut picker, 3, Some(ms(1)), 1020);
+    assert!(matches!(event, Some(pick::Event::SlowNode(slow)) if slow.host == id(2)), "{event:?}");
+    assert_eq!(end(&mut picker, 3, Some(ms(1)), 1030), None);
+    assert_eq!(counts.slow_nodes.get(), 1);
+}
