--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -147,7 +147,8 @@
         let locality =
             view::Locality { region: settings.region.clone(), zone: settings.zone.clone() };
         let mut picker = pick::Picker::new(locality, &settings.call, ctx.seed_for("pick"))
-            .with_counts(wiring.picks.clone());
+            .with_counts(wiring.picks.clone())
+            .with_connect_timeout(time::Duration::from_millis(settings.proxy.connect_ms));
         if settings.proxy.link_mbps > 0.0 {
             picker = picker.with_host(me);
         }
