fix(proxy): stalled senders of bodies don't refuse the bodies of others

With `call.body_room`, the announced bytes of a sender that had stalled counted as pending until the deadline of its call, so that an idle link refused the bodies of other nodes. After the stall timeout of 50 ms the rest of a body now leaves the count that `transfer` uses, and comes back with its next frame. The reported load counts all pending bytes as before.

The delay that such a refusal names was unbounded, too; the part for the pending bytes now ends at the call's deadline.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -198,7 +198,9 @@
         };
         match self.refusal(call, reason, now) {
             admit::Action::Refuse { ticket, reason, retry_after } => {
-                let retry_after = retry_after.max(transfer.before);
+                // Beyond its deadline, the caller has no use for the delay.
+                let remaining = call.deadline.since(now);
+                let retry_after = retry_after.max(transfer.before.min(remaining));
                 Some(admit::Action::Refuse { ticket, reason, retry_after })
             }
             run @ admit::Action::Run { .. } => Some(run),
--- a/src/admit/tests/bodies.rs
+++ b/src/admit/tests/bodies.rs
@@ -161,3 +161,15 @@
     };
     assert!(retry_after >= millis(400), "{retry_after:?}");
 }
+
+/// Guards against delays beyond the caller's deadline, where the pending bodies take longer.
+#[test]
+fn the_delay_of_a_call_refused_for_the_link_ends_at_its_deadline() {
+    let mut harness = measured();
+    let transfer = admit::Transfer { before: millis(60_000), own: millis(BODY_MS) };
+    let action = harness.gate.preview(&call(1, RUN_MS), &transfer, at(RUN_MS));
+    let Some(admit::Action::Refuse { retry_after, .. }) = action else {
+        panic!("not refused: {action:?}");
+    };
+    assert_eq!(retry_after, millis(DEADLINE_MS));
+}
--- a/src/proxy/inbound_link.rs
+++ b/src/proxy/inbound_link.rs
@@ -8,6 +8,7 @@
 //! `short_calls_pass_a_link_that_uploads_fill`).
 
 use std::cell::Cell;
+use std::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -81,6 +82,8 @@
     turns: sync::Semaphore,
     /// Announced bytes of bodies that have not been received yet.
     pending: Cell<u64>,
+    /// Those of them whose senders have stalled; at most `pending`.
+    stalled: Cell<u64>,
 }
 
 /// A body on the link. It holds a turn only while its bytes are received.
@@ -90,23 +93,28 @@
     permit: Option<sync::SemaphorePermit<'a>>,
     /// Its share of the pending bytes.
     remaining: u64,
+    /// Whether the link counts `remaining` among the stalled bytes.
+    stalled: bool,
 }
 
 impl InboundLink {
     /// A link shared by `plan`.
     pub fn new(plan: Plan) -> Self {
-        Self { plan, turns: sync::Semaphore::new(plan.turns), pending: Cell::new(0) }
+        let turns = sync::Semaphore::new(plan.turns);
+        Self { plan, turns, pending: Cell::new(0), stalled: Cell::new(0) }
     }
 
     /// Adds a body of `bytes`, a lower bound if its length is not known. It waits for its turn when
     /// it is read.
     pub fn turn(&self, bytes: u64) -> Turn<'_> {
         self.pending.set(self.pending.get() + bytes);
-        Turn { link: self, permit: None, remaining: bytes }
+        Turn { link: self, permit: None, remaining: bytes, stalled: false }
     }
 
     /// Time until a body of `size` is received that starts now. A body that fits into one window
-    /// doesn't wait for the pending ones.
+    /// doesn't wait for the pending ones. Bytes whose senders have stalled are not waited for: a body
+    /// that is announced and never sent would otherwise make an idle link look busy until the
+    /// deadline of its call.
     pub fn transfer(
         &self,
         settings: &configs::proxy::Proxy,
@@ -116,11 +124,11 @@
             Duration::from_secs_f64(f64::from(link_time(settings, bytes)) / MICROS_PER_SECOND)
         };
         let short = size.upper().is_some_and(|bytes| bytes <= u64::from(self.plan.window));
-        let before = if short { 0 } else { self.pending_bytes() };
+        let before = if short { 0 } else { self.pending.get() - self.stalled.get() };
         admit::Transfer { before: time(before), own: time(size.exact().unwrap_or(size.lower())) }
     }
 
-    /// Bytes that will be received before those of a body that starts now.
+    /// Bytes of all bodies that have not been received yet, including those of stalled senders.
     pub const fn pending_bytes(&self) -> u64 {
         self.pending.get()
     }
@@ -132,6 +140,20 @@
         let received = bytes.min(self.remaining);
         self.remaining -= received;
         self.link.pending.set(self.link.pending.get() - received);
+        if self.stalled {
+            self.link.stalled.set(self.link.stalled.get() - received);
+        }
+    }
+
+    /// Moves what remains of the body to the stalled bytes of the link, or back.
+    fn set_stalled(&mut self, stalled: bool) {
+        if self.stalled == stalled {
+            return;
+        }
+        let others = self.link.stalled.get();
+        let all = if stalled { others + self.remaining } else { others - self.remaining };
+        self.link.stalled.set(all);
+        self.stalled = stalled;
     }
 
     /// Waits for a turn, unless what remains of the body fits into one window.
@@ -150,14 +172,21 @@
         rest: &mut received_body::ReceivedBody,
     ) -> Option<Result<Frame<Bytes>, error::Broken>> {
         self.wait_turn(rest).await;
-        if self.permit.is_none() {
-            return rest.frame().await;
-        }
-        if let Ok(frame) = time::timeout(STALL_TIMEOUT, rest.frame()).await {
+        self.await_frame(rest.frame()).await
+    }
+
+    /// Waits for `frame`. If its sender stalls, the body gives up its turn and its bytes count as
+    /// stalled until the frame comes.
+    async fn await_frame<F: Future>(&mut self, frame: F) -> F::Output {
+        let mut frame = pin::pin!(frame);
+        if let Ok(frame) = time::timeout(STALL_TIMEOUT, &mut frame).await {
             return frame;
         }
         self.permit = None;
-        rest.frame().await
+        self.set_stalled(true);
+        let frame = frame.await;
+        self.set_stalled(false);
+        frame
     }
 }
 
--- a/src/proxy/inbound_link/tests.rs
+++ b/src/proxy/inbound_link/tests.rs
@@ -1,6 +1,9 @@
 use std::collections;
+use std::future;
+use std::time::Duration;
 
 use rstest::rstest;
+use tokio::time;
 
 use crate::configs;
 use crate::proxy::inbound_link;
@@ -59,6 +62,39 @@
     assert_eq!(millis(&unknown, exact(60_000)), (0, 0), "the rate of the link is not known");
 }
 
+/// Guards against a sender that announces a body and never sends it: the bodies of other nodes would
+/// be refused on an idle link until the deadline of its call. The load that is reported still
+/// counts its bytes.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_is_announced_and_never_sent_delays_no_other_after_the_stall_timeout() {
+    let settings = configs::proxy::Proxy { link_mbps: 15.0, ..configs::proxy::Proxy::default() };
+    let link = inbound_link::InboundLink::new(inbound_link::Plan::new(&settings));
+    let size = hyper::body::SizeHint::with_exact(60_000);
+    let before = || link.transfer(&settings, &size).before.as_millis();
+    let mut moving = link.turn(60_000);
+    let mut stalled = link.turn(120_000);
+    moving.record(30_000);
+    assert_eq!(before(), 80);
+    let silence = stalled.await_frame(future::pending::<()>());
+    assert!(time::timeout(Duration::from_millis(49), silence).await.is_err());
+    assert_eq!(before(), 80, "not stalled yet");
+    let silence = stalled.await_frame(time::sleep(Duration::from_millis(100)));
+    let observed = async {
+        time::sleep(Duration::from_millis(51)).await;
+        (before(), link.pending_bytes())
+    };
+    let ((), observed) = tokio::join!(silence, observed);
+    assert_eq!(observed, (16, 150_000), "stalled");
+    assert_eq!(before(), 80, "a frame has come");
+    let silence = stalled.await_frame(future::pending::<()>());
+    assert!(time::timeout(Duration::from_millis(51), silence).await.is_err());
+    assert_eq!(before(), 16, "stalled again");
+    drop(stalled);
+    assert_eq!((before(), link.pending_bytes()), (16, 30_000));
+    drop(moving);
+    assert_eq!((before(), link.pending_bytes()), (0, 0));
+}
+
 /// Simulates uploads over one link of 6.5 Mbit/s and short calls behind them, in virtual time.
 struct Link {
     plan: inbound_link::Plan,
--- a/tests/calls/slots.rs
+++ b/tests/calls/slots.rs
@@ -1,10 +1,13 @@
 //! Slots, cancellation and deadlines.
 
+use std::cell::Cell;
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time;
 
 use dandelionspool::configs;
 use dandelionspool::mesh;
+use hyper::body::Frame;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use rstest::rstest;
@@ -292,6 +295,42 @@
     });
 }
 
+/// A body of 120 kB takes 960 ms of a link of 1 Mbit/s. Its sender announces it and stalls. Guards
+/// against a node that refuses the bodies of others until that call's deadline.
+#[test]
+fn a_body_that_is_announced_and_never_sent_refuses_no_other() {
+    rig::run(async {
+        let fake = fake::Fake::start(fake::echo).await;
+        let claims = rig::Claims::default();
+        // The entry node forwards a body that it doesn't keep before it has received it.
+        let kept = Cell::new(1000);
+        let settings = |mut settings: configs::Node| {
+            settings.proxy.keep_bytes = kept.replace(200_000);
+            settings.call.body_room = true;
+            settings.proxy.link_mbps = 1.0;
+            settings
+        };
+        let nodes = rig::nodes_with(&[None, Some(fake.address)], 4, &claims, settings).await;
+        let frames = futures_util::stream::pending::<Result<Frame<bytes::Bytes>, Infallible>>();
+        let request = rig::request("PUT", "/uploads", "stalled")
+            .header("dandelionspool-deadline-ms", "10000")
+            .header("content-length", "120000")
+            .body(http_body_util::StreamBody::new(frames))
+            .unwrap();
+        let second = async {
+            tokio::time::sleep(time::Duration::from_millis(500)).await;
+            let request = rig::request("POST", "/orders", "body");
+            rig::call(&nodes[0], request.header("dandelionspool-deadline-ms", "700"), &[0; 20_000])
+                .await
+        };
+        let answer = tokio::select! {
+            answer = second => answer,
+            _ = rig::send(&nodes[0], request) => panic!("its body is never sent"),
+        };
+        assert_eq!((answer.outcome(), fake.runs("body")), ("ran", 1), "{answer:?}");
+    });
+}
+
 /// A configuration in which orders are less urgent than what is browsed.
 fn with_priorities() -> Arc<mesh::Applied> {
     let body = json!({
