fix(proxy): a link of a tiny rate no longer panics

The conversion is now checked, and the transfer counts as the longest duration, so that the gate refuses the call as too late.

--- a/src/admit/tests/bodies.rs
+++ b/src/admit/tests/bodies.rs
@@ -173,3 +173,13 @@
     };
     assert_eq!(retry_after, millis(DEADLINE_MS));
 }
+
+/// Guards against an overflow where the link is so slow that a body takes for ever.
+#[test]
+fn a_call_whose_body_takes_for_ever_is_too_late() {
+    let mut harness = measured();
+    let transfer = admit::Transfer { before: time::Duration::MAX, own: time::Duration::MAX };
+    let action = harness.gate.preview(&call(1, RUN_MS), &transfer, at(RUN_MS));
+    let too_late = [(1, retry::Reason::TooLate)];
+    assert_eq!(refused(&action.into_iter().collect::<Vec<_>>()), too_late);
+}
--- a/src/proxy/inbound_link.rs
+++ b/src/proxy/inbound_link.rs
@@ -120,8 +120,10 @@
         settings: &configs::proxy::Proxy,
         size: &hyper::body::SizeHint,
     ) -> admit::Transfer {
+        // A tiny rate is allowed, at which the time exceeds what a duration holds.
         let time = |bytes| {
-            Duration::from_secs_f64(f64::from(link_time(settings, bytes)) / MICROS_PER_SECOND)
+            let seconds = f64::from(link_time(settings, bytes)) / MICROS_PER_SECOND;
+            Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
         };
         let short = size.upper().is_some_and(|bytes| bytes <= u64::from(self.plan.window));
         let before = if short { 0 } else { self.pending.get() - self.stalled.get() };
--- a/src/proxy/inbound_link/tests.rs
+++ b/src/proxy/inbound_link/tests.rs
@@ -62,6 +62,17 @@
     assert_eq!(millis(&unknown, exact(60_000)), (0, 0), "the rate of the link is not known");
 }
 
+/// Guards against a panic at a rate that the settings allow.
+#[test]
+fn a_transfer_on_a_link_of_a_tiny_rate_takes_for_ever() {
+    let settings = configs::proxy::Proxy { link_mbps: 1e-300, ..configs::proxy::Proxy::default() };
+    let link = inbound_link::InboundLink::new(inbound_link::Plan::new(&settings));
+    let _pending = link.turn(60_000);
+    let transfer = link.transfer(&settings, &hyper::body::SizeHint::with_exact(60_000));
+    assert_eq!((transfer.before, transfer.own), (Duration::MAX, Duration::MAX));
+    assert_eq!(transfer.total(), Duration::MAX);
+}
+
 /// Guards against a sender that announces a body and never sends it: the bodies of other nodes would
 /// be refused on an idle link until the deadline of its call. The load that is reported still
 /// counts its bytes.
