fix(admit): the delay of a shed call counts the slots that it may use

`Gate::retry_after` used the wait for the shared slots also for calls that may take any slot, so that where all calls are urgent the delays differed from those without reserved slots. It now gets the call, and refusals use it, too.

The test `nothing_differs_while_all_calls_have_the_same_urgency` also compares the delays of the refusals and those of calls that were shed; without the change it fails where all calls are urgent.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -484,18 +484,16 @@
         let limiter = self.limiter.as_mut().filter(|_| reason == retry::Reason::Limited);
         let retry_after = match limiter {
             Some(limiter) => limiter.book(call, now).max(MIN_WAIT),
-            None => {
-                let wait = self.expected_wait(self.queue.len(), call, now);
-                stagger(wait.max(MIN_WAIT), call.ticket)
-            }
+            None => self.retry_after(call, now),
         };
         admit::Action::Refuse { ticket: call.ticket, reason, retry_after }
     }
 
-    /// Time after which the caller of `ticket` may retry: at least until the waiting calls have
-    /// started, and up to twice as long, depending on the ticket.
-    pub fn retry_after(&self, ticket: admit::Ticket, now: clock::Instant) -> time::Duration {
-        stagger(self.shared_wait(self.queue.len(), now).max(MIN_WAIT), ticket)
+    /// Time after which the caller of `call` may retry: at least until those of the waiting calls
+    /// have started that wait for the slots that it may use, and up to twice as long, depending on
+    /// the ticket.
+    pub fn retry_after(&self, call: &admit::Call, now: clock::Instant) -> time::Duration {
+        stagger(self.expected_wait(self.queue.len(), call, now).max(MIN_WAIT), call.ticket)
     }
 
     fn record_end(&mut self, ticket: admit::Ticket, now: clock::Instant) {
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -340,7 +340,16 @@
     harness.arrive(0, BROWSE, 10_000, 0);
     harness.end(0, 90);
     (1..9).for_each(|ticket| drop(harness.arrive(ticket, BROWSE, 10_000, 90)));
-    let pause = harness.gate.retry_after(admit::Ticket(9), at(90));
+    let shed = admit::Call {
+        ticket: admit::Ticket(9),
+        kind: PLAIN,
+        weight: BROWSE,
+        nested: false,
+        returning: false,
+        target: at(10_000),
+        deadline: at(10_000),
+    };
+    let pause = harness.gate.retry_after(&shed, at(90));
     assert!(pause >= time::Duration::from_millis(10), "{pause:?}");
     assert!(pause <= time::Duration::from_millis(20), "{pause:?}");
 }
--- a/src/admit/tests/reservation.rs
+++ b/src/admit/tests/reservation.rs
@@ -1,6 +1,7 @@
 //! Replays the load of long and urgent calls at one upstream, in virtual time.
 
 use std::collections;
+use std::time;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -92,6 +93,8 @@
     in_time: u32,
     /// Those that were refused although the queue had capacity.
     beside_room: u32,
+    /// The delays named to those that were refused, and to those that ran as if they had been shed.
+    delays: Vec<time::Duration>,
 }
 
 impl Counts {
@@ -150,6 +153,10 @@
         };
         let actions = self.harness.handle(admit::Event::Arrive(call), arrival.at_ms);
         self.apply(&actions, arrival.at_ms);
+        if actions.contains(&run(arrival.ticket)) {
+            let delay = self.harness.gate.retry_after(&call, at(arrival.at_ms));
+            self.counts[arrival.source].delays.push(delay);
+        }
     }
 
     fn apply(&mut self, actions: &[admit::Action], now: u64) {
@@ -160,10 +167,11 @@
                     self.counts[call.source].waits.push(now - call.at_ms);
                     self.ends.insert((now + call.took_ms, ticket.0));
                 }
-                admit::Action::Refuse { ticket, .. } => {
+                admit::Action::Refuse { ticket, retry_after, .. } => {
                     let counts = &mut self.counts[self.calls[&ticket.0].source];
                     let full = self.harness.gate.load().waiting >= QUEUE;
                     counts.beside_room += u32::from(!full);
+                    counts.delays.push(*retry_after);
                 }
             }
         }
@@ -306,7 +314,7 @@
     let list = arrivals(&sources, LENGTH, 1);
     let counts = |reserves| {
         let counts = replay(reserves, &sources, &list);
-        counts.into_iter().map(|c| (c.came, c.waits, c.in_time)).collect::<Vec<_>>()
+        counts.into_iter().map(|c| (c.came, c.waits, c.in_time, c.delays)).collect::<Vec<_>>()
     };
     assert_eq!(counts(true), counts(false));
 }
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -87,7 +87,7 @@
     let local = find_upstream(state, spec)?;
     // The request may have been quarantined while it waited.
     state.quarantine.check_owner(fingerprint)?;
-    keep_suspects_apart(state, fingerprint)?;
+    keep_suspects_apart(state, spec, fingerprint)?;
     let began = state.ctx.now();
     let remaining = spec.deadline.since(began);
     if remaining.as_millis() == 0 {
@@ -107,7 +107,7 @@
         // A refusal without a delay would make the caller wait for a second, the default, though a
         // slot is free now.
         let refusal = refuse::Refusal::not_run(retry::Reason::UpstreamShed);
-        return Err(refusal.retry_in(state.slots.retry_delay()));
+        return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
     }
     check(&state.dialect, &method, id.as_ref(), &answer)?;
     let now = state.ctx.now();
@@ -213,13 +213,13 @@
 /// would be unknown which one caused the crash.
 fn keep_suspects_apart<C: claim::Claims>(
     state: &state::State<C>,
+    spec: &call_spec::CallSpec<'_>,
     fingerprint: quarantine::Fingerprint,
 ) -> Result<(), refuse::Refusal> {
     let suspect = |fingerprint| state.quarantine.needs_isolation(fingerprint);
     if suspect(fingerprint) && state.running.has_other(fingerprint, suspect) {
-        return Err(
-            refuse::Refusal::not_run(retry::Reason::Full).retry_in(state.slots.retry_delay())
-        );
+        let delay = state.slots.retry_delay(&slot_request(state, spec));
+        return Err(refuse::Refusal::not_run(retry::Reason::Full).retry_in(delay));
     }
     Ok(())
 }
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -151,14 +151,12 @@
     ///
     /// The gate's refusal.
     pub async fn enter(self: &Rc<Self>, request: &Request<'_>) -> Result<Slot, Refused> {
-        let &Request { weight, nested, returning, target, deadline, .. } = request;
-        let kind = self.kinds.borrow_mut().number(request.kind);
-        let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
+        let call = self.call(request);
+        let (ticket, deadline) = (call.ticket, call.deadline);
         let (sender, mut receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, sender);
         // From here on, the call leaves the queue if this future is dropped.
         let slot = Slot { slots: Rc::clone(self), ticket, ended: false };
-        let call = admit::Call { ticket, kind, weight, nested, returning, target, deadline };
         self.handle(admit::Event::Arrive(call));
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
@@ -196,10 +194,7 @@
         request: &Request<'_>,
         transfer: &admit::Transfer,
     ) -> Result<(), Refused> {
-        let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
-        let kind = self.kinds.borrow_mut().number(request.kind);
-        let &Request { weight, nested, returning, target, deadline, .. } = request;
-        let call = admit::Call { ticket, kind, weight, nested, returning, target, deadline };
+        let call = self.call(request);
         let now = self.ctx.now();
         let action = self.gate.borrow_mut().preview(&call, transfer, now);
         match action {
@@ -255,9 +250,8 @@
     }
 
     /// Delay after which a slot may be free for a call that was admitted and then shed.
-    pub fn retry_delay(&self) -> time::Duration {
-        let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
-        self.gate.borrow().retry_after(ticket, self.ctx.now())
+    pub fn retry_delay(&self, request: &Request<'_>) -> time::Duration {
+        self.gate.borrow().retry_after(&self.call(request), self.ctx.now())
     }
 
     /// The load of the upstream, as counted by the gate.
@@ -265,6 +259,14 @@
         self.gate.borrow().load()
     }
 
+    /// The call of `request`, with a ticket of its own.
+    fn call(&self, request: &Request<'_>) -> admit::Call {
+        let ticket = admit::Ticket(self.next.replace(self.next.get() + 1));
+        let kind = self.kinds.borrow_mut().number(request.kind);
+        let &Request { weight, nested, returning, target, deadline, .. } = request;
+        admit::Call { ticket, kind, weight, nested, returning, target, deadline }
+    }
+
     fn handle(&self, event: admit::Event) {
         let mut actions = self.actions.take();
         self.gate.borrow_mut().handle(event, self.ctx.now(), &mut actions);
