fix(proxy): the end of a reservation is reported on an idle node

The gauge `slots_reserved` and the log line of the end were written only with events of the gate, so that they came with the next call on a node that had gone idle. From an urgent call to the end of the reservation, a task now reports every 100 ms; a node without urgent calls has no such task.

A gate that reserves nothing no longer measures: each event computed the arrival rate, and each nested call the decayed arrivals. Both return early, and so does the report while no urgent call has come for a second.

Without the change both new tests fail: the gauge stays at 1 without events, and the switched-off gate reports arrivals a second.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -415,6 +415,11 @@
         self.slots().saturating_sub(reserved).max(1)
     }
 
+    /// Whether slots may be reserved at `now`: an urgent call came a short time ago.
+    pub fn may_reserve(&self, now: clock::Instant) -> bool {
+        self.reservation.is_active(now)
+    }
+
     /// The slots that are reserved.
     pub fn reserved(&self, now: clock::Instant) -> admit::Reserved {
         self.reservation.reserved(self.concurrency.get(), now)
--- a/src/admit/reservation.rs
+++ b/src/admit/reservation.rs
@@ -53,6 +53,12 @@
         self.is_urgent.is_some()
     }
 
+    /// Whether slots may be reserved at `now`.
+    pub(super) fn is_active(&self, now: clock::Instant) -> bool {
+        let recent = |last| now.since(last) < MAX_SILENCE;
+        self.is_enabled() && self.last_urgent.is_some_and(recent)
+    }
+
     /// Whether `call` is urgent.
     pub(super) fn is_urgent(&self, call: &admit::Call) -> bool {
         self.is_urgent.is_some_and(|is_urgent| is_urgent(call.weight))
@@ -66,6 +72,9 @@
 
     /// Records that `call` arrived.
     pub(super) fn arrived(&mut self, call: &admit::Call, now: clock::Instant) {
+        if !self.is_enabled() {
+            return;
+        }
         if self.is_urgent(call) {
             self.last_urgent = Some(now);
         }
@@ -88,6 +97,9 @@
 
     /// What is reserved of `slots`.
     pub(super) fn reserved(&self, slots: usize, now: clock::Instant) -> admit::Reserved {
+        if !self.is_enabled() {
+            return admit::Reserved::default();
+        }
         let mean = self.occupied(now);
         admit::Reserved {
             // The conversion saturates.
@@ -107,8 +119,7 @@
 
     /// Mean number of slots occupied by calls that may take any; 0 while no urgent call arrives.
     fn occupied(&self, now: clock::Instant) -> f64 {
-        let recent = |last| now.since(last) < MAX_SILENCE;
-        if self.is_urgent.is_none() || !self.last_urgent.is_some_and(recent) {
+        if !self.is_active(now) {
             return 0.0;
         }
         self.per_second(now) * self.run_time.unwrap_or_default().as_secs_f64()
--- a/src/admit/tests/reservation.rs
+++ b/src/admit/tests/reservation.rs
@@ -394,3 +394,12 @@
     assert_eq!(harness.end(5, 920), [], "one urgent call is left, and a slot is kept for another");
     assert_eq!(harness.end(6, 930), [run(4)]);
 }
+
+/// Guards against the cost of the measurements at a gate that reserves nothing.
+#[test]
+fn nothing_is_measured_unless_it_is_switched_on() {
+    let mut harness = Harness::new(3, 9);
+    harness.handle(nested(1, 10_000, 10_000), 0);
+    harness.end(1, 500);
+    assert_eq!(harness.gate.reserved(at(500)).per_second.to_bits(), 0.0_f64.to_bits());
+}
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::{counter, gauge};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
+use tokio::task;
 
 use crate::admit;
 use crate::clock;
@@ -22,8 +23,9 @@
 /// it ends.
 const TIMER_GRANULARITY: time::Duration = time::Duration::from_millis(1);
 
-/// How often a waiting call checks whether the slots that are free are still reserved. Without an
-/// event at the gate, the reservation ends a second after the last urgent call.
+/// How often a waiting call checks whether the slots that are free are still reserved, and the
+/// reserved slots are reported. Without an event at the gate, the reservation ends a second after the
+/// last urgent call.
 const RESERVATION_CHECK: time::Duration = time::Duration::from_millis(100);
 
 /// Minimum time between two log lines on reserved slots.
@@ -111,6 +113,8 @@
     /// When a log line last said whether slots are reserved; whether they are, according to it; and
     /// how many calls had been held back by then.
     logged: Cell<(clock::Instant, bool, u64)>,
+    /// Whether a task reports the reserved slots between the events of the gate.
+    reporting: Cell<bool>,
     /// Kept between events to save an allocation for each one.
     actions: RefCell<Vec<admit::Action>>,
 }
@@ -136,6 +140,7 @@
             kinds: RefCell::default(),
             counts: Counts::default(),
             logged: Cell::default(),
+            reporting: Cell::new(false),
             actions: RefCell::default(),
         }
     }
@@ -158,6 +163,7 @@
         // From here on, the call leaves the queue if this future is dropped.
         let slot = Slot { slots: Rc::clone(self), ticket, ended: false };
         self.handle(admit::Event::Arrive(call));
+        self.report_between_events();
         if let Ok(verdict) = receiver.try_recv() {
             return verdict.map(|()| slot);
         }
@@ -286,8 +292,39 @@
         self.report_reserved();
     }
 
+    /// Reports the reserved slots until the end of the reservation was published and logged. A node
+    /// that goes idle has no events at its gate.
+    ///
+    /// Runs on a [`task::LocalSet`].
+    fn report_between_events(self: &Rc<Self>) {
+        if !self.gate.borrow().may_reserve(self.ctx.now()) || self.reporting.replace(true) {
+            return;
+        }
+        let slots = Rc::downgrade(self);
+        task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(RESERVATION_CHECK).await;
+                let Some(slots) = slots.upgrade() else { break };
+                slots.report_reserved();
+                if !slots.has_to_report() {
+                    slots.reporting.set(false);
+                    break;
+                }
+            }
+        });
+    }
+
+    /// Whether slots may be reserved, or the end of a reservation was not published or logged yet.
+    fn has_to_report(&self) -> bool {
+        let (_, any, _) = self.logged.get();
+        any || self.counts.reserved.get() > 0 || self.gate.borrow().may_reserve(self.ctx.now())
+    }
+
     /// Publishes the number of reserved slots, and logs when it becomes zero or no longer is.
     fn report_reserved(&self) {
+        if !self.has_to_report() {
+            return;
+        }
         let (now, reserved) = (self.ctx.now(), self.reserved());
         self.counts.reserved.set(i64::try_from(reserved.slots).unwrap_or(i64::MAX));
         let (at, any, held_back) = self.logged.get();
--- a/src/proxy/slots/tests.rs
+++ b/src/proxy/slots/tests.rs
@@ -1,6 +1,8 @@
 use std::rc::Rc;
 use std::time;
 
+use tokio::task;
+
 use crate::admit;
 use crate::context;
 use crate::proxy::slots;
@@ -29,6 +31,10 @@
 /// the reservation ends, as the calls that run hang.
 #[tokio::test]
 async fn a_call_gets_a_reserved_slot_when_the_reservation_has_ended() {
+    task::LocalSet::new().run_until(wait_for_a_reserved_slot()).await;
+}
+
+async fn wait_for_a_reserved_slot() {
     let slots = three_slots(true);
     let urgent = slots.enter(&request(&slots, URGENT)).await.expect("a slot is free");
     tokio::time::sleep(RUN_TIME).await;
@@ -47,6 +53,28 @@
     drop((hung, last));
 }
 
+/// Guards against a gauge that shows reserved slots on an idle node, and a line of the end that comes
+/// with the next call.
+#[tokio::test]
+async fn the_end_of_a_reservation_is_reported_on_an_idle_node() {
+    task::LocalSet::new().run_until(go_idle()).await;
+}
+
+async fn go_idle() {
+    let slots = three_slots(true);
+    let urgent = slots.enter(&request(&slots, URGENT)).await.expect("a slot is free");
+    tokio::time::sleep(RUN_TIME).await;
+    urgent.end();
+    assert_eq!(slots.counts.reserved.get(), 1);
+    // A line has just said that a slot is reserved; the next one may follow after a second.
+    slots.logged.set((slots.ctx.now(), true, 0));
+    let limit = slots.ctx.now() + time::Duration::from_secs(5);
+    while slots.reporting.get() && slots.ctx.now() < limit {
+        tokio::time::sleep(RUN_TIME).await;
+    }
+    assert_eq!((slots.counts.reserved.get(), slots.logged.get().1), (0, false));
+}
+
 #[tokio::test]
 async fn nothing_is_reserved_unless_it_is_switched_on() {
     let slots = three_slots(false);
