refactor(admit): one function a decision and fewer names for reserved slots

`Gate::preview` decided on the call and on its transfer in one closure: the latter is now `transfer_rejection`, `None` at once without a transfer. The sum and the cap of `reserved` and `kept_free` are `demand` and `whole_slots`. `may_hold_back` is replaced by `takes_any_slot`, which is true of all calls while nothing is ever reserved; the local `held_back` is gone. Doc comments name what they had called the same.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -72,10 +72,10 @@
         self.reservation.set_urgent(is_urgent);
     }
 
-    /// Whether `call` may have to wait while slots are free. A reservation shrinks with time, so the
-    /// gate needs ticks while such a call waits.
-    pub fn may_hold_back(&self, call: &admit::Call) -> bool {
-        self.reservation.is_enabled() && !self.reservation.takes_any_slot(call)
+    /// Whether `call` may take any slot. Another call waits while only reserved slots are free; a
+    /// reservation shrinks with time, so the gate needs ticks meanwhile.
+    pub fn takes_any_slot(&self, call: &admit::Call) -> bool {
+        self.reservation.takes_any_slot(call)
     }
 
     /// Handles `event` and appends the actions that it causes to `actions`.
@@ -171,28 +171,9 @@
         transfer: &admit::Transfer,
         now: clock::Instant,
     ) -> Option<admit::Action> {
-        // The queue is assumed to be as long as now when the body is received.
-        let later = call.sooner(transfer.total());
-        let reason = self.rejection(&later, now).or_else(|| {
-            let position = self.position(&later, now);
-            let free = self.may_start(call, now);
-            let wait =
-                if free { time::Duration::ZERO } else { self.expected_wait(position, call, now) };
-            let misses = |c: &admit::Call| self.times.misses(c.kind, c.deadline, wait, now);
-            let is_late = |c: &admit::Call| self.ends_late(wait, c, now);
-            if misses(&later) && !misses(call) {
-                Some(retry::Reason::TooLate)
-            } else if !call.nested
-                && !transfer.before.is_zero()
-                && is_late(&later)
-                && !is_late(call)
-                && !self.tolerates_delay(position, &later, now)
-            {
-                Some(retry::Reason::Full)
-            } else {
-                None
-            }
-        });
+        let reason = self
+            .rejection(&call.sooner(transfer.total()), now)
+            .or_else(|| self.transfer_rejection(call, transfer, now));
         let Some(reason) = reason else {
             return self.may_start(call, now).then_some(admit::Action::Run { ticket: call.ticket });
         };
@@ -207,6 +188,37 @@
         }
     }
 
+    /// Why `call` is rejected for the transfer of its body; `None` if it is not.
+    fn transfer_rejection(
+        &self,
+        call: &admit::Call,
+        transfer: &admit::Transfer,
+        now: clock::Instant,
+    ) -> Option<retry::Reason> {
+        if transfer.total().is_zero() {
+            return None;
+        }
+        // The queue is assumed to be as long as now when the body is received.
+        let later = call.sooner(transfer.total());
+        let position = self.position(&later, now);
+        let wait = if self.may_start(call, now) {
+            time::Duration::ZERO
+        } else {
+            self.expected_wait(position, call, now)
+        };
+        let misses = |c: &admit::Call| self.times.misses(c.kind, c.deadline, wait, now);
+        if misses(&later) && !misses(call) {
+            return Some(retry::Reason::TooLate);
+        }
+        let delayed_by_others = !call.nested && !transfer.before.is_zero();
+        let is_late = |c: &admit::Call| self.ends_late(wait, c, now);
+        (delayed_by_others
+            && is_late(&later)
+            && !is_late(call)
+            && !self.tolerates_delay(position, &later, now))
+        .then_some(retry::Reason::Full)
+    }
+
     /// The position of `call` in the queue if it came now.
     fn position(&self, call: &admit::Call, now: clock::Instant) -> usize {
         self.queue.position(call, |call| self.start_by(call, now))
@@ -274,8 +286,9 @@
     /// refused, while slots are reserved for others.
     fn tolerates_delay(&self, position: usize, call: &admit::Call, now: clock::Instant) -> bool {
         let expected = self.expected_wait(position, call, now) + self.times.mean(call.kind);
-        let held_back = self.reserved(now).slots > 0 && !self.reservation.takes_any_slot(call);
-        held_back && now + expected * TOLERANCE < call.target
+        self.reserved(now).slots > 0
+            && !self.takes_any_slot(call)
+            && now + expected * TOLERANCE < call.target
     }
 
     /// Refuses waiters for which there is no room or no time, and gives free slots to the others.
@@ -370,15 +383,15 @@
         now: clock::Instant,
     ) -> time::Duration {
         let slots = self.slots();
-        if self.reservation.takes_any_slot(call) && self.shared_slots(now) < slots {
+        if self.takes_any_slot(call) && self.shared_slots(now) < slots {
             let before = self.queue.iter().take(position);
-            self.wait_behind(before.filter(|w| self.reservation.takes_any_slot(w)), slots, now)
+            self.wait_behind(before.filter(|w| self.takes_any_slot(w)), slots, now)
         } else {
             self.shared_wait(position, now)
         }
     }
 
-    /// The same for a call that may not take a reserved slot.
+    /// Time until a slot is free that any call may use, behind the first `position` waiting calls.
     fn shared_wait(&self, position: usize, now: clock::Instant) -> time::Duration {
         self.wait_behind(self.queue.iter().take(position), self.shared_slots(now), now)
     }
@@ -443,7 +456,7 @@
 
     /// Whether a slot is free that `call` may use.
     fn may_start(&self, call: &admit::Call, now: clock::Instant) -> bool {
-        let kept = if self.reservation.takes_any_slot(call) { 0 } else { self.kept_free(now) };
+        let kept = if self.takes_any_slot(call) { 0 } else { self.kept_free(now) };
         self.free_slots() > kept
     }
 
@@ -462,7 +475,7 @@
 
     fn run(&mut self, waiter: admit::Call, now: clock::Instant, actions: &mut Vec<admit::Action>) {
         let (ticket, kind, others) = (waiter.ticket, waiter.kind, self.running.len());
-        let takes_any = self.reservation.takes_any_slot(&waiter);
+        let takes_any = self.takes_any_slot(&waiter);
         self.running.push(Running { ticket, kind, takes_any, others, since: now });
         if let Some(limiter) = &mut self.limiter {
             limiter.start(&waiter, now);
--- a/src/admit/limiter/tests.rs
+++ b/src/admit/limiter/tests.rs
@@ -58,7 +58,7 @@
         self.call_of(weight, false, now)
     }
 
-    /// The same of a caller that returns.
+    /// A call that ends at once if it starts, of a caller that returns.
     fn call_again(&mut self, weight: u32, now: u64) -> Verdict {
         self.call_of(weight, true, now)
     }
--- a/src/admit/queue.rs
+++ b/src/admit/queue.rs
@@ -83,7 +83,7 @@
         self.remove_waiter(matches).map(|waiter| waiter.call)
     }
 
-    /// The same, with what was recorded when the call was queued.
+    /// Removes the first waiter that `matches`, with what was recorded when its call was queued.
     pub(super) fn remove_waiter(
         &mut self,
         matches: impl FnMut(&admit::Call) -> bool,
--- a/src/admit/reservation.rs
+++ b/src/admit/reservation.rs
@@ -64,10 +64,11 @@
         self.is_urgent.is_some_and(|is_urgent| is_urgent(call.weight))
     }
 
-    /// Whether `call` may take a reserved slot. A nested call may: a running call waits for it and
-    /// holds a slot meanwhile.
+    /// Whether `call` may take any slot, also a reserved one: urgent and nested calls may, and each
+    /// call while none is ever reserved. A running call waits for a nested one and holds a slot
+    /// meanwhile.
     pub(super) fn takes_any_slot(&self, call: &admit::Call) -> bool {
-        call.nested || self.is_urgent(call)
+        !self.is_enabled() || call.nested || self.is_urgent(call)
     }
 
     /// Records that `call` arrived.
@@ -86,6 +87,9 @@
 
     /// Records that a call that may take any slot ended by itself after `took`.
     pub(super) fn ended(&mut self, took: time::Duration) {
+        if !self.is_enabled() {
+            return;
+        }
         let mean = self.run_time.unwrap_or(took);
         self.run_time = Some((mean * (SMOOTHING - 1) + took) / SMOOTHING);
     }
@@ -100,10 +104,8 @@
         if !self.is_enabled() {
             return admit::Reserved::default();
         }
-        let mean = self.occupied(now);
         admit::Reserved {
-            // The conversion saturates.
-            slots: ((mean + mean.sqrt()).ceil() as usize).min(slots / SLOTS_PER_RESERVED),
+            slots: whole_slots(self.demand(now), slots),
             per_second: self.per_second(now),
             run_time: self.run_time.unwrap_or_default(),
         }
@@ -112,17 +114,17 @@
     /// Slots that are kept free while `running` calls run that may take any slot: another call
     /// starts only while more are free.
     pub(super) fn kept_free(&self, slots: usize, running: usize, now: clock::Instant) -> usize {
-        let mean = self.occupied(now);
-        let missing = mean + mean.sqrt() - running as f64;
-        (missing.max(0.0).ceil() as usize).min(slots / SLOTS_PER_RESERVED)
+        whole_slots(self.demand(now) - running as f64, slots)
     }
 
-    /// Mean number of slots occupied by calls that may take any; 0 while no urgent call arrives.
-    fn occupied(&self, now: clock::Instant) -> f64 {
+    /// Slots that calls need that may take any: the mean number that they occupy and its spread; 0
+    /// while no urgent call arrives.
+    fn demand(&self, now: clock::Instant) -> f64 {
         if !self.is_active(now) {
             return 0.0;
         }
-        self.per_second(now) * self.run_time.unwrap_or_default().as_secs_f64()
+        let mean = self.per_second(now) * self.run_time.unwrap_or_default().as_secs_f64();
+        mean + mean.sqrt()
     }
 
     /// Arrivals a second of the calls that may take any slot.
@@ -135,3 +137,9 @@
         self.arrivals * (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
     }
 }
+
+/// The number of whole slots that `demand` needs, at most the share of `slots` that is reserved.
+fn whole_slots(demand: f64, slots: usize) -> usize {
+    // The conversion saturates; a negative demand needs none.
+    (demand.ceil() as usize).min(slots / SLOTS_PER_RESERVED)
+}
--- a/src/admit/tests.rs
+++ b/src/admit/tests.rs
@@ -46,7 +46,7 @@
         self.arrive_for(ticket, weight, deadline, deadline, now)
     }
 
-    /// The same with a target before the deadline.
+    /// Lets a call arrive whose target is before its deadline.
     fn arrive_for(
         &mut self,
         ticket: u64,
@@ -58,7 +58,7 @@
         self.arrive_of(PLAIN, ticket, weight, target, deadline, now)
     }
 
-    /// The same for a call of `kind`.
+    /// Lets a call of `kind` arrive.
     fn arrive_of(
         &mut self,
         kind: admit::Kind,
--- a/src/proxy/slots.rs
+++ b/src/proxy/slots.rs
@@ -145,7 +145,7 @@
         }
     }
 
-    /// The same, counting in `counts`.
+    /// These slots, counting in `counts`.
     pub fn with_counts(self, counts: Counts) -> Self {
         Self { counts, ..self }
     }
@@ -170,7 +170,7 @@
         if self.gate.borrow().is_held_back(&call, self.ctx.now()) {
             self.counts.held_back.inc();
         }
-        let checks = self.gate.borrow().may_hold_back(&call);
+        let checks = !self.gate.borrow().takes_any_slot(&call);
         let verdict = loop {
             let remaining = deadline.since(self.ctx.now()) + TIMER_GRANULARITY;
             let wait = if checks { remaining.min(RESERVATION_CHECK) } else { remaining };
