fix(proxy): the opening of a connection goes on when a call gives it up

With call.divert_unreachable, the limit of one call aborted the opening of a connection for which other calls waited, and each of them began anew with what was left of its own limit. A host that was back could stay without a connection for as long as all calls had little time.

A task now opens the connection, one for each host and for connect_ms at most, and the calls share its result. The limit of a call bounds only its own wait. Without a limit, connections are opened as before.

Test: proxy::links::tests, a node that answers the greeting after 120 ms and calls that wait for 40 ms; two of its three tests fail with the limit around the opening as before.

--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -1,5 +1,9 @@
 //! HTTP/2 connections to other nodes: one for each node, opened when first needed and shared by all
 //! calls to that node.
+//!
+//! A call that waits for a limited time doesn't open a connection itself: a task of its own does,
+//! one for each node, for as long as `connect_ms` allows. When a host is back, calls with little
+//! time left would otherwise abort one opening after another, and no connection would come about.
 
 use std::cell::{Cell, RefCell};
 use std::collections;
@@ -24,6 +28,9 @@
 use crate::seal;
 use crate::socket;
 
+#[cfg(test)]
+mod tests;
+
 /// Path prefix of the greeting, the first request on each connection.
 const HELLO: &str = "/hello";
 
@@ -65,10 +72,27 @@
     /// The greeting could not be built.
     #[error("can't build the greeting")]
     Greeting(#[from] http::Error),
+    /// The opening for which several calls waited failed.
+    #[error("{0}")]
+    Opening(Rc<Error>),
+    /// The task that opened the connection has ended without a result.
+    #[error("the opening of the connection was aborted")]
+    Aborted,
 }
 
+/// How an opening that goes on by itself ended; `None` until then.
+type Opened = Option<Result<Sender, Rc<Error>>>;
+
 /// The connections to other nodes.
 pub struct Links {
+    connections: Rc<Connections>,
+    /// The openings that go on by themselves, at most one for each node.
+    openings: Openings,
+}
+
+type Openings = Rc<RefCell<collections::HashMap<host::HostId, sync::watch::Receiver<Opened>>>>;
+
+struct Connections {
     me: host::HostId,
     seal: seal::Seal,
     settings: Arc<configs::Node>,
@@ -85,15 +109,68 @@
 impl Links {
     /// No connections yet; `me` is this host.
     pub fn new(me: host::HostId, seal: seal::Seal, settings: Arc<configs::Node>) -> Self {
-        Self { me, seal, settings, open: RefCell::default(), opening: RefCell::default() }
+        let (open, opening) = Default::default();
+        let connections = Rc::new(Connections { me, seal, settings, open, opening });
+        Self { connections, openings: Rc::default() }
+    }
+
+    /// The connection to `host`, which is opened if there is none. If `limit` is given, the call
+    /// waits for at most that time for an opening, which it may share with other calls and which
+    /// goes on by itself.
+    ///
+    /// # Errors
+    ///
+    /// There is no connection within `limit`, or within the time set by `connect_ms`. No call has
+    /// been sent.
+    pub async fn get_within(
+        &self,
+        host: host::HostId,
+        limit: Option<time::Duration>,
+    ) -> Result<Sender, Error> {
+        let Some(limit) = limit else { return self.connections.get(host).await };
+        if let Some(send) = self.connections.existing(host) {
+            return Ok(send);
+        }
+        let mut opening = self.opening(host);
+        let opened = tokio::time::timeout(limit, opening.wait_for(Option::is_some)).await?;
+        let opened = opened.ok().and_then(|opened| opened.clone());
+        opened.map_or(Err(Error::Aborted), |opened| opened.map_err(Error::Opening))
+    }
+
+    /// The opening of a connection to `host`, which is begun if there is none.
+    fn opening(&self, host: host::HostId) -> sync::watch::Receiver<Opened> {
+        let mut openings = self.openings.borrow_mut();
+        // The channel of an opening that has ended is closed.
+        if let Some(opening) = openings.get(&host).filter(|o| o.has_changed().is_ok()) {
+            return opening.clone();
+        }
+        let (result, opening) = sync::watch::channel(None);
+        openings.insert(host, opening.clone());
+        let (connections, openings) = (Rc::clone(&self.connections), Rc::clone(&self.openings));
+        task::spawn_local(async move {
+            // Includes the wait for a call that opens the connection without a limit of its own.
+            let opened = tokio::time::timeout(connections.limit(), connections.get(host)).await;
+            let opened = opened.unwrap_or_else(|elapsed| Err(elapsed.into()));
+            openings.borrow_mut().remove(&host);
+            // The calls that waited may all have given up.
+            let _ = result.send(Some(opened.map_err(Rc::new)));
+        });
+        opening
+    }
+
+    /// Drops connections that the other end has closed or that have been idle for too long.
+    pub fn close_idle(&self) {
+        self.connections.close_idle();
     }
+}
 
+impl Connections {
     /// The connection to `host`, which is opened if there is none.
     ///
     /// # Errors
     ///
     /// The connection can't be opened within the time set by `connect_ms`. No call has been sent.
-    pub async fn get(&self, host: host::HostId) -> Result<Sender, Error> {
+    async fn get(&self, host: host::HostId) -> Result<Sender, Error> {
         if let Some(send) = self.existing(host) {
             return Ok(send);
         }
@@ -102,32 +179,18 @@
         if let Some(send) = self.existing(host) {
             return Ok(send);
         }
-        let limit = time::Duration::from_millis(self.settings.proxy.connect_ms);
-        let send = tokio::time::timeout(limit, self.connect(host)).await??;
+        let send = tokio::time::timeout(self.limit(), self.connect(host)).await??;
         let link = Link { send: send.clone(), used: Cell::new(time::Instant::now()) };
         self.open.borrow_mut().insert(host, link);
         Ok(send)
     }
 
-    /// Like [`Links::get`], for at most `limit` if one is given. That includes the wait for another call that opens
-    /// the connection: behind a lost host, each of many calls would wait for all before it.
-    ///
-    /// # Errors
-    ///
-    /// There is no connection within `limit`. No call has been sent.
-    pub async fn get_within(
-        &self,
-        host: host::HostId,
-        limit: Option<time::Duration>,
-    ) -> Result<Sender, Error> {
-        match limit {
-            Some(limit) => tokio::time::timeout(limit, self.get(host)).await?,
-            None => self.get(host).await,
-        }
+    /// Maximum time for which a connection is opened.
+    fn limit(&self) -> time::Duration {
+        time::Duration::from_millis(self.settings.proxy.connect_ms)
     }
 
-    /// Drops connections that the other end has closed or that have been idle for too long.
-    pub fn close_idle(&self) {
+    fn close_idle(&self) {
         self.open
             .borrow_mut()
             .retain(|_, link| !link.send.is_closed() && link.used.get().elapsed() < IDLE_TIMEOUT);
