fix(retry): a connection that a call with little time gives up ejects no host

With call.divert_unreachable, the connection timeout after two failures in a row was a fifth of the time left, without a lower bound. With little time left, a live host without an open connection was called unreachable, and the picker ejected it for all calls.

The timeout is now 100 ms at least: a node with a tenth of a core may be paused for 90 ms of each CPU quota period of 100 ms. An attempt that was given up before connect_ms had passed is reported to the picker as too-late, which ejects no host. It is still replaced by an attempt at another host, and the caller is still told 'unreachable'.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -33,6 +33,9 @@
 use crate::retry;
 use crate::rollout;
 
+#[cfg(test)]
+mod tests;
+
 /// How long after the deadline the owner node's reply is awaited, as it tells whether the call ran.
 const REPLY_GRACE: time::Duration = time::Duration::from_millis(5);
 
@@ -454,6 +457,9 @@
         attempt.set_load(answer.load, answer.notice);
         attempt.record_held(answer.held);
     }
+    if answer.given_up {
+        report_given_up(resources);
+    }
     let (mut parts, incoming) = answer.result?.into_parts();
     if let Some(ran) = answer.ran {
         parts.extensions.insert(ran);
@@ -466,6 +472,14 @@
     Ok(http::Response::from_parts(parts, reply))
 }
 
+/// Reports an attempt that gave up the wait for a connection before `connect_ms` had passed. The
+/// picker would eject an unreachable host for all calls, and this one may be live.
+fn report_given_up(resources: &mut resources::Resources) {
+    if let Some(attempt) = resources.attempt.take() {
+        attempt.end(retry::Event::Refused(retry::Reason::TooLate));
+    }
+}
+
 /// How long the next attempt waits for a connection to another node; `None`: as long as the
 /// connections wait by themselves.
 fn connect_timeout<C: claim::Claims>(
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -34,13 +34,17 @@
     pub ran: Option<call_spec::RunTime>,
     /// Time for which the node held the call; `None` if it sent none.
     pub held: Option<time::Duration>,
+    /// Whether the call gave up the wait for a connection before `connect_ms` had passed, so that
+    /// the host may be live.
+    pub given_up: bool,
     /// The upstream's answer, or why there is none.
     pub result: Result<http::Response<hyper::body::Incoming>, refuse::Refusal>,
 }
 
 impl From<refuse::Refusal> for Answer {
     fn from(refusal: refuse::Refusal) -> Self {
-        Self { load: None, notice: None, ran: None, held: None, result: Err(refusal) }
+        let result = Err(refusal);
+        Self { load: None, notice: None, ran: None, held: None, given_up: false, result }
     }
 }
 
@@ -153,7 +157,9 @@
             Err(_) => return refuse::Refusal::not_run(retry::Reason::TooLate).into(),
             Ok(Err(error)) => {
                 log::debug!("no connection to {host}: {error}");
-                return refuse::Refusal::not_run(retry::Reason::Unreachable).into();
+                let given_up = matches!(error, links::Error::GivenUp);
+                let refusal = refuse::Refusal::not_run(retry::Reason::Unreachable);
+                return Answer { given_up, ..refusal.into() };
             }
             Ok(Ok(link)) => link,
         };
@@ -191,7 +197,7 @@
         Some(o) if o == headers::NOT_RUN.as_bytes() => Err(refusal(&answer, true)),
         _ => Err(refusal(&answer, false)),
     };
-    Answer { load, notice, ran, held, result }
+    Answer { load, notice, ran, held, given_up: false, result }
 }
 
 fn refusal<B>(answer: &http::Response<B>, proven: bool) -> refuse::Refusal {
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -72,6 +72,9 @@
     /// The greeting could not be built.
     #[error("can't build the greeting")]
     Greeting(#[from] http::Error),
+    /// The call's own wait ended before `connect_ms` had passed, while the opening went on.
+    #[error("the call gave up the wait for the connection")]
+    GivenUp,
     /// The opening for which several calls waited failed.
     #[error("{0}")]
     Opening(Rc<Error>),
@@ -121,7 +124,7 @@
     /// # Errors
     ///
     /// There is no connection within `limit`, or within the time set by `connect_ms`. No call has
-    /// been sent.
+    /// been sent. After [`Error::GivenUp`] the host may be live.
     pub async fn get_within(
         &self,
         host: host::HostId,
@@ -132,7 +135,13 @@
             return Ok(send);
         }
         let mut opening = self.opening(host);
-        let opened = tokio::time::timeout(limit, opening.wait_for(Option::is_some)).await?;
+        let opened = opening.wait_for(Option::is_some);
+        let opened = if limit < self.connections.limit() {
+            tokio::time::timeout(limit, opened).await.map_err(|_| Error::GivenUp)?
+        } else {
+            // The opening is bounded itself. It ends first, as it began earlier.
+            opened.await
+        };
         let opened = opened.ok().and_then(|opened| opened.clone());
         opened.map_or(Err(Error::Aborted), |opened| opened.map_err(Error::Opening))
     }
--- a/src/proxy/links/tests.rs
+++ b/src/proxy/links/tests.rs
@@ -16,7 +16,9 @@
 
 use crate::configs;
 use crate::host;
+use crate::proxy::internode;
 use crate::proxy::links;
+use crate::proxy::upload;
 use crate::seal;
 
 /// How long the node takes to answer a greeting: longer than the calls wait, and shorter than
@@ -73,7 +75,8 @@
     run(async {
         let (node, links) = (SlowNode::start().await, new_links());
         let began = time::Instant::now();
-        assert!(links.get_within(node.host, Some(LIMIT)).await.is_err());
+        let given_up = links.get_within(node.host, Some(LIMIT)).await;
+        assert!(matches!(given_up, Err(links::Error::GivenUp)));
         assert!(began.elapsed() < GREETING, "the limit bounds the wait: {:?}", began.elapsed());
         tokio::time::sleep(GREETING).await;
         assert!(links.get_within(node.host, Some(LIMIT)).await.is_ok());
@@ -82,6 +85,26 @@
     .await;
 }
 
+/// The picker must not eject a host for the little time that a call had.
+#[tokio::test]
+async fn a_call_tells_whether_it_gave_up_the_wait_for_a_connection() {
+    run(async {
+        let (node, links) = (SlowNode::start().await, new_links());
+        let connect = time::Duration::from_millis(configs::Node::default().proxy.connect_ms);
+        let end = tokio::time::Instant::now() + connect * 20;
+        let request = || http::Request::new(upload::Upload::Buffered(None));
+        let answer = internode::call_within(&links, node.host, request(), end, Some(LIMIT)).await;
+        let outcome = answer.result.expect_err("no connection").outcome;
+        assert!(answer.given_up && outcome.is_unreachable());
+        let silent = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        let host = host::HostId::from_inner_addr(silent.local_addr().expect("an address"));
+        let answer = internode::call_within(&links, host, request(), end, Some(connect)).await;
+        let outcome = answer.result.expect_err("no connection").outcome;
+        assert!(!answer.given_up && outcome.is_unreachable(), "it has waited for connect_ms");
+    })
+    .await;
+}
+
 /// Calls that wait at the same time share one opening, also those that came later.
 #[tokio::test]
 async fn one_connection_is_opened_for_all_calls() {
@@ -117,7 +140,8 @@
         let connect = time::Duration::from_millis(configs::Node::default().proxy.connect_ms);
         for _ in 0..2 {
             let began = time::Instant::now();
-            assert!(links.get_within(host, Some(connect * 20)).await.is_err());
+            let failed = links.get_within(host, Some(connect * 20)).await;
+            assert!(matches!(failed, Err(links::Error::Opening(_))), "the host was unreachable");
             let took = began.elapsed();
             assert!(connect <= took && took < connect * 10, "{took:?}");
             assert!(links.openings.borrow().is_empty());
--- a/src/retry/decide.rs
+++ b/src/retry/decide.rs
@@ -28,6 +28,11 @@
 /// hosts are lost, so that the call can still try several others.
 const TIMEOUT_DIVISOR: u32 = 5;
 
+/// Lower bound of the connection timeout while several hosts are lost. A node that gets a tenth of
+/// a core may be paused for 90 ms of each CPU quota period of 100 ms; a shorter timeout gives up
+/// live hosts.
+const MIN_CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Time after which the caller may retry, if the refusing host named none.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -144,13 +149,17 @@
 }
 
 /// How long a call with `remaining` time until its deadline waits for a connection, if the last
-/// `failures` attempts in a row reached no upstream; `usual` is the timeout of the settings.
+/// `failures` attempts in a row reached no upstream; `usual` is the timeout of the settings, which
+/// the result never exceeds.
 pub fn connect_timeout(
     failures: u8,
     remaining: time::Duration,
     usual: time::Duration,
 ) -> time::Duration {
-    if failures < FAILURES_OF_LOSS { usual } else { usual.min(remaining / TIMEOUT_DIVISOR) }
+    if failures < FAILURES_OF_LOSS {
+        return usual;
+    }
+    usual.min((remaining / TIMEOUT_DIVISOR).max(MIN_CONNECT_TIMEOUT))
 }
 
 /// Whether another attempt is allowed, if the budget has one.
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -265,3 +265,13 @@
     let long = time::Duration::from_secs(60);
     assert_eq!(retry::connect_timeout(2, long, usual), usual, "never longer than usual");
 }
+
+/// With little time left, a fifth of it is shorter than a live host may take for a connection.
+#[test]
+fn connections_are_awaited_for_a_minimum_time() {
+    let [usual, remaining] = [250, 50].map(time::Duration::from_millis);
+    let least = time::Duration::from_millis(100);
+    assert_eq!(retry::connect_timeout(2, remaining, usual), least);
+    let short = time::Duration::from_millis(30);
+    assert_eq!(retry::connect_timeout(2, remaining, short), short, "never longer than usual");
+}
