fix(retry): a nested call of a lost run is not diverted

With call.divert_unreachable, a nested call whose host was unreachable was sent to up to four other hosts also when its running call had lost another nested call and was known not to survive that, so that it was served for nothing.

retry::diverts now gets whether the run is lost, whatever the kind of the call.

Tests: retry::tests and proxy::running_calls::tests; each fails without its part of the change.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -278,6 +278,7 @@
         diverted: tries.diverted,
         repeated: failed.host.is_some_and(|host| avoid.contains(&host)),
         run_time: state.run_times.borrow().mean(&call.kind().name).unwrap_or_default(),
+        run_lost: call.nested_call.as_ref().is_some_and(running_calls::NestedCall::is_run_lost),
     };
     let facts = facts(state, call, tries, failed);
     retry::diverts(&facts, &diversion, failed.refusal.outcome, state.ctx.now())
--- a/src/proxy/running_calls.rs
+++ b/src/proxy/running_calls.rs
@@ -229,6 +229,11 @@
         self.record.siblings.borrow().others(&self.kind, &self.calls.survival.borrow())
     }
 
+    /// Whether its running call has lost a nested call that it doesn't survive.
+    pub fn is_run_lost(&self) -> bool {
+        self.record.siblings.borrow().is_lost(&self.calls.survival.borrow())
+    }
+
     /// Records that it has finally failed.
     pub fn lose(&self) {
         let mut survival = self.calls.survival.borrow_mut();
--- a/src/proxy/running_calls/tests.rs
+++ b/src/proxy/running_calls/tests.rs
@@ -88,6 +88,19 @@
     assert!(is_refused(&calls));
 }
 
+/// Those that were sent before the loss must know of it too, whatever their own kind.
+#[test]
+fn a_nested_call_knows_that_its_run_is_lost() {
+    let calls = calls_that_fail();
+    let _running = enter(&calls, PARENT);
+    let first = nested(&calls, "9c41d07be2a35f68.1");
+    let other = SmolStr::new_static("other");
+    let second = calls.begin_nested(&id("9c41d07be2a35f68.2"), &other).unwrap().unwrap();
+    assert!(!second.is_run_lost());
+    first.lose();
+    assert!(second.is_run_lost());
+}
+
 /// A retry of a run starts anew, also while the first one still runs: what that has lost says
 /// nothing of it.
 #[test]
--- a/src/retry/decide.rs
+++ b/src/retry/decide.rs
@@ -75,6 +75,8 @@
     pub repeated: bool,
     /// Mean run time of calls of the same kind; zero if it is not known.
     pub run_time: time::Duration,
+    /// Whether the running call that makes the call is lost, so that it would be served for nothing.
+    pub run_lost: bool,
 }
 
 /// What to do next with a call.
@@ -143,6 +145,7 @@
     outcome.is_unreachable()
         && call.host.is_some()
         && !diversion.repeated
+        && !diversion.run_lost
         && diversion.diverted < MAX_DIVERTED
         && can_be_sent(call, now)
         && call.deadline.since(now) > diversion.run_time
--- a/src/retry/siblings.rs
+++ b/src/retry/siblings.rs
@@ -141,7 +141,7 @@
     }
 
     /// Whether the run has lost a nested call that it doesn't survive.
-    fn is_lost(&self, survival: &Survival) -> bool {
+    pub fn is_lost(&self, survival: &Survival) -> bool {
         !self.exempt && self.lost.iter().any(|kind| survival.is_fatal(kind))
     }
 
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -176,7 +176,7 @@
 const RUN_TIME: time::Duration = time::Duration::from_millis(100);
 
 fn diversion(diverted: u8) -> retry::Diversion {
-    retry::Diversion { diverted, repeated: false, run_time: RUN_TIME }
+    retry::Diversion { diverted, repeated: false, run_time: RUN_TIME, run_lost: false }
 }
 
 /// A call whose last attempt went to a host.
@@ -217,6 +217,13 @@
     assert!(!is_diverted(&retry::Call { answered_bytes: 1, ..picked() }, &diversion(0)));
 }
 
+/// A nested call of a run that is lost already is served for nothing.
+#[test]
+fn no_attempt_is_replaced_for_a_run_that_is_lost() {
+    let lost = retry::Diversion { run_lost: true, ..diversion(0) };
+    assert!(!retry::diverts(&picked(), &lost, UNREACHABLE, clock::Instant::ZERO));
+}
+
 /// In a total outage, replacements must not multiply the attempts without a bound.
 #[test]
 fn a_call_has_at_most_four_attempts_beyond_those_that_it_may_have() {
