fix(retry): only runs with a single loss teach whether one loss is fatal

A run that lost two nested calls of one kind and failed was counted as a run that does not survive the loss of one. A service whose runs survive a single loss could so be taken for one whose runs don't, and further nested calls of runs with one loss were refused.

The losses of a run are now counted, and its end teaches only if there was one.

Test: retry::tests::siblings, 50 runs each of one, two and three losses; fails without the count.

--- a/src/retry/siblings.rs
+++ b/src/retry/siblings.rs
@@ -28,7 +28,7 @@
 /// Maximum number of kinds whose losses are counted, and of kinds that one run is recorded to lose.
 const MAX_KINDS: usize = 64;
 
-/// How runs ended that lost a nested call of one kind.
+/// How runs ended that lost just one nested call, of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 struct Ends {
     runs: u16,
@@ -50,7 +50,8 @@
         })
     }
 
-    /// Records that a run ended that had lost a nested call of `kind`, and whether it `survived`.
+    /// Records that a run ended that had lost just one nested call, of `kind`, and whether it
+    /// `survived`.
     fn record_end(&mut self, kind: &SmolStr, survived: bool) {
         let Some(ends) = self.ends(kind) else { return };
         ends.runs += 1;
@@ -83,6 +84,8 @@
     running: u16,
     /// Number of those that wait for the end of others before a retry.
     waiting: u16,
+    /// Number of those that have finally failed.
+    losses: u16,
     /// The kinds of those that have finally failed, each once.
     lost: Vec<SmolStr>,
     /// Whether a nested call was not sent since another one was lost. What becomes of the run then
@@ -122,6 +125,7 @@
 
     /// Records that a nested call of `kind` has finally failed.
     pub fn lose(&mut self, kind: &SmolStr, survival: &mut Survival) {
+        self.losses = self.losses.saturating_add(1);
         if self.lost.is_empty() {
             self.exempt = survival.record_loss(kind);
         }
@@ -132,8 +136,9 @@
 
     /// Records the end of the run, which `survived` if its response is no server error.
     pub fn record_end(&self, survived: bool, survival: &mut Survival) {
-        // Of several kinds it can't be told which one the run failed for.
+        // A run that fails after several losses, also of one kind, may survive any single one.
         if let [kind] = self.lost.as_slice()
+            && self.losses == 1
             && !self.refused
         {
             survival.record_end(kind, survived);
--- a/src/retry/tests/siblings.rs
+++ b/src/retry/tests/siblings.rs
@@ -137,6 +137,27 @@
     }
 }
 
+/// A run that survives the loss of one nested call may fail after two. Were it taken to fail after
+/// one, all further nested calls of such runs would be refused.
+#[test]
+fn runs_that_lost_several_nested_calls_teach_nothing_of_a_single_loss() {
+    for losses in [1, 2, 3] {
+        let mut known = retry::Survival::default();
+        for _ in 0..50 {
+            let mut siblings = retry::Siblings::default();
+            for _ in 0..losses {
+                siblings.begin(&known);
+            }
+            for _ in 0..losses {
+                siblings.lose(&kind(), &mut known);
+                siblings.end();
+            }
+            siblings.record_end(false, &mut known);
+        }
+        assert_eq!(known.is_fatal(KIND), losses == 1, "{losses} losses a run");
+    }
+}
+
 /// Without exempt runs, an upstream that learns to do without a nested call would never be noticed.
 #[test]
 fn a_change_of_the_upstream_is_noticed() {
