feat(proxy): a log line for nested calls that are not sent

A nested call that was refused since its running call had lost another one left only a debug line without the request id and without what the decision was based on.

The line is now written by proxy::trace within the limit of lines a second, with the request id, the kind, the kind that was lost, the number of losses and what is known of runs that lost one call of that kind. retry::Siblings::begin returns the loss as its error in place of false; the tests that asserted the bool assert the result now.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -263,8 +263,8 @@
         return Ok(None);
     }
     let begun = state.running.begin_nested(id, kind);
-    begun.map_err(|error| {
-        log::debug!(kind = kind.as_str(), error:% = error; "a nested call is not sent");
+    begun.map_err(|loss| {
+        state.trace.not_sent(&trace::NotSent { id, kind, loss: &loss }, state.ctx.now());
         refuse::Refusal::not_run(retry::Reason::Full).retry_in(state.retry_delay())
     })
 }
--- a/src/proxy/running_calls.rs
+++ b/src/proxy/running_calls.rs
@@ -74,11 +74,6 @@
     pub organisation: Option<header::HeaderValue>,
 }
 
-/// The running call that makes a nested call has lost another one and doesn't survive that.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("the running call has lost a nested call")]
-pub struct Lost;
-
 /// The calls that run at the local upstream.
 #[derive(Debug, Default)]
 pub struct RunningCalls {
@@ -173,15 +168,16 @@
         self: &Rc<Self>,
         id: &header::HeaderValue,
         kind: &SmolStr,
-    ) -> Result<Option<NestedCall>, Lost> {
+    ) -> Result<Option<NestedCall>, retry::FatalLoss> {
         let mut list = self.list.borrow_mut();
         let length = |entry: &Entry| entry.parent_length(id.as_bytes());
         let parent = list.iter_mut().filter(|e| length(e).is_some()).max_by_key(|e| length(e));
         let Some(parent) = parent else { return Ok(None) };
         let record = Rc::clone(parent.nested.get_or_insert_default());
-        if !record.siblings.borrow_mut().begin(&self.survival.borrow()) {
+        let begun = record.siblings.borrow_mut().begin(&self.survival.borrow());
+        if let Err(loss) = begun {
             self.counts.not_sent.inc();
-            return Err(Lost);
+            return Err(loss);
         }
         let (calls, kind) = (Rc::clone(self), kind.clone());
         Ok(Some(NestedCall { calls, record, kind, paused: Cell::new(false) }))
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -129,6 +129,17 @@
     pub retry_after: time::Duration,
 }
 
+/// A nested call that its entry node did not send, as its running call is lost.
+#[derive(Clone, Copy, Debug)]
+pub struct NotSent<'a> {
+    /// Request id.
+    pub id: &'a header::HeaderValue,
+    /// Kind of the call.
+    pub kind: &'a str,
+    /// What the running call has lost, and what is known of such losses.
+    pub loss: &'a retry::FatalLoss,
+}
+
 /// A notice of the local upstream that has changed or can't be read.
 #[derive(Clone, Copy, Debug)]
 pub struct Noticed<'a> {
@@ -232,6 +243,22 @@
         );
     }
 
+    /// Logs a nested call that is not sent.
+    pub fn not_sent(&self, not_sent: &NotSent<'_>, now: clock::Instant) {
+        let Some(skipped) = self.reserve_line(now) else { return };
+        let NotSent { id, kind, loss } = *not_sent;
+        log::info!(
+            id = text(id),
+            kind,
+            lost_kind = loss.kind.as_str(),
+            lost = loss.losses,
+            runs = loss.runs,
+            survived = loss.survived,
+            skipped;
+            "a nested call is not sent as its running call has lost another one"
+        );
+    }
+
     /// Logs a notice of the local upstream, at its node.
     pub fn noticed(&self, noticed: &Noticed<'_>, now: clock::Instant) {
         let Some(skipped) = self.reserve_line(now) else { return };
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -19,7 +19,7 @@
 pub use self::decide::{Call, Decision, Diversion, connect_timeout, decide, diverts};
 use self::decide::{is_allowed, refuse};
 pub use self::reason::Reason;
-pub use self::siblings::{NestedDecision, Others, Siblings, Survival, decide_nested};
+pub use self::siblings::{FatalLoss, NestedDecision, Others, Siblings, Survival, decide_nested};
 
 /// How an attempt, or a whole call, ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/src/retry/siblings.rs
+++ b/src/retry/siblings.rs
@@ -36,6 +36,20 @@
     losses: u16,
 }
 
+/// A nested call that a run has lost and is known not to survive.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the run has lost a nested call of the kind {kind}")]
+pub struct FatalLoss {
+    /// Kind of that nested call.
+    pub kind: SmolStr,
+    /// Number of runs that lost just one nested call, of that kind; only the latest are counted.
+    pub runs: u16,
+    /// Number of those that survived.
+    pub survived: u16,
+    /// Number of nested calls that the run has lost.
+    pub losses: u16,
+}
+
 /// What is known of how runs end that lose nested calls, by kind of the nested call.
 #[derive(Clone, Debug, Default)]
 pub struct Survival {
@@ -95,15 +109,18 @@
 }
 
 impl Siblings {
-    /// Records that a nested call is sent. `false` if it must not be, since the run has lost
-    /// another one that it doesn't survive.
-    pub fn begin(&mut self, survival: &Survival) -> bool {
-        if self.is_lost(survival) {
+    /// Records that a nested call is sent.
+    ///
+    /// # Errors
+    ///
+    /// It must not be sent, since the run has lost another one that it doesn't survive.
+    pub fn begin(&mut self, survival: &Survival) -> Result<(), FatalLoss> {
+        if let Some(loss) = self.fatal_loss(survival) {
             self.refused = true;
-            return false;
+            return Err(loss);
         }
         self.running = self.running.saturating_add(1);
-        true
+        Ok(())
     }
 
     /// Records that a nested call that is being attempted begins to wait for the others.
@@ -150,6 +167,14 @@
         !self.exempt && self.lost.iter().any(|kind| survival.is_fatal(kind))
     }
 
+    /// The loss that the run doesn't survive, if there is one.
+    fn fatal_loss(&self, survival: &Survival) -> Option<FatalLoss> {
+        let mut lost = self.lost.iter().filter(|kind| survival.is_fatal(kind));
+        let kind = lost.next().filter(|_| !self.exempt)?.clone();
+        let Ends { runs, survived, .. } = survival.kinds.get(&kind).copied().unwrap_or_default();
+        Some(FatalLoss { kind, runs, survived, losses: self.losses })
+    }
+
     /// What a nested call of `kind` that is being attempted has to know of the others; `None` if
     /// they are ignored.
     pub fn others(&self, kind: &str, survival: &Survival) -> Option<Others> {
--- a/src/retry/tests/siblings.rs
+++ b/src/retry/tests/siblings.rs
@@ -25,7 +25,7 @@
     let mut survival = retry::Survival::default();
     for number in 0..runs {
         let mut siblings = retry::Siblings::default();
-        siblings.begin(&survival);
+        siblings.begin(&survival).unwrap();
         siblings.lose(&kind(), &mut survival);
         siblings.end();
         siblings.record_end(number < survived, &mut survival);
@@ -118,10 +118,23 @@
 fn a_run_that_lost_a_nested_call_sends_no_more_where_such_runs_fail() {
     let mut known = survival(10, 1);
     let mut siblings = retry::Siblings::default();
-    assert!(siblings.begin(&known));
+    assert!(siblings.begin(&known).is_ok());
     siblings.lose(&kind(), &mut known);
     siblings.end();
-    assert!(!siblings.begin(&known));
+    assert!(siblings.begin(&known).is_err());
+}
+
+/// The log shows why a nested call was not sent, with what was known at that time.
+#[test]
+fn the_loss_that_a_run_does_not_survive_is_told_with_what_is_known_of_it() {
+    let mut known = survival(12, 1);
+    let mut siblings = retry::Siblings::default();
+    assert_eq!(siblings.begin(&known), Ok(()));
+    siblings.lose(&SmolStr::new_static("other"), &mut known);
+    assert_eq!(siblings.begin(&known), Ok(()));
+    siblings.lose(&kind(), &mut known);
+    let loss = retry::FatalLoss { kind: kind(), runs: 12, survived: 1, losses: 2 };
+    assert_eq!(siblings.begin(&known), Err(loss));
 }
 
 /// Where a run can do without a nested call, refusing the others would take away answers that
@@ -130,9 +143,9 @@
 fn siblings_are_ignored_where_runs_survive_or_little_is_known() {
     for mut known in [survival(10, 2), survival(9, 0), retry::Survival::default()] {
         let mut siblings = retry::Siblings::default();
-        siblings.begin(&known);
+        siblings.begin(&known).unwrap();
         siblings.lose(&kind(), &mut known);
-        assert!(siblings.begin(&known));
+        assert!(siblings.begin(&known).is_ok());
         assert_eq!(siblings.others(KIND, &known), None);
     }
 }
@@ -146,7 +159,7 @@
         for _ in 0..50 {
             let mut siblings = retry::Siblings::default();
             for _ in 0..losses {
-                siblings.begin(&known);
+                siblings.begin(&known).unwrap();
             }
             for _ in 0..losses {
                 siblings.lose(&kind(), &mut known);
@@ -166,10 +179,11 @@
     let mut ended = 0;
     while known.is_fatal(KIND) {
         let mut siblings = retry::Siblings::default();
-        siblings.begin(&known);
+        siblings.begin(&known).unwrap();
         siblings.lose(&kind(), &mut known);
         siblings.end();
-        siblings.begin(&known);
+        // Refused, unless the run is exempt.
+        let _ = siblings.begin(&known);
         siblings.record_end(true, &mut known);
         ended += 1;
         assert!(ended < 200, "still taken for fatal after {ended} runs that survived");
@@ -183,7 +197,7 @@
         let name = SmolStr::from(format!("kind-{number}"));
         for _ in 0..10 {
             let mut siblings = retry::Siblings::default();
-            siblings.begin(&known);
+            siblings.begin(&known).unwrap();
             siblings.lose(&name, &mut known);
             siblings.record_end(false, &mut known);
         }
@@ -234,7 +248,7 @@
     /// A run whose nested calls are decided upon together.
     fn run_together(&mut self) {
         let mut siblings = retry::Siblings::default();
-        assert!(siblings.begin(&self.survival) && siblings.begin(&self.survival));
+        assert!((0..2).all(|_| siblings.begin(&self.survival).is_ok()));
         let shed = [self.is_shed(), self.is_shed()];
         let mut served = [None; 2];
         let mut paused = [false; 2];
