--- a/src/retry/decide.rs
+++ b/src/retry/decide.rs
@@ -28,6 +28,11 @@
 /// hosts are lost, so that the call can still try several others.
 const TIMEOUT_DIVISOR: u32 = 5;
 
+/// Lower bound of the connection timeout while several hosts are lost. A node that gets a tenth of
+/// a core may be paused for 90 ms of each CPU quota period of 100 ms; a shorter timeout gives up
+/// live hosts.
+const MIN_CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Time after which the caller may retry, if the refusing host named none.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -70,6 +75,8 @@
     pub repeated: bool,
     /// Mean run time of calls of the same kind; zero if it is not known.
     pub run_time: time::Duration,
+    /// Whether the running call that makes the call is lost, so that it would be served for nothing.
+    pub run_lost: bool,
 }
 
 /// What to do next with a call.
@@ -138,19 +145,24 @@
     outcome.is_unreachable()
         && call.host.is_some()
         && !diversion.repeated
+        && !diversion.run_lost
         && diversion.diverted < MAX_DIVERTED
         && can_be_sent(call, now)
         && call.deadline.since(now) > diversion.run_time
 }
 
 /// How long a call with `remaining` time until its deadline waits for a connection, if the last
-/// `failures` attempts in a row reached no upstream; `usual` is the timeout of the settings.
+/// `failures` attempts in a row reached no upstream; `usual` is the timeout of the settings, which
+/// the result never exceeds.
 pub fn connect_timeout(
     failures: u8,
     remaining: time::Duration,
     usual: time::Duration,
 ) -> time::Duration {
-    if failures < FAILURES_OF_LOSS { usual } else { usual.min(remaining / TIMEOUT_DIVISOR) }
+    if failures < FAILURES_OF_LOSS {
+        return usual;
+    }
+    usual.min((remaining / TIMEOUT_DIVISOR).max(MIN_CONNECT_TIMEOUT))
 }
 
 /// Whether another attempt is allowed, if the budget has one.
--- a/src/retry/siblings.rs
+++ b/src/retry/siblings.rs
@@ -28,7 +28,7 @@
 /// Maximum number of kinds whose losses are counted, and of kinds that one run is recorded to lose.
 const MAX_KINDS: usize = 64;
 
-/// How runs ended that lost a nested call of one kind.
+/// How runs ended that lost just one nested call, of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 struct Ends {
     runs: u16,
@@ -36,6 +36,20 @@
     losses: u16,
 }
 
+/// A nested call that a run has lost and is known not to survive.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the run has lost a nested call of the kind {kind}")]
+pub struct FatalLoss {
+    /// Kind of that nested call.
+    pub kind: SmolStr,
+    /// Number of runs that lost just one nested call, of that kind; only the latest are counted.
+    pub runs: u16,
+    /// Number of those that survived.
+    pub survived: u16,
+    /// Number of nested calls that the run has lost.
+    pub losses: u16,
+}
+
 /// What is known of how runs end that lose nested calls, by kind of the nested call.
 #[derive(Clone, Debug, Default)]
 pub struct Survival {
@@ -50,7 +64,8 @@
         })
     }
 
-    /// Records that a run ended that had lost a nested call of `kind`, and whether it `survived`.
+    /// Records that a run ended that had lost just one nested call, of `kind`, and whether it
+    /// `survived`.
     fn record_end(&mut self, kind: &SmolStr, survived: bool) {
         let Some(ends) = self.ends(kind) else { return };
         ends.runs += 1;
@@ -83,6 +98,8 @@
     running: u16,
     /// Number of those that wait for the end of others before a retry.
     waiting: u16,
+    /// Number of those that have finally failed.
+    losses: u16,
     /// The kinds of those that have finally failed, each once.
     lost: Vec<SmolStr>,
     /// Whether a nested call was not sent since another one was lost. What becomes of the run then
@@ -92,15 +109,18 @@
 }
 
 impl Siblings {
-    /// Records that a nested call is sent. `false` if it must not be, since the run has lost
-    /// another one that it doesn't survive.
-    pub fn begin(&mut self, survival: &Survival) -> bool {
-        if self.is_lost(survival) {
+    /// Records that a nested call is sent.
+    ///
+    /// # Errors
+    ///
+    /// It must not be sent, since the run has lost another one that it doesn't survive.
+    pub fn begin(&mut self, survival: &Survival) -> Result<(), FatalLoss> {
+        if let Some(loss) = self.fatal_loss(survival) {
             self.refused = true;
-            return false;
+            return Err(loss);
         }
         self.running = self.running.saturating_add(1);
-        true
+        Ok(())
     }
 
     /// Records that a nested call that is being attempted begins to wait for the others.
@@ -122,6 +142,7 @@
 
     /// Records that a nested call of `kind` has finally failed.
     pub fn lose(&mut self, kind: &SmolStr, survival: &mut Survival) {
+        self.losses = self.losses.saturating_add(1);
         if self.lost.is_empty() {
             self.exempt = survival.record_loss(kind);
         }
@@ -132,8 +153,9 @@
 
     /// Records the end of the run, which `survived` if its response is no server error.
     pub fn record_end(&self, survived: bool, survival: &mut Survival) {
-        // Of several kinds it can't be told which one the run failed for.
+        // A run that fails after several losses, also of one kind, may survive any single one.
         if let [kind] = self.lost.as_slice()
+            && self.losses == 1
             && !self.refused
         {
             survival.record_end(kind, survived);
@@ -141,10 +163,18 @@
     }
 
     /// Whether the run has lost a nested call that it doesn't survive.
-    fn is_lost(&self, survival: &Survival) -> bool {
+    pub fn is_lost(&self, survival: &Survival) -> bool {
         !self.exempt && self.lost.iter().any(|kind| survival.is_fatal(kind))
     }
 
+    /// The loss that the run doesn't survive, if there is one.
+    fn fatal_loss(&self, survival: &Survival) -> Option<FatalLoss> {
+        let mut lost = self.lost.iter().filter(|kind| survival.is_fatal(kind));
+        let kind = lost.next().filter(|_| !self.exempt)?.clone();
+        let Ends { runs, survived, .. } = survival.kinds.get(&kind).copied().unwrap_or_default();
+        Some(FatalLoss { kind, runs, survived, losses: self.losses })
+    }
+
     /// What a nested call of `kind` that is being attempted has to know of the others; `None` if
     /// they are ignored.
     pub fn others(&self, kind: &str, survival: &Survival) -> Option<Others> {
