fix(overload): a delay that has ended counts at once; hop-by-hop headers decide, too

Review of the overload protection: a node that went idle went on counting calls, and the next cut rested on calls of long ago; a request that names its credentials in Connection was identified here but not on the full path.

--- a/src/overload/controller.rs
+++ b/src/overload/controller.rs
@@ -160,7 +160,8 @@
 
     /// Applies the standing delay at `now`.
     pub fn observe(&mut self, delay: time::Duration, now: clock::Instant) -> Option<Change> {
-        if now.since(self.updated) < UPDATE_INTERVAL {
+        // No more measurements may follow one that shows no delay.
+        if now.since(self.updated) < UPDATE_INTERVAL && !delay.is_zero() {
             return None;
         }
         self.updated = now;
--- a/src/proxy/call/remote.rs
+++ b/src/proxy/call/remote.rs
@@ -67,7 +67,7 @@
 
 /// Reports an attempt that gave up the wait for a connection before `connect_ms` had passed. The
 /// picker would eject an unreachable host for all calls, and this one may be live.
-fn report_given_up(resources: &mut resources::Resources) {
+pub(super) fn report_given_up(resources: &mut resources::Resources) {
     if let Some(attempt) = resources.attempt.take() {
         attempt.end(retry::Event::Refused(retry::Reason::TooLate));
     }
--- a/src/proxy/call/tests.rs
+++ b/src/proxy/call/tests.rs
@@ -71,7 +71,7 @@
     });
     assert_eq!(unreachable, 0);
     let given_up = picked_after(|resources| {
-        super::report_given_up(resources);
+        super::remote::report_given_up(resources);
         let outcome = resources.fail_attempt(UNREACHABLE, None);
         assert!(outcome.is_unreachable(), "another attempt replaces it");
     });
--- a/src/proxy/overload.rs
+++ b/src/proxy/overload.rs
@@ -238,6 +238,8 @@
     let decisive = [
         header::HOST.as_str(),
         header::AUTHORIZATION.as_str(),
+        // It names headers that don't count.
+        header::CONNECTION.as_str(),
         headers::IDEMPOTENCY_KEY,
         headers::DEPTH,
         headers::ATTEMPT,
--- a/src/proxy/overload/tests.rs
+++ b/src/proxy/overload/tests.rs
@@ -12,6 +12,10 @@
     "GET /a?b HTTP/1.1\r\nHost: x.test\r\nX-Request-Id: i\r\nAuthorization: Bearer k\r\nx-y: z\r\n\r\n",
     Some(3)
 )]
+#[case::hop_by_hop(
+    "GET /a HTTP/1.1\r\nHost: x.test\r\nConnection: authorization\r\nAuthorization: Bearer k\r\n\r\n",
+    Some(3)
+)]
 #[case::repeated("GET /a HTTP/1.1\r\nhost: x.test\r\nhost: y.test\r\n\r\n", Some(2))]
 #[case::incomplete("GET /a HTTP/1.1\r\nhost: x.test\r\n", None)]
 #[case::malformed_target("GET a b HTTP/1.1\r\nhost: x.test\r\n\r\n", None)]
