--- a/benches/overload.rs
+++ b/benches/overload.rs
@@ -221,7 +221,8 @@
         Self { stream, buffer: Vec::with_capacity(4096) }
     }
 
-    /// Sends a call and returns the status of its answer, or [`REFUSED`]; 0 if the connection has ended.
+    /// Sends a call and returns the status of its answer, or [`REFUSED`]; 0 if the connection has
+    /// ended.
     async fn call(&mut self) -> u16 {
         if self.stream.write_all(REQUEST).await.is_err() {
             return 0;
--- a/src/pick/overflow.rs
+++ b/src/pick/overflow.rs
@@ -1,8 +1,8 @@
 //! Overflow of calls to other availability zones.
 //!
-//! Handles zones that are all busy: by chance a call would wait in its own zone while an upstream of
-//! another one looks free, in each zone alike, so that calls cross between the same two zones in both
-//! directions. Calls leave a zone in proportion to how much busier it is than the zone that they go
+//! Handles zones that are all busy: by chance a call would wait in its own zone while an upstream
+//! of another one looks free, in each zone alike, so that calls cross between the same two zones in
+//! both directions. Calls leave a zone in proportion to how much busier it is than the zone that they go
 //! to, as the calls that went there before have shown.
 
 /// Least share of the calls that would leave the zone and do, so that a change is noticed.
--- a/src/pick/peer/cost.rs
+++ b/src/pick/peer/cost.rs
@@ -104,7 +104,8 @@
         self.node_delay.excess_us(base_delay_us, now) / service_us
     }
 
-    /// The share of its slots that is taken with one more call, and the cost of the delay of its node.
+    /// The share of its slots that is taken with one more call, and the cost of the delay of its
+    /// node.
     pub(in crate::pick) fn load_cost(
         &self,
         base_us: f32,
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -17,10 +17,11 @@
 use crate::pick::overflow;
 use crate::pick::peer;
 use crate::pick::table;
-use crate::retry;
 use crate::rollout;
 use crate::view;
 
+mod results;
+
 /// Cost of a likely refusal, in service times: as much as the transfer of a light call to another
 /// zone. A light call that its zone would refuse is sent to another one; for a heavy call the
 /// transfer would cost more.
@@ -215,13 +216,6 @@
         peers.filter(|peer| peer.is_open()).filter_map(|peer| peer.room_at(rank, now)).min()
     }
 
-    /// Records that an attempt at `choice` has started.
-    pub fn started(&mut self, choice: pick::Choice, now: clock::Instant) {
-        if let Some(peer) = self.table.peer_mut(choice.key) {
-            peer.started(&self.rules, now);
-        }
-    }
-
     /// The candidates of a call during a simultaneous loss of hosts. Another attempt of a call that
     /// has failed before is not sent to a host that may be lost.
     fn candidates(
@@ -238,109 +232,6 @@
         })
     }
 
-    /// Records that an attempt at `choice` has ended; called once for each [`Picker::started`].
-    /// Returns what it has shown of nodes and hosts, at most once a second; a slow node that was found
-    /// together with a loss of hosts is returned at the next end.
-    pub fn ended(
-        &mut self,
-        choice: pick::Choice,
-        report: &pick::Report,
-        now: clock::Instant,
-    ) -> Option<pick::Event> {
-        let lost = self.record_loss(choice, report, now);
-        let slow = self.record_end(choice, report, now);
-        let (first, second) = match self.held_slow.take() {
-            Some(held) => (Some(held), slow),
-            None => (slow, None),
-        };
-        let Some(lost) = lost else {
-            self.held_slow = second;
-            return first.map(pick::Event::SlowNode);
-        };
-        let skipped = second.map_or(0, |slow| slow.skipped + 1);
-        self.held_slow =
-            first.map(|slow| pick::SlowNode { skipped: slow.skipped + skipped, ..slow });
-        Some(pick::Event::HostsLost(lost))
-    }
-
-    /// Records, instead of [`Picker::ended`], that an attempt at `choice` has ended as its caller
-    /// broke off the body of the request: that there was no response shows nothing of the host.
-    pub fn broken_off(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
-        let report = pick::Report { node_delay: None, ..*report };
-        self.record_end(choice, &report, now);
-    }
-
-    /// Records an attempt that shows that its host does not respond. Returns the simultaneous loss of hosts that it has
-    /// shown.
-    fn record_loss(
-        &mut self,
-        choice: pick::Choice,
-        report: &pick::Report,
-        now: clock::Instant,
-    ) -> Option<pick::HostsLost> {
-        let window = self.rules.loss_window;
-        let peer = self.table.peer_mut(choice.key)?;
-        if window.is_zero() || !peer.is_silent(report, &self.rules, now) {
-            return None;
-        }
-        let responded_at = peer.responded_at.take();
-        let since = report.silent_since(self.rules.connect_timeout, now);
-        let failure = loss::Failure { key: choice.key, since, at: now };
-        let list = self.table.list_mut(choice.target)?;
-        let earlier = list.loss.record(failure, responded_at, window)?;
-        self.counts.losses.inc();
-        let skipped = self.loss_pace.admit(now)?;
-        let first = self.table.peer(earlier.key).map_or(choice.host, pick::Peer::host);
-        let list = self.table.list(choice.target)?;
-        let responding = loss::Candidates::Responded(list.loss.since(window, now)?);
-        let peers = list.all().iter().map(|&index| &self.table.peers[index as usize]);
-        Some(pick::HostsLost {
-            hosts: [first, choice.host],
-            apart: now.since(earlier.at),
-            upstreams: list.all().len(),
-            responded: peers.filter(|peer| responding.include(peer.responded_at)).count(),
-            skipped,
-        })
-    }
-
-    /// Records an attempt in the state of its upstream. Returns the node that it has shown to have
-    /// become slow.
-    fn record_end(
-        &mut self,
-        choice: pick::Choice,
-        report: &pick::Report,
-        now: clock::Instant,
-    ) -> Option<pick::SlowNode> {
-        let good = report.outcome == retry::Outcome::Ran;
-        let aggregate = self.table.aggregate(choice.target, good, now);
-        let base_us = aggregate.base_delay_us;
-        let peer = self.table.peer_mut(choice.key)?;
-        let (ejected, delay_cost) = (peer.is_ejected(), peer.delay_cost(base_us, now));
-        peer.ended(choice.rank, report, &aggregate, &self.rules, now);
-        let (zone, load) = (peer.zone, peer.load_cost(base_us, &self.rules, now));
-        if self.rules.zone_overflow && !choice.same_zone && report.load.is_some() {
-            self.table.record_overflow(choice.target, zone, load);
-        }
-        let peer = self.table.peer_mut(choice.key)?;
-        let slow = delay_cost <= peer::FULL && peer.delay_cost(base_us, now) > peer::FULL;
-        let micros = |us: f32| time::Duration::from_micros(us as u64);
-        let excess = micros(peer.node_delay.excess_us(base_us, now));
-        let service = peer.service_us().map(micros);
-        if peer.is_ejected() != ejected {
-            self.table.record_ejection_change();
-        }
-        let measured = report.node_delay.filter(|_| slow)?;
-        self.counts.slow_nodes.inc();
-        let skipped = self.slow_pace.admit(now)?;
-        let base = micros(base_us);
-        Some(pick::SlowNode { host: choice.host, measured, excess, base, service, skipped })
-    }
-
-    /// The state of the upstream of `choice`; `None` if it is no longer kept.
-    pub fn peer(&mut self, choice: pick::Choice) -> Option<&pick::Peer> {
-        self.table.peer_mut(choice.key).map(|peer| &*peer)
-    }
-
     /// The best choice of the nearest tier, unless the call would wait there and not in a farther
     /// tier.
     fn pick_usable(&mut self, search: &Search<'_>) -> Option<(u32, usize)> {
