--- a/src/pick/picker/results.rs
+++ b/src/pick/picker/results.rs
@@ -17,7 +17,7 @@
         }
     }
 
-    /// Records that an attempt at `choice` has ended; called once for each [`Picker::started`].
+    /// Records that an attempt at `choice` has ended; called once for each [`picker::Picker::started`].
     /// Returns what it has shown of nodes and hosts, at most once a second; a slow node that was found
     /// together with a loss of hosts is returned at the next end.
     pub fn ended(
@@ -42,7 +42,7 @@
         Some(pick::Event::HostsLost(lost))
     }
 
-    /// Records, instead of [`Picker::ended`], that an attempt at `choice` has ended as its caller
+    /// Records, instead of [`picker::Picker::ended`], that an attempt at `choice` has ended as its caller
     /// broke off the body of the request: that there was no response shows nothing of the host.
     pub fn broken_off(&mut self, choice: pick::Choice, report: &pick::Report, now: clock::Instant) {
         let report = pick::Report { node_delay: None, ..*report };
