refactor: one place for the cost of urgent calls and for the urgency of organisations

The surcharge of an urgent call stood in the pool and in the picker, the order of organisations in the queue weight and in the overload protection; the comments of the latter two claimed that unknown callers come after the lowest priority, but they are equal to it. No behaviour changes.

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -42,6 +42,12 @@
 /// Lowest priority of an organisation that a configuration allows.
 pub const LOWEST_PRIORITY: u8 = 15;
 
+/// How urgent the calls of an organisation of `priority` are; the greatest is the most urgent. Calls
+/// whose organisation is not known are as urgent as those of the lowest priority.
+pub fn organisation_urgency(priority: Option<u8>) -> u8 {
+    priority.map_or(0, |priority| LOWEST_PRIORITY.saturating_sub(priority))
+}
+
 /// An organisation: it is charged for the calls that its services serve, and makes calls with its
 /// API keys.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/overload/window.rs
+++ b/src/overload/window.rs
@@ -38,11 +38,10 @@
 
 impl Priority {
     /// The priority of a call of `kind` that an organisation with the priority `organisation`
-    /// makes. A call whose organisation is not known comes after all others.
+    /// makes.
     pub fn new(kind: &mesh::Kind, organisation: Option<u8>) -> Self {
-        let above_lowest = |priority| mesh::LOWEST_PRIORITY.saturating_sub(priority);
         Self {
-            organisation: organisation.map_or(0, above_lowest),
+            organisation: mesh::organisation_urgency(organisation),
             kind: u8::MAX - kind.priority,
             weight: kind.weight,
         }
--- a/src/pick/peer/cost.rs
+++ b/src/pick/peer/cost.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::pick;
 use crate::pick::peer;
+use crate::pick::picker;
 
 /// Share of an upstream's slots and queue above which a further call is likely to be refused. The
 /// reported load is some milliseconds old; in that time a tenth of the queue may fill.
@@ -115,8 +116,22 @@
         self.fullness(rules, now) + self.delay_cost(base_us, now)
     }
 
+    /// What a call of this `urgency` costs besides, as it would miss its target at the upstream: up
+    /// to as much as a refusal.
+    pub(in crate::pick) fn urgent_cost(
+        &self,
+        urgency: Option<pick::Urgency>,
+        nested: bool,
+        base_delay_us: f32,
+        rules: &peer::Rules,
+        now: clock::Instant,
+    ) -> f32 {
+        let lateness = |urgency| self.lateness(&urgency, nested, base_delay_us, rules, now);
+        urgency.map_or(0.0, lateness) * picker::REFUSAL_COST
+    }
+
     /// The time by which a call would miss its target at the upstream, see [`pick::Urgency`].
-    pub(in crate::pick) fn lateness(
+    fn lateness(
         &self,
         urgency: &pick::Urgency,
         nested: bool,
--- a/src/pick/picker.rs
+++ b/src/pick/picker.rs
@@ -337,10 +337,9 @@
     /// misses its target there.
     fn late_cost(&self, peer: &pick::Peer, search: &Search<'_>) -> f32 {
         let &Search { cost, base_delay_us, now, .. } = search;
-        let lateness = cost.urgency.map_or(0.0, |urgency| {
-            peer.lateness(&urgency, cost.rank.nested, base_delay_us, &self.rules, now)
-        });
-        peer.delay_cost(base_delay_us, now) + lateness * REFUSAL_COST
+        let nested = cost.rank.nested;
+        peer.delay_cost(base_delay_us, now)
+            + peer.urgent_cost(cost.urgency, nested, base_delay_us, &self.rules, now)
     }
 
     /// What a call to `peer`, which is in `tier`, costs besides its share of the slots: the
--- a/src/pick/pool.rs
+++ b/src/pick/pool.rs
@@ -8,7 +8,6 @@
 use crate::pick;
 use crate::pick::loss;
 use crate::pick::peer;
-use crate::pick::picker;
 use crate::pick::table;
 
 /// The upstreams of one list that are in the same tier of distance.
@@ -58,10 +57,8 @@
     pub fn cost(&self, index: usize) -> f32 {
         let Self { base_delay_us, rules, now, .. } = *self;
         let (peer, nested) = (self.peer(index), self.rank.nested);
-        let lateness = self
-            .urgency
-            .map_or(0.0, |urgency| peer.lateness(&urgency, nested, base_delay_us, rules, now));
-        peer.cost(nested, base_delay_us, rules, now) + lateness * picker::REFUSAL_COST
+        peer.cost(nested, base_delay_us, rules, now)
+            + peer.urgent_cost(self.urgency, nested, base_delay_us, rules, now)
     }
 }
 
--- a/src/proxy/queue_weight.rs
+++ b/src/proxy/queue_weight.rs
@@ -14,11 +14,10 @@
 const KIND_BITS: u32 = 8;
 
 /// Weight of a call of `kind` in the owner node's queue: organisations of higher priority (a lower
-/// number) come first, then kinds of higher priority, then those of greater weight. A call whose
-/// organisation is not known comes after all others.
+/// number) come first, then kinds of higher priority, then those of greater weight.
 pub fn encode(kind: &mesh::Kind, caller: Option<&organisations::Caller>) -> u32 {
-    let above_lowest = |priority| mesh::LOWEST_PRIORITY.saturating_sub(priority);
-    let organisation = u32::from(caller.map_or(0, |caller| above_lowest(caller.priority)));
+    let priority = caller.map(|caller| caller.priority);
+    let organisation = u32::from(mesh::organisation_urgency(priority));
     let urgency = organisation << KIND_BITS | u32::from(u8::MAX - kind.priority);
     (urgency << WEIGHT_BITS) | kind.weight.min((1 << WEIGHT_BITS) - 1)
 }
