test(review): a rejection of another request is believed, and an order runs twice

Cause: an owner node asks whether an answer says "not run" before it compares the echoed id. A late second copy of a rejection counts for the next request on the connection, which the upstream runs.

--- /dev/null
+++ b/review/rig/rig.rs
@@ -0,0 +1,26 @@
+//! Stand-ins for the platform's store, the backends and the clients, and the cases that use them.
+//!
+//! Each case starts the nodes as processes of their own, with the settings that the deploy file
+//! makes of `deploy/node.json`, on loopback addresses and the real clock. Only the standard library
+//! is used, so that `rustc` alone builds this file.
+
+mod backend;
+mod cases;
+mod client;
+mod http;
+mod mesh;
+mod node;
+mod record;
+mod store;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, record] = &arguments[..] else {
+        eprintln!("usage: rig CASE RECORD");
+        std::process::exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    // A case that can't run must not look like one in which the rule held or was broken.
+    let outcome = std::panic::catch_unwind(|| cases::run(case, record, trouble));
+    std::process::exit(outcome.unwrap_or(2));
+}
