test(review): the final fault after a configuration that is never applied

Cause: nodes that start after the end of all of them find no configuration that they accept.

Change: FINAL=n kills n nodes after the check of review/2 and says what is served afterwards.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -183,9 +183,32 @@
          and {missing} were refused with 404 though the route is there",
         after.len()
     ));
+    // With FINAL=n, the first n nodes are killed and started again afterwards.
+    if let Some(count) = std::env::var("FINAL").ok().and_then(|count| count.parse().ok()) {
+        final_fault(&mut mesh, &nodes[..count]);
+    }
     if stale + missing > 0 { BROKEN } else { HELD }
 }
 
+/// Kills the first `nodes` and starts them again; says what share of the requests to them is served
+/// later than `recover` after they are back. Not part of the verdict.
+fn final_fault(mesh: &mut Mesh, nodes: &[String]) {
+    const RECOVER: Duration = Duration::from_secs(15);
+    mesh.nodes.iter_mut().take(nodes.len()).for_each(crate::node::Node::kill);
+    thread::sleep(Duration::from_secs(1));
+    (0..nodes.len()).for_each(|number| mesh.restart(number));
+    mesh.record.say(&format!("{} nodes have been killed and started again", nodes.len()));
+    thread::sleep(RECOVER);
+    let paths = paths(&["list", "gifts"]);
+    let clients = Clients::start(nodes, 8, 0.2, &paths, PAUSE, &mesh.record, mesh.seed ^ 1);
+    thread::sleep(Duration::from_secs(5));
+    let sent = clients.end();
+    let served = sent.iter().filter(|sent| sent.status == 200).count();
+    let ready = mesh.nodes.iter().filter(|node| node.is_ready()).count();
+    let all = mesh.nodes.len();
+    mesh.record.say(&format!("RECOVER: {served} of {} served; {ready} of {all} nodes are ready", sent.len()));
+}
+
 /// A backend says that it leaves and gets the acknowledgement. Its node is killed and starts again;
 /// a heartbeat that the backend had sent before it left arrives late.
 ///
