--- a/review/rig/backend.rs
+++ b/review/rig/backend.rs
@@ -55,7 +55,13 @@
 }
 
 impl Backend {
-    pub fn start(id: &str, place: &Place, work: Duration, record: &Arc<Record>, runs: &Runs) -> Self {
+    pub fn start(
+        id: &str,
+        place: &Place,
+        work: Duration,
+        record: &Arc<Record>,
+        runs: &Runs,
+    ) -> Self {
         let listener = TcpListener::bind(place.app()).expect("the port of the backend");
         let backend = Self {
             id: id.to_owned(),
--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -88,7 +88,9 @@
     for _ in 0..EPISODES {
         if trouble {
             backends[0].set_trouble(Trouble { shed: 0.45, extra });
-            mesh.record.say(&format!("i-0 rejects 0.45 of its requests, sends {extra} of its answers twice"));
+            mesh.record.say(&format!(
+                "i-0 rejects 0.45 of its requests, sends {extra} of its answers twice"
+            ));
         }
         thread::sleep(EPISODE);
         backends[0].set_trouble(Trouble::default());
@@ -206,7 +208,10 @@
     let served = sent.iter().filter(|sent| sent.status == 200).count();
     let ready = mesh.nodes.iter().filter(|node| node.is_ready()).count();
     let all = mesh.nodes.len();
-    mesh.record.say(&format!("RECOVER: {served} of {} served; {ready} of {all} nodes are ready", sent.len()));
+    mesh.record.say(&format!(
+        "RECOVER: {served} of {} served; {ready} of {all} nodes are ready",
+        sent.len()
+    ));
 }
 
 /// A backend says that it leaves and gets the acknowledgement. Its node is killed and starts again;
--- a/review/rig/client.rs
+++ b/review/rig/client.rs
@@ -58,7 +58,8 @@
                 let mut conn = None;
                 while !stop.load(Ordering::Relaxed) {
                     let order = random.share() < orders;
-                    let path = if order { "/buy/present".to_owned() } else { pick(&paths, &mut random) };
+                    let path =
+                        if order { "/buy/present".to_owned() } else { pick(&paths, &mut random) };
                     let sent = call(&node, &mut conn, order, path, &record, &mut random);
                     lock(&log).push(sent);
                     thread::sleep(pause);
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -127,12 +127,7 @@
     }
 
     /// Writes a message with its length.
-    pub fn write(
-        &mut self,
-        first: &str,
-        headers: &[(&str, &str)],
-        body: &[u8],
-    ) -> io::Result<()> {
+    pub fn write(&mut self, first: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
         self.stream.write_all(&encode(first, headers, body))
     }
 }
--- a/review/rig/node.rs
+++ b/review/rig/node.rs
@@ -69,7 +69,8 @@
 
     /// The settings file, as the platform fills in the template.
     fn settings(&self, bootstrap: bool) -> String {
-        let template = fs::read_to_string("deploy/node.json").expect("the template of the settings");
+        let template =
+            fs::read_to_string("deploy/node.json").expect("the template of the settings");
         let mut text = template;
         // No quotas are in force, so that the sections for them are empty.
         while let Some(start) = text.find("{{#bounds.quotaWindow}}") {
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -56,7 +56,12 @@
     }
 
     /// Returns the offsets before and after, or the end if it is not `at`.
-    fn append(&self, name: &str, records: Vec<Vec<u8>>, at: Option<u64>) -> Result<(u64, u64), u64> {
+    fn append(
+        &self,
+        name: &str,
+        records: Vec<Vec<u8>>,
+        at: Option<u64>,
+    ) -> Result<(u64, u64), u64> {
         let mut topics = lock(&self.state.topics);
         let topic = topics.entry(name.to_owned()).or_default();
         let first = topic.records.len() as u64;
@@ -94,7 +99,8 @@
     fn answer(&self, conn: &mut Conn, request: &Message) -> io::Result<()> {
         let (_, target) = request.target();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
         let topic = query.get("topic").copied().unwrap_or("");
         let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok());
         match path {
@@ -102,7 +108,9 @@
                 Ok((first, end)) => {
                     json(conn, "200 OK", &format!("{{\"offset\":{first},\"endOffset\":{end}}}"))
                 }
-                Err(end) => json(conn, "412 Precondition Failed", &format!("{{\"endOffset\":{end}}}")),
+                Err(end) => {
+                    json(conn, "412 Precondition Failed", &format!("{{\"endOffset\":{end}}}"))
+                }
             },
             "/log-read" => {
                 let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
@@ -124,7 +132,8 @@
             if from < end || left.is_zero() {
                 let mut body = end.to_be_bytes().to_vec();
                 body.extend_from_slice(&0_u64.to_be_bytes());
-                for record in topic.records.iter().skip(usize::try_from(from).unwrap_or(usize::MAX)) {
+                for record in topic.records.iter().skip(usize::try_from(from).unwrap_or(usize::MAX))
+                {
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     body.extend_from_slice(record);
                 }
