fix(proxy): an answer is believed only once it is known to be that of the request

Cause: owner::admit asked whether an answer says "not run" before the line that compares its id, so that a rejection that comes a second time, late, was believed for the next request of the connection. The log couldn't show it; the line and the two counters are new.

Change: Lease::send returns answer::Unverified, which can only be verified; the id is compared first, for each kind of answer. A rejection is not read to its end before the call goes on. A rejected call that is sent again to the same upstream goes on another connection: a second copy of its first rejection would bear the right id.

--- a/benches/call_path.rs
+++ b/benches/call_path.rs
@@ -135,6 +135,7 @@
             dialect: dandelionspool::proxy::Dialect::default(),
             quarantine: quarantine::channel().0,
             quotas: Default::default(),
+            answers: Default::default(),
             notices: Default::default(),
             picks: Default::default(),
             retries: Default::default(),
--- a/benches/overload.rs
+++ b/benches/overload.rs
@@ -165,6 +165,7 @@
             dialect: dandelionspool::proxy::Dialect::default(),
             quarantine: quarantine::channel().0,
             quotas: Default::default(),
+            answers: Default::default(),
             notices: Default::default(),
             overload: Default::default(),
             picks: Default::default(),
--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -15,6 +15,7 @@
 use crate::notice;
 use crate::overload;
 use crate::pick;
+use crate::proxy::answer;
 use crate::proxy::slots;
 use crate::quarantine;
 use crate::quota;
@@ -83,6 +84,14 @@
         self.register("quarantine_held", "Requests held responsible for ends", quarantined.clone());
     }
 
+    /// Adds the counts of the answers of the upstream that were not believed.
+    pub fn answers(&self, counts: &answer::Counts) {
+        let help = "Answers of the upstream that belong to another request";
+        self.register("upstream_foreign_answers", help, counts.foreign.clone());
+        let help = "Answers that are no complete answer of the upstream";
+        self.register("upstream_malformed_answers", help, counts.malformed.clone());
+    }
+
     /// Adds the counts of what the upstream says of itself.
     pub fn notices(&self, counts: &notice::Counts) {
         let help = "Whether the upstream names a limit";
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -178,6 +178,8 @@
         self.metrics.quarantine(&suspects.counts);
         let quotas = quota::Counts::default();
         self.metrics.quotas(&quotas);
+        let answers = proxy::answer::Counts::default();
+        self.metrics.answers(&answers);
         let notices = notice::Counts::default();
         self.metrics.notices(&notices);
         let picks = pick::Counts::default();
@@ -247,6 +249,7 @@
             dialect: self.ports.dialect(),
             quarantine: suspects,
             quotas,
+            answers,
             notices: notice::CallSide { counts: notices, leaving },
             picks,
             retries,
--- /dev/null
+++ b/src/proxy/answer.rs
@@ -0,0 +1,147 @@
+//! Answers of the local upstream, and whether they are believed.
+//!
+//! An upstream may send bytes that belong to no request, or the answer to an earlier request, late or
+//! once more. Nothing of an answer can be read before it is known that it belongs to the request that
+//! was sent: neither its status nor what it says of the call or of the upstream.
+
+use http::header;
+use hyper::body::{Body, Incoming};
+use prometheus_client::metrics::counter;
+
+use crate::proxy::dialect;
+
+#[cfg(test)]
+mod tests;
+
+/// Counts of the answers that were not believed.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// Answers with the id of another request, or without one where upstreams echo it.
+    pub foreign: counter::Counter,
+    /// Answers that are no complete answer of an upstream: not signed, or without a marked end.
+    pub malformed: counter::Counter,
+}
+
+/// The request to which an answer must belong.
+#[derive(Clone, Copy, Debug)]
+pub struct Expected<'a> {
+    /// The header names of the upstream.
+    pub dialect: &'a dialect::Dialect,
+    /// Method of the request.
+    pub method: &'a http::Method,
+    /// Id of the request, if it has one.
+    pub id: Option<&'a header::HeaderValue>,
+}
+
+/// An answer as it was received, of which nothing can be read but by [`Unverified::verify`].
+#[derive(Debug)]
+pub struct Unverified(http::Response<Incoming>);
+
+/// An answer that belongs to the request that was sent.
+#[derive(Debug)]
+pub enum Verified {
+    /// The upstream has not run the request and never will.
+    NotRun(http::Response<Incoming>),
+    /// The upstream ran the request.
+    Ran(http::Response<Incoming>),
+}
+
+/// Why an answer is not believed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Mismatch {
+    /// It has the id of another request, or no id where upstreams echo it.
+    #[error("foreign-id")]
+    Foreign,
+    /// It announces another protocol, which was not asked for.
+    #[error("upgraded")]
+    Upgraded,
+    /// It was not made by the upstream itself.
+    #[error("unsigned")]
+    Unsigned,
+    /// Its end is not marked, so that a part of it looks like the whole.
+    #[error("unframed")]
+    Unframed,
+}
+
+/// An answer that is not believed. The request may have run, and its true answer may still come.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("the answer with status {status} is not believed: {mismatch}")]
+pub struct Rejected {
+    /// Why.
+    pub mismatch: Mismatch,
+    /// The id that it echoes.
+    pub echo: Option<header::HeaderValue>,
+    /// Its status.
+    pub status: http::StatusCode,
+}
+
+impl Counts {
+    /// Counts an answer that was not believed.
+    pub fn record(&self, mismatch: Mismatch) {
+        match mismatch {
+            Mismatch::Foreign => self.foreign.inc(),
+            Mismatch::Upgraded | Mismatch::Unsigned | Mismatch::Unframed => self.malformed.inc(),
+        };
+    }
+}
+
+impl Unverified {
+    /// An answer received on a connection to an upstream.
+    pub const fn new(answer: http::Response<Incoming>) -> Self {
+        Self(answer)
+    }
+
+    /// Checks that the answer belongs to the request `expected`, and tells whether that ran.
+    ///
+    /// # Errors
+    ///
+    /// The answer is not believed. Its connection must not be used again.
+    pub fn verify(self, expected: &Expected<'_>) -> Result<Verified, Rejected> {
+        let Self(answer) = self;
+        if let Some(mismatch) = mismatch(&answer, expected) {
+            let echo = answer.headers().get(&expected.dialect.id).cloned();
+            return Err(Rejected { mismatch, echo, status: answer.status() });
+        }
+        let not_run = expected.dialect.is_not_run(answer.status(), answer.headers());
+        Ok(if not_run { Verified::NotRun(answer) } else { Verified::Ran(answer) })
+    }
+}
+
+/// Why `answer` can't be the answer to `expected`; `None` if it is.
+///
+/// An answer that says that the request was not run needs no signature and no marked end, as
+/// nothing of it is passed on.
+fn mismatch<B: Body>(answer: &http::Response<B>, expected: &Expected<'_>) -> Option<Mismatch> {
+    let dialect = expected.dialect;
+    if is_foreign(answer.headers(), expected) {
+        return Some(Mismatch::Foreign);
+    }
+    if answer.status().is_informational() {
+        return Some(Mismatch::Upgraded);
+    }
+    if dialect.is_not_run(answer.status(), answer.headers()) {
+        return None;
+    }
+    if !dialect.is_signed(answer.headers()) {
+        return Some(Mismatch::Unsigned);
+    }
+    (!is_framed(expected.method, answer)).then_some(Mismatch::Unframed)
+}
+
+/// Whether an answer with the headers `map` is not known to belong to the request. An upstream that
+/// signs its answers echoes the id in all of them; another one may leave it out.
+fn is_foreign(map: &header::HeaderMap, expected: &Expected<'_>) -> bool {
+    let mut echoes = map.get_all(&expected.dialect.id).iter().peekable();
+    if echoes.peek().is_none() {
+        return expected.id.is_some() && expected.dialect.signature.is_some();
+    }
+    echoes.any(|echo| Some(echo) != expected.id)
+}
+
+/// Whether the answer's end is marked: by its length, by chunks, or because it has no body.
+fn is_framed<B: Body>(method: &http::Method, answer: &http::Response<B>) -> bool {
+    method == http::Method::HEAD
+        || answer.body().is_end_stream()
+        || answer.body().size_hint().exact().is_some()
+        || answer.headers().contains_key(header::TRANSFER_ENCODING)
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,10 +3,11 @@
 //! All steps of a call run on one thread. Its entry node, which may be any node, accepts it,
 //! matches its route and checks its deadline ([`entry`]), claims its idempotency key
 //! ([`idempotency`]), picks an upstream and forwards the call ([`call`], [`internode`]). The owner
-//! node ([`peer`]) waits for a slot ([`slots`]), sends the call to the upstream ([`pool`]) and
-//! checks the answer ([`owner`]). The entry node then answers and counts the call ([`resources`]).
+//! node ([`peer`], [`owner`]) waits for a slot ([`slots`]), sends the call to the upstream ([`pool`])
+//! and verifies the answer ([`answer`]). The entry node then answers and counts the call ([`resources`]).
 //! When the entry node is also the owner node, nothing is sent between nodes.
 
+pub mod answer;
 pub mod attempt;
 pub mod body;
 pub mod body_memory;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -5,12 +5,14 @@
 
 use http::header;
 use hyper::body::Body as _;
+use tokio::task;
 use tokio::time;
 
 use crate::admit;
 use crate::claim;
 use crate::clock;
 use crate::node;
+use crate::proxy::answer;
 use crate::proxy::body;
 use crate::proxy::call_spec;
 use crate::proxy::dialect;
@@ -33,6 +35,9 @@
 /// Maximum size of an answer that is read only to reuse its connection.
 const MAX_SHED_BYTES: u64 = 4096;
 
+/// Maximum time for which such an answer is read.
+const MAX_SHED_TIME: Duration = Duration::from_millis(100);
+
 /// Divides the time remaining on arrival. The quotient, within the two bounds below, is the margin
 /// before the deadline in which a call is no longer admitted.
 const MARGIN_DIVISOR: u32 = 20;
@@ -98,18 +103,30 @@
     let id = request.headers().get(&state.dialect.id).cloned();
     resources.run = Some(state.running.enter(id.clone(), fingerprint, spec.organisation.cloned()));
     add_headers(&state.dialect, &local, spec.organisation, remaining, request.headers_mut());
-    let (lease, answer) = send(state, &local, request, end).await?;
-    if state.dialect.is_not_run(answer.status(), answer.headers()) {
-        drain_body(answer, lease, end).await;
-        if let Some(slot) = resources.slot.take() {
-            slot.shed();
+    let (mut lease, answer) = send(state, &local, request, id.as_ref(), end).await?;
+    let expected = answer::Expected { dialect: &state.dialect, method: &method, id: id.as_ref() };
+    let answer = match answer.verify(&expected) {
+        Ok(answer::Verified::Ran(answer)) => answer,
+        Ok(answer::Verified::NotRun(answer)) => {
+            if let Some(echo) = answer.headers().get(&state.dialect.id) {
+                lease.record_rejected(echo);
+            }
+            release_shed(answer, lease, end);
+            if let Some(slot) = resources.slot.take() {
+                slot.shed();
+            }
+            // A refusal without a delay would make the caller wait for a second, the default, though
+            // a slot is free now.
+            let refusal = refuse::Refusal::not_run(retry::Reason::UpstreamShed);
+            return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
         }
-        // A refusal without a delay would make the caller wait for a second, the default, though a
-        // slot is free now.
-        let refusal = refuse::Refusal::not_run(retry::Reason::UpstreamShed);
-        return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
-    }
-    check(&state.dialect, &method, id.as_ref(), &answer)?;
+        Err(rejected) => {
+            state.answers.record(rejected.mismatch);
+            let disbelieved = trace::Disbelieved { id: id.as_ref(), local: &local, rejected };
+            state.trace.disbelieved(&disbelieved, state.ctx.now());
+            return Err(refuse::Refusal::unknown(retry::Reason::Malformed));
+        }
+    };
     let now = state.ctx.now();
     if state.notices.read(&local, &state.dialect, answer.headers(), &state.trace, now) {
         state.apply_notice();
@@ -246,14 +263,16 @@
     state: &state::State<C>,
     local: &node::LocalUpstream,
     mut request: http::Request<upload::Upload>,
+    id: Option<&header::HeaderValue>,
     end: time::Instant,
-) -> Result<(pool::Lease, http::Response<hyper::body::Incoming>), refuse::Refusal> {
+) -> Result<(pool::Lease, answer::Unverified), refuse::Refusal> {
     for _ in 0..MAX_CONNECTION_TRIES {
         // If the upstream's host is gone, the connection attempt is not refused. It is bounded, so
         // that another upstream can still serve the call before its deadline.
         let connect_by =
             time::Instant::now() + Duration::from_millis(state.settings.proxy.connect_ms);
-        let lease = time::timeout_at(connect_by.min(end), state.pool.acquire(local.address)).await;
+        let lease = state.pool.acquire(local.address, id);
+        let lease = time::timeout_at(connect_by.min(end), lease).await;
         let reason =
             if connect_by < end { retry::Reason::Unreachable } else { retry::Reason::TooLate };
         let lease = lease.map_err(|_| refuse::Refusal::not_run(reason))?;
@@ -325,41 +344,24 @@
     }
 }
 
-/// Reads the answer of a shed call to its end, so that the connection can be reused.
-async fn drain_body(
+/// Releases the connection of a shed call once the answer has been read to its end. The call doesn't
+/// wait for that: its outcome is known from the head.
+fn release_shed(
     answer: http::Response<hyper::body::Incoming>,
-    lease: pool::Lease,
+    mut lease: pool::Lease,
     end: time::Instant,
 ) {
-    let mut resources =
-        resources::Resources { lease: Some(lease), ..resources::Resources::default() };
-    let received =
-        received_body::ReceivedBody::new(answer.into_body(), received_body::Carrier::Http1);
-    // If the body is long or breaks off, the connection is closed, which is fine.
-    let _ = body::Reply::read(received, MAX_SHED_BYTES, end, &mut resources).await;
-}
-
-/// Checks that `answer` belongs to this call and that its end is marked.
-fn check(
-    dialect: &dialect::Dialect,
-    method: &http::Method,
-    id: Option<&header::HeaderValue>,
-    answer: &http::Response<hyper::body::Incoming>,
-) -> Result<(), refuse::Refusal> {
-    let echo = answer.headers().get(&dialect.id);
-    let crossed = echo != id && (echo.is_some() || dialect.signature.is_some());
-    let upgraded = answer.status().is_informational();
-    let foreign = !dialect.is_signed(answer.headers());
-    if crossed || foreign || upgraded || !is_framed(method, answer) {
-        return Err(refuse::Refusal::unknown(retry::Reason::Malformed));
+    if answer.body().is_end_stream() {
+        lease.release();
+        return;
     }
-    Ok(())
-}
-
-/// Whether the answer's end is marked: by its length, by chunks, or because it has no body.
-fn is_framed(method: &http::Method, answer: &http::Response<hyper::body::Incoming>) -> bool {
-    method == http::Method::HEAD
-        || answer.body().is_end_stream()
-        || answer.body().size_hint().exact().is_some()
-        || answer.headers().contains_key(header::TRANSFER_ENCODING)
+    let end = end.min(time::Instant::now() + MAX_SHED_TIME);
+    task::spawn_local(async move {
+        let mut resources =
+            resources::Resources { lease: Some(lease), ..resources::Resources::default() };
+        let received =
+            received_body::ReceivedBody::new(answer.into_body(), received_body::Carrier::Http1);
+        // If the body is long or breaks off, the connection is closed, which is fine.
+        let _ = body::Reply::read(received, MAX_SHED_BYTES, end, &mut resources).await;
+    });
 }
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -11,11 +11,13 @@
 use std::rc::Rc;
 use std::time;
 
+use http::header;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task;
 
+use crate::proxy::answer;
 use crate::proxy::upload;
 use crate::socket;
 
@@ -47,6 +49,8 @@
     /// The same socket, to check for received bytes.
     probe: net::TcpStream,
     address: net::SocketAddr,
+    /// Id of the last request, if it was rejected.
+    rejected: Option<header::HeaderValue>,
     task: task::AbortHandle,
 }
 
@@ -70,13 +74,21 @@
         Self { idle: RefCell::new(Vec::new()), tasks: RefCell::new(Vec::new()), max_idle }
     }
 
-    /// An idle connection to `address`, the most recently used one, or a new one.
+    /// An idle connection to `address`, the most recently used one, or a new one, for the request
+    /// `id`.
+    ///
+    /// A connection on which `id` was just rejected is left out: a second copy of that rejection would
+    /// bear the right id.
     ///
     /// # Errors
     ///
     /// No connection can be opened. Nothing has been sent.
-    pub async fn acquire(self: &Rc<Self>, address: net::SocketAddr) -> io::Result<Lease> {
-        while let Some(mut conn) = self.pop() {
+    pub async fn acquire(
+        self: &Rc<Self>,
+        address: net::SocketAddr,
+        id: Option<&header::HeaderValue>,
+    ) -> io::Result<Lease> {
+        while let Some(mut conn) = self.pop(id) {
             if conn.address == address && conn.wait_ready().await && conn.has_no_input() {
                 return Ok(Lease { conn: Some(conn), pool: Rc::clone(self) });
             }
@@ -109,9 +121,13 @@
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
-    fn pop(&self) -> Option<Conn> {
-        let idle = self.idle.borrow_mut().pop()?;
-        (idle.since.elapsed() < self.max_idle).then_some(idle.conn)
+    /// Takes the most recently used idle connection whose last request was not `id`, rejected.
+    fn pop(&self, id: Option<&header::HeaderValue>) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let other = |idle: &Idle| id.is_none() || idle.conn.rejected.as_ref() != id;
+        let last = idle.iter().rposition(other)?;
+        let last = idle.remove(last);
+        (last.since.elapsed() < self.max_idle).then_some(last.conn)
     }
 }
 
@@ -149,7 +165,7 @@
             log::debug!("connection to the upstream {address} ended: {error}");
         }
     });
-    Ok(Conn { send, probe, address, task: task.abort_handle() })
+    Ok(Conn { send, probe, address, rejected: None, task: task.abort_handle() })
 }
 
 impl Drop for Lease {
@@ -174,14 +190,23 @@
     pub async fn send(
         &mut self,
         request: http::Request<upload::Upload>,
-    ) -> Result<http::Response<hyper::body::Incoming>, Failed> {
+    ) -> Result<answer::Unverified, Failed> {
         let Some(conn) = self.conn.as_mut() else {
             return Err(Failed { error: None, unsent: Some(Box::new(request)) });
         };
-        conn.send.try_send_request(request).await.map_err(|mut e| {
+        conn.rejected = None;
+        let answer = conn.send.try_send_request(request).await.map_err(|mut e| {
             let unsent = e.take_message().map(Box::new);
             Failed { error: Some(e.into_error()), unsent }
-        })
+        })?;
+        Ok(answer::Unverified::new(answer))
+    }
+
+    /// Records that the answer to the request `id` said that it was not run.
+    pub fn record_rejected(&mut self, id: &header::HeaderValue) {
+        if let Some(conn) = self.conn.as_mut() {
+            conn.rejected = Some(id.clone());
+        }
     }
 
     /// Returns the connection to the pool after a complete answer.
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -19,6 +19,7 @@
 use crate::mesh;
 use crate::node;
 use crate::pick;
+use crate::proxy::answer;
 use crate::proxy::attempt;
 use crate::proxy::body;
 use crate::proxy::body_memory;
@@ -102,6 +103,8 @@
     pub trace: trace::Trace,
     /// What the local upstream says of itself in its answers.
     pub notices: notices::Notices,
+    /// Counts of the answers of the local upstream that were not believed.
+    pub answers: answer::Counts,
     /// What upstreams beside other nodes have said.
     pub heard: RefCell<heard::Heard>,
     /// Instance and incarnation of the local upstream that was applied last.
@@ -184,6 +187,7 @@
             run_times: RefCell::default(),
             trace: trace::Trace::default(),
             notices: notices::Notices::new(wiring.notices.clone()),
+            answers: wiring.answers.clone(),
             heard: RefCell::default(),
             last_upstream: RefCell::default(),
             caller_retries: RefCell::default(),
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -13,6 +13,7 @@
 use crate::mesh;
 use crate::node;
 use crate::notice;
+use crate::proxy::answer;
 use crate::proxy::refuse;
 use crate::quarantine;
 use crate::retry;
@@ -153,6 +154,17 @@
     pub id: Option<&'a header::HeaderValue>,
 }
 
+/// An answer of the local upstream that was not believed.
+#[derive(Clone, Debug)]
+pub struct Disbelieved<'a> {
+    /// Request id of the call that waited for its answer, if it has one.
+    pub id: Option<&'a header::HeaderValue>,
+    /// The upstream.
+    pub local: &'a node::LocalUpstream,
+    /// The answer, and why it was not believed.
+    pub rejected: answer::Rejected,
+}
+
 /// A call that its upstream answered, at the entry node.
 #[derive(Clone, Copy, Debug)]
 pub struct Served<'a> {
@@ -276,6 +288,22 @@
         );
     }
 
+    /// Logs an answer of the local upstream that was not believed.
+    pub fn disbelieved(&self, disbelieved: &Disbelieved<'_>, now: clock::Instant) {
+        let Some(skipped) = self.reserve_line(now) else { return };
+        let Disbelieved { id, local, rejected } = disbelieved;
+        log::warn!(
+            id = id.map(text).unwrap_or_default(),
+            echo = rejected.echo.as_ref().map(text).unwrap_or_default(),
+            status = rejected.status.as_u16(),
+            why:% = rejected.mismatch,
+            instance = local.instance.as_str(),
+            life = local.upstream.incarnation,
+            skipped;
+            "an answer of the upstream was not believed"
+        );
+    }
+
     /// Logs a call that its upstream answered, at the entry node, if it is in the sample.
     pub fn served(&self, served: &Served<'_>, now: clock::Instant) {
         if !is_sampled(served.id) {
--- a/src/proxy/wiring.rs
+++ b/src/proxy/wiring.rs
@@ -9,6 +9,7 @@
 use crate::notice;
 use crate::overload;
 use crate::pick;
+use crate::proxy::answer;
 use crate::proxy::dialect;
 use crate::proxy::slots;
 use crate::quarantine;
@@ -43,6 +44,8 @@
     pub quarantine: quarantine::CallSide,
     /// Counts of the limits of organisations.
     pub quotas: quota::Counts,
+    /// Counts the answers of the local upstream that were not believed.
+    pub answers: answer::Counts,
     /// Counts what the local upstream says of itself, and tells other duties that it leaves.
     pub notices: notice::CallSide,
     /// Counts of slow nodes and of lost hosts.
--- a/tests/calls/answers.rs
+++ b/tests/calls/answers.rs
@@ -1,6 +1,8 @@
 //! Answers that are late, cut off, duplicated, slow or long, and answers to another call.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
 use std::time;
 
 use rstest::rstest;
@@ -225,3 +227,74 @@
         }
     });
 }
+
+/// An upstream that sheds every other request of a connection and, when the next one has arrived,
+/// sends that answer once more before the true one. `last` has the rejections to send again, and
+/// `ran` the requests that have run.
+fn late_rejections(
+    request: &fake::Request,
+    last: &RefCell<HashMap<usize, Vec<u8>>>,
+    ran: &RefCell<Vec<String>>,
+) -> Vec<Step> {
+    let id = request.header("x-request-id");
+    let Some(mut run) = last.borrow_mut().remove(&request.conn) else {
+        let shed = format!(
+            "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\n\
+             x-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
+        );
+        last.borrow_mut().insert(request.conn, shed.clone().into_bytes());
+        return vec![Step::Write(shed.into_bytes())];
+    };
+    ran.borrow_mut().push(id.clone());
+    run.extend(fake::answer(&format!("answer to {id}")));
+    vec![Step::Write(run)]
+}
+
+/// Guards against believing a rejection that bears the id of another request: the order that waits
+/// runs twice, or its caller is told that it has not run.
+#[test]
+fn a_late_rejection_of_another_call_neither_repeats_nor_refuses_a_call_that_runs() {
+    rig::run(async {
+        let last = RefCell::default();
+        let ran = Rc::<RefCell<Vec<String>>>::default();
+        let record = Rc::clone(&ran);
+        let script = move |request: &fake::Request| late_rejections(request, &last, &record);
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let runs = |id: &str| ran.borrow().iter().filter(|ran| *ran == id).count();
+        for number in 0..40 {
+            let id = format!("r{number}");
+            let request = rig::request("POST", "/orders", &id);
+            let answer = rig::call(&nodes[number % 2], request, b"").await;
+            assert!(runs(&id) <= 1, "{id} ran {} times", runs(&id));
+            assert_eq!(runs(&id) == 0, answer.outcome() == "not-run", "{id}: {answer:?}");
+        }
+        assert!(!ran.borrow().is_empty(), "no call has run");
+    });
+}
+
+/// Guards against a slot and a caller that wait for the body of a rejection, whose outcome is known
+/// from its head.
+#[test]
+fn a_rejection_without_an_end_is_retried_at_once() {
+    rig::run(async {
+        let sheds = Cell::new(0);
+        let script = move |request: &fake::Request| {
+            if sheds.replace(sheds.get() + 1) > 0 {
+                return fake::echo(request);
+            }
+            let head = "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\n\
+                        content-length: 100\r\n\r\n";
+            vec![Step::Write(head.into()), Step::AwaitClose]
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let began = time::Instant::now();
+        let order = rig::request("POST", "/orders", "r1");
+        let order = order.header("dandelionspool-deadline-ms", "2000");
+        let answer = rig::call(&nodes[0], order, b"").await;
+        assert_eq!((answer.outcome(), answer.text()), ("ran", "answer to r1"));
+        assert!(began.elapsed() < time::Duration::from_secs(1), "{:?}", began.elapsed());
+        rig::until(|| fake.requests()[0].closed).await;
+    });
+}
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -7,12 +7,16 @@
 use std::time;
 
 use bytes::Bytes;
+use dandelionspool::proxy;
+use dandelionspool::proxy::answer;
 use dandelionspool::proxy::pool;
 use dandelionspool::proxy::upload;
+use http::HeaderValue;
 use http_body_util::BodyExt as _;
 use rstest::rstest;
 
 use crate::fake;
+use crate::fake::Step;
 use crate::rig;
 
 const IDLE: time::Duration = time::Duration::from_secs(60);
@@ -41,8 +45,18 @@
 
 async fn call(lease: &mut pool::Lease) -> Bytes {
     let request = http::Request::builder().uri("/").header("host", "a");
-    let answer = lease.send(request.body(upload::Upload::Buffered(None)).unwrap()).await.unwrap();
-    answer.into_body().collect().await.unwrap().to_bytes()
+    let request = request.body(upload::Upload::Buffered(None)).unwrap();
+    let answer = lease.send(request).await.unwrap();
+    verified(answer).into_body().collect().await.unwrap().to_bytes()
+}
+
+fn verified(answer: answer::Unverified) -> http::Response<hyper::body::Incoming> {
+    let (dialect, method) = (proxy::Dialect::default(), http::Method::GET);
+    let expected = answer::Expected { dialect: &dialect, method: &method, id: None };
+    match answer.verify(&expected).unwrap() {
+        answer::Verified::Ran(answer) => answer,
+        answer::Verified::NotRun(_) => panic!("the upstream has rejected the request"),
+    }
 }
 
 #[rstest]
@@ -54,13 +68,13 @@
     rig::run(async {
         let address = upstream(later);
         let pool = Rc::new(pool::Pool::new(IDLE));
-        let mut lease = pool.acquire(address).await.unwrap();
+        let mut lease = pool.acquire(address, None).await.unwrap();
         assert_eq!(call(&mut lease).await, "answer 0");
         lease.release();
         assert_eq!(pool.idle(), 1);
         // Blocks the runtime, so that it does not notice what arrives meanwhile.
         thread::sleep(time::Duration::from_millis(200));
-        let mut lease = pool.acquire(address).await.unwrap();
+        let mut lease = pool.acquire(address, None).await.unwrap();
         assert_eq!(call(&mut lease).await, "answer 1");
     });
 }
@@ -117,3 +131,24 @@
     let read = upstream.join().unwrap();
     assert!(read.is_err(), "the upstream received the call: {read:?}");
 }
+
+/// Guards against a second copy of a rejection that is believed for the same request, sent again: it
+/// bears the right id, and the request runs.
+#[test]
+fn a_request_is_not_sent_again_on_the_connection_that_rejected_it() {
+    rig::run(async {
+        let fake = fake::Fake::start(|_| vec![Step::Write(fake::answer("x"))]).await;
+        let pool = Rc::new(pool::Pool::new(IDLE));
+        let (first, other) = (HeaderValue::from_static("r1"), HeaderValue::from_static("r2"));
+        for (id, conns) in [(&first, 1), (&first, 2), (&other, 2)] {
+            let mut lease = pool.acquire(fake.address, Some(id)).await.unwrap();
+            let request = http::Request::builder().uri("/").header("host", "a");
+            let request = request.body(upload::Upload::Buffered(None)).unwrap();
+            let answer = lease.send(request).await.unwrap();
+            let _ = verified(answer).into_body().collect().await.unwrap();
+            lease.record_rejected(id);
+            lease.release();
+            assert_eq!(fake.conns(), conns, "after {id:?}");
+        }
+    });
+}
--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -272,6 +272,7 @@
         dialect: proxy::Dialect::default(),
         quarantine: call_side,
         quotas: Default::default(),
+        answers: Default::default(),
         notices: Default::default(),
         picks: Default::default(),
         retries: retries.clone(),
