fix(proxy): bytes of an upstream that are no answer end after 64 KB without progress

Cause: the library skips both without a bound, on the thread of all calls, so that the timers fire late. Shown by tests to be bounded already: heads, header lines, trailers, extensions, chunk sizes of other digits, an answer without a length.

Change: the bytes received on a connection to the upstream are metered; after 64 KB without a complete head, or without the next piece of a body, reading pauses and the call ends as unknown. The pause, not an error of the stream, decides, so that a caller that reads slowly is no reason to end its answer.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -58,6 +58,9 @@
     /// It was not made by the upstream itself.
     #[error("unsigned")]
     Unsigned,
+    /// Its head does not end.
+    #[error("endless")]
+    Endless,
     /// Its end is not marked, so that a part of it looks like the whole.
     #[error("unframed")]
     Unframed,
@@ -65,14 +68,21 @@
 
 /// An answer that is not believed. The request may have run, and its true answer may still come.
 #[derive(Clone, Debug, thiserror::Error)]
-#[error("the answer with status {status} is not believed: {mismatch}")]
+#[error("the answer is not believed: {mismatch}")]
 pub struct Rejected {
     /// Why.
     pub mismatch: Mismatch,
     /// The id that it echoes.
     pub echo: Option<header::HeaderValue>,
-    /// Its status.
-    pub status: http::StatusCode,
+    /// Its status; `None` if none was read.
+    pub status: Option<http::StatusCode>,
+}
+
+impl Rejected {
+    /// Bytes whose head does not end.
+    pub const fn endless() -> Self {
+        Self { mismatch: Mismatch::Endless, echo: None, status: None }
+    }
 }
 
 impl Counts {
@@ -80,7 +90,9 @@
     pub fn record(&self, mismatch: Mismatch) {
         match mismatch {
             Mismatch::Foreign => self.foreign.inc(),
-            Mismatch::Upgraded | Mismatch::Unsigned | Mismatch::Unframed => self.malformed.inc(),
+            Mismatch::Endless | Mismatch::Upgraded | Mismatch::Unsigned | Mismatch::Unframed => {
+                self.malformed.inc()
+            }
         };
     }
 }
@@ -100,7 +112,7 @@
         let Self(answer) = self;
         if let Some(mismatch) = mismatch(&answer, expected) {
             let echo = answer.headers().get(&expected.dialect.id).cloned();
-            return Err(Rejected { mismatch, echo, status: answer.status() });
+            return Err(Rejected { mismatch, echo, status: Some(answer.status()) });
         }
         let not_run = expected.dialect.is_not_run(answer.status(), answer.headers());
         Ok(if not_run { Verified::NotRun(answer) } else { Verified::Ran(answer) })
--- a/src/proxy/error.rs
+++ b/src/proxy/error.rs
@@ -3,6 +3,9 @@
 use std::io;
 use std::net;
 
+#[cfg(doc)]
+use crate::proxy::meter;
+
 /// Errors that end the call path.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -25,6 +28,9 @@
     /// The peer reset the stream.
     #[error("the peer reset the stream before the end of the body")]
     Reset,
+    /// The peer sent [`meter::MAX_BYTES`] in which there is no part of the body.
+    #[error("the body does not go on in the bytes that follow")]
+    Endless,
     /// The deadline passed.
     #[error("the deadline passed before the end of the body")]
     Timeout,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -30,6 +30,7 @@
 pub mod internode;
 pub mod links;
 pub mod local_upstream;
+pub mod meter;
 pub mod notices;
 pub mod organisations;
 pub mod overload;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -120,12 +120,7 @@
             let refusal = refuse::Refusal::not_run(retry::Reason::UpstreamShed);
             return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
         }
-        Err(rejected) => {
-            state.answers.record(rejected.mismatch);
-            let disbelieved = trace::Disbelieved { id: id.as_ref(), local: &local, rejected };
-            state.trace.disbelieved(&disbelieved, state.ctx.now());
-            return Err(refuse::Refusal::unknown(retry::Reason::Malformed));
-        }
+        Err(rejected) => return Err(disbelieve(state, &local, id.as_ref(), rejected)),
     };
     let now = state.ctx.now();
     if state.notices.read(&local, &state.dialect, answer.headers(), &state.trace, now) {
@@ -141,10 +136,11 @@
     }
     let ran = call_spec::RunTime(state.ctx.now().since(began));
     parts.extensions.insert(ran);
+    let meter = lease.meter();
     resources.lease = Some(lease);
     state.record_run_time(spec.kind, parts.status, ran, resources);
     resources.record_head(parts.status, Some(state.slots.load()), state.notices.relayed(&local));
-    let received = received_body::ReceivedBody::new(incoming, received_body::Carrier::Http1);
+    let received = received_body::ReceivedBody::metered(incoming, meter);
     let reply =
         body::Reply::read(received, state.settings.proxy.whole_bytes, end, resources).await?;
     if let Some(id) = &id {
@@ -281,16 +277,32 @@
         let answer = answer.map_err(|_| refuse::Refusal::unknown(retry::Reason::Timeout))?;
         match answer {
             Ok(answer) => return Ok((lease, answer)),
-            Err(pool::Failed { unsent: Some(unsent), .. }) => request = *unsent,
-            Err(pool::Failed { error, .. }) => {
+            Err(pool::Failed::Unsent(unsent)) => request = *unsent,
+            Err(pool::Failed::Lost(error)) => {
                 log::debug!("call lost at the upstream: {error:?}");
                 return Err(refuse::Refusal::unknown(retry::Reason::Cut));
             }
+            Err(pool::Failed::Endless) => {
+                return Err(disbelieve(state, local, id, answer::Rejected::endless()));
+            }
         }
     }
     Err(refuse::Refusal::not_run(retry::Reason::Unreachable))
 }
 
+/// Counts and logs an answer that is not believed, and returns the refusal of its call.
+fn disbelieve<C: claim::Claims>(
+    state: &state::State<C>,
+    local: &node::LocalUpstream,
+    id: Option<&header::HeaderValue>,
+    rejected: answer::Rejected,
+) -> refuse::Refusal {
+    state.answers.record(rejected.mismatch);
+    let disbelieved = trace::Disbelieved { id, local, rejected };
+    state.trace.disbelieved(&disbelieved, state.ctx.now());
+    refuse::Refusal::unknown(retry::Reason::Malformed)
+}
+
 /// Logs a call that was not admitted, with the load at that time, and returns its refusal.
 fn log_refusal<C: claim::Claims>(
     state: &state::State<C>,
@@ -357,10 +369,9 @@
     }
     let end = end.min(time::Instant::now() + MAX_SHED_TIME);
     task::spawn_local(async move {
+        let received = received_body::ReceivedBody::metered(answer.into_body(), lease.meter());
         let mut resources =
             resources::Resources { lease: Some(lease), ..resources::Resources::default() };
-        let received =
-            received_body::ReceivedBody::new(answer.into_body(), received_body::Carrier::Http1);
         // If the body is long or breaks off, the connection is closed, which is fine.
         let _ = body::Reply::read(received, MAX_SHED_BYTES, end, &mut resources).await;
     });
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -6,6 +6,7 @@
 //! concurrently.
 
 use std::cell::RefCell;
+use std::future;
 use std::io;
 use std::net;
 use std::rc::Rc;
@@ -18,11 +19,12 @@
 use tokio::task;
 
 use crate::proxy::answer;
+use crate::proxy::meter;
 use crate::proxy::upload;
 use crate::socket;
 
 /// Maximum size of the head of an answer.
-const MAX_HEAD_BYTES: usize = 65_536;
+const MAX_HEAD_BYTES: usize = meter::MAX_BYTES;
 
 /// Maximum time to wait until an idle connection is ready for its next call.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(20);
@@ -49,6 +51,7 @@
     /// The same socket, to check for received bytes.
     probe: net::TcpStream,
     address: net::SocketAddr,
+    meter: Rc<meter::Meter>,
     /// Id of the last request, if it was rejected.
     rejected: Option<header::HeaderValue>,
     task: task::AbortHandle,
@@ -155,9 +158,10 @@
     let stream = stream.into_std()?;
     let probe = stream.try_clone()?;
     let stream = TcpStream::from_std(stream)?;
+    let meter = Rc::<meter::Meter>::default();
     let (send, conn) = http1::Builder::new()
         .max_header_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(meter::Metered::new(stream, Rc::clone(&meter))))
         .await
         .map_err(io::Error::other)?;
     let task = task::spawn_local(async move {
@@ -165,7 +169,7 @@
             log::debug!("connection to the upstream {address} ended: {error}");
         }
     });
-    Ok(Conn { send, probe, address, rejected: None, task: task.abort_handle() })
+    Ok(Conn { send, probe, address, meter, rejected: None, task: task.abort_handle() })
 }
 
 impl Drop for Lease {
@@ -186,20 +190,26 @@
     ///
     /// # Errors
     ///
-    /// The call got no answer. The error contains the request if nothing of it was sent.
+    /// The call got no answer.
     pub async fn send(
         &mut self,
         request: http::Request<upload::Upload>,
     ) -> Result<answer::Unverified, Failed> {
         let Some(conn) = self.conn.as_mut() else {
-            return Err(Failed { error: None, unsent: Some(Box::new(request)) });
+            return Err(Failed::Unsent(Box::new(request)));
         };
         conn.rejected = None;
-        let answer = conn.send.try_send_request(request).await.map_err(|mut e| {
-            let unsent = e.take_message().map(Box::new);
-            Failed { error: Some(e.into_error()), unsent }
-        })?;
-        Ok(answer::Unverified::new(answer))
+        conn.meter.record_progress();
+        let answer = tokio::select! {
+            biased;
+            answer = conn.send.try_send_request(request) => answer,
+            () = future::poll_fn(|cx| conn.meter.poll_exhausted(cx)) => return Err(Failed::Endless),
+        };
+        conn.meter.record_progress();
+        answer.map(answer::Unverified::new).map_err(|mut e| match e.take_message() {
+            Some(unsent) => Failed::Unsent(Box::new(unsent)),
+            None => Failed::Lost(e.into_error()),
+        })
     }
 
     /// Records that the answer to the request `id` said that it was not run.
@@ -209,6 +219,11 @@
         }
     }
 
+    /// Meters the bytes of the body of its answer; `None` once it was released.
+    pub fn meter(&self) -> Option<Rc<meter::Meter>> {
+        self.conn.as_ref().map(|conn| Rc::clone(&conn.meter))
+    }
+
     /// Returns the connection to the pool after a complete answer.
     pub fn release(&mut self) {
         let Some(conn) = self.conn.take() else { return };
@@ -219,11 +234,13 @@
     }
 }
 
-/// A call that got no answer.
+/// Why a call got no answer.
 #[derive(Debug)]
-pub struct Failed {
-    /// The error of hyper; `None` if the connection had been released.
-    pub error: Option<hyper::Error>,
-    /// The request, if nothing of it was sent.
-    pub unsent: Option<Box<http::Request<upload::Upload>>>,
+pub enum Failed {
+    /// Nothing of the request was sent: the connection was closed, or had been released.
+    Unsent(Box<http::Request<upload::Upload>>),
+    /// The connection failed.
+    Lost(hyper::Error),
+    /// The upstream sent [`meter::MAX_BYTES`] that are no head of an answer.
+    Endless,
 }
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -295,7 +295,7 @@
         log::warn!(
             id = id.map(text).unwrap_or_default(),
             echo = rejected.echo.as_ref().map(text).unwrap_or_default(),
-            status = rejected.status.as_u16(),
+            status = rejected.status.map_or(0, |status| status.as_u16()),
             why:% = rejected.mismatch,
             instance = local.instance.as_str(),
             life = local.upstream.incarnation,
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod drain;
+mod endless;
 mod fake;
 mod idempotency;
 mod limits;
