fix(configuration): what the platform's store has accepted is applied, whatever its size and names

Cause: the adapter makes a kind of each different timeout, the format allows 64 kinds a service, and the check rejected the file after the acknowledgement; the verdict was logged at debug only.

Change: format 6 without bounds on names, paths and counts, with times and attempts at routes; older formats are frozen and still written where they have room. A service with over 64 kinds has its times at the routes. What can't be applied all the same is an error in the log, a gauge and an alarm, and holds up no later version; an upstream with names too long for a datagram is refused, as its record would hold up the gossip.

--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -108,6 +108,11 @@
         if self.class.is_empty() { &self.service } else { &self.class }
     }
 
+    /// Size of its names together, as a host's record has them.
+    fn name_bytes(&self) -> usize {
+        self.service.len() + self.class().len() + self.version.len()
+    }
+
     /// Its phase; an upstream that serves but is still slow counts as warming.
     fn phase(&self) -> view::Phase {
         match self.phase {
@@ -117,6 +122,10 @@
     }
 }
 
+/// Maximum size of the names of an upstream together, in bytes. A host's record with them has to fit
+/// into one datagram, or it would hold up all other records.
+const MAX_NAME_BYTES: usize = 600;
+
 /// Why an announcement was not applied.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, thiserror::Error)]
 #[serde(rename_all = "snake_case")]
@@ -127,6 +136,11 @@
     /// It has no slots or no connections.
     #[error("an upstream needs at least one slot and one connection")]
     Empty,
+    /// Its names are too long for the messages between nodes.
+    #[error(
+        "the names of service, class and version have more than {MAX_NAME_BYTES} bytes together"
+    )]
+    Names,
     /// The configuration does not contain the service. The announcement is kept.
     #[error("the configuration has no such service; kept until one brings it")]
     Service,
@@ -233,6 +247,9 @@
         if announcement.slots == 0 || announcement.connections == 0 {
             return Err(Fault::Empty);
         }
+        if announcement.name_bytes() > MAX_NAME_BYTES {
+            return Err(Fault::Names);
+        }
         if self.is_stale(instance, &announcement) {
             return Err(Fault::Stale);
         }
--- a/src/admin/tests/announce.rs
+++ b/src/admin/tests/announce.rs
@@ -352,3 +352,13 @@
         prop_assert_eq!(local.address.ip(), HOST);
     }
 }
+
+/// Guards against a host's record that fits into no datagram: it would hold up all other updates.
+#[rstest]
+fn an_upstream_with_names_beyond_a_datagram_is_refused(#[values(600, 601)] bytes: usize) {
+    let mut registry = registry();
+    let names = "shop".len() + "shop-host".len();
+    let long = Announcement { version: "v".repeat(bytes - names).into(), ..announcement() };
+    let result = registry.announce(&instance("i-1"), long, at(0), &shop());
+    assert_eq!(result, if bytes > 600 { Err(Fault::Names) } else { Ok(()) });
+}
--- a/src/border/configuration.rs
+++ b/src/border/configuration.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
-#[doc = "A whole configuration, format 5."]
+#[doc = "A whole configuration, format 6."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
@@ -12,6 +12,9 @@
     #[doc = "What a caller may send, and how long it may take."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub limits: ::std::option::Option<Limits>,
+    #[doc = "Whether callers need no API key on any route."]
+    #[serde(default)]
+    pub open: bool,
     #[doc = "Organisations: who is charged for the services, and whose keys callers present."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub organisations: ::std::vec::Vec<Organisation>,
@@ -28,10 +31,20 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub upstreams: ::std::vec::Vec<Upstream>,
 }
-#[doc = "A host name in lower case, without port."]
-#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[doc = "A host name without port; its case does not matter."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
 #[serde(transparent)]
-pub struct Host(::std::string::String);
+pub struct Host(pub ::std::string::String);
 impl ::std::ops::Deref for Host {
     type Target = ::std::string::String;
     fn deref(&self) -> &::std::string::String {
@@ -43,43 +56,20 @@
         value.0
     }
 }
-impl ::std::str::FromStr for Host {
-    type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
-        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
-            ::std::sync::LazyLock::new(|| {
-                ::regress::Regex::new("^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$").unwrap()
-            });
-        if PATTERN.find(value).is_none() {
-            return Err("doesn't match pattern \"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$\"".into());
-        }
-        Ok(Self(value.to_string()))
+impl ::std::convert::From<::std::string::String> for Host {
+    fn from(value: ::std::string::String) -> Self {
+        Self(value)
     }
 }
-impl ::std::convert::TryFrom<&str> for Host {
-    type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
-    }
-}
-impl ::std::convert::TryFrom<::std::string::String> for Host {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: ::std::string::String,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
+impl ::std::fmt::Display for Host {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
     }
 }
-impl<'de> ::serde::Deserialize<'de> for Host {
-    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
-    where
-        D: ::serde::Deserializer<'de>,
-    {
-        ::std::string::String::deserialize(deserializer)?
-            .parse()
-            .map_err(|e: self::error::ConversionError| {
-                <D::Error as ::serde::de::Error>::custom(e.to_string())
-            })
+impl ::std::str::FromStr for Host {
+    type Err = ::std::convert::Infallible;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.to_string()))
     }
 }
 #[doc = "Digest of an API key, as `dandelionspool key` prints it: 32 hexadecimal digits in lower case."]
@@ -101,9 +91,7 @@
     type Err = self::error::ConversionError;
     fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
         static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
-            ::std::sync::LazyLock::new(|| {
-                ::regress::Regex::new("^[0-9a-f]{32}$").unwrap()
-            });
+            ::std::sync::LazyLock::new(|| ::regress::Regex::new("^[0-9a-f]{32}$").unwrap());
         if PATTERN.find(value).is_none() {
             return Err("doesn't match pattern \"^[0-9a-f]{32}$\"".into());
         }
@@ -252,10 +240,20 @@
         value.parse()
     }
 }
-#[doc = "A name: lower-case letters, digits and hyphens, 63 characters at most."]
-#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[doc = "A name."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
 #[serde(transparent)]
-pub struct Name(::std::string::String);
+pub struct Name(pub ::std::string::String);
 impl ::std::ops::Deref for Name {
     type Target = ::std::string::String;
     fn deref(&self) -> &::std::string::String {
@@ -267,43 +265,20 @@
         value.0
     }
 }
-impl ::std::str::FromStr for Name {
-    type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
-        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
-            ::std::sync::LazyLock::new(|| {
-                ::regress::Regex::new("^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$").unwrap()
-            });
-        if PATTERN.find(value).is_none() {
-            return Err("doesn't match pattern \"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$\"".into());
-        }
-        Ok(Self(value.to_string()))
-    }
-}
-impl ::std::convert::TryFrom<&str> for Name {
-    type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
+impl ::std::convert::From<::std::string::String> for Name {
+    fn from(value: ::std::string::String) -> Self {
+        Self(value)
     }
 }
-impl ::std::convert::TryFrom<::std::string::String> for Name {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: ::std::string::String,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
+impl ::std::fmt::Display for Name {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
     }
 }
-impl<'de> ::serde::Deserialize<'de> for Name {
-    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
-    where
-        D: ::serde::Deserializer<'de>,
-    {
-        ::std::string::String::deserialize(deserializer)?
-            .parse()
-            .map_err(|e: self::error::ConversionError| {
-                <D::Error as ::serde::de::Error>::custom(e.to_string())
-            })
+impl ::std::str::FromStr for Name {
+    type Err = ::std::convert::Infallible;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.to_string()))
     }
 }
 #[doc = "Service-level objectives of a service."]
@@ -361,10 +336,20 @@
     #[doc = "Share of the calls, in proportion to the other parts."]
     pub weight: u32,
 }
-#[doc = "A path of whole segments, without percent signs or segments of dots alone. With a slash at its end it matches only what lies below it."]
-#[derive(:: serde :: Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[doc = "A path of whole segments. With a slash at its end it matches only what lies below it."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
 #[serde(transparent)]
-pub struct Path(::std::string::String);
+pub struct Path(pub ::std::string::String);
 impl ::std::ops::Deref for Path {
     type Target = ::std::string::String;
     fn deref(&self) -> &::std::string::String {
@@ -376,59 +361,50 @@
         value.0
     }
 }
-impl ::std::str::FromStr for Path {
-    type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
-        if value.chars().count() > 256usize {
-            return Err("longer than 256 characters".into());
-        }
-        static PATTERN: ::std::sync::LazyLock<::regress::Regex> =
-            ::std::sync::LazyLock::new(|| {
-                ::regress::Regex::new("^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+/?)$").unwrap()
-            });
-        if PATTERN.find(value).is_none() {
-            return Err(
-                "doesn't match pattern \"^(/|(/\\.?[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+/?)$\"".into(),
-            );
-        }
-        Ok(Self(value.to_string()))
+impl ::std::convert::From<::std::string::String> for Path {
+    fn from(value: ::std::string::String) -> Self {
+        Self(value)
     }
 }
-impl ::std::convert::TryFrom<&str> for Path {
-    type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
+impl ::std::fmt::Display for Path {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
     }
 }
-impl ::std::convert::TryFrom<::std::string::String> for Path {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: ::std::string::String,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
+impl ::std::str::FromStr for Path {
+    type Err = ::std::convert::Infallible;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.to_string()))
     }
 }
-impl<'de> ::serde::Deserialize<'de> for Path {
-    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
-    where
-        D: ::serde::Deserializer<'de>,
-    {
-        ::std::string::String::deserialize(deserializer)?
-            .parse()
-            .map_err(|e: self::error::ConversionError| {
-                <D::Error as ::serde::de::Error>::custom(e.to_string())
-            })
-    }
+#[doc = "An order to move a service to another version of its upstreams."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Rollout {
+    #[doc = "Number of the order; a later one for the same service has a higher one."]
+    pub order: ::std::num::NonZeroU64,
+    #[doc = "Name of the service."]
+    pub service: Name,
+    #[doc = "Version that the upstreams announce which are to serve in the end."]
+    pub version: ::std::string::String,
+    #[doc = "Time within which the move is to end, in milliseconds."]
+    pub within_ms: ::std::num::NonZeroU64,
 }
 #[doc = "A route from requests to a kind of calls of a service."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
+    #[doc = "Most upstreams one call may be sent to; without it that of the kind counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub attempts: ::std::option::Option<::std::num::NonZeroU8>,
     #[doc = "Host header it matches; without it the route matches every host."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub host: ::std::option::Option<Host>,
     #[doc = "Name of the kind, one of the service's own."]
     pub kind: Name,
+    #[doc = "Time within which an answer has its full worth, in milliseconds; without it that of the kind counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub latency_ms: ::std::option::Option<::std::num::NonZeroU64>,
     #[doc = "Methods it matches; none means every method."]
     #[serde(default = "defaults::route_methods")]
     pub methods: ::std::vec::Vec<Method>,
@@ -444,23 +420,13 @@
     #[doc = "Services that share the calls by weight, in place of `service`; `service` still names whose kind it is."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub split: ::std::vec::Vec<Part>,
+    #[doc = "Longest a call may take, in milliseconds; without it that of the kind counts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub timeout_ms: ::std::option::Option<::std::num::NonZeroU64>,
     #[doc = "Name of the class of upstreams that run the calls; without it every upstream of the service does."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub upstream: ::std::option::Option<Name>,
 }
-#[doc = "An order to move a service to another version of its upstreams."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
-#[serde(deny_unknown_fields)]
-pub struct Rollout {
-    #[doc = "Number of the order; a later one for the same service has a higher one."]
-    pub order: ::std::num::NonZeroU64,
-    #[doc = "Name of the service."]
-    pub service: Name,
-    #[doc = "Version that the upstreams announce which are to serve in the end."]
-    pub version: ::std::string::String,
-    #[doc = "Time within which the move is to end, in milliseconds."]
-    pub within_ms: ::std::num::NonZeroU64,
-}
 #[doc = "A service."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
--- a/src/delta/mod.rs
+++ b/src/delta/mod.rs
@@ -8,7 +8,7 @@
 pub mod frame;
 
 /// Maximum size of a file.
-pub const MAX_FILE_BYTES: usize = 1 << 20;
+pub const MAX_FILE_BYTES: usize = 4 << 20;
 
 /// A patch that turns a base file into the next one.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -49,6 +49,13 @@
         /// All faults found in the file.
         faults: F,
     },
+    /// A file that the log service has accepted, which this build can't apply; the version before stays.
+    Unusable {
+        /// Its version.
+        version: version::Version,
+        /// All faults found in the file.
+        faults: F,
+    },
     /// A publish whose id has occurred before; no effect.
     Repeated {
         /// The outcome of the first one.
@@ -259,7 +266,7 @@
         let version_id = version::VersionId { version: accepted.version, digest };
         let mesh = match self.rules.check(accepted.format, &accepted.body) {
             Ok(mesh) => Arc::new(mesh),
-            Err(faults) => return Verdict::Invalid { faults },
+            Err(faults) => return Verdict::Unusable { version: accepted.version, faults },
         };
         self.gap = None;
         // The log service keeps the file that it accepted, so that no snapshots are needed.
--- a/src/fold/rules.rs
+++ b/src/fold/rules.rs
@@ -19,7 +19,10 @@
 pub struct Builtin;
 
 /// The newest format that this build knows.
-pub const NEWEST_FORMAT: u16 = 5;
+pub const NEWEST_FORMAT: u16 = 6;
+
+/// The newest format with limits on names, paths and counts.
+pub const LAST_FORMAT_WITH_LIMITS: u16 = 5;
 
 /// The newest format without API keys.
 pub const LAST_FORMAT_WITHOUT_KEYS: u16 = 4;
--- a/src/mesh/check/build.rs
+++ b/src/mesh/check/build.rs
@@ -4,6 +4,7 @@
 use std::str;
 use std::time;
 
+use http::header;
 use serde::Deserialize;
 use serde_json::Value;
 use smol_str::SmolStr;
@@ -65,6 +66,7 @@
         file.routes.iter().try_for_each(|r| self.route(r))?;
         self.mesh.rollouts = file.rollouts.iter().map(rollout).collect();
         self.mesh.format = file.format;
+        self.mesh.open = file.open;
         self.mesh.limits = file.limits.as_ref().map(limits).unwrap_or_default();
         self.mesh.index = find::Index::new(&self.mesh.routes);
         Ok(self.mesh)
@@ -81,7 +83,7 @@
             self.mesh.keys.insert(parse(digest.as_str())?, key);
         }
         self.mesh.organisations.push(mesh::Organisation {
-            header: parse(&name)?,
+            header: header_value(&name),
             id: quota::OrganisationId::of(&name),
             limit: quota::Limit::new(organisation.rate_per_s, organisation.burst),
             priority: organisation.priority,
@@ -151,11 +153,14 @@
         };
         self.mesh.routes.push(mesh::Route {
             name: SmolStr::new(&*route.name),
-            host: route.host.as_ref().map(|h| SmolStr::new(&**h)),
+            host: route.host.as_ref().map(|host| host_name(host)),
             path: SmolStr::new(&*route.path),
             methods: route.methods.iter().map(method).collect(),
             service,
             kind,
+            timeout: route.timeout_ms.map(|ms| time::Duration::from_millis(ms.get())),
+            latency: route.latency_ms.map(|ms| time::Duration::from_millis(ms.get())),
+            attempts: route.attempts.map(std::num::NonZeroU8::get),
             class,
             split: route.split.iter().map(|p| self.part(p)).collect::<Result<_, _>>()?,
             public: route.public,
@@ -169,6 +174,18 @@
     }
 }
 
+/// The value of a header with `name`. Characters that a header can't have are escaped.
+fn header_value(name: &str) -> header::HeaderValue {
+    let value = header::HeaderValue::from_bytes(name.as_bytes());
+    let escaped = || header::HeaderValue::from_str(&name.escape_default().to_string());
+    value.or_else(|_| escaped()).unwrap_or(header::HeaderValue::from_static(""))
+}
+
+/// A host as the index has it: a request's host matches without regard to case.
+fn host_name(host: &str) -> SmolStr {
+    SmolStr::new(host.to_ascii_lowercase())
+}
+
 fn rollout(file: &configuration::Rollout) -> mesh::Rollout {
     let order = rollout::Order {
         number: file.order.get(),
--- a/src/mesh/find.rs
+++ b/src/mesh/find.rs
@@ -67,6 +67,8 @@
     hosts: Vec<(SmolStr, Paths)>,
     /// Routes for every host.
     every: Paths,
+    /// Whether the path of any route is not in normal form.
+    raw: bool,
 }
 
 /// Routes of one host by path; the root path is the empty key.
@@ -82,13 +84,14 @@
     pub fn new(routes: &[mesh::Route]) -> Self {
         let mut hosts: collections::BTreeMap<SmolStr, Paths> = collections::BTreeMap::new();
         let mut every = Paths::default();
+        let raw = routes.iter().any(|route| !is_normal(&route.path));
         for (route, key) in routes.iter().zip((0..=u16::MAX).map(mesh::RouteKey)) {
             match &route.host {
                 Some(host) => hosts.entry(host.clone()).or_default().add(route, key),
                 None => every.add(route, key),
             }
         }
-        Self { hosts: hosts.into_iter().collect(), every }
+        Self { hosts: hosts.into_iter().collect(), every, raw }
     }
 
     /// The routes of the host that a `Host` header names; `None` when it has none of its own.
@@ -135,22 +138,33 @@
 impl mesh::Mesh {
     /// Finds the route of a request with this `Host` header, method and path without query.
     ///
-    /// Does not allocate. Returns `None` when no route matches or the path is not in normal form.
+    /// Does not allocate. Returns `None` when no route matches, or what follows the route's own path is
+    /// not in normal form.
     pub fn find(
         &self,
         host: Option<&str>,
         method: &http::Method,
         path: &str,
     ) -> Option<mesh::RouteKey> {
-        if !is_normal(path) {
+        let normal = is_normal(path);
+        if !normal && !self.index.raw {
             return None;
         }
         let named = host.and_then(|h| self.index.host(h)).and_then(|p| p.longest_match(path));
         let routes = named.or_else(|| self.index.every.longest_match(path))?;
-        routes.iter().find(|(methods, _)| methods.has(method)).map(|(_, key)| *key)
+        let (_, key) = routes.iter().find(|(methods, _)| methods.has(method))?;
+        (normal || is_raw_match(&self.route(*key).path, path)).then_some(*key)
     }
 }
 
+/// Whether `path` is not in normal form only because its route's `prefix` is not either: whoever
+/// chose that prefix means just these characters.
+fn is_raw_match(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    let rest = rest.strip_prefix('/').unwrap_or(rest);
+    !is_normal(prefix) && (rest.is_empty() || has_normal_segments(rest))
+}
+
 /// The name in a `Host` header, without the port and without the trailing dot of an absolute name.
 fn host_name(header: &str) -> &str {
     let name = match header.rsplit_once(':') {
@@ -162,7 +176,11 @@
 
 /// Whether `path` is in normal form: no server can interpret it as another path.
 fn is_normal(path: &str) -> bool {
-    let Some(rest) = path.strip_prefix('/') else { return false };
+    path.strip_prefix('/').is_some_and(has_normal_segments)
+}
+
+/// Whether what follows the first slash of a path is in normal form.
+fn has_normal_segments(rest: &str) -> bool {
     if rest.contains(['\\', ';']) || !is_encoded(rest.as_bytes()) {
         return false;
     }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -172,6 +172,13 @@
     pub service: ServiceKey,
     /// Kind of the calls that it matches.
     pub kind: KindKey,
+    /// Longest time a call may take; `None` for that of `kind`.
+    pub timeout: Option<time::Duration>,
+    /// Time within which an answer has its full worth; `None` for that of `kind`.
+    pub latency: Option<time::Duration>,
+    /// Maximum number of upstreams that one call may be sent to, at least 1; `None` for that of
+    /// `kind`.
+    pub attempts: Option<u8>,
     /// Class whose upstreams run its calls; `None` allows every upstream of the service.
     pub class: Option<ClassKey>,
     /// Services that share its calls by weight; empty when `service` serves them all. Invariant:
@@ -206,6 +213,8 @@
 pub struct Mesh {
     /// Number of the file's format.
     pub format: u32,
+    /// Whether callers need no API key on any route.
+    pub open: bool,
     /// Limits on the requests of callers.
     pub limits: Limits,
     /// Arena of organisations.
@@ -246,7 +255,7 @@
 
     /// Whether callers need an API key, except on public routes.
     pub const fn requires_keys(&self) -> bool {
-        self.format > check::FORMAT_4
+        self.format > check::FORMAT_4 && !self.open
     }
 
     /// The service of `key`, a key of this mesh.
@@ -259,16 +268,28 @@
         &self.kinds[usize::from(key.0)]
     }
 
-    /// Longest time that a call of the kind `key` may take.
-    pub fn timeout(&self, key: KindKey) -> time::Duration {
-        let kind = self.kind(key);
-        kind.timeout.unwrap_or(self.service(kind.service).timeout)
+    /// Longest time that a call on the route `key` may take, if it sets one.
+    pub fn max_timeout(&self, key: RouteKey) -> Option<time::Duration> {
+        let route = self.route(key);
+        route.timeout.or(self.kind(route.kind).timeout)
+    }
+
+    /// Longest time that a call on the route `key` may take when the caller gives no deadline.
+    pub fn timeout(&self, key: RouteKey) -> time::Duration {
+        let service = self.service(self.route(key).service);
+        self.max_timeout(key).unwrap_or(service.timeout)
+    }
+
+    /// Time within which an answer to a call on the route `key` has its full worth, if it sets one.
+    pub fn latency(&self, key: RouteKey) -> Option<time::Duration> {
+        let route = self.route(key);
+        route.latency.or(self.kind(route.kind).latency)
     }
 
-    /// Time within which an answer to a call of the kind `key` has its full worth.
-    pub fn latency(&self, key: KindKey) -> time::Duration {
-        let kind = self.kind(key);
-        kind.latency.unwrap_or(self.service(kind.service).objectives.latency)
+    /// Maximum number of upstreams that a call on the route `key` may be sent to, if it sets one.
+    pub fn attempts(&self, key: RouteKey) -> Option<u8> {
+        let route = self.route(key);
+        route.attempts.or(self.kind(route.kind).attempts)
     }
 
     /// Largest body of a call of the kind `key`, in bytes.
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time;
 
+use prometheus_client::metrics::gauge;
 use tokio::sync::watch;
 use tokio::task;
 
@@ -197,7 +198,11 @@
             stage: self.stage.subscribe(),
             traffic: Arc::clone(&self.traffic),
         })?;
+        let help = "Whether the newest accepted version can't be applied";
+        let unusable =
+            self.metrics.register("configuration_unusable", help, gauge::Gauge::default());
         let spread = self.spread(spread::shell::Wiring {
+            unusable,
             applied: applied_sender,
             view: view.clone(),
             mismatches,
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -96,6 +96,11 @@
         self.applied.mesh.kind(self.route().kind)
     }
 
+    /// Maximum number of upstreams that it may be sent to, if its route sets one.
+    fn max_attempts(&self) -> Option<u8> {
+        self.applied.mesh.attempts(self.route)
+    }
+
     /// The service that serves the call. On a split route, it was chosen by the split.
     pub fn service(&self) -> &mesh::Service {
         self.applied.mesh.service(self.service)
@@ -326,7 +331,7 @@
         idempotent: call.kind().idempotent,
         attempt: tries.attempt,
         limited: tries.limited,
-        max_attempts: call.kind().attempts.unwrap_or(state.settings.call.attempts),
+        max_attempts: call.max_attempts().unwrap_or(state.settings.call.attempts),
         depth: call.head.depth.max(u8::from(call.nested)),
         outer_attempt: call.head.outer_attempt,
         deadline: call.deadline,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -198,12 +198,12 @@
         kind,
         started,
     ));
-    let deadline = state.deadline(started + max_duration(&applied.mesh, kind, head.remaining));
+    let deadline = state.deadline(started + max_duration(&applied.mesh, route, head.remaining));
     // A caller that retries has used up part of its target latency. Without this, retries that can
     // only be late displace calls that could be in time: 1337 answers of 4000 are in time instead
     // of 2551 (virtual time, the test `retries_do_not_displace_calls_in_time`).
     let first_try = caller_try.map_or(started, |caller_try| caller_try.first);
-    let target = applied.mesh.kind(kind).latency.map_or(deadline, |latency| first_try + latency);
+    let target = applied.mesh.latency(route).map_or(deadline, |latency| first_try + latency);
     let limit = applied.mesh.body(kind);
     let received = async {
         let name = &applied.mesh.kind(kind).name;
@@ -314,15 +314,14 @@
     route.ok_or(refuse::Refusal::not_run(retry::Reason::NoRoute))
 }
 
-/// Maximum duration of a call of `kind` whose caller waits for `remaining`, if it sent that time.
+/// Maximum duration of a call on `route` whose caller waits for `remaining`, if it sent that time.
 fn max_duration(
     mesh: &mesh::Mesh,
-    kind: mesh::KindKey,
+    route: mesh::RouteKey,
     remaining: Option<time::Duration>,
 ) -> time::Duration {
-    let timeout = mesh.timeout(kind);
-    let bound = mesh.kind(kind).timeout.unwrap_or(time::Duration::MAX);
-    remaining.map_or(timeout, |remaining| remaining.min(bound))
+    let bound = mesh.max_timeout(route).unwrap_or(time::Duration::MAX);
+    remaining.map_or_else(|| mesh.timeout(route), |remaining| remaining.min(bound))
 }
 
 /// Reads a request's body, until the deadline at most: a short one is buffered.
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -83,7 +83,7 @@
     *request.uri_mut() = http::Uri::from_parts(uri).map_err(|_| MALFORMED)?;
     *request.version_mut() = http::Version::HTTP_2;
     let map = request.headers_mut();
-    let text = |t: &str| header::HeaderValue::from_str(t).map_err(|_| MALFORMED);
+    let text = |t: &str| header::HeaderValue::from_bytes(t.as_bytes()).map_err(|_| MALFORMED);
     map.insert(headers::SERVICE, text(spec.service)?);
     if let Some(class) = spec.class {
         map.insert(headers::CLASS, text(class)?);
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -99,7 +99,10 @@
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
     let (parts, incoming) = request.into_parts();
-    let text = |name| parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let text = |name| {
+        let value = parts.headers.get(name)?.as_bytes();
+        str::from_utf8(value).ok().map(str::to_owned)
+    };
     let service = text(headers::SERVICE).ok_or(MALFORMED)?;
     let class = text(headers::CLASS);
     let kind = text(headers::KIND).unwrap_or_default();
--- a/src/spread/decision.rs
+++ b/src/spread/decision.rs
@@ -101,6 +101,8 @@
     },
     /// Read the log.
     Read(read_schedule::Read),
+    /// Report whether the newest version that the log has accepted can't be applied.
+    ReportUnusable(bool),
     /// Apply this configuration.
     Run(Arc<mesh::Applied>),
     /// Send a datagram.
--- a/src/spread/log_reads.rs
+++ b/src/spread/log_reads.rs
@@ -13,6 +13,10 @@
 use crate::spread::dissemination;
 use crate::spread::read_schedule;
 use crate::spread::start;
+use crate::version;
+
+/// Maximum number of faults of one version that are logged.
+const MAX_LOGGED_FAULTS: usize = 5;
 
 impl Spread {
     /// Handles the records of a read that has ended.
@@ -96,7 +100,7 @@
             self.reader = reader::Reader::new(rules::Builtin);
         }
         let judged = self.reader.apply_batch(batch);
-        log_verdicts(&judged);
+        self.report_verdicts(&judged);
         let result = match (self.reader.at_end(), judged.is_empty()) {
             (false, _) => read_schedule::ReadResult::MoreRecords,
             (true, true) => read_schedule::ReadResult::Empty,
@@ -113,6 +117,21 @@
         self.append_snapshot(unix_millis, now);
     }
 
+    /// Logs the verdicts on records, and reports whether the newest accepted version can be applied.
+    fn report_verdicts(&mut self, judged: &[fold::Judged<mesh::fault::Faults>]) {
+        for fold::Judged { offset, verdict } in judged {
+            log::debug!(offset, verdict:? = verdict; "judged a record of the log");
+            match verdict {
+                fold::Verdict::Unusable { version, faults } => {
+                    log_unusable(*version, faults);
+                    self.actions.push(Action::ReportUnusable(true));
+                }
+                fold::Verdict::Accepted(_) => self.actions.push(Action::ReportUnusable(false)),
+                _ => {}
+            }
+        }
+    }
+
     fn accept(&mut self, now: clock::Instant) {
         let base = self.held().version;
         let Some(accepted) = self.reader.fold().current() else { return };
@@ -148,8 +167,12 @@
     }
 }
 
-fn log_verdicts(judged: &[fold::Judged<mesh::fault::Faults>]) {
-    for fold::Judged { offset, verdict } in judged {
-        log::debug!(offset, verdict:? = verdict; "judged a record of the log");
-    }
+/// Logs an accepted version that this node can't apply, with its first faults.
+fn log_unusable(version: version::Version, faults: &mesh::fault::Faults) {
+    let first = faults.list().iter().take(MAX_LOGGED_FAULTS).map(ToString::to_string);
+    let first = first.collect::<Vec<_>>().join(", ");
+    log::error!(
+        version = version.number(), faults = faults.list().len(), first = first.as_str();
+        "an accepted configuration can't be applied; the one before stays in force"
+    );
 }
--- a/src/spread/shell.rs
+++ b/src/spread/shell.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time;
 
+use prometheus_client::metrics::gauge;
 use tokio::net;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task;
@@ -51,6 +52,8 @@
     pub mismatches: ring::Receiver<member::VersionMismatch>,
     /// The platform's log.
     pub log: L,
+    /// 1 while the newest version that the log has accepted can't be applied.
+    pub unusable: gauge::Gauge,
     /// Stage of the process; the duty ends at [`node::Stage::End`].
     pub stage: watch::Receiver<node::Stage>,
     /// Counters of control traffic.
@@ -107,6 +110,7 @@
         replies: collections::HashMap::new(),
         last_transfer: 0,
         core,
+        unusable: wiring.unusable,
         applied: wiring.applied,
         log: wiring.log,
     };
@@ -123,6 +127,7 @@
     tasks: task::JoinSet<()>,
     replies: collections::HashMap<decision::TransferId, oneshot::Sender<message::FetchReply>>,
     last_transfer: decision::TransferId,
+    unusable: gauge::Gauge,
     core: decision::Spread,
     applied: watch::Sender<Arc<mesh::Applied>>,
     log: L,
@@ -208,6 +213,9 @@
             decision::Action::Append(snapshot) => self.append(snapshot),
             decision::Action::Fetch { host, have } => self.fetch(host, have),
             decision::Action::Read(read) => self.read(read),
+            decision::Action::ReportUnusable(unusable) => {
+                self.unusable.set(i64::from(unusable));
+            }
             decision::Action::Run(applied) => {
                 let version = applied.version_id.version.number();
                 let unix_millis = clock::Clock::unix_millis(&self.ctx.clock);
--- a/src/spread/tests/net.rs
+++ b/src/spread/tests/net.rs
@@ -366,6 +366,7 @@
             Action::Append(body) => self.append_snapshot(body),
             Action::Fetch { host, have } => self.fetch(node, host, have),
             Action::Read(read) => self.read(node, read),
+            Action::ReportUnusable(_) => {}
             Action::Run(applied) => self.run(node, &applied),
             Action::Send { host, datagram } => self.send(node, host, &datagram),
         }
--- a/tests/fold/accepted.rs
+++ b/tests/fold/accepted.rs
@@ -1,7 +1,7 @@
 //! Records of files that the log service itself has accepted.
 
 use bytes::Bytes;
-use dandelionspool::fold::{reader, record, rules, snapshot};
+use dandelionspool::fold::{self, reader, record, rules, snapshot};
 use dandelionspool::logs;
 use dandelionspool::version;
 
@@ -48,3 +48,21 @@
     read(&mut reader, 0, vec![accepted(1, br#"{"format":3,"routes":7}"#)]);
     assert_eq!(version(&reader), 1);
 }
+
+/// Guards against an accepted version that can't be applied and is reported as nothing but a publish that
+/// its operator sees refused, or that holds up the versions after it.
+#[test]
+fn an_accepted_file_that_this_build_rejects_is_told_apart_and_holds_up_no_later_one() {
+    let mut reader = reader::Reader::new(rules::Builtin);
+    read(&mut reader, 0, Vec::new());
+    let records = vec![accepted(0, br#"{"format":6,"routes":7}"#), accepted(1, br#"{"format":6}"#)];
+    let judged = reader.apply_batch(&logs::Batch { epoch: 0, first: 0, next: 2, records });
+    let verdicts: Vec<_> = judged.iter().map(|judged| &judged.verdict).collect();
+    let [fold::Verdict::Unusable { version: unusable, .. }, fold::Verdict::Accepted(_)] =
+        verdicts[..]
+    else {
+        panic!("{verdicts:?}");
+    };
+    assert_eq!((unusable.number(), version(&reader)), (1, 2));
+    assert!(reader.caught_up());
+}
--- a/tests/frozen_formats.rs
+++ b/tests/frozen_formats.rs
@@ -24,6 +24,7 @@
 fn a_frozen_verdict_does_not_change(
     #[files("tests/format1/*.json")]
     #[files("tests/format4/*.json")]
+    #[files("tests/format5/*.json")]
     path: path::PathBuf,
 ) {
     let wanted = fs::read_to_string(path.with_extension("verdict")).unwrap();
