fix(admin): an acknowledged leaving binds the next process of the node

Its node had been killed, and a late heartbeat was taken for that of a new upstream.

Cause: instances that have ended were known to the process alone that acknowledged it. Ruled out: that the late heartbeat is not recognised (TROUBLE=0: the same process ignores it); that others knew (their record of the host has no word on it).

Change: before the answer a node tells six others (member::leaves), who tell a new process of its host when they see its incarnation; the directory in the platform's store gets it, too, for the end of all. Also for drains, replaced instances and leavings by an answer. In the first lease of a process a replaced upstream may come back by a later heartbeat: a late one of its predecessor shut a live one out for good.

--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 
 use crate::clock;
+use crate::leave;
 use crate::mesh;
 use crate::node;
 use crate::rollout;
@@ -113,6 +114,13 @@
         self.service.len() + self.class().len() + self.version.len()
     }
 
+    /// Whether the instance whose announcement was `before` says here that it leaves, and can be told
+    /// from its earlier announcements.
+    fn drains_from_now(&self, before: Option<&Current>) -> bool {
+        let drained = before.is_some_and(|before| before.announcement.phase == Phase::Draining);
+        self.phase == Phase::Draining && self.sequence > 0 && !drained
+    }
+
     /// Its phase; an upstream that serves but is still slow counts as warming.
     fn phase(&self) -> view::Phase {
         match self.phase {
@@ -187,14 +195,6 @@
 /// Start time that covers all incarnations of an instance.
 const ANY_START: StartTime = Some(u64::MAX);
 
-/// An instance that has ended.
-#[derive(Debug)]
-struct Ended {
-    instance: SmolStr,
-    /// Start time of its latest incarnation that is known to have ended.
-    born: StartTime,
-}
-
 /// The current announcement, if there is one, and the instances that have ended.
 #[derive(Debug)]
 pub struct Registry {
@@ -202,9 +202,15 @@
     lease: time::Duration,
     /// The current announcement.
     current: Option<Current>,
-    /// Ended instances, the latest last. Invariant: the current announcement is from a later
-    /// incarnation than any of these.
-    ended: collections::VecDeque<Ended>,
+    /// Instances that leave or have ended, the latest last, one entry for each. Invariant: none covers
+    /// the current announcement.
+    ended: collections::VecDeque<leave::Leave>,
+    /// Those of them that other nodes were not told of yet.
+    unreported: collections::VecDeque<leave::Leave>,
+    /// The incarnation that has said in an answer that it leaves, and was reported.
+    leaving: Option<u32>,
+    /// When the first announcement was taken; `None` before.
+    first_at: Option<clock::Instant>,
     /// Number of incarnations announced so far.
     incarnations: u32,
     /// Instance and start time of the incarnation announced last.
@@ -219,6 +225,9 @@
             lease,
             current: None,
             ended: collections::VecDeque::new(),
+            unreported: collections::VecDeque::new(),
+            leaving: None,
+            first_at: None,
             incarnations: 0,
             last: None,
         }
@@ -257,11 +266,15 @@
         if found.is_err() && self.local(mesh).is_some() {
             return Err(Fault::Foreign);
         }
+        let first_at = *self.first_at.get_or_insert(now);
+        if announcement.drains_from_now(self.current.as_ref().filter(|c| c.instance == *instance)) {
+            self.record(instance, announcement.born, announcement.sequence);
+        }
         let expires_at = now + self.lease;
         let incarnation = self.incarnation(instance, announcement.born);
         let new = Current { instance: instance.clone(), announcement, incarnation, expires_at };
         if let Some(old) = self.current.replace(new).filter(|old| old.instance != *instance) {
-            self.record_end(old.instance, ANY_START);
+            self.record_replaced(&old, now.since(first_at) < self.lease);
         }
         found
     }
@@ -275,7 +288,38 @@
         let ended = born.or(known.unwrap_or(ANY_START));
         self.current
             .take_if(|current| current.instance == *instance && current.announcement.born <= ended);
-        self.record_end(instance.clone(), ended);
+        self.record(instance, ended, leave::Leave::FINAL);
+    }
+
+    /// Records that the current incarnation has said in an answer that it leaves, for good.
+    pub fn record_leaving(&mut self) {
+        let Some(current) = &self.current else { return };
+        if self.leaving.replace(current.incarnation) == Some(current.incarnation) {
+            return;
+        }
+        // Its announcements still renew its lease here, so that only other nodes get the record.
+        if let Some(instance) = leave::InstanceHash::of(&current.instance) {
+            let (born, sequence) = (current.announcement.born, leave::Leave::FINAL);
+            self.unreported.push_back(leave::Leave { instance, born, sequence });
+        }
+    }
+
+    /// Takes over a leaving that an earlier process of this node acknowledged; `false` if it is known
+    /// or is that of an upstream which has told this process so itself.
+    pub fn learn(&mut self, leave: leave::Leave) -> bool {
+        let told_here = self.current.as_ref().is_some_and(|current| {
+            self.leaving == Some(current.incarnation) && is_covered(current, &leave)
+        });
+        if told_here || !self.add(leave) {
+            return false;
+        }
+        self.current.take_if(|current| is_covered(current, &leave));
+        true
+    }
+
+    /// A leaving that other nodes were not told of yet.
+    pub fn take_unreported(&mut self) -> Option<leave::Leave> {
+        self.unreported.pop_front()
     }
 
     /// Returns the number of the incarnation of `instance` that started at `born`.
@@ -294,24 +338,44 @@
             let old = &current.announcement;
             (old.born, old.sequence) > (new.born, new.sequence)
         });
-        outdated
-            || self.ended.iter().any(|ended| ended.instance == *instance && ended.born >= new.born)
+        let Some(hash) = leave::InstanceHash::of(instance) else { return outdated };
+        outdated || self.ended.iter().any(|leave| leave.covers(hash, new.born, new.sequence))
     }
 
-    /// Records that the incarnations of `instance` up to `born` have ended. Does nothing for
-    /// instances without a name, which can't be distinguished.
-    fn record_end(&mut self, instance: SmolStr, born: StartTime) {
-        if instance.is_empty() {
-            return;
+    /// Records that `old` was replaced by another instance, and so has ended. A process that has just
+    /// started can't tell a late announcement of an ended instance from the first one of a live
+    /// instance: `fresh` lets the one that was replaced come back by a later announcement.
+    fn record_replaced(&mut self, old: &Current, fresh: bool) {
+        let sequence = old.announcement.sequence;
+        if fresh && sequence > 0 {
+            self.record(&old.instance, old.announcement.born, sequence.saturating_add(1));
+        } else {
+            self.record(&old.instance, ANY_START, leave::Leave::FINAL);
         }
-        if let Some(ended) = self.ended.iter_mut().find(|ended| ended.instance == instance) {
-            ended.born = ended.born.max(born);
-            return;
+    }
+
+    /// Records that `instance` leaves or has ended, up to its announcement `sequence` of the
+    /// incarnation that started at `born`. Does nothing for instances without a name, which can't be
+    /// distinguished.
+    fn record(&mut self, instance: &SmolStr, born: StartTime, sequence: u64) {
+        let Some(instance) = leave::InstanceHash::of(instance) else { return };
+        let leave = leave::Leave { instance, born, sequence };
+        if self.add(leave) {
+            self.unreported.push_back(leave);
+        }
+    }
+
+    /// Adds `leave` to the instances that have ended; `false` if that is known.
+    fn add(&mut self, leave: leave::Leave) -> bool {
+        if self.ended.iter().any(|known| known.includes(&leave)) {
+            return false;
         }
+        self.ended.retain(|known| known.instance != leave.instance);
         if self.ended.len() >= MAX_ENDED {
             self.ended.pop_front();
         }
-        self.ended.push_back(Ended { instance, born });
+        self.ended.push_back(leave);
+        true
     }
 
     /// Drops the announcement if its lease has expired.
@@ -343,6 +407,13 @@
     }
 }
 
+/// Whether `leave` covers the current announcement.
+fn is_covered(current: &Current, leave: &leave::Leave) -> bool {
+    let Announcement { born, sequence, .. } = current.announcement;
+    let instance = leave::InstanceHash::of(&current.instance);
+    instance.is_some_and(|instance| leave.covers(instance, born, sequence))
+}
+
 /// Returns the class of `announcement` in `mesh`.
 fn class<'a>(announcement: &Announcement, mesh: &'a mesh::Mesh) -> Result<&'a mesh::Class, Fault> {
     if !mesh.services.iter().any(|s| s.name == announcement.service) {
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -135,13 +135,15 @@
         return reply::refuse(Refusal::Body);
     };
     if withdraws {
-        return withdraw(state, instance, &body);
+        return withdraw(state, instance, &body).await;
     }
     let announcement = match serde_json::from_slice::<announce::Announcement>(&body) {
         Ok(announcement) => announcement,
         Err(error) => return refuse_body(instance, &error),
     };
-    match state.announce(instance, announcement) {
+    let result = state.announce(instance, announcement);
+    state.report_leaves().await;
+    match result {
         Ok(()) => reply::empty(),
         // The announcement is kept, or the sender has nothing to correct.
         Err(fault) if fault.needs_no_correction() => {
@@ -152,7 +154,7 @@
 }
 
 /// Handles a withdrawal, whose body may be empty.
-fn withdraw(state: &state::State, instance: &SmolStr, body: &[u8]) -> Reply {
+async fn withdraw(state: &state::State, instance: &SmolStr, body: &[u8]) -> Reply {
     let withdrawal = match body {
         [] => Ok(None),
         body => serde_json::from_slice::<Option<announce::Withdrawal>>(body),
@@ -165,6 +167,7 @@
                 "the upstream has withdrawn"
             );
             state.withdraw(instance, withdrawal);
+            state.report_leaves().await;
             reply::empty()
         }
         Err(error) => refuse_body(instance, &error),
--- a/src/admin/shell.rs
+++ b/src/admin/shell.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock as _;
 use crate::configs;
 use crate::context;
+use crate::leave;
 use crate::logs::reachability;
 use crate::mesh;
 use crate::node;
@@ -40,6 +41,8 @@
     pub trial: watch::Receiver<rollout::TrialReport>,
     /// From the call path: the incarnation of the local upstream that said that it leaves.
     pub leaving: watch::Receiver<Option<u32>>,
+    /// Leavings that this duty acknowledges, and what other nodes know of them.
+    pub leaves: leave::AdminSide,
     /// To the other duties: the upstream beside this node; `None` while there is none.
     pub local: watch::Sender<Option<Arc<node::LocalUpstream>>>,
     /// Whether the log answers; see [`reachability::Watched`].
@@ -86,6 +89,7 @@
         view: wiring.view,
         trial: wiring.trial,
         leaving: wiring.leaving,
+        leaves: wiring.leaves,
         local: wiring.local,
         reachability: wiring.reach,
         metrics: wiring.metrics,
@@ -121,6 +125,7 @@
     let mut applied = state.applied.clone();
     applied.mark_changed();
     let mut leaving = state.leaving.clone();
+    let mut leaves = state.leaves.known.clone();
     let mut tick = tokio::time::interval(LEASE_CHECK_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -133,9 +138,11 @@
                 state.applied_unix_ms.set(runs.then(|| state.ctx.clock.unix_millis()));
             }
             Ok(()) = leaving.changed() => {}
+            Ok(()) = leaves.changed() => state.learn_leaves(&leaves.borrow_and_update()),
             _ = tick.tick() => state.announcements.borrow_mut().expire(state.ctx.now()),
         }
         state.publish();
+        state.report_leaves().await;
     }
 }
 
--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 use smol_str::SmolStr;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Semaphore, oneshot, watch};
 
 use crate::admin::{announce, mesh_status, metrics, query, scatter, status};
 use crate::burn::{counts, report};
@@ -14,6 +14,7 @@
 use crate::configs;
 use crate::context;
 use crate::host;
+use crate::leave;
 use crate::logs::reachability;
 use crate::mesh;
 use crate::node;
@@ -24,6 +25,10 @@
 /// Maximum number of concurrent reports on the whole mesh.
 pub(super) const MAX_REPORTS: usize = 2;
 
+/// Maximum time for which the answer to an upstream that leaves waits until other nodes are told. The
+/// upstream waits for a second.
+const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
 /// State shared by the connections of the port.
 #[derive(Debug)]
 pub struct State {
@@ -35,6 +40,7 @@
     pub(super) view: watch::Receiver<Arc<view::View>>,
     pub(super) trial: watch::Receiver<rollout::TrialReport>,
     pub(super) leaving: watch::Receiver<Option<u32>>,
+    pub(super) leaves: leave::AdminSide,
     pub(super) local: watch::Sender<Option<Arc<node::LocalUpstream>>>,
     pub(super) reachability: watch::Receiver<reachability::Reachability>,
     pub(super) metrics: metrics::Metrics,
@@ -94,6 +100,30 @@
         self.publish();
     }
 
+    /// Takes over what other nodes know of leavings that an earlier process of this node acknowledged.
+    pub(super) fn learn_leaves(&self, known: &[leave::Leave]) {
+        let mut announcements = self.announcements.borrow_mut();
+        for leave in known.iter().filter(|leave| announcements.learn(**leave)) {
+            log::info!(born:? = leave.born; "learned of an upstream that has left this host");
+        }
+    }
+
+    /// Tells other nodes of the leavings that were not reported yet, and returns once the first of
+    /// them were told, so that the leavings can be acknowledged.
+    pub(super) async fn report_leaves(&self) {
+        loop {
+            let Some(leave) = self.announcements.borrow_mut().take_unreported() else { return };
+            let (told, answer) = oneshot::channel();
+            let report = async {
+                self.leaves.reports.send(leave::Report { leave, told }).await.ok()?;
+                answer.await.ok()
+            };
+            if !matches!(tokio::time::timeout(REPORT_TIMEOUT, report).await, Ok(Some(()))) {
+                log::warn!("could not tell other nodes in time that the upstream leaves");
+            }
+        }
+    }
+
     /// Publishes the upstream beside this node to the other duties if it has changed.
     pub(super) fn publish(&self) {
         let mesh = Arc::clone(&self.applied.borrow().mesh);
@@ -103,6 +133,7 @@
             // Whatever it announces, an upstream can't take back that it leaves.
             if *self.leaving.borrow() == Some(local.upstream.incarnation) {
                 local.upstream.phase = view::Phase::Draining;
+                self.announcements.borrow_mut().record_leaving();
             }
         }
         self.local.send_if_modified(|published| {
--- a/src/admin/tests/announce.rs
+++ b/src/admin/tests/announce.rs
@@ -362,3 +362,91 @@
     let result = registry.announce(&instance("i-1"), long, at(0), &shop());
     assert_eq!(result, if bytes > 600 { Err(Fault::Names) } else { Ok(()) });
 }
+
+/// What other nodes tell a process that starts anew of the process before, `registry`.
+fn restarted(mut registry: Registry) -> Registry {
+    let mut next = self::registry();
+    while let Some(leave) = registry.take_unreported() {
+        next.learn(leave);
+    }
+    next
+}
+
+fn counted(sequence: u64, phase: Phase) -> Announcement {
+    Announcement { sequence, phase, ..announcement() }
+}
+
+/// Guards against an upstream that has left and comes back by a late heartbeat, as its node was killed
+/// after it had acknowledged the leaving.
+#[rstest]
+#[case::withdrawn(|registry: &mut Registry| registry.withdraw(&instance("i-1"), None))]
+#[case::draining(|registry: &mut Registry| {
+    registry.announce(&instance("i-1"), counted(8, Phase::Draining), at(0), &shop()).unwrap();
+})]
+#[case::replaced(|registry: &mut Registry| {
+    registry.announce(&instance("i-2"), counted(1, Phase::Serving), at(9000), &shop()).unwrap();
+})]
+#[case::by_an_answer(|registry: &mut Registry| registry.record_leaving())]
+fn a_leaving_binds_the_next_process_of_the_node(#[case] leave: fn(&mut Registry)) {
+    let mut registry = registry();
+    registry.announce(&instance("i-1"), counted(7, Phase::Serving), at(0), &shop()).expect("valid");
+    leave(&mut registry);
+    let mut next = restarted(registry);
+    let late = counted(6, Phase::Serving);
+    assert_eq!(next.announce(&instance("i-1"), late, at(2500), &shop()), Err(Fault::Stale));
+    assert!(next.local(&shop()).is_none());
+    let live = counted(1, Phase::Serving);
+    assert_eq!(next.announce(&instance("i-3"), live, at(2600), &shop()), Ok(()));
+    assert!(next.take_unreported().is_none(), "nothing new to tell");
+}
+
+/// Guards against a late heartbeat that arrives before the other nodes have told that its sender left.
+#[test]
+fn a_leaving_that_is_learned_later_ends_a_late_announcement() {
+    let mut registry = registry();
+    registry.announce(&instance("i-1"), counted(7, Phase::Serving), at(0), &shop()).expect("valid");
+    registry.withdraw(&instance("i-1"), None);
+    let leave = registry.take_unreported().expect("a leaving");
+    let mut next = self::registry();
+    next.announce(&instance("i-1"), counted(6, Phase::Serving), at(0), &shop()).expect("valid");
+    assert!(next.learn(leave));
+    assert!(next.local(&shop()).is_none());
+    assert!(!next.learn(leave), "known");
+}
+
+/// Guards against a live upstream that is shut out: by its own draining that it took back, or by a late
+/// heartbeat of its predecessor that a process which has just started takes for that of a successor.
+#[test]
+fn a_live_upstream_is_never_shut_out_for_good() {
+    let mut registry = registry();
+    let live = instance("i-2");
+    registry.announce(&live, counted(3, Phase::Draining), at(0), &shop()).expect("valid");
+    let mut next = restarted(registry);
+    assert_eq!(next.announce(&live, counted(3, Phase::Draining), at(0), &shop()), Ok(()));
+    assert_eq!(next.announce(&live, counted(4, Phase::Serving), at(900), &shop()), Ok(()));
+    let late = counted(90, Phase::Serving);
+    assert_eq!(next.announce(&instance("i-1"), late.clone(), at(1000), &shop()), Ok(()));
+    assert_eq!(
+        next.announce(&live, counted(4, Phase::Serving), at(1100), &shop()),
+        Err(Fault::Stale)
+    );
+    assert_eq!(next.announce(&live, counted(5, Phase::Serving), at(1900), &shop()), Ok(()));
+    assert_eq!(next.announce(&instance("i-1"), late, at(2000), &shop()), Err(Fault::Stale));
+    assert_eq!(next.local(&shop()).expect("announced").instance, live);
+}
+
+/// Guards against a message to all hosts with each heartbeat of an upstream that drains.
+#[test]
+fn a_leaving_is_reported_once() {
+    let mut registry = registry();
+    for sequence in 1..9 {
+        let draining = counted(sequence, Phase::Draining);
+        registry.announce(&instance("i-1"), draining, at(sequence), &shop()).expect("valid");
+    }
+    assert!(registry.take_unreported().is_some());
+    assert!(registry.take_unreported().is_none());
+    registry.record_leaving();
+    registry.record_leaving();
+    assert!(registry.take_unreported().is_some());
+    assert!(registry.take_unreported().is_none());
+}
--- a/src/admin/tests/served.rs
+++ b/src/admin/tests/served.rs
@@ -12,6 +12,7 @@
 use crate::configs;
 use crate::context;
 use crate::host;
+use crate::leave;
 use crate::logs::reachability;
 use crate::mesh;
 use crate::node;
@@ -33,6 +34,7 @@
     tallies: ring::Sender<usage::Delta>,
     stage: watch::Sender<node::Stage>,
     leaving: watch::Sender<Option<u32>>,
+    leaves: leave::MemberSide,
     _reach: watch::Sender<reachability::Reachability>,
 }
 
@@ -51,6 +53,7 @@
     let (local_end, local) = watch::channel(None);
     let (reach, reach_end) = watch::channel(reachability::Reachability::Unasked);
     let (leaving, leaving_end) = watch::channel(None);
+    let (leaves, member_leaves) = leave::channel();
     let (tallies, tallies_end) = ring::bounded(4);
     let (stage, stage_end) = watch::channel(node::Stage::Run);
     let wiring = shell::Wiring {
@@ -58,6 +61,7 @@
         view: view_end,
         trial: watch::Sender::default().subscribe(),
         leaving: leaving_end,
+        leaves,
         local: local_end,
         reach: reach_end,
         tallies: tallies_end,
@@ -70,7 +74,17 @@
         shell::run(context::Context::system(), Arc::new(settings), wiring).await.expect("serves");
     });
     let host = host::HostId::new(listen);
-    Ends { host, applied, view, local, tallies, stage, leaving, _reach: reach }
+    Ends {
+        host,
+        applied,
+        view,
+        local,
+        tallies,
+        stage,
+        leaving,
+        leaves: member_leaves,
+        _reach: reach,
+    }
 }
 
 impl Ends {
@@ -237,3 +251,27 @@
     })
     .await;
 }
+
+/// Guards against an acknowledgement that is sent before any other node knows of the leaving.
+#[tokio::test]
+async fn a_leaving_is_acknowledged_after_other_nodes_were_told() {
+    in_local_set(async {
+        let mut ends = start(9);
+        ends.apply();
+        assert_eq!(ends.get("/live").await.0, 204);
+        let (to, null) = (ends.host.admin_addr(), serde_json::Value::Null);
+        let path = "/upstream/i-1";
+        let gone = client::json(to, http::Method::DELETE, path, &null, TIMEOUT);
+        let mut gone = std::pin::pin!(gone);
+        let report = tokio::select! {
+            report = ends.leaves.reports.recv() => report.expect("a report"),
+            answer = &mut gone => panic!("acknowledged first: {answer:?}"),
+        };
+        assert_eq!(Some(report.leave.instance), leave::InstanceHash::of(&"i-1".into()));
+        let early = tokio::time::timeout(time::Duration::from_millis(50), &mut gone).await;
+        assert!(early.is_err(), "acknowledged before the others were told");
+        report.told.send(()).expect("waits");
+        assert_eq!(gone.await.expect("answered").status(), 204);
+    })
+    .await;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod delta;
 pub mod fold;
 pub mod host;
+pub mod leave;
 pub mod logs;
 pub mod member;
 pub mod mesh;
--- a/src/member/detect.rs
+++ b/src/member/detect.rs
@@ -311,6 +311,7 @@
         }
         self.table.expire(time::Duration::from_secs(self.settings.forget_s), self.now);
         self.quarantine.expire(self.now);
+        self.leaves.expire(self.now);
     }
 
     /// Marks the hosts of a zone that was unreachable for too long as dead, without gossip: every
--- a/src/member/directory.rs
+++ b/src/member/directory.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::host;
+use crate::leave;
 use crate::view;
 
 pub(super) mod search;
@@ -25,6 +26,10 @@
     pub locality: view::Locality,
     /// The upstream beside it; `None` while there is none.
     pub upstream: Option<view::Upstream>,
+    /// Leavings of its upstreams that it has acknowledged. Builds that don't know them ignore what
+    /// follows the other fields.
+    #[serde(skip)]
+    pub leaves: Vec<leave::Leave>,
 }
 
 impl Profile {
@@ -34,7 +39,9 @@
     ///
     /// Fails when the codec fails.
     pub fn encode(&self) -> Result<Vec<u8>, Malformed> {
-        Ok(postcard::to_allocvec(self)?)
+        let mut bytes = postcard::to_allocvec(self)?;
+        bytes.extend(postcard::to_allocvec(&self.leaves)?);
+        Ok(bytes)
     }
 
     /// Decodes a stored profile.
@@ -43,7 +50,9 @@
     ///
     /// Fails when `bytes` are not an encoded profile.
     pub fn decode(bytes: &[u8]) -> Result<Self, Malformed> {
-        Ok(postcard::from_bytes(bytes)?)
+        let (profile, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        let leaves = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        Ok(Self { leaves, ..profile })
     }
 
     /// Whether `other` is as good as this profile for hosts that start. Incarnations and phases
@@ -54,7 +63,9 @@
             (service, class, upstream.version.clone(), upstream.slots, upstream.connections)
         };
         let (ours, theirs) = (self.upstream.as_ref(), other.upstream.as_ref());
-        self.locality == other.locality && ours.map(lasting) == theirs.map(lasting)
+        self.locality == other.locality
+            && ours.map(lasting) == theirs.map(lasting)
+            && self.leaves == other.leaves
     }
 }
 
--- a/src/member/directory/search.rs
+++ b/src/member/directory/search.rs
@@ -9,6 +9,7 @@
 
 use crate::configs;
 use crate::host;
+use crate::leave;
 use crate::logs;
 use crate::member::directory;
 use crate::mesh;
@@ -62,6 +63,10 @@
     pub local: watch::Receiver<Option<Arc<node::LocalUpstream>>>,
     /// Configuration that it runs, whose version contains the epoch of the log.
     pub applied: watch::Receiver<Arc<mesh::Applied>>,
+    /// Leavings of its upstreams that were acknowledged.
+    pub leaves: watch::Receiver<Arc<[leave::Leave]>>,
+    /// Those that the directory had when the process started.
+    pub listed_leaves: Vec<leave::Leave>,
 }
 
 impl LocalHost {
@@ -71,9 +76,16 @@
             incarnation: self.incarnation,
             locality: self.locality.clone(),
             upstream,
+            leaves: self.known_leaves(),
         }
     }
 
+    /// The leavings on this host; those that the directory has until the membership has merged them.
+    fn known_leaves(&self) -> Vec<leave::Leave> {
+        let known = self.leaves.borrow();
+        if known.is_empty() { self.listed_leaves.clone() } else { known.to_vec() }
+    }
+
     /// Waits until the upstream has announced itself, at most for [`UPSTREAM_TIMEOUT`].
     async fn wait_announced(&mut self) {
         let known = self.local.wait_for(Option::is_some);
@@ -98,15 +110,23 @@
         epoch
     }
 
-    /// Waits until there is an upstream that differs from the one in `listed`. An upstream that
-    /// drains or is gone does not count: its host may leave as well and then deregisters.
+    /// Waits until an upstream has left, or there is one that differs from the one in `listed`. One
+    /// that drains or is gone does not count by itself: its host may leave as well and then
+    /// deregisters.
     async fn wait_changed(&mut self, listed: Option<&directory::Profile>) {
         loop {
+            let changed = tokio::select! {
+                changed = self.local.changed() => changed,
+                changed = self.leaves.changed() => changed,
+            };
             // A closed channel means that the process ends.
-            if self.local.changed().await.is_err() {
+            if changed.is_err() {
                 return future::pending().await;
             }
             let profile = self.profile();
+            if listed.is_some_and(|listed| listed.leaves != profile.leaves) {
+                return;
+            }
             let serves =
                 profile.upstream.as_ref().is_some_and(|u| u.phase != view::Phase::Draining);
             if serves && listed.is_none_or(|listed| !listed.is_like(&profile)) {
@@ -249,6 +269,9 @@
         self.contacts = hosts.iter().filter(|listed| listed.host != self.own.host).count();
         let own = hosts.iter().find(|listed| listed.host == self.own.host);
         self.listed = own.and_then(|listed| listed.profile.clone());
+        if let Some(listed) = &self.listed {
+            self.own.listed_leaves.clone_from(&listed.leaves);
+        }
         log::info!(hosts = hosts.len(), listed = own.is_some(); "looked up hosts in the directory");
         // A closed channel means that the duty has ended.
         let _ = self.found.send(hosts).await;
--- a/src/member/directory/search/tests.rs
+++ b/src/member/directory/search/tests.rs
@@ -10,6 +10,7 @@
 
 use crate::configs;
 use crate::host;
+use crate::leave;
 use crate::member::directory;
 use crate::member::directory::search;
 use crate::mesh;
@@ -97,6 +98,7 @@
     search: search::Search,
     local: watch::Sender<Option<Arc<node::LocalUpstream>>>,
     applied: watch::Sender<Arc<mesh::Applied>>,
+    leaves: watch::Sender<Arc<[leave::Leave]>>,
 }
 
 fn id(last: u8) -> host::HostId {
@@ -124,7 +126,10 @@
     let serving = serves.then(|| upstream(7, view::Phase::Serving)).flatten();
     let (local, receiver) = watch::channel(serving);
     let (applied, running) = watch::channel(Arc::default());
+    let (leaves, known) = watch::channel(Arc::default());
     let own = search::LocalHost {
+        leaves: known,
+        listed_leaves: Vec::new(),
         host: id(last),
         incarnation: 3,
         locality: view::Locality { region: "r".into(), zone: "z".into() },
@@ -132,7 +137,7 @@
         applied: running,
     };
     let settings = configs::member::Member { fresh, ..configs::member::Member::default() };
-    Host { search: search::Search::start(shared.clone(), own, &settings), local, applied }
+    Host { search: search::Search::start(shared.clone(), own, &settings), local, applied, leaves }
 }
 
 /// Runs `test`, which may spawn local tasks.
@@ -275,3 +280,32 @@
     })
     .await;
 }
+
+fn leave(instance: &str) -> leave::Leave {
+    let instance = leave::InstanceHash::of(&instance.into()).expect("a name");
+    leave::Leave { instance, born: None, sequence: leave::Leave::FINAL }
+}
+
+/// Guards against an acknowledged leaving that is lost when all nodes end at once: only the directory
+/// still knows it then, and a process that starts must not overwrite it before it has read it.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_is_registered_at_once_and_kept_by_the_next_process() {
+    run_local(async {
+        let shared = Shared::default();
+        let host = start(&shared, 1, true, true);
+        sleep(5000).await;
+        let (_, before) = shared.counts();
+        host.leaves.send_replace([leave("i")].into());
+        host.local.send_replace(None);
+        sleep(100).await;
+        assert_eq!(shared.counts().1, before + 1, "one request a leaving");
+        drop(host);
+        let mut host = start(&shared, 1, false, true);
+        let listed = host.search.next().await;
+        let profile = listed[0].profile.clone().expect("a profile");
+        assert_eq!(profile.leaves, [leave("i")]);
+        sleep(10_000).await;
+        assert_eq!(host.search.next().await[0].profile.as_ref().map(|p| p.leaves.len()), Some(1));
+    })
+    .await;
+}
--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -123,6 +123,9 @@
                 wire::Item::Quarantines { digest, reply } => {
                     self.compare_quarantine(datagram.from, *digest, *reply);
                 }
+                wire::Item::Leave { host, leave, age_ms } => {
+                    self.merge_leave(*host, *leave, *age_ms);
+                }
             }
         }
         stale
@@ -167,10 +170,14 @@
             return false;
         }
         let record = read(datagram, found);
+        let restarted = known.is_none_or(|e| e.record.incarnation < found.incarnation);
         let old = known.and_then(|e| e.record.upstream.clone());
         let priority = priority(old.as_deref(), record.upstream.as_deref());
         let change = self.table.merge(found.host, record, self.now);
         self.apply_change(found.host, change, priority, source);
+        if restarted {
+            self.tell_leaves(found.host);
+        }
         true
     }
 
@@ -290,6 +297,10 @@
         if probe && let Some(digest) = self.quarantine.digest_item() {
             packer.item(digest);
         }
+        if probe {
+            // Its process may have started anew and know nothing of what it acknowledged before.
+            self.leaves.pack(to, &mut packer, self.now);
+        }
         self.pack(&mut packer, updates::Priority::Plain);
         self.out.push(member::Action::Send { to, datagram: packer.finish() });
     }
--- a/src/member/join.rs
+++ b/src/member/join.rs
@@ -178,7 +178,10 @@
     /// Raises the incarnation of a host whose clock is behind that of its former process: with a
     /// lower incarnation than the registered one its records would be ignored.
     fn check_own_profile(&mut self, profile: Option<directory::Profile>) {
-        let registered = profile.map_or(0, |profile| profile.incarnation);
+        let registered = profile.as_ref().map_or(0, |profile| profile.incarnation);
+        for leave in profile.into_iter().flat_map(|profile| profile.leaves) {
+            self.merge_leave(self.id, leave, 0);
+        }
         if registered >= self.record_version().0 {
             self.raise_incarnation(registered);
         }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::configs;
 use crate::host;
+use crate::leave;
 use crate::node;
 use crate::quarantine;
 use crate::version;
@@ -24,6 +25,7 @@
 pub mod directory;
 mod gossip;
 mod join;
+mod leaves;
 mod probe;
 mod quarantine_sync;
 mod repair;
@@ -76,6 +78,8 @@
     Datagram(Box<wire::Datagram>),
     /// The upstream beside this node announced itself or changed; `None` when it is gone.
     Local(Option<Arc<view::Upstream>>),
+    /// This node acknowledges a leaving of the upstream beside it.
+    Left(leave::Leave),
     /// The process entered another stage.
     Stage(node::Stage),
     /// The directory returned its list of hosts.
@@ -126,6 +130,9 @@
     repair: repair::Repair,
     join: join::Join,
     quarantine: quarantine_sync::Quarantine,
+    leaves: leaves::Leaves,
+    /// Whether the leavings on this host have changed since [`Member::take_own_leaves`].
+    own_leaves_changed: bool,
     standing: standing::Standing,
     /// Sequence number of the last ping or ping request.
     sequence: u32,
@@ -161,6 +168,8 @@
             repair: repair::Repair::default(),
             join: join::Join::new(id, &settings.join, now),
             quarantine: quarantine_sync::Quarantine::new(id, incarnation),
+            leaves: leaves::Leaves::default(),
+            own_leaves_changed: false,
             standing: standing::Standing::default(),
             sequence: 0,
             dirty: true,
@@ -248,6 +257,7 @@
                 self.stage = stage;
                 self.refresh_record();
             }
+            Event::Left(leave) => self.acknowledge_leave(leave),
             Event::Listed(hosts) => self.merge_listed(hosts),
             Event::Report(report) => self.report(report),
             Event::Tick => {}
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use tokio::net;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time;
 
 use crate::clock;
@@ -13,6 +13,7 @@
 use crate::configs;
 use crate::context;
 use crate::host;
+use crate::leave;
 use crate::member;
 use crate::member::directory;
 use crate::member::directory::search;
@@ -44,6 +45,8 @@
     pub local: watch::Receiver<Option<Arc<node::LocalUpstream>>>,
     /// Reports of crashes and answers, and the published quarantine entries.
     pub quarantine: quarantine::MemberSide,
+    /// Leavings that the operators' port acknowledges, and what is known of them.
+    pub leaves: leave::MemberSide,
     /// Stage of the process; at [`node::Stage::End`] the duty leaves the mesh and ends.
     pub stage: watch::Receiver<node::Stage>,
     /// Counters of control traffic.
@@ -77,6 +80,8 @@
         locality: view::Locality { region: settings.region.clone(), zone: settings.zone.clone() },
         local: wiring.local.clone(),
         applied: wiring.applied.clone(),
+        leaves: wiring.leaves.known.subscribe(),
+        listed_leaves: Vec::new(),
     };
     let local = wiring.local.clone();
     let duty = Duty {
@@ -85,6 +90,7 @@
         search: search::Search::start(directory.clone(), own, &settings.member),
         published: clock::Instant::ZERO,
         buffer: vec![0; wire::MAX_BYTES + 1],
+        told: None,
         ctx,
         socket,
         wiring,
@@ -114,6 +120,8 @@
     /// When the view was last published.
     published: clock::Instant,
     buffer: Vec<u8>,
+    /// Whom to tell that the first hosts were told of the leaving that is being handled.
+    told: Option<oneshot::Sender<()>>,
 }
 
 impl Duty {
@@ -143,6 +151,10 @@
             () = changed(&mut wiring.local) => member::Event::Local(self.upstream()),
             hosts = self.search.next() => member::Event::Listed(hosts),
             Some(report) = wiring.quarantine.reports.recv() => member::Event::Report(report),
+            Some(report) = wiring.leaves.reports.recv() => {
+                self.told = Some(report.told);
+                member::Event::Left(report.leave)
+            }
             received = self.socket.recv_from(&mut self.buffer) => self.read(received),
             () = timer => member::Event::Tick,
         }
@@ -183,6 +195,13 @@
                 member::Action::Send { to, datagram } => self.send(to, &datagram).await,
             }
         }
+        if let Some(told) = self.told.take() {
+            // The operators' port may have given up.
+            let _ = told.send(());
+        }
+        if let Some(leaves) = self.member.take_own_leaves() {
+            self.wiring.leaves.known.send_replace(leaves.into());
+        }
         if self.member.quarantine_changed() {
             self.wiring
                 .quarantine
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::host;
+use crate::leave;
 use crate::member;
 use crate::quarantine;
 use crate::rollout;
@@ -221,6 +222,15 @@
         /// Whether a receiver whose digest differs sends it back.
         reply: bool,
     },
+    /// The leaving of an upstream that the node on a host has acknowledged.
+    Leave {
+        /// The host.
+        host: host::HostId,
+        /// The leaving.
+        leave: leave::Leave,
+        /// Time since it was acknowledged, in milliseconds.
+        age_ms: u32,
+    },
 }
 
 /// A datagram.
@@ -308,7 +318,7 @@
 fn check_item(item: &Item, names: usize) -> Result<(), Error> {
     let check_name = |i: u8| if usize::from(i) < names { Ok(()) } else { Err(Error::Name) };
     match item {
-        Item::Claim { host, .. } => check_host(*host),
+        Item::Claim { host, .. } | Item::Leave { host, .. } => check_host(*host),
         Item::Unreachable { zone } => check_name(*zone),
         Item::Crash(crash) if crash.fingerprints.len() > quarantine::MAX_FINGERPRINTS => {
             Err(Error::Fingerprints)
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -12,6 +12,7 @@
 use crate::clock::{self, Clock as _};
 use crate::configs;
 use crate::context;
+use crate::leave;
 use crate::logs;
 use crate::member;
 use crate::node;
@@ -189,12 +190,14 @@
         self.metrics.retries(&retries);
         let slots = proxy::slots::Counts::default();
         self.metrics.slots(&slots);
+        let (leaves, member_leaves) = leave::channel();
         let member = self.member(member::shell::Wiring {
             applied: applied.clone(),
             view: view_sender,
             mismatches: mismatches_sender,
             local: local.clone(),
             quarantine: reports,
+            leaves: member_leaves,
             stage: self.stage.subscribe(),
             traffic: Arc::clone(&self.traffic),
         })?;
@@ -236,6 +239,7 @@
             view: view.clone(),
             trial: trial_receiver,
             leaving: leaving_receiver,
+            leaves,
             local: local_sender,
             reach: self.reach.clone(),
             tallies,
--- a/tests/member/cold_start.rs
+++ b/tests/member/cold_start.rs
@@ -20,6 +20,7 @@
             incarnation: 1,
             locality: view::Locality { region: settings.region, zone: settings.zone },
             upstream: Some(net::upstream(index, view::Phase::Serving)),
+            leaves: Vec::new(),
         }
     };
     let listed = |index| directory::Listed { host: net::id(index), profile: Some(profile(index)) };
--- a/tests/member/main.rs
+++ b/tests/member/main.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod faults;
 mod feed;
+mod leaves;
 mod net;
 mod presets;
 mod quarantine;
--- a/tests/member_shell.rs
+++ b/tests/member_shell.rs
@@ -10,6 +10,7 @@
 use dandelionspool::configs;
 use dandelionspool::context;
 use dandelionspool::host;
+use dandelionspool::leave;
 use dandelionspool::member;
 use dandelionspool::mesh;
 use dandelionspool::node;
@@ -76,6 +77,7 @@
         mismatches: mismatches_tx,
         local: local_rx,
         quarantine: quarantine::channel().1,
+        leaves: leave::channel().1,
         stage: stage_rx,
         traffic: Arc::clone(&traffic),
     };
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -9,6 +9,7 @@
 use dandelionspool::configs;
 use dandelionspool::context;
 use dandelionspool::host;
+use dandelionspool::leave;
 use dandelionspool::logs::{self, Service as _};
 use dandelionspool::node;
 use dandelionspool::ring;
@@ -100,6 +101,7 @@
         view,
         trial: watch::Sender::default().subscribe(),
         leaving: watch::Sender::default().subscribe(),
+        leaves: leave::channel().0,
         local: watch::channel(None).0,
         reach,
         tallies,
