test(retry): a third more runs rescued, over runs long enough to show it

Cause: the length of the model, not the decision.

Change: 200,000 runs for each seed, the bound of a third and the check of each single seed as they are: stricter, as luck of a short run helps no seed any more. The two seeds that fell below (930 of 701 and 948 of 726 rescued) are cases. Other property tests: the assertions of all proptest blocks were looked through; they hold for each draw (bounds of a budget, a limit, a size), and none compares two random counts, so that no failure rate was measured.

--- a/src/retry/tests/siblings.rs
+++ b/src/retry/tests/siblings.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions on nested calls.
 
 use proptest::prelude::*;
+use rstest::rstest;
 use smol_str::SmolStr;
 
 use crate::clock;
@@ -291,6 +292,31 @@
     }
 }
 
+/// Runs of each model. The ratio of the rescued runs is 1.453 in the mean; over this many its standard
+/// deviation is 0.013, so that a third more is nine of them below. Over a tenth of it, one seed in 500
+/// falls below by chance.
+const MODEL_RUNS: u32 = 200_000;
+
+/// Asserts that deciding on nested calls together rescues a third more runs, with no more retries.
+fn assert_third_more(seed: u64) {
+    let (mut each, mut together) = (Model::new(seed), Model::new(seed));
+    for _ in 0..MODEL_RUNS {
+        each.run_each();
+        together.run_together();
+    }
+    assert!(together.retries <= each.retries);
+    let (before, after) = (each.rescued, together.rescued);
+    assert!(after * 3 >= before * 4, "{after} runs rescued in place of {before}");
+}
+
+/// Seeds for which the first 20,000 runs show less than a third more.
+#[rstest]
+#[case::ratio_1_327(7_302_231_562_124_634_303)]
+#[case::ratio_1_306(10_664_321_601_229_123_758)]
+fn a_third_more_runs_are_served_also_after_a_poor_start(#[case] seed: u64) {
+    assert_third_more(seed);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(16))]
 
@@ -298,13 +324,6 @@
     /// of a tenth.
     #[test]
     fn a_third_more_runs_are_served_for_the_same_retries(seed: u64) {
-        let (mut each, mut together) = (Model::new(seed), Model::new(seed));
-        for _ in 0..20_000 {
-            each.run_each();
-            together.run_together();
-        }
-        prop_assert!(together.retries <= each.retries);
-        let (before, after) = (each.rescued, together.rescued);
-        prop_assert!(after * 3 >= before * 4, "{after} runs rescued in place of {before}");
+        assert_third_more(seed);
     }
 }
