--- a/src/admin/announce.rs
+++ b/src/admin/announce.rs
@@ -114,8 +114,8 @@
         self.service.len() + self.class().len() + self.version.len()
     }
 
-    /// Whether the instance whose announcement was `before` says here that it leaves, and can be told
-    /// from its earlier announcements.
+    /// Whether the instance whose announcement was `before` says here that it leaves, and can be
+    /// told from its earlier announcements.
     fn drains_from_now(&self, before: Option<&Current>) -> bool {
         let drained = before.is_some_and(|before| before.announcement.phase == Phase::Draining);
         self.phase == Phase::Draining && self.sequence > 0 && !drained
@@ -130,8 +130,8 @@
     }
 }
 
-/// Maximum size of the names of an upstream together, in bytes. A host's record with them has to fit
-/// into one datagram, or it would hold up all other records.
+/// Maximum size of the names of an upstream together, in bytes. A host's record with them has to
+/// fit into one datagram, or it would hold up all other records.
 const MAX_NAME_BYTES: usize = 600;
 
 /// Why an announcement was not applied.
@@ -202,8 +202,8 @@
     lease: time::Duration,
     /// The current announcement.
     current: Option<Current>,
-    /// Instances that leave or have ended, the latest last, one entry for each. Invariant: none covers
-    /// the current announcement.
+    /// Instances that leave or have ended, the latest last, one entry for each. Invariant: none
+    /// covers the current announcement.
     ended: collections::VecDeque<leave::Leave>,
     /// Those of them that other nodes were not told of yet.
     unreported: collections::VecDeque<leave::Leave>,
@@ -304,8 +304,8 @@
         }
     }
 
-    /// Takes over a leaving that an earlier process of this node acknowledged; `false` if it is known
-    /// or is that of an upstream which has told this process so itself.
+    /// Takes over a leaving that an earlier process of this node acknowledged; `false` if it is
+    /// known or is that of an upstream which has told this process so itself.
     pub fn learn(&mut self, leave: leave::Leave) -> bool {
         let told_here = self.current.as_ref().is_some_and(|current| {
             self.leaving == Some(current.incarnation) && is_covered(current, &leave)
@@ -342,9 +342,9 @@
         outdated || self.ended.iter().any(|leave| leave.covers(hash, new.born, new.sequence))
     }
 
-    /// Records that `old` was replaced by another instance, and so has ended. A process that has just
-    /// started can't tell a late announcement of an ended instance from the first one of a live
-    /// instance: `fresh` lets the one that was replaced come back by a later announcement.
+    /// Records that `old` was replaced by another instance, and so has ended. A process that has
+    /// just started can't tell a late announcement of an ended instance from the first one of a
+    /// live instance: `fresh` lets the one that was replaced come back by a later announcement.
     fn record_replaced(&mut self, old: &Current, fresh: bool) {
         let sequence = old.announcement.sequence;
         if fresh && sequence > 0 {
@@ -355,8 +355,8 @@
     }
 
     /// Records that `instance` leaves or has ended, up to its announcement `sequence` of the
-    /// incarnation that started at `born`. Does nothing for instances without a name, which can't be
-    /// distinguished.
+    /// incarnation that started at `born`. Does nothing for instances without a name, which can't
+    /// be distinguished.
     fn record(&mut self, instance: &SmolStr, born: StartTime, sequence: u64) {
         let Some(instance) = leave::InstanceHash::of(instance) else { return };
         let leave = leave::Leave { instance, born, sequence };
--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -25,8 +25,8 @@
 /// Maximum number of concurrent reports on the whole mesh.
 pub(super) const MAX_REPORTS: usize = 2;
 
-/// Maximum time for which the answer to an upstream that leaves waits until other nodes are told. The
-/// upstream waits for a second.
+/// Maximum time for which the answer to an upstream that leaves waits until other nodes are told.
+/// The upstream waits for a second.
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
 /// State shared by the connections of the port.
@@ -100,7 +100,8 @@
         self.publish();
     }
 
-    /// Takes over what other nodes know of leavings that an earlier process of this node acknowledged.
+    /// Takes over what other nodes know of leavings that an earlier process of this node
+    /// acknowledged.
     pub(super) fn learn_leaves(&self, known: &[leave::Leave]) {
         let mut announcements = self.announcements.borrow_mut();
         for leave in known.iter().filter(|leave| announcements.learn(**leave)) {
--- a/src/admin/tests/announce.rs
+++ b/src/admin/tests/announce.rs
@@ -376,8 +376,8 @@
     Announcement { sequence, phase, ..announcement() }
 }
 
-/// Guards against an upstream that has left and comes back by a late heartbeat, as its node was killed
-/// after it had acknowledged the leaving.
+/// Guards against an upstream that has left and comes back by a late heartbeat, as its node was
+/// killed after it had acknowledged the leaving.
 #[rstest]
 #[case::withdrawn(|registry: &mut Registry| registry.withdraw(&instance("i-1"), None))]
 #[case::draining(|registry: &mut Registry| {
@@ -400,7 +400,8 @@
     assert!(next.take_unreported().is_none(), "nothing new to tell");
 }
 
-/// Guards against a late heartbeat that arrives before the other nodes have told that its sender left.
+/// Guards against a late heartbeat that arrives before the other nodes have told that its sender
+/// left.
 #[test]
 fn a_leaving_that_is_learned_later_ends_a_late_announcement() {
     let mut registry = registry();
@@ -414,8 +415,9 @@
     assert!(!next.learn(leave), "known");
 }
 
-/// Guards against a live upstream that is shut out: by its own draining that it took back, or by a late
-/// heartbeat of its predecessor that a process which has just started takes for that of a successor.
+/// Guards against a live upstream that is shut out: by its own draining that it took back, or by a
+/// late heartbeat of its predecessor that a process which has just started takes for that of a
+/// successor.
 #[test]
 fn a_live_upstream_is_never_shut_out_for_good() {
     let mut registry = registry();
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -49,7 +49,8 @@
         /// All faults found in the file.
         faults: F,
     },
-    /// A file that the log service has accepted, which this build can't apply; the version before stays.
+    /// A file that the log service has accepted, which this build can't apply; the version before
+    /// stays.
     Unusable {
         /// Its version.
         version: version::Version,
--- a/src/member/directory/search.rs
+++ b/src/member/directory/search.rs
@@ -80,7 +80,8 @@
         }
     }
 
-    /// The leavings on this host; those that the directory has until the membership has merged them.
+    /// The leavings on this host; those that the directory has until the membership has merged
+    /// them.
     fn known_leaves(&self) -> Vec<leave::Leave> {
         let known = self.leaves.borrow();
         if known.is_empty() { self.listed_leaves.clone() } else { known.to_vec() }
--- a/src/member/directory/search/tests.rs
+++ b/src/member/directory/search/tests.rs
@@ -286,8 +286,9 @@
     leave::Leave { instance, born: None, sequence: leave::Leave::FINAL }
 }
 
-/// Guards against an acknowledged leaving that is lost when all nodes end at once: only the directory
-/// still knows it then, and a process that starts must not overwrite it before it has read it.
+/// Guards against an acknowledged leaving that is lost when all nodes end at once: only the
+/// directory still knows it then, and a process that starts must not overwrite it before it has
+/// read it.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_is_registered_at_once_and_kept_by_the_next_process() {
     run_local(async {
--- a/src/member/leaves.rs
+++ b/src/member/leaves.rs
@@ -1,7 +1,7 @@
 //! Leavings of upstreams, kept by some hosts for the host on which they were acknowledged.
 //!
-//! Load: a leaving costs one datagram of some 60 bytes to each of [`HOLDERS`] hosts. These send it back
-//! when they see that a new process runs on its host, and with each ping and ack to that host.
+//! Load: a leaving costs one datagram of some 60 bytes to each of [`HOLDERS`] hosts. These send it
+//! back when they see that a new process runs on its host, and with each ping and ack to that host.
 
 use std::collections;
 use std::time;
@@ -18,8 +18,8 @@
 /// Leavings kept for one host, the latest ones. A host replaces its upstream a few times an hour.
 const MAX_PER_HOST: usize = 8;
 
-/// Hosts that are told of a leaving before it is acknowledged. Each datagram may be lost, and each of
-/// these hosts may end, too.
+/// Hosts that are told of a leaving before it is acknowledged. Each datagram may be lost, and each
+/// of these hosts may end, too.
 const HOLDERS: usize = 6;
 
 /// The leavings that a host knows.
@@ -36,7 +36,8 @@
 }
 
 impl Leaves {
-    /// Adds what was acknowledged on `host`, to be kept until `expires_at`; `false` when it was known.
+    /// Adds what was acknowledged on `host`, to be kept until `expires_at`; `false` when it was
+    /// known.
     pub fn add(
         &mut self,
         host: host::HostId,
--- a/src/mesh/find.rs
+++ b/src/mesh/find.rs
@@ -138,8 +138,8 @@
 impl mesh::Mesh {
     /// Finds the route of a request with this `Host` header, method and path without query.
     ///
-    /// Does not allocate. Returns `None` when no route matches, or what follows the route's own path is
-    /// not in normal form.
+    /// Does not allocate. Returns `None` when no route matches, or what follows the route's own
+    /// path is not in normal form.
     pub fn find(
         &self,
         host: Option<&str>,
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -1,8 +1,8 @@
 //! Answers of the local upstream, and whether they are believed.
 //!
-//! An upstream may send bytes that belong to no request, or the answer to an earlier request, late or
-//! once more. Nothing of an answer can be read before it is known that it belongs to the request that
-//! was sent: neither its status nor what it says of the call or of the upstream.
+//! An upstream may send bytes that belong to no request, or the answer to an earlier request, late
+//! or once more. Nothing of an answer can be read before it is known that it belongs to the request
+//! that was sent: neither its status nor what it says of the call or of the upstream.
 
 use http::header;
 use hyper::body::{Body, Incoming};
--- a/src/proxy/answer/tests.rs
+++ b/src/proxy/answer/tests.rs
@@ -28,8 +28,8 @@
     (super::mismatch(answer, &expected), not_run)
 }
 
-/// Guards against any belief in an answer that bears the id of another request, or none: that a call
-/// ran, that it was not run, or that it came to another instance.
+/// Guards against any belief in an answer that bears the id of another request, or none: that a
+/// call ran, that it was not run, or that it came to another instance.
 #[rstest]
 #[case::ran(200, &[("signed", "s")])]
 #[case::failed(500, &[("signed", "s")])]
--- a/src/proxy/meter.rs
+++ b/src/proxy/meter.rs
@@ -1,8 +1,8 @@
 //! Bounds the bytes that an upstream sends without getting on with its answer.
 //!
 //! An upstream may send bytes that are no answer, without end: interim responses, a chunk's size of
-//! any number of digits. The HTTP library reads on for as long as they come. Here, reading pauses after
-//! a number of bytes, until the call that waits sees progress or gives up.
+//! any number of digits. The HTTP library reads on for as long as they come. Here, reading pauses
+//! after a number of bytes, until the call that waits sees progress or gives up.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -41,8 +41,8 @@
 }
 
 impl Meter {
-    /// Lets the connection receive [`MAX_BYTES`] from here on, as a request was sent or a part of its
-    /// answer has arrived.
+    /// Lets the connection receive [`MAX_BYTES`] from here on, as a request was sent or a part of
+    /// its answer has arrived.
     pub fn record_progress(&self) {
         self.remaining.set(MAX_BYTES);
         self.exhausted.set(false);
@@ -51,8 +51,8 @@
         }
     }
 
-    /// Ready once [`MAX_BYTES`] were received without progress and more would be read. A call must look
-    /// for progress first, as that is recorded by the call itself.
+    /// Ready once [`MAX_BYTES`] were received without progress and more would be read. A call must
+    /// look for progress first, as that is recorded by the call itself.
     pub fn poll_exhausted(&self, cx: &task::Context<'_>) -> task::Poll<()> {
         if self.exhausted.get() {
             return task::Poll::Ready(());
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,9 +3,9 @@
 //! All steps of a call run on one thread. Its entry node, which may be any node, accepts it,
 //! matches its route and checks its deadline ([`entry`]), claims its idempotency key
 //! ([`idempotency`]), picks an upstream and forwards the call ([`call`], [`internode`]). The owner
-//! node ([`peer`], [`owner`]) waits for a slot ([`slots`]), sends the call to the upstream ([`pool`])
-//! and verifies the answer ([`answer`]). The entry node then answers and counts the call ([`resources`]).
-//! When the entry node is also the owner node, nothing is sent between nodes.
+//! node ([`peer`], [`owner`]) waits for a slot ([`slots`]), sends the call to the upstream
+//! ([`pool`]) and verifies the answer ([`answer`]). The entry node then answers and counts the call
+//! ([`resources`]). When the entry node is also the owner node, nothing is sent between nodes.
 
 pub mod answer;
 pub mod attempt;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -115,8 +115,8 @@
             if let Some(slot) = resources.slot.take() {
                 slot.shed();
             }
-            // A refusal without a delay would make the caller wait for a second, the default, though
-            // a slot is free now.
+            // A refusal without a delay would make the caller wait for a second, the default,
+            // though a slot is free now.
             let refusal = refuse::Refusal::not_run(retry::Reason::UpstreamShed);
             return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
         }
@@ -356,8 +356,8 @@
     }
 }
 
-/// Releases the connection of a shed call once the answer has been read to its end. The call doesn't
-/// wait for that: its outcome is known from the head.
+/// Releases the connection of a shed call once the answer has been read to its end. The call
+/// doesn't wait for that: its outcome is known from the head.
 fn release_shed(
     answer: http::Response<hyper::body::Incoming>,
     mut lease: pool::Lease,
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -80,8 +80,8 @@
     /// An idle connection to `address`, the most recently used one, or a new one, for the request
     /// `id`.
     ///
-    /// A connection on which `id` was just rejected is left out: a second copy of that rejection would
-    /// bear the right id.
+    /// A connection on which `id` was just rejected is left out: a second copy of that rejection
+    /// would bear the right id.
     ///
     /// # Errors
     ///
--- a/src/retry/tests/siblings.rs
+++ b/src/retry/tests/siblings.rs
@@ -292,9 +292,9 @@
     }
 }
 
-/// Runs of each model. The ratio of the rescued runs is 1.453 in the mean; over this many its standard
-/// deviation is 0.013, so that a third more is nine of them below. Over a tenth of it, one seed in 500
-/// falls below by chance.
+/// Runs of each model. The ratio of the rescued runs is 1.453 in the mean; over this many its
+/// standard deviation is 0.013, so that a third more is nine of them below. Over a tenth of it, one
+/// seed in 500 falls below by chance.
 const MODEL_RUNS: u32 = 200_000;
 
 /// Asserts that deciding on nested calls together rescues a third more runs, with no more retries.
--- a/src/spread/log_reads.rs
+++ b/src/spread/log_reads.rs
@@ -117,7 +117,8 @@
         self.append_snapshot(unix_millis, now);
     }
 
-    /// Logs the verdicts on records, and reports whether the newest accepted version can be applied.
+    /// Logs the verdicts on records, and reports whether the newest accepted version can be
+    /// applied.
     fn report_verdicts(&mut self, judged: &[fold::Judged<mesh::fault::Faults>]) {
         for fold::Judged { offset, verdict } in judged {
             log::debug!(offset, verdict:? = verdict; "judged a record of the log");
--- a/tests/calls/endless.rs
+++ b/tests/calls/endless.rs
@@ -165,7 +165,8 @@
 }
 
 /// Guards against an answer without an end that looks complete to its caller, or that holds the
-/// upstream beyond the deadline. Its bytes belong to the call, so that they are passed on until then.
+/// upstream beyond the deadline. Its bytes belong to the call, so that they are passed on until
+/// then.
 #[test]
 fn an_answer_without_end_breaks_off_at_the_deadline() {
     rig::run(async {
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -132,8 +132,8 @@
     assert!(read.is_err(), "the upstream received the call: {read:?}");
 }
 
-/// Guards against a second copy of a rejection that is believed for the same request, sent again: it
-/// bears the right id, and the request runs.
+/// Guards against a second copy of a rejection that is believed for the same request, sent again:
+/// it bears the right id, and the request runs.
 #[test]
 fn a_request_is_not_sent_again_on_the_connection_that_rejected_it() {
     rig::run(async {
--- a/tests/fold/accepted.rs
+++ b/tests/fold/accepted.rs
@@ -49,8 +49,8 @@
     assert_eq!(version(&reader), 1);
 }
 
-/// Guards against an accepted version that can't be applied and is reported as nothing but a publish that
-/// its operator sees refused, or that holds up the versions after it.
+/// Guards against an accepted version that can't be applied and is reported as nothing but a
+/// publish that its operator sees refused, or that holds up the versions after it.
 #[test]
 fn an_accepted_file_that_this_build_rejects_is_told_apart_and_holds_up_no_later_one() {
     let mut reader = reader::Reader::new(rules::Builtin);
--- a/tests/member/leaves.rs
+++ b/tests/member/leaves.rs
@@ -28,8 +28,8 @@
     net.hosts[index].member.as_mut().unwrap().take_own_leaves()
 }
 
-/// Guards against a leaving that only the process knew which acknowledged it: killed right after that,
-/// it starts anew and believes what its upstream said before.
+/// Guards against a leaving that only the process knew which acknowledged it: killed right after
+/// that, it starts anew and believes what its upstream said before.
 #[rstest]
 fn a_node_that_was_killed_learns_which_upstreams_have_left(
     #[values(3, 100)] hosts: usize,
@@ -53,8 +53,9 @@
     assert!(known.contains(&first) && known.contains(&second), "{known:?}");
 }
 
-/// Guards against leavings of many upstreams at once that reach no process, or that cost more than a
-/// host may send: a service of half of the hosts is replaced, and all its nodes are killed one after the other.
+/// Guards against leavings of many upstreams at once that reach no process, or that cost more than
+/// a host may send: a service of half of the hosts is replaced, and all its nodes are killed one
+/// after the other.
 #[rstest]
 fn a_service_that_is_replaced_whole_is_remembered(#[values(1, 2)] seed: u64) {
     const N: usize = 100;
