fix(admin): a leaving is acknowledged once the directory keeps it, too

Cause: the answer waited for datagrams to six nodes, but not for the directory, which was written a moment later. After the end of these nodes nobody knew of the leaving.

Change: the membership duty reports which leavings the directory keeps, and the acknowledgement waits for that, 0.4 s at most; it is not refused, since the upstream leaves in any case, and a line says so. A directory that is not shared is not waited for.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -142,7 +142,7 @@
         Err(error) => return refuse_body(instance, &error),
     };
     let result = state.announce(instance, announcement);
-    state.report_leaves().await;
+    state.secure_leaves().await;
     match result {
         Ok(()) => reply::empty(),
         // The announcement is kept, or the sender has nothing to correct.
@@ -167,7 +167,7 @@
                 "the upstream has withdrawn"
             );
             state.withdraw(instance, withdrawal);
-            state.report_leaves().await;
+            state.secure_leaves().await;
             reply::empty()
         }
         Err(error) => refuse_body(instance, &error),
--- a/src/admin/state.rs
+++ b/src/admin/state.rs
@@ -29,6 +29,9 @@
 /// The upstream waits for a second.
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// Maximum time for which that answer then waits until the directory keeps the leaving.
+const KEEP_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
 /// State shared by the connections of the port.
 #[derive(Debug)]
 pub struct State {
@@ -109,11 +112,14 @@
         }
     }
 
-    /// Tells other nodes of the leavings that were not reported yet, and returns once the first of
-    /// them were told, so that the leavings can be acknowledged.
-    pub(super) async fn report_leaves(&self) {
+    /// Tells other nodes of the leavings that were not reported yet, and returns these once the
+    /// first of those nodes were told.
+    pub(super) async fn report_leaves(&self) -> Vec<leave::Leave> {
+        let mut reported = Vec::new();
         loop {
-            let Some(leave) = self.announcements.borrow_mut().take_unreported() else { return };
+            let unreported = self.announcements.borrow_mut().take_unreported();
+            let Some(leave) = unreported else { return reported };
+            reported.push(leave);
             let (told, answer) = oneshot::channel();
             let report = async {
                 self.leaves.reports.send(leave::Report { leave, told }).await.ok()?;
@@ -125,6 +131,20 @@
         }
     }
 
+    /// Like [`State::report_leaves`], and returns once the directory keeps the leavings too, so that
+    /// they can be acknowledged.
+    pub(super) async fn secure_leaves(&self) {
+        let reported = self.report_leaves().await;
+        let kept = async {
+            for leave in &reported {
+                self.leaves.wait_kept(leave).await;
+            }
+        };
+        if tokio::time::timeout(KEEP_TIMEOUT, kept).await.is_err() {
+            log::warn!("the directory did not keep in time that the upstream leaves");
+        }
+    }
+
     /// Publishes the upstream beside this node to the other duties if it has changed.
     pub(super) fn publish(&self) {
         let mesh = Arc::clone(&self.applied.borrow().mesh);
--- a/src/admin/tests/served.rs
+++ b/src/admin/tests/served.rs
@@ -270,7 +270,11 @@
         assert_eq!(Some(report.leave.instance), leave::InstanceHash::of(&"i-1".into()));
         let early = tokio::time::timeout(time::Duration::from_millis(50), &mut gone).await;
         assert!(early.is_err(), "acknowledged before the others were told");
+        let kept = report.leave;
         report.told.send(()).expect("waits");
+        let early = tokio::time::timeout(time::Duration::from_millis(50), &mut gone).await;
+        assert!(early.is_err(), "acknowledged before the directory keeps it");
+        ends.leaves.kept.send_replace([kept].into());
         assert_eq!(gone.await.expect("answered").status(), 204);
     })
     .await;
--- a/src/leave.rs
+++ b/src/leave.rs
@@ -1,8 +1,9 @@
 //! Leavings of upstreams that a node has acknowledged, and how its duties pass them on.
 //!
-//! The acknowledgement binds, whatever becomes of the process that gave it. So the node tells other
-//! nodes before it answers, and a process that starts anew on its host learns from them which
-//! instances of its upstream have left: what such an instance still says, late, changes nothing.
+//! The acknowledgement binds, whatever becomes of the process that gave it, and of all processes. So
+//! the node tells other nodes and the directory before it answers, and a process that starts anew on
+//! its host learns from them which instances of its upstream have left: what such an instance still
+//! says, late, changes nothing.
 
 use std::sync::Arc;
 
@@ -73,6 +74,17 @@
     pub reports: mpsc::Sender<Report>,
     /// What other nodes, or the directory, know of this host's upstreams.
     pub known: watch::Receiver<Arc<[Leave]>>,
+    /// What the directory keeps of it. Closed if the directory is not shared.
+    pub kept: watch::Receiver<Arc<[Leave]>>,
+}
+
+impl AdminSide {
+    /// Waits until the directory keeps `leave`; returns at once if the directory is not shared.
+    pub async fn wait_kept(&self, leave: &Leave) {
+        let mut kept = self.kept.clone();
+        // A closed channel means that nothing is kept.
+        let _ = kept.wait_for(|kept| kept.iter().any(|known| known.includes(leave))).await;
+    }
 }
 
 /// The side of the membership duty.
@@ -82,12 +94,15 @@
     pub reports: mpsc::Receiver<Report>,
     /// Receives all known leavings of this host's upstreams.
     pub known: watch::Sender<Arc<[Leave]>>,
+    /// Receives those that the directory keeps.
+    pub kept: watch::Sender<Arc<[Leave]>>,
 }
 
 /// The channels between the two duties.
 pub fn channel() -> (AdminSide, MemberSide) {
     let (sender, receiver) = mpsc::channel(CAPACITY);
     let (known_sender, known) = watch::channel(Arc::default());
-    let admin = AdminSide { reports: sender, known };
-    (admin, MemberSide { reports: receiver, known: known_sender })
+    let (kept_sender, kept) = watch::channel(Arc::default());
+    let admin = AdminSide { reports: sender, known, kept };
+    (admin, MemberSide { reports: receiver, known: known_sender, kept: kept_sender })
 }
--- a/src/member/directory/search.rs
+++ b/src/member/directory/search.rs
@@ -67,6 +67,8 @@
     pub leaves: watch::Receiver<Arc<[leave::Leave]>>,
     /// Those that the directory had when the process started.
     pub listed_leaves: Vec<leave::Leave>,
+    /// Receives those that the directory keeps. Dropped at once if it is not shared.
+    pub kept_leaves: watch::Sender<Arc<[leave::Leave]>>,
 }
 
 impl LocalHost {
@@ -87,6 +89,13 @@
         if known.is_empty() { self.listed_leaves.clone() } else { known.to_vec() }
     }
 
+    /// Reports that the directory keeps `profile`.
+    fn report_kept(&self, profile: &directory::Profile) {
+        if **self.kept_leaves.borrow() != *profile.leaves {
+            self.kept_leaves.send_replace(profile.leaves.as_slice().into());
+        }
+    }
+
     /// Waits until the upstream has announced itself, at most for [`UPSTREAM_TIMEOUT`].
     async fn wait_announced(&mut self) {
         let known = self.local.wait_for(Option::is_some);
@@ -284,10 +293,12 @@
     async fn register(&mut self) -> bool {
         let profile = self.own.profile();
         if self.listed.as_ref().is_some_and(|listed| listed.is_like(&profile)) {
+            self.own.report_kept(&profile);
             return true;
         }
         match self.directory.register(self.own.host, &profile).await {
             Ok(()) => {
+                self.own.report_kept(&profile);
                 self.listed = Some(profile);
                 true
             }
--- a/src/member/directory/search/tests.rs
+++ b/src/member/directory/search/tests.rs
@@ -99,6 +99,7 @@
     local: watch::Sender<Option<Arc<node::LocalUpstream>>>,
     applied: watch::Sender<Arc<mesh::Applied>>,
     leaves: watch::Sender<Arc<[leave::Leave]>>,
+    kept_leaves: watch::Receiver<Arc<[leave::Leave]>>,
 }
 
 fn id(last: u8) -> host::HostId {
@@ -127,9 +128,11 @@
     let (local, receiver) = watch::channel(serving);
     let (applied, running) = watch::channel(Arc::default());
     let (leaves, known) = watch::channel(Arc::default());
+    let (kept, kept_leaves) = watch::channel(Arc::default());
     let own = search::LocalHost {
         leaves: known,
         listed_leaves: Vec::new(),
+        kept_leaves: kept,
         host: id(last),
         incarnation: 3,
         locality: view::Locality { region: "r".into(), zone: "z".into() },
@@ -137,7 +140,8 @@
         applied: running,
     };
     let settings = configs::member::Member { fresh, ..configs::member::Member::default() };
-    Host { search: search::Search::start(shared.clone(), own, &settings), local, applied, leaves }
+    let search = search::Search::start(shared.clone(), own, &settings);
+    Host { search, local, applied, leaves, kept_leaves }
 }
 
 /// Runs `test`, which may spawn local tasks.
@@ -300,6 +304,7 @@
         host.local.send_replace(None);
         sleep(100).await;
         assert_eq!(shared.counts().1, before + 1, "one request a leaving");
+        assert_eq!(**host.kept_leaves.borrow(), [leave("i")], "reported once it is kept");
         drop(host);
         let mut host = start(&shared, 1, false, true);
         let listed = host.search.next().await;
--- a/src/member/shell.rs
+++ b/src/member/shell.rs
@@ -62,7 +62,7 @@
     ctx: context::Context,
     settings: Arc<configs::Node>,
     directory: D,
-    wiring: Wiring,
+    mut wiring: Wiring,
 ) -> Result<(), member::Error> {
     let address = settings.bound().member_addr();
     let bound = net::UdpSocket::bind(address).await;
@@ -82,6 +82,7 @@
         applied: wiring.applied.clone(),
         leaves: wiring.leaves.known.subscribe(),
         listed_leaves: Vec::new(),
+        kept_leaves: std::mem::take(&mut wiring.leaves.kept),
     };
     let local = wiring.local.clone();
     let duty = Duty {
