--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -176,7 +176,7 @@
         let change = self.table.merge(found.host, record, self.now);
         self.apply_change(found.host, change, priority, source);
         if restarted {
-            self.tell_leaves(found.host);
+            self.send_leaves(found.host, found.host);
         }
         true
     }
--- a/src/member/leaves.rs
+++ b/src/member/leaves.rs
@@ -103,13 +103,8 @@
         self.own_leaves_changed |= host == self.id;
     }
 
-    /// Tells the new process on `host` what is known of its upstreams.
-    pub(super) fn tell_leaves(&mut self, host: host::HostId) {
-        self.send_leaves(host, host);
-    }
-
     /// Sends `to` the leavings on `host`, if any are known.
-    fn send_leaves(&mut self, to: host::HostId, host: host::HostId) {
+    pub(super) fn send_leaves(&mut self, to: host::HostId, host: host::HostId) {
         let mut packer = wire::Packer::new(self.id, wire::Body::Gossip);
         self.leaves.pack(host, &mut packer, self.now);
         if !packer.is_empty() {
