feat(proxy): who vouches for "not run", and requests that are sent again

Change: the lines of a failed attempt and of a call without an answer have the key `by`: here, node or upstream. Between nodes it follows from the reason upstream-shed, which a node gives only to what its upstream has rejected: no header, and the answers of earlier builds are read alike. A request that is sent again as the library returned it unsent has a line within the limit on lines, and the counter call_resent_total by `to`.

Not shown by a test: the two loops that send again, as the connection has to close between its check and the first byte.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -153,6 +153,8 @@
         for (name, help, counter) in rows {
             self.register(name, help, counter.clone());
         }
+        let help = "Requests sent again on another connection as nothing of them was sent";
+        self.register("call_resent", help, counts.resent.clone());
     }
 
     /// Returns all metrics in the OpenMetrics text format.
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -239,10 +239,11 @@
             retry::Decision::Final { outcome, retry_after } => {
                 // The last attempt did not run, but an earlier one may have.
                 let outcome = unknown.map_or(outcome, retry::Outcome::Unknown);
+                let by = failed.refusal.by;
                 if let Some(count) = resources.count.take() {
                     count.ended(outcome);
                 }
-                return Err(refuse::Refusal::new(outcome, retry_after));
+                return Err(refuse::Refusal::new(outcome, retry_after).vouched(by));
             }
         }
         previous = Some(failed.refusal);
@@ -359,6 +360,7 @@
         host: failed.host,
         number: tries.attempt,
         outcome: failed.refusal.outcome,
+        by: failed.refusal.by(),
         again: matches!(decision, retry::Decision::Again { .. }),
         diverted,
         budget: state.budget(call.service(), |budget| budget.remaining()),
--- a/src/proxy/call/remote.rs
+++ b/src/proxy/call/remote.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use http::header;
+
 use crate::claim;
 use crate::host;
 use crate::proxy::attempt;
@@ -13,6 +15,7 @@
 use crate::proxy::refuse;
 use crate::proxy::resources;
 use crate::proxy::state;
+use crate::proxy::trace;
 use crate::proxy::upload;
 use crate::retry;
 
@@ -36,7 +39,11 @@
     }
     let end = state.timer(call.deadline) + call::REPLY_GRACE;
     let limit = connect_timeout(state, call, tries);
-    let mut answer = internode::call_within(&state.links, host, request, end, limit).await;
+    let resent = |map: &header::HeaderMap, connection| {
+        let to = trace::Destination::Node(host);
+        state.record_resent(&trace::Resent { id: map.get(&state.dialect.id), to, connection });
+    };
+    let mut answer = internode::call_within(&state.links, host, request, end, limit, resent).await;
     answer.bound_ran(state.ctx.now().since(now));
     // A refusal without a notice tells nothing: the node may have started anew and not know its
     // upstream yet.
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -12,6 +12,7 @@
 use crate::proxy::headers;
 use crate::proxy::held_answers;
 use crate::proxy::links;
+use crate::proxy::proof;
 use crate::proxy::refuse;
 use crate::proxy::request_head;
 use crate::proxy::upload;
@@ -160,18 +161,21 @@
     request: http::Request<upload::Upload>,
     end: time::Instant,
 ) -> Answer {
-    call_within(links, host, request, end, None).await
+    call_within(links, host, request, end, None, |_, _| ()).await
 }
 
-/// Like [`call()`], where the connection is awaited for at most `limit`, if one is given.
+/// Like [`call()`], where the connection is awaited for at most `limit`, if one is given. `resent` is
+/// called with the headers of the request and the number of the connection, from 2, before the
+/// request is sent again as nothing of it was sent on the connection before.
 pub async fn call_within(
     links: &links::Links,
     host: host::HostId,
     mut request: http::Request<upload::Upload>,
     end: time::Instant,
     limit: Option<time::Duration>,
+    resent: impl Fn(&header::HeaderMap, u8),
 ) -> Answer {
-    for _ in 0..MAX_CONNECTION_TRIES {
+    for connection in 1..=MAX_CONNECTION_TRIES {
         let link = time::timeout_at(end, links.get_within(host, limit)).await;
         let mut link = match link {
             Err(_) => return refuse::Refusal::not_run(retry::Reason::TooLate).into(),
@@ -183,6 +187,9 @@
             }
             Ok(Ok(link)) => link,
         };
+        if connection > 1 {
+            resent(request.headers(), connection);
+        }
         let answer = time::timeout_at(end, link.try_send_request(request)).await;
         match answer {
             Err(_) => return refuse::Refusal::unknown(retry::Reason::Timeout).into(),
@@ -227,6 +234,12 @@
     let reason = if map.contains_key(headers::LIMITED) { retry::Reason::Limited } else { reason };
     let refusal =
         if proven { refuse::Refusal::not_run(reason) } else { refuse::Refusal::unknown(reason) };
+    // A node gives this reason only to a call that its upstream has rejected.
+    let by = match reason {
+        retry::Reason::UpstreamShed => proof::By::Upstream,
+        _ => proof::By::Node,
+    };
+    let refusal = refusal.vouched(by);
     match request_head::number(map, headers::RETRY) {
         Ok(Some(millis)) => refusal.retry_in(time::Duration::from_millis(millis)),
         Ok(None) | Err(_) => refusal,
--- a/src/proxy/internode/tests.rs
+++ b/src/proxy/internode/tests.rs
@@ -6,6 +6,8 @@
 
 use super::Answer;
 use crate::proxy::call_spec;
+use crate::proxy::headers;
+use crate::proxy::proof;
 use crate::proxy::refuse;
 use crate::proxy::run_times;
 use crate::retry;
@@ -40,3 +42,28 @@
     let mean = run_times.mean("order").expect("a mean");
     assert!(mean < time::Duration::from_millis(11), "{mean:?}");
 }
+
+/// The answer of another node that refuses a call with `outcome` for `reason`.
+fn refused(outcome: &str, reason: &str) -> Option<&'static str> {
+    let answer = http::Response::builder()
+        .header(headers::OUTCOME, outcome)
+        .header(headers::REASON, reason)
+        .body(());
+    let answer = answer.expect("an answer");
+    super::refusal(&answer, outcome == headers::NOT_RUN).by().map(proof::By::as_str)
+}
+
+/// Guards against log lines that blame a node for what its upstream said, or the other way round,
+/// and against a "not run" of nobody.
+#[rstest]
+#[case::node(headers::NOT_RUN, "full", Some("node"))]
+#[case::unknown_reason(headers::NOT_RUN, "a reason of a later build", Some("node"))]
+#[case::upstream(headers::NOT_RUN, "upstream-shed", Some("upstream"))]
+#[case::unknown(headers::UNKNOWN, "cut", None)]
+fn a_refusal_of_another_node_tells_who_vouches_for_it(
+    #[case] outcome: &str,
+    #[case] reason: &str,
+    #[case] by: Option<&str>,
+) {
+    assert_eq!(refused(outcome, reason), by);
+}
--- a/src/proxy/links/tests.rs
+++ b/src/proxy/links/tests.rs
@@ -93,12 +93,14 @@
         let connect = time::Duration::from_millis(configs::Node::default().proxy.connect_ms);
         let end = tokio::time::Instant::now() + connect * 20;
         let request = || http::Request::new(upload::Upload::Buffered(None));
-        let answer = internode::call_within(&links, node.host, request(), end, Some(LIMIT)).await;
+        let answer =
+            internode::call_within(&links, node.host, request(), end, Some(LIMIT), |_, _| ()).await;
         let outcome = answer.result.expect_err("no connection").outcome;
         assert!(answer.given_up && outcome.is_unreachable());
         let silent = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let host = host::HostId::from_inner_addr(silent.local_addr().expect("an address"));
-        let answer = internode::call_within(&links, host, request(), end, Some(connect)).await;
+        let answer =
+            internode::call_within(&links, host, request(), end, Some(connect), |_, _| ()).await;
         let outcome = answer.result.expect_err("no connection").outcome;
         assert!(!answer.given_up && outcome.is_unreachable(), "it has waited for connect_ms");
     })
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -37,6 +37,7 @@
 pub mod owner;
 pub mod peer;
 pub mod pool;
+pub mod proof;
 pub mod quarantine_filter;
 pub mod queue_weight;
 pub mod quotas;
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -18,6 +18,7 @@
 use crate::proxy::dialect;
 use crate::proxy::headers;
 use crate::proxy::pool;
+use crate::proxy::proof;
 use crate::proxy::received_body;
 use crate::proxy::refuse;
 use crate::proxy::request_head;
@@ -117,7 +118,8 @@
             }
             // A refusal without a delay would make the caller wait for a second, the default,
             // though a slot is free now.
-            let refusal = refuse::Refusal::not_run(retry::Reason::UpstreamShed);
+            let refusal =
+                refuse::Refusal::not_run(retry::Reason::UpstreamShed).vouched(proof::By::Upstream);
             return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
         }
         Err(rejected) => return Err(disbelieve(state, &local, id.as_ref(), rejected)),
@@ -262,7 +264,7 @@
     id: Option<&header::HeaderValue>,
     end: time::Instant,
 ) -> Result<(pool::Lease, answer::Unverified), refuse::Refusal> {
-    for _ in 0..MAX_CONNECTION_TRIES {
+    for connection in 1..=MAX_CONNECTION_TRIES {
         // If the upstream's host is gone, the connection attempt is not refused. It is bounded, so
         // that another upstream can still serve the call before its deadline.
         let connect_by =
@@ -273,6 +275,10 @@
             if connect_by < end { retry::Reason::Unreachable } else { retry::Reason::TooLate };
         let lease = lease.map_err(|_| refuse::Refusal::not_run(reason))?;
         let mut lease = lease.map_err(|_| refuse::Refusal::not_run(retry::Reason::Unreachable))?;
+        if connection > 1 {
+            let to = trace::Destination::Upstream(local.address);
+            state.record_resent(&trace::Resent { id, to, connection });
+        }
         let answer = time::timeout_at(end, lease.send(request)).await;
         let answer = answer.map_err(|_| refuse::Refusal::unknown(retry::Reason::Timeout))?;
         match answer {
--- a/src/proxy/refuse.rs
+++ b/src/proxy/refuse.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::proxy::headers;
+use crate::proxy::proof;
 use crate::retry;
 
 /// Why a call has no answer of its upstream, and what its caller gets.
@@ -10,6 +11,8 @@
 pub struct Refusal {
     /// Never [`retry::Outcome::Ran`].
     pub outcome: retry::Outcome,
+    /// Who vouches for it if it says that the call was not run.
+    pub by: proof::By,
     /// Delay after which a retry may succeed; `None` if no delay can be given.
     pub retry_after: Option<time::Duration>,
     /// Status of the answer to the caller.
@@ -29,7 +32,21 @@
 
     /// The refusal of a call that ended with `outcome`.
     pub const fn new(outcome: retry::Outcome, retry_after: Option<time::Duration>) -> Self {
-        Self { outcome, retry_after, status: status(outcome) }
+        Self { outcome, by: proof::By::Here, retry_after, status: status(outcome) }
+    }
+
+    /// Sets who vouches for it.
+    pub const fn vouched(mut self, by: proof::By) -> Self {
+        self.by = by;
+        self
+    }
+
+    /// Who vouches that the call was not run; `None` if it may have run.
+    pub const fn by(&self) -> Option<proof::By> {
+        match self.outcome {
+            retry::Outcome::NotRun(_) => Some(self.by),
+            retry::Outcome::Ran | retry::Outcome::Unknown(_) => None,
+        }
     }
 
     /// Sets the delay after which a retry may succeed.
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -333,6 +333,12 @@
         }
     }
 
+    /// Counts and logs that a request is sent again on another connection.
+    pub fn record_resent(&self, resent: &trace::Resent<'_>) {
+        self.running.counts().resent.get_or_create(&[("to", resent.to.as_str())]).inc();
+        self.trace.resent(resent, self.ctx.now());
+    }
+
     /// A number that no other call of this process has. The first one is random, so that a process
     /// whose incarnation is not known yet doesn't repeat the numbers of its predecessor.
     pub fn next_number(&self) -> u64 {
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::hash;
 use std::hash::{Hash as _, Hasher as _};
+use std::net;
 use std::time;
 
 use http::header;
@@ -14,6 +15,7 @@
 use crate::node;
 use crate::notice;
 use crate::proxy::answer;
+use crate::proxy::proof;
 use crate::proxy::refuse;
 use crate::quarantine;
 use crate::retry;
@@ -69,6 +71,8 @@
     pub number: u8,
     /// Outcome of the attempt.
     pub outcome: retry::Outcome,
+    /// Who vouches that it was not run; `None` if it may have run.
+    pub by: Option<proof::By>,
     /// Whether another attempt follows.
     pub again: bool,
     /// Whether that one replaces this one, which reached no upstream.
@@ -83,6 +87,36 @@
     pub remaining: time::Duration,
 }
 
+/// Where a request is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Destination {
+    /// To another node, with the address of its host.
+    Node(host::HostId),
+    /// To the local upstream, with its address.
+    Upstream(net::SocketAddr),
+}
+
+impl Destination {
+    /// The name used in log lines and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Node(_) => "node",
+            Self::Upstream(_) => "upstream",
+        }
+    }
+}
+
+/// A request that is sent again on another connection, as nothing of it was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Resent<'a> {
+    /// Request id, if there is one.
+    pub id: Option<&'a header::HeaderValue>,
+    /// Where the request is sent.
+    pub to: Destination,
+    /// Number of the connection on which it is sent now; the first one is 1.
+    pub connection: u8,
+}
+
 /// A limit that an upstream names.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitInForce {
@@ -230,6 +264,7 @@
         log::info!(
             id = text(ended.id),
             outcome = refuse::name(refusal.outcome),
+            by = by(refusal.by()),
             reason = reason(refusal.outcome),
             status = refusal.status.as_u16(),
             retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
@@ -255,6 +290,24 @@
         );
     }
 
+    /// Logs a request that is sent again on another connection.
+    pub fn resent(&self, resent: &Resent<'_>, now: clock::Instant) {
+        let Some(skipped) = self.reserve_line(now) else { return };
+        let Resent { id, to, connection } = *resent;
+        let address = match to {
+            Destination::Node(host) => host.to_string(),
+            Destination::Upstream(address) => address.to_string(),
+        };
+        log::info!(
+            id = id.map(text).unwrap_or_default(),
+            to = to.as_str(),
+            address = address.as_str(),
+            connection,
+            skipped;
+            "a request is sent again on another connection as nothing of it was sent"
+        );
+    }
+
     /// Logs a nested call that is not sent.
     pub fn not_sent(&self, not_sent: &NotSent<'_>, now: clock::Instant) {
         let Some(skipped) = self.reserve_line(now) else { return };
@@ -356,6 +409,7 @@
             host = host.as_str(),
             attempt = attempt.number,
             outcome = refuse::name(attempt.outcome),
+            by = by(attempt.by),
             reason = reason(attempt.outcome),
             again = attempt.again,
             diverted = attempt.diverted,
@@ -424,6 +478,10 @@
     id.to_str().unwrap_or("not text")
 }
 
+fn by(by: Option<proof::By>) -> &'static str {
+    by.map_or("", proof::By::as_str)
+}
+
 fn reason(outcome: retry::Outcome) -> &'static str {
     outcome.reason().map_or("", retry::Reason::as_str)
 }
--- a/src/retry/counts.rs
+++ b/src/retry/counts.rs
@@ -1,8 +1,9 @@
 //! Counts of the decisions on retries.
 
 use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
 
-/// Counts of the decisions of an entry node on retries.
+/// Counts of the decisions of a node on retries.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
     /// Attempts that reached no upstream and were replaced by attempts at other hosts.
@@ -13,4 +14,7 @@
     pub given_up: counter::Counter,
     /// Nested calls that were not sent, as their running call had lost another one.
     pub not_sent: counter::Counter,
+    /// Requests that were sent again on another connection, by where they go: nothing of them had
+    /// been sent on the connection before.
+    pub resent: family::Family<[(&'static str, &'static str); 1], counter::Counter>,
 }
