--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -41,11 +41,15 @@
 #[derive(Debug)]
 pub enum Verified {
     /// The upstream has not run the request and never will.
-    NotRun(http::Response<Incoming>),
+    NotRun(http::Response<Incoming>, NotRun),
     /// The upstream ran the request.
     Ran(http::Response<Incoming>),
 }
 
+/// The word of the upstream, in its answer to a request, that it has not run the request.
+#[derive(Debug)]
+pub struct NotRun(());
+
 /// Why an answer is not believed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Mismatch {
@@ -115,7 +119,7 @@
             return Err(Rejected { mismatch, echo, status: Some(answer.status()) });
         }
         let not_run = expected.dialect.is_not_run(answer.status(), answer.headers());
-        Ok(if not_run { Verified::NotRun(answer) } else { Verified::Ran(answer) })
+        Ok(if not_run { Verified::NotRun(answer, NotRun(())) } else { Verified::Ran(answer) })
     }
 }
 
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -19,6 +19,7 @@
 use crate::proxy::internode;
 use crate::proxy::organisations;
 use crate::proxy::owner;
+use crate::proxy::proof;
 use crate::proxy::queue_weight;
 use crate::proxy::refuse;
 use crate::proxy::request_head;
@@ -188,9 +189,10 @@
 pub async fn run<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     call: &Call,
+    unsent: proof::Unsent,
     resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let result = make_attempts(state, call, resources).await;
+    let result = make_attempts(state, call, unsent, resources).await;
     let failed = result.as_ref().map_or(true, |answer| answer.status().is_server_error());
     if let Some(nested_call) = call.nested_call.as_ref().filter(|_| failed) {
         nested_call.lose();
@@ -202,14 +204,15 @@
 async fn make_attempts<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     call: &Call,
+    unsent: proof::Unsent,
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let mut avoid = Vec::new();
     let mut tries = Tries { attempt: 1, ..Tries::default() };
-    let mut previous = None;
-    let mut unknown = None;
+    let (mut attempts, mut unsent) = proof::Attempts::new(unsent);
     loop {
-        let mut failed = match try_once(state, call, tries, &avoid, &mut resources).await {
+        let attempt = try_once(state, call, tries, &avoid, unsent, &mut resources);
+        let mut failed = match attempt.await {
             Ok(answer) => {
                 // The retry budget of a service is a share of its callers' calls. Nested calls may
                 // be three times as many and would raise the budget beyond that share.
@@ -221,11 +224,9 @@
             Err(failed) => failed,
         };
         if failed.host.is_none() {
-            // The reason of the previous attempt says more than that no other upstream remains.
-            failed.refusal = previous.unwrap_or(failed.refusal);
+            failed.refusal = attempts.last_or(failed.refusal);
         }
-        unknown = unknown.or(unknown_reason(failed.refusal.outcome));
-        let outcome = failed.refusal.outcome;
+        let outcome = failed.refusal.outcome();
         let diverted = diverts(state, call, tries, &failed, &avoid);
         let decision = if diverted {
             state.running.counts().diverted.inc();
@@ -236,17 +237,16 @@
         log_failure(state, call, tries, &failed, &decision, diverted);
         match decision {
             retry::Decision::Again { avoid: host } => avoid.extend(host),
-            retry::Decision::Final { outcome, retry_after } => {
-                // The last attempt did not run, but an earlier one may have.
-                let outcome = unknown.map_or(outcome, retry::Outcome::Unknown);
-                let by = failed.refusal.by;
+            // The outcome of the decision is that of the last attempt; an earlier one may have run.
+            retry::Decision::Final { retry_after, .. } => {
+                let refusal = attempts.end(failed.refusal, retry_after);
                 if let Some(count) = resources.count.take() {
-                    count.ended(outcome);
+                    count.ended(refusal.outcome());
                 }
-                return Err(refuse::Refusal::new(outcome, retry_after).vouched(by));
+                return Err(refusal);
             }
         }
-        previous = Some(failed.refusal);
+        unsent = attempts.again(failed.refusal);
         tries.unreachable =
             if outcome.is_unreachable() { tries.unreachable.saturating_add(1) } else { 0 };
         if outcome.is_limited() {
@@ -259,14 +259,6 @@
     }
 }
 
-/// The reason why it is unknown whether an attempt ran; `None` if it is known.
-const fn unknown_reason(outcome: retry::Outcome) -> Option<retry::Reason> {
-    match outcome {
-        retry::Outcome::Unknown(reason) => Some(reason),
-        retry::Outcome::NotRun(_) | retry::Outcome::Ran => None,
-    }
-}
-
 /// Whether the failed attempt is replaced by one at another host. `avoid` are the hosts of the
 /// attempts before.
 fn diverts<C: claim::Claims>(
@@ -286,7 +278,7 @@
         run_lost: call.nested_call.as_ref().is_some_and(running_calls::NestedCall::is_run_lost),
     };
     let facts = facts(state, call, tries, failed);
-    retry::diverts(&facts, &diversion, failed.refusal.outcome, state.ctx.now())
+    retry::diverts(&facts, &diversion, failed.refusal.outcome(), state.ctx.now())
 }
 
 /// Decides what follows the failed attempt. A nested call may wait for the others of its running
@@ -298,7 +290,7 @@
     failed: &Failed,
 ) -> retry::Decision {
     let facts = facts(state, call, tries, failed);
-    let outcome = failed.refusal.outcome;
+    let outcome = failed.refusal.outcome();
     let Some(nested_call) = &call.nested_call else {
         let now = state.ctx.now();
         return state.budget(call.service(), |budget| retry::decide(&facts, outcome, budget, now));
@@ -339,7 +331,7 @@
         answered_bytes: 0,
         buffered: call.body.is_repeatable(),
         host: failed.host,
-        retry_after: failed.refusal.retry_after,
+        retry_after: failed.refusal.retry_after(),
     }
 }
 
@@ -359,7 +351,7 @@
         service: &call.service().name,
         host: failed.host,
         number: tries.attempt,
-        outcome: failed.refusal.outcome,
+        outcome: failed.refusal.outcome(),
         by: failed.refusal.by(),
         again: matches!(decision, retry::Decision::Again { .. }),
         diverted,
@@ -377,25 +369,27 @@
     call: &Call,
     tries: Tries,
     avoid: &[host::HostId],
+    unsent: proof::Unsent,
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, Failed> {
     // Checked before each attempt: retries would carry a request that crashes upstreams to each
     // one.
     let check = state.quarantine.check_entry(|| call.fingerprint(&state.fingerprinter));
-    check.map_err(|refusal| Failed { refusal, host: None })?;
-    let choice = choice::choose(state, call, avoid);
-    let choice = choice.map_err(|refusal| Failed { refusal, host: None })?;
+    let no_host = |refusal| Failed { refusal, host: None };
+    let ((), unsent) = unsent.check(check).map_err(no_host)?;
+    let choice = unsent.check(choice::choose(state, call, avoid));
+    let (choice, unsent) = choice.map_err(no_host)?;
     resources.start_attempt(state.ctx, &state.picker, choice);
     let mut request = call.request(tries.attempt, state.dialect.verbose);
     let result = if choice.host == state.me {
         internode::set_host(&mut request, call.head.host.as_ref());
-        let result = owner::run(state, &call.spec(), request, resources).await;
+        let result = owner::run(state, &call.spec(), request, unsent, resources).await;
         if let Some(attempt) = resources.attempt.as_mut().filter(|_| result.is_err()) {
             attempt.set_load(Some(state.slots.load()), state.relayed_notice());
         }
         result
     } else {
-        remote::run(state, call, tries, choice.host, request, resources).await
+        remote::run(state, call, tries, choice.host, request, unsent, resources).await
     };
     record_old(state, call, choice.target.group, &result);
     if let Ok(answer) = &result {
@@ -403,13 +397,13 @@
         let bytes = bytes.exact().unwrap_or(bytes.lower());
         state.sizes.borrow_mut().record(&call.kind().name, bytes);
     }
-    result.map_err(|mut refusal| {
+    result.map_err(|refusal| {
         let fault = call.body.fault();
         if let Some(attempt) = resources.attempt.as_mut().filter(|_| fault.is_some()) {
             attempt.record_broken_off();
         }
-        let outcome = resources.fail_attempt(refusal.outcome, refusal.retry_after);
-        refusal.outcome = with_body_fault(outcome, fault);
+        let outcome = resources.fail_attempt(refusal.outcome(), refusal.retry_after());
+        let refusal = with_body_fault(refusal.weakened_to(outcome), fault);
         Failed { refusal, host: Some(choice.host) }
     })
 }
@@ -431,9 +425,9 @@
 
 /// Replaces the reason of an unknown outcome by that of the request's body, if the body ended
 /// early.
-fn with_body_fault(outcome: retry::Outcome, fault: Option<retry::Reason>) -> retry::Outcome {
-    match (outcome, fault) {
-        (retry::Outcome::Unknown(_), Some(fault)) => retry::Outcome::Unknown(fault),
-        _ => outcome,
+fn with_body_fault(refusal: refuse::Refusal, fault: Option<retry::Reason>) -> refuse::Refusal {
+    match fault {
+        Some(fault) if !refusal.is_not_run() => refusal.weakened(fault),
+        _ => refusal,
     }
 }
--- a/src/proxy/call/remote.rs
+++ b/src/proxy/call/remote.rs
@@ -11,6 +11,7 @@
 use crate::proxy::call;
 use crate::proxy::headers;
 use crate::proxy::internode;
+use crate::proxy::proof;
 use crate::proxy::received_body;
 use crate::proxy::refuse;
 use crate::proxy::resources;
@@ -26,10 +27,12 @@
     tries: call::Tries,
     host: host::HostId,
     mut request: http::Request<upload::Upload>,
+    unsent: proof::Unsent,
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let now = state.ctx.now();
-    internode::wrap(&mut request, call.head.host.as_ref(), &call.spec(), now)?;
+    let wrapped = internode::wrap(&mut request, call.head.host.as_ref(), &call.spec(), now);
+    let ((), unsent) = unsent.check(wrapped)?;
     if let Some(notice) = state.heard.borrow_mut().header(host, now) {
         request.headers_mut().insert(headers::NOTICE, notice);
     }
@@ -38,12 +41,13 @@
         attempt.set_expected(attempt::Expected { run, deadline: call.deadline });
     }
     let end = state.timer(call.deadline) + call::REPLY_GRACE;
-    let limit = connect_timeout(state, call, tries);
+    let wait = (end, connect_timeout(state, call, tries));
     let resent = |map: &header::HeaderMap, connection| {
         let to = trace::Destination::Node(host);
         state.record_resent(&trace::Resent { id: map.get(&state.dialect.id), to, connection });
     };
-    let mut answer = internode::call_within(&state.links, host, request, end, limit, resent).await;
+    let answer = internode::call_within(&state.links, host, request, unsent, wait, resent);
+    let mut answer = answer.await;
     answer.bound_ran(state.ctx.now().since(now));
     // A refusal without a notice tells nothing: the node may have started anew and not know its
     // upstream yet.
--- a/src/proxy/call/tests.rs
+++ b/src/proxy/call/tests.rs
@@ -11,6 +11,8 @@
 use crate::mesh;
 use crate::pick;
 use crate::proxy::attempt;
+use crate::proxy::proof;
+use crate::proxy::refuse;
 use crate::proxy::resources;
 use crate::retry;
 use crate::rollout;
@@ -77,3 +79,20 @@
     });
     assert!(given_up > 0);
 }
+
+/// Guards against a body that ended early and turns what is proven into something else, or what is
+/// unknown into something proven.
+#[test]
+fn a_fault_of_the_body_replaces_the_reason_of_an_unknown_outcome_only() {
+    let (full, cut) = (retry::Reason::Full, retry::Reason::Cut);
+    let not_run = || refuse::Refusal::unsent(proof::Unsent::fresh(), full);
+    let unknown = || refuse::Refusal::unknown(full);
+    for (refusal, fault, outcome) in [
+        (not_run(), Some(cut), retry::Outcome::NotRun(full)),
+        (not_run(), None, retry::Outcome::NotRun(full)),
+        (unknown(), Some(cut), retry::Outcome::Unknown(cut)),
+        (unknown(), None, retry::Outcome::Unknown(full)),
+    ] {
+        assert_eq!(super::with_body_fault(refusal, fault).outcome(), outcome);
+    }
+}
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -25,6 +25,7 @@
 use crate::proxy::entry;
 use crate::proxy::frame;
 use crate::proxy::overload;
+use crate::proxy::proof;
 use crate::proxy::refuse;
 use crate::proxy::state;
 use crate::proxy::wiring;
@@ -279,10 +280,11 @@
 
     /// Refuses bytes that are no valid request and reads no further request.
     async fn refuse(&mut self, fault: frame::Fault) -> End {
-        let mut refusal = refuse::Refusal::not_run(fault.reason());
+        let mut cause = refuse::Cause::new(fault.reason());
         if fault == frame::Fault::TooLarge {
-            refusal.status = http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            cause = cause.status(http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
         }
+        let refusal = refuse::Refusal::unsent(proof::Unsent::fresh(), cause);
         log::info!(reason:% = fault; "refused an invalid request of a caller");
         self.unanswered.send_modify(|unanswered| *unanswered += 1);
         // The writer has ended only if the connection has.
@@ -294,7 +296,7 @@
 
 /// A response written without hyper, after which the connection ends.
 fn refusal_response(refusal: &refuse::Refusal) -> Bytes {
-    let status = refusal.status;
+    let status = refusal.status();
     let reason = status.canonical_reason().unwrap_or_default();
     let code = status.as_u16();
     format!("HTTP/1.1 {code} {reason}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n").into()
--- a/src/proxy/choice.rs
+++ b/src/proxy/choice.rs
@@ -27,7 +27,7 @@
     state: &state::State<C>,
     call: &call::Call,
     avoid: &[host::HostId],
-) -> Result<pick::Choice, refuse::Refusal> {
+) -> Result<pick::Choice, refuse::Cause> {
     let (now, service) = (state.ctx.now(), &call.service().name);
     let current = state.applied();
     let transfer_cost = transfer_cost(state, call);
@@ -40,18 +40,18 @@
     choice.ok_or_else(|| no_upstream(state, call, &current))
 }
 
-/// The refusal of a call for which there is no upstream.
+/// Why there is no upstream for a call.
 fn no_upstream<C: claim::Claims>(
     state: &state::State<C>,
     call: &call::Call,
     current: &Arc<mesh::Applied>,
-) -> refuse::Refusal {
+) -> refuse::Cause {
     let (now, rank) = (state.ctx.now(), call.spec().rank());
     let target = call.target(current, rollout::VersionGroup::Any);
     let room_at = target.and_then(|target| state.picker.borrow().room_at(target, rank, now));
-    room_at.map_or(refuse::Refusal::not_run(retry::Reason::NoUpstream), |room_at| {
+    room_at.map_or(refuse::Cause::new(retry::Reason::NoUpstream), |room_at| {
         let retry_after = admit::stagger(room_at.since(now), admit::Ticket(state.next_number()));
-        refuse::Refusal::not_run(retry::Reason::Limited).retry_in(retry_after)
+        refuse::Cause::new(retry::Reason::Limited).retry_in(retry_after)
     })
 }
 
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -20,6 +20,7 @@
 use crate::proxy::headers;
 use crate::proxy::idempotency;
 use crate::proxy::organisations;
+use crate::proxy::proof;
 use crate::proxy::quotas;
 use crate::proxy::received_body;
 use crate::proxy::refuse;
@@ -44,6 +45,7 @@
     state: Rc<state::State<C>>,
     request: http::Request<Incoming>,
 ) -> http::Response<body::Reply> {
+    let unsent = proof::Unsent::fresh();
     let (parts, incoming) = request.into_parts();
     let (began, version) = (state.ctx.now(), state.applied.borrow().version_id.version);
     let head = request_head::RequestHead::read(
@@ -58,12 +60,12 @@
             head.headers.remove(&state.dialect.organisation);
             let id = head.id.clone();
             let result = tokio::select! {
-                result = serve(&state, head, incoming) => result,
+                result = serve(&state, head, incoming, unsent) => result,
                 () = state.wait_answer_deadline() => Err(STOPPED),
             };
             (Some(id), result)
         }
-        Err(refusal) => (None, Err(refusal)),
+        Err(cause) => (None, Err(refuse::Refusal::unsent(unsent, cause))),
     };
     if let Some(id) = &id {
         log_end(&state, id, &result, version, began);
@@ -118,32 +120,37 @@
     state: &Rc<state::State<C>>,
     mut head: request_head::RequestHead,
     incoming: Incoming,
+    unsent: proof::Unsent,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let in_flight = Some(state.in_flight.enter());
     state.overload.call_entered();
     let started = state.ctx.now();
     if state.is_draining() {
-        return Err(refuse::Refusal::not_run(retry::Reason::Draining).retry_in(state.retry_delay()));
+        let cause = refuse::Cause::new(retry::Reason::Draining).retry_in(state.retry_delay());
+        return Err(refuse::Refusal::unsent(unsent, cause));
     }
     let applied = state.applied();
-    let route = find_route(state, &applied, &head)?;
+    let (route, unsent) = unsent.check(find_route(state, &applied, &head))?;
     let parent = state.running.parent_of(&head.id);
     let matched = applied.mesh.route(route);
     let caller = organisations::identify(&applied.mesh, matched, parent.as_ref(), &mut head);
-    let caller = caller.inspect_err(|_| state.quotas.record_unauthenticated())?;
+    let caller = caller.inspect_err(|_| state.quotas.record_unauthenticated());
+    let (caller, unsent) = unsent.check(caller)?;
     let charged = caller.as_ref().and_then(|caller| caller.charged);
     let caller_try = caller_try(state, &head, started);
     let spent = match charged.map(|key| applied.mesh.organisation(key)) {
         Some(organisation) => take_credit(state, &head.id, organisation)
             .await
-            .inspect_err(|_| record_failed(state, caller_try))?,
-        None => None,
+            .inspect_err(|_| record_failed(state, caller_try)),
+        None => Ok(None),
     };
+    let (spent, unsent) = unsent.check(spent)?;
     let nested = parent.is_some();
-    let arrival = Arrival { head, incoming, applied, route, caller, nested, caller_try, started };
+    let arrival =
+        Arrival { unsent, head, incoming, applied, route, caller, nested, caller_try, started };
     let resources = resources::Resources { in_flight, ..resources::Resources::default() };
     let result = run(state, arrival, resources).await;
-    if let Err(refuse::Refusal { outcome: retry::Outcome::NotRun(_), .. }) = result
+    if result.as_ref().is_err_and(refuse::Refusal::is_not_run)
         && let Some(spent) = &spent
     {
         state.quotas.give_back(spent);
@@ -156,10 +163,10 @@
     state: &state::State<C>,
     id: &header::HeaderValue,
     organisation: &mesh::Organisation,
-) -> Result<Option<quotas::Spent>, refuse::Refusal> {
+) -> Result<Option<quotas::Spent>, refuse::Cause> {
     let taken = state.quotas.take(organisation).await;
-    taken.inspect_err(|refusal| {
-        let retry_after = refusal.retry_after.unwrap_or_default();
+    taken.inspect_err(|cause| {
+        let retry_after = cause.retry_after().unwrap_or_default();
         let limited = trace::Limited { id, organisation, retry_after };
         state.trace.limited(&limited, state.ctx.now());
     })
@@ -167,6 +174,7 @@
 
 /// A request that may run.
 struct Arrival {
+    unsent: proof::Unsent,
     head: request_head::RequestHead,
     incoming: Incoming,
     /// Configuration in force when it arrived.
@@ -188,7 +196,8 @@
     arrival: Arrival,
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let Arrival { head, incoming, applied, route, caller, nested, caller_try, started } = arrival;
+    let Arrival { unsent, head, incoming, applied, route, caller, nested, caller_try, started } =
+        arrival;
     let kind = applied.mesh.route(route).kind;
     let service = state.traffic_split.borrow_mut().next(applied.mesh.route(route));
     resources.count = Some(count::Pending::new(
@@ -209,13 +218,13 @@
         let name = &applied.mesh.kind(kind).name;
         let nested_call = begin_nested(state, &head.id, name)?;
         let body = read_body(state, incoming, limit, deadline).await?;
-        Ok::<_, refuse::Refusal>((nested_call, body))
+        Ok::<_, refuse::Cause>((nested_call, body))
     };
-    let (nested_call, body) = match received.await {
+    let ((nested_call, body), unsent) = match unsent.check(received.await) {
         Ok(received) => received,
         Err(refusal) => {
             if let Some(count) = resources.count.take() {
-                count.ended(refusal.outcome);
+                count.ended(refusal.outcome());
             }
             return Err(refusal);
         }
@@ -237,14 +246,14 @@
     };
     let key = call.head.idempotency_key.clone().filter(|_| !call.kind().idempotent);
     let Some(key) = key else {
-        let result = call::run(state, &call, resources).await;
+        let result = call::run(state, &call, unsent, resources).await;
         if result.is_err() && !nested {
             record_failed(state, caller_try);
         }
         return result;
     };
     // A call with a key goes on when its caller leaves, as the caller may retry and get its answer.
-    let run = task::spawn_local(idempotency::run(Rc::clone(state), call, resources, key));
+    let run = task::spawn_local(idempotency::run(Rc::clone(state), call, unsent, resources, key));
     run.await.unwrap_or(Err(refuse::Refusal::unknown(retry::Reason::Cancelled)))
 }
 
@@ -258,14 +267,14 @@
     state: &state::State<C>,
     id: &header::HeaderValue,
     kind: &SmolStr,
-) -> Result<Option<running_calls::NestedCall>, refuse::Refusal> {
+) -> Result<Option<running_calls::NestedCall>, refuse::Cause> {
     if !state.settings.call.sibling_repeats {
         return Ok(None);
     }
     let begun = state.running.begin_nested(id, kind);
     begun.map_err(|loss| {
         state.trace.not_sent(&trace::NotSent { id, kind, loss: &loss }, state.ctx.now());
-        refuse::Refusal::not_run(retry::Reason::Full).retry_in(state.retry_delay())
+        refuse::Cause::new(retry::Reason::Full).retry_in(state.retry_delay())
     })
 }
 
@@ -302,16 +311,16 @@
     state: &state::State<C>,
     applied: &mesh::Applied,
     head: &request_head::RequestHead,
-) -> Result<mesh::RouteKey, refuse::Refusal> {
+) -> Result<mesh::RouteKey, refuse::Cause> {
     if applied.version_id.version == version::Version::NONE {
-        return Err(refuse::Refusal::not_run(retry::Reason::NotReady).retry_in(state.retry_delay()));
+        return Err(refuse::Cause::new(retry::Reason::NotReady).retry_in(state.retry_delay()));
     }
     if head.depth >= MAX_DEPTH {
-        return Err(refuse::Refusal::not_run(retry::Reason::TooDeep));
+        return Err(refuse::Cause::new(retry::Reason::TooDeep));
     }
     let host = head.host.as_ref().map(http::uri::Authority::as_str);
     let route = applied.mesh.find(host, &head.method, head.path.path());
-    route.ok_or(refuse::Refusal::not_run(retry::Reason::NoRoute))
+    route.ok_or(refuse::Cause::new(retry::Reason::NoRoute))
 }
 
 /// Maximum duration of a call on `route` whose caller waits for `remaining`, if it sent that time.
@@ -330,18 +339,16 @@
     incoming: Incoming,
     limit: u64,
     deadline: clock::Instant,
-) -> Result<upload::Body, refuse::Refusal> {
+) -> Result<upload::Body, refuse::Cause> {
     if deadline.since(state.ctx.now()) == time::Duration::ZERO {
-        return Err(refuse::Refusal::not_run(retry::Reason::TooLate).retry_in(state.retry_delay()));
+        return Err(refuse::Cause::new(retry::Reason::TooLate).retry_in(state.retry_delay()));
     }
     let received = received_body::ReceivedBody::new(incoming, received_body::Carrier::Http1);
     let bounds = state.bounds(limit);
     let mut reader = upload::Immediate;
     let read = upload::Body::read(received, &bounds, &mut reader);
     match tokio::time::timeout_at(state.timer(deadline), read).await {
-        Ok(body) => body.map_err(refuse::Refusal::not_run),
-        Err(_) => {
-            Err(refuse::Refusal::not_run(retry::Reason::TooLate).retry_in(state.retry_delay()))
-        }
+        Ok(body) => body.map_err(refuse::Cause::new),
+        Err(_) => Err(refuse::Cause::new(retry::Reason::TooLate).retry_in(state.retry_delay())),
     }
 }
--- a/src/proxy/held_answers.rs
+++ b/src/proxy/held_answers.rs
@@ -12,6 +12,8 @@
 use crate::claim;
 use crate::proxy::body;
 use crate::proxy::headers;
+use crate::proxy::proof;
+use crate::proxy::refuse;
 
 /// Bytes counted for an answer in addition to its body.
 const OVERHEAD_BYTES: usize = 512;
@@ -54,13 +56,29 @@
     }
 }
 
+/// The proof that the first call of a key did not run.
+#[derive(Clone, Copy, Debug)]
+pub struct Released(proof::By);
+
+impl Released {
+    /// The proof in `refusal`, that of the call; `None` if the call may have run.
+    pub fn of(refusal: &refuse::Refusal) -> Option<Self> {
+        refusal.by().map(Self)
+    }
+
+    /// Who vouches for it.
+    pub const fn by(self) -> proof::By {
+        self.0
+    }
+}
+
 /// The state of the first call of a key.
 #[derive(Clone, Debug)]
 pub enum FirstCall {
     /// It ran; this is its answer.
     Answer(Answer),
     /// It is proven not to have run, and its claim is released.
-    Released,
+    Released(Released),
     /// Nothing is known, or the key was used for another request.
     Unknown,
 }
@@ -183,8 +201,8 @@
     }
 
     /// The call is proven not to have run.
-    pub fn released(self) {
-        self.sender.send_replace(Some(FirstCall::Released));
+    pub fn released(self, released: Released) {
+        self.sender.send_replace(Some(FirstCall::Released(released)));
         self.held.hold(self.id, OVERHEAD_BYTES);
     }
 }
--- a/src/proxy/idempotency.rs
+++ b/src/proxy/idempotency.rs
@@ -12,6 +12,7 @@
 use crate::proxy::headers;
 use crate::proxy::held_answers;
 use crate::proxy::internode;
+use crate::proxy::proof;
 use crate::proxy::received_body;
 use crate::proxy::refuse;
 use crate::proxy::resources;
@@ -54,6 +55,7 @@
 pub async fn run<C: claim::Claims>(
     state: Rc<state::State<C>>,
     call: call::Call,
+    unsent: proof::Unsent,
     mut resources: resources::Resources,
     key_header: header::HeaderValue,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
@@ -68,11 +70,16 @@
         let mut claim = Claim { claims: state.claims.clone(), key, attempt, confirmed: false };
         let verdict = match state.claims.claim(key, attempt, call.deadline).await {
             Ok(verdict) => verdict,
-            Err(error) => return Err(count_end(&mut resources, claim_refusal(error))),
+            Err(error) => {
+                let refusal = refuse::Refusal::unsent(unsent, claim_cause(error));
+                return Err(count_end(&mut resources, refusal));
+            }
         };
         claim.confirmed = true;
         let other = match verdict {
-            claim::Verdict::First => return first(&state, &call, resources, claim, pending).await,
+            claim::Verdict::First => {
+                return first(&state, &call, unsent, resources, (claim, pending)).await;
+            }
             claim::Verdict::Taken(other) => other,
         };
         drop(pending);
@@ -80,8 +87,8 @@
             return result.map_err(|refusal| count_end(&mut resources, refusal));
         }
     }
-    let refusal = refuse::Refusal::not_run(retry::Reason::Conflict).retry_in(state.retry_delay());
-    Err(count_end(&mut resources, refusal))
+    let cause = refuse::Cause::new(retry::Reason::Conflict).retry_in(state.retry_delay());
+    Err(count_end(&mut resources, refuse::Refusal::unsent(unsent, cause)))
 }
 
 /// The key of a caller, which is its organisation's own: another organisation may use the same text
@@ -98,18 +105,20 @@
 async fn first<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     call: &call::Call,
+    unsent: proof::Unsent,
     resources: resources::Resources,
-    claim: Claim<C>,
-    pending: held_answers::PendingAnswer,
+    (claim, pending): (Claim<C>, held_answers::PendingAnswer),
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let result = call::run(state, call, resources).await;
+    let result = call::run(state, call, unsent, resources).await;
     match &result {
         Ok(answer) => pending.ran(answer),
-        Err(refusal) if matches!(refusal.outcome, retry::Outcome::NotRun(_)) => {
-            claim.release();
-            pending.released();
-        }
-        Err(_) => drop(pending),
+        Err(refusal) => match held_answers::Released::of(refusal) {
+            Some(released) => {
+                claim.release();
+                pending.released(released);
+            }
+            None => drop(pending),
+        },
     }
     result
 }
@@ -128,18 +137,18 @@
     if other.host == state.me {
         return match time::timeout_at(end, state.held_answers.find(id, request_hash)).await {
             Ok(held_answers::FirstCall::Answer(answer)) => Some(Ok(answer.replay())),
-            Ok(held_answers::FirstCall::Released) => None,
+            Ok(held_answers::FirstCall::Released(_)) => None,
             Ok(held_answers::FirstCall::Unknown) | Err(_) => Some(Err(UNKNOWN)),
         };
     }
     let request = internode::held_answer_request(id, request_hash, call.deadline, state.ctx.now());
-    let Some(request) = request else { return Some(Err(UNKNOWN)) };
-    let answer = internode::call(&state.links, other.host, request, end).await;
+    let Some((request, unsent)) = request else { return Some(Err(UNKNOWN)) };
+    let answer = internode::call(&state.links, other.host, request, unsent, end).await;
     match answer.result {
         Ok(answer) => Some(read(state, answer, end).await.map_err(|_| UNKNOWN)),
-        Err(refuse::Refusal {
-            outcome: retry::Outcome::NotRun(retry::Reason::Conflict), ..
-        }) => None,
+        Err(refusal) if refusal.outcome() == retry::Outcome::NotRun(retry::Reason::Conflict) => {
+            None
+        }
         Err(_) => Some(Err(UNKNOWN)),
     }
 }
@@ -163,17 +172,17 @@
 /// Counts a call that ended before its first attempt.
 fn count_end(resources: &mut resources::Resources, refusal: refuse::Refusal) -> refuse::Refusal {
     if let Some(count) = resources.count.take() {
-        count.ended(refusal.outcome);
+        count.ended(refusal.outcome());
     }
     refusal
 }
 
-fn claim_refusal(error: claim::Error) -> refuse::Refusal {
+fn claim_cause(error: claim::Error) -> refuse::Cause {
     match error {
         claim::Error::Unavailable { retry_after } | claim::Error::Busy { retry_after } => {
-            refuse::Refusal::not_run(retry::Reason::LogDown).retry_in(retry_after)
+            refuse::Cause::new(retry::Reason::LogDown).retry_in(retry_after)
         }
-        claim::Error::Late => refuse::Refusal::not_run(retry::Reason::TooLate),
+        claim::Error::Late => refuse::Cause::new(retry::Reason::TooLate),
     }
 }
 
--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -27,6 +27,10 @@
 /// Maximum number of connections tried if they close before anything was sent.
 const MAX_CONNECTION_TRIES: u8 = 3;
 
+/// The word of another node, in its answer to a request, that the request was not run.
+#[derive(Debug)]
+pub struct NotRun(());
+
 /// The answer of another node.
 #[derive(Debug)]
 pub struct Answer {
@@ -75,8 +79,8 @@
     host: Option<&http::uri::Authority>,
     spec: &call_spec::CallSpec<'_>,
     now: clock::Instant,
-) -> Result<(), refuse::Refusal> {
-    const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
+) -> Result<(), refuse::Cause> {
+    const MALFORMED: refuse::Cause = refuse::Cause::new(retry::Reason::Malformed);
     let mut uri = std::mem::take(request.uri_mut()).into_parts();
     uri.scheme = Some(http::uri::Scheme::HTTP);
     let none = || http::uri::Authority::from_static(NO_HOST);
@@ -129,8 +133,8 @@
 pub fn unwrap(
     mut parts: http::request::Parts,
     upload: upload::Upload,
-) -> Result<http::Request<upload::Upload>, refuse::Refusal> {
-    const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
+) -> Result<http::Request<upload::Upload>, refuse::Cause> {
+    const MALFORMED: refuse::Cause = refuse::Cause::new(retry::Reason::Malformed);
     let host = parts.uri.authority().filter(|a| a.as_str() != NO_HOST).cloned();
     for name in [
         headers::SERVICE,
@@ -154,35 +158,37 @@
     Ok(request)
 }
 
-/// Sends a call to the node on `host` and reads the head of its answer.
+/// Sends a request to the node on `host` and reads the head of its answer.
 pub async fn call(
     links: &links::Links,
     host: host::HostId,
     request: http::Request<upload::Upload>,
+    unsent: proof::Unsent,
     end: time::Instant,
 ) -> Answer {
-    call_within(links, host, request, end, None, |_, _| ()).await
+    call_within(links, host, request, unsent, (end, None), |_, _| ()).await
 }
 
-/// Like [`call()`], where the connection is awaited for at most `limit`, if one is given. `resent` is
+/// Like [`call()`], until `end`, where the connection is awaited for at most `limit`, if one is given.
+/// `resent` is
 /// called with the headers of the request and the number of the connection, from 2, before the
 /// request is sent again as nothing of it was sent on the connection before.
 pub async fn call_within(
     links: &links::Links,
     host: host::HostId,
     mut request: http::Request<upload::Upload>,
-    end: time::Instant,
-    limit: Option<time::Duration>,
+    mut unsent: proof::Unsent,
+    (end, limit): (time::Instant, Option<time::Duration>),
     resent: impl Fn(&header::HeaderMap, u8),
 ) -> Answer {
     for connection in 1..=MAX_CONNECTION_TRIES {
         let link = time::timeout_at(end, links.get_within(host, limit)).await;
         let mut link = match link {
-            Err(_) => return refuse::Refusal::not_run(retry::Reason::TooLate).into(),
+            Err(_) => return refuse::Refusal::unsent(unsent, retry::Reason::TooLate).into(),
             Ok(Err(error)) => {
                 log::debug!("no connection to {host}: {error}");
                 let given_up = matches!(error, links::Error::GivenUp);
-                let refusal = refuse::Refusal::not_run(retry::Reason::Unreachable);
+                let refusal = refuse::Refusal::unsent(unsent, retry::Reason::Unreachable);
                 return Answer { given_up, ..refusal.into() };
             }
             Ok(Ok(link)) => link,
@@ -190,24 +196,38 @@
         if connection > 1 {
             resent(request.headers(), connection);
         }
-        let answer = time::timeout_at(end, link.try_send_request(request)).await;
-        match answer {
+        match time::timeout_at(end, send(&mut link, request, unsent)).await {
             Err(_) => return refuse::Refusal::unknown(retry::Reason::Timeout).into(),
             Ok(Ok(answer)) => return read(answer),
-            Ok(Err(mut failed)) => match failed.take_message() {
-                // Nothing was sent, as the connection was closed in the meantime.
-                Some(unsent) => request = unsent,
-                None => return lost_call(host, failed.error()).into(),
-            },
+            Ok(Err(Failed::Unsent(returned, token))) => (request, unsent) = (*returned, token),
+            Ok(Err(Failed::Lost(error))) => {
+                log::debug!("call lost on the way to {host}: {error}");
+                return refuse::Refusal::unknown(retry::Reason::Cut).into();
+            }
         }
     }
-    refuse::Refusal::not_run(retry::Reason::Unreachable).into()
+    refuse::Refusal::unsent(unsent, retry::Reason::Unreachable).into()
 }
 
-/// The refusal of a call whose connection or stream failed.
-fn lost_call(host: host::HostId, error: &hyper::Error) -> refuse::Refusal {
-    log::debug!("call lost on the way to {host}: {error}");
-    refuse::Refusal::unknown(retry::Reason::Cut)
+/// Why a request got no answer on a connection.
+enum Failed {
+    /// Nothing of the request was sent, as the connection was closed in the meantime.
+    Unsent(Box<http::Request<upload::Upload>>, proof::Unsent),
+    /// The connection or the stream failed.
+    Lost(hyper::Error),
+}
+
+/// Sends a request on `link`. Uses up `unsent`, which [`Failed::Unsent`] gives back.
+async fn send(
+    link: &mut links::Sender,
+    request: http::Request<upload::Upload>,
+    unsent: proof::Unsent,
+) -> Result<http::Response<hyper::body::Incoming>, Failed> {
+    let answer = link.try_send_request(request).await;
+    answer.map_err(|mut failed| match failed.take_message() {
+        Some(request) => Failed::Unsent(Box::new(request), unsent),
+        None => Failed::Lost(failed.into_error()),
+    })
 }
 
 fn read(mut answer: http::Response<hyper::body::Incoming>) -> Answer {
@@ -219,43 +239,45 @@
     let held = map.remove(headers::HELD_US).and_then(|v| v.to_str().ok()?.parse().ok());
     let held = held.map(time::Duration::from_micros);
     let outcome = map.remove(headers::OUTCOME);
-    let result = match outcome.as_ref().map(header::HeaderValue::as_bytes) {
-        Some(o) if o == headers::RAN.as_bytes() => Ok(answer),
-        Some(o) if o == headers::NOT_RUN.as_bytes() => Err(refusal(&answer, true)),
-        _ => Err(refusal(&answer, false)),
+    let result = match refusal(&answer, outcome.as_ref()) {
+        Some(refusal) => Err(refusal),
+        None => Ok(answer),
     };
     Answer { responded: true, load, notice, ran, held, given_up: false, result }
 }
 
-fn refusal<B>(answer: &http::Response<B>, proven: bool) -> refuse::Refusal {
+/// The refusal in `answer`, which has `outcome`; `None` if it is the upstream's answer. Anything but
+/// a plain "not run" is unknown.
+fn refusal<B>(
+    answer: &http::Response<B>,
+    outcome: Option<&header::HeaderValue>,
+) -> Option<refuse::Refusal> {
+    if outcome.is_some_and(|outcome| outcome == headers::RAN) {
+        return None;
+    }
+    let proof = outcome.filter(|outcome| *outcome == headers::NOT_RUN).map(|_| NotRun(()));
     let map = answer.headers();
     let reason = map.get(headers::REASON).and_then(|v| v.to_str().ok()?.parse().ok());
     let reason = reason.unwrap_or(retry::Reason::Malformed);
     let reason = if map.contains_key(headers::LIMITED) { retry::Reason::Limited } else { reason };
-    let refusal =
-        if proven { refuse::Refusal::not_run(reason) } else { refuse::Refusal::unknown(reason) };
-    // A node gives this reason only to a call that its upstream has rejected.
-    let by = match reason {
-        retry::Reason::UpstreamShed => proof::By::Upstream,
-        _ => proof::By::Node,
+    let refusal = match proof {
+        Some(proof) => refuse::Refusal::relayed(proof, reason),
+        None => refuse::Refusal::unknown(reason),
     };
-    let refusal = refusal.vouched(by);
-    match request_head::number(map, headers::RETRY) {
-        Ok(Some(millis)) => refusal.retry_in(time::Duration::from_millis(millis)),
-        Ok(None) | Err(_) => refusal,
-    }
+    let retry_after = request_head::number(map, headers::RETRY).ok().flatten();
+    Some(refusal.with_retry_after(retry_after.map(time::Duration::from_millis)))
 }
 
 /// Path prefix of requests for held answers.
 const HELD: &str = "/held/";
 
-/// The request for the held answer of the call `id`.
+/// The request for the held answer of the call `id`, and the token of that request.
 pub fn held_answer_request(
     id: held_answers::CallId,
     request_hash: held_answers::RequestHash,
     deadline: clock::Instant,
     now: clock::Instant,
-) -> Option<http::Request<upload::Upload>> {
+) -> Option<(http::Request<upload::Upload>, proof::Unsent)> {
     let key = u128::from_le_bytes(id.key.0);
     let uri = format!(
         "http://{NO_HOST}{HELD}{key:032x}/{:016x}/{print}",
@@ -264,7 +286,8 @@
     );
     let remaining = remaining(deadline, now);
     let request = http::Request::builder().uri(uri).header(headers::DEADLINE, remaining);
-    request.body(upload::Upload::Buffered(None)).ok()
+    let request = request.body(upload::Upload::Buffered(None)).ok()?;
+    Some((request, proof::Unsent::fresh()))
 }
 
 /// Parses the path of a request made by [`held_answer_request()`].
--- a/src/proxy/internode/tests.rs
+++ b/src/proxy/internode/tests.rs
@@ -15,7 +15,8 @@
 /// The answer of a node to an attempt of 20 ms that says that the call ran for `micros`.
 fn answer(micros: Option<u64>) -> Answer {
     let ran = micros.map(|micros| call_spec::RunTime(time::Duration::from_micros(micros)));
-    let mut answer = Answer { ran, ..refuse::Refusal::not_run(retry::Reason::Full).into() };
+    let refusal = refuse::Refusal::unsent(proof::Unsent::fresh(), retry::Reason::Full);
+    let mut answer = Answer { ran, ..refusal.into() };
     answer.bound_ran(time::Duration::from_millis(20));
     answer
 }
@@ -50,7 +51,8 @@
         .header(headers::REASON, reason)
         .body(());
     let answer = answer.expect("an answer");
-    super::refusal(&answer, outcome == headers::NOT_RUN).by().map(proof::By::as_str)
+    let refusal = super::refusal(&answer, answer.headers().get(headers::OUTCOME));
+    refusal.expect("no answer of an upstream").by().map(proof::By::as_str)
 }
 
 /// Guards against log lines that blame a node for what its upstream said, or the other way round,
--- a/src/proxy/links/tests.rs
+++ b/src/proxy/links/tests.rs
@@ -18,6 +18,7 @@
 use crate::host;
 use crate::proxy::internode;
 use crate::proxy::links;
+use crate::proxy::proof;
 use crate::proxy::upload;
 use crate::seal;
 
@@ -93,15 +94,30 @@
         let connect = time::Duration::from_millis(configs::Node::default().proxy.connect_ms);
         let end = tokio::time::Instant::now() + connect * 20;
         let request = || http::Request::new(upload::Upload::Buffered(None));
-        let answer =
-            internode::call_within(&links, node.host, request(), end, Some(LIMIT), |_, _| ()).await;
-        let outcome = answer.result.expect_err("no connection").outcome;
+        let unsent = proof::Unsent::fresh;
+        let answer = internode::call_within(
+            &links,
+            node.host,
+            request(),
+            unsent(),
+            (end, Some(LIMIT)),
+            |_, _| (),
+        )
+        .await;
+        let outcome = answer.result.expect_err("no connection").outcome();
         assert!(answer.given_up && outcome.is_unreachable());
         let silent = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let host = host::HostId::from_inner_addr(silent.local_addr().expect("an address"));
-        let answer =
-            internode::call_within(&links, host, request(), end, Some(connect), |_, _| ()).await;
-        let outcome = answer.result.expect_err("no connection").outcome;
+        let answer = internode::call_within(
+            &links,
+            host,
+            request(),
+            unsent(),
+            (end, Some(connect)),
+            |_, _| (),
+        )
+        .await;
+        let outcome = answer.result.expect_err("no connection").outcome();
         assert!(!answer.given_up && outcome.is_unreachable(), "it has waited for connect_ms");
     })
     .await;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! node ([`peer`], [`owner`]) waits for a slot ([`slots`]), sends the call to the upstream
 //! ([`pool`]) and verifies the answer ([`answer`]). The entry node then answers and counts the call
 //! ([`resources`]). When the entry node is also the owner node, nothing is sent between nodes.
+//! A refusal says "not run" only with a proof of that ([`proof`]).
 
 pub mod answer;
 pub mod attempt;
--- a/src/proxy/organisations.rs
+++ b/src/proxy/organisations.rs
@@ -38,7 +38,7 @@
     route: &mesh::Route,
     parent: Option<&running_calls::Parent>,
     head: &mut request_head::RequestHead,
-) -> Result<Option<Caller>, refuse::Refusal> {
+) -> Result<Option<Caller>, refuse::Cause> {
     if !mesh.requires_keys() {
         return Ok(None);
     }
@@ -56,7 +56,7 @@
     if route.public {
         return Ok(None);
     }
-    Err(refuse::Refusal::not_run(retry::Reason::Unauthenticated))
+    Err(refuse::Cause::new(retry::Reason::Unauthenticated))
 }
 
 fn caller(mesh: &mesh::Mesh, key: mesh::OrganisationKey) -> Caller {
--- a/src/proxy/overload.rs
+++ b/src/proxy/overload.rs
@@ -23,6 +23,7 @@
 use crate::proxy::entry;
 use crate::proxy::headers;
 use crate::proxy::organisations;
+use crate::proxy::proof;
 use crate::proxy::refuse;
 use crate::proxy::reply;
 use crate::proxy::request_head;
@@ -194,7 +195,8 @@
     if active.controller.borrow_mut().admit(priority, charged, began) == overload::Verdict::Admit {
         return None;
     }
-    let refusal = refuse::Refusal::not_run(retry::Reason::Overloaded).retry_in(state.retry_delay());
+    let cause = refuse::Cause::new(retry::Reason::Overloaded).retry_in(state.retry_delay());
+    let refusal = refuse::Refusal::unsent(proof::Unsent::fresh(), cause);
     active.counts.refused.inc();
     entry::record_failed(state, entry::caller_try(state, &head, began));
     count_refused(state, &applied, kind, began, &refusal);
@@ -220,7 +222,7 @@
     refusal: &refuse::Refusal,
 ) {
     let (tally, mesh) = (Rc::clone(&state.tally), Arc::clone(&applied.mesh));
-    count::Pending::new(state.ctx, tally, mesh, kind, began).ended(refusal.outcome);
+    count::Pending::new(state.ctx, tally, mesh, kind, began).ended(refusal.outcome());
 }
 
 /// Parses the head of a request, with only those headers that decide whether it is refused. `None`
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -60,10 +60,13 @@
     state: &Rc<state::State<C>>,
     spec: &call_spec::CallSpec<'_>,
     request: http::Request<upload::Upload>,
+    unsent: proof::Unsent,
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let result = admit(state, spec, request, resources).await;
-    if let Err(refuse::Refusal { outcome: retry::Outcome::Unknown(reason), .. }) = result {
+    let result = admit(state, spec, request, unsent, resources).await;
+    if let Err(refusal) = &result
+        && let retry::Outcome::Unknown(reason) = refusal.outcome()
+    {
         resources.report_broken(reason);
     }
     if state.rollouts.has_orders()
@@ -80,35 +83,38 @@
     state: &Rc<state::State<C>>,
     spec: &call_spec::CallSpec<'_>,
     mut request: http::Request<upload::Upload>,
+    unsent: proof::Unsent,
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    find_upstream(state, spec)?;
+    let (_, unsent) = unsent.check(find_upstream(state, spec))?;
     let arrived = state.ctx.now();
     let fingerprint = fingerprint(state, &request);
-    state.quarantine.check_owner(fingerprint)?;
+    let ((), unsent) = unsent.check(state.quarantine.check_owner(fingerprint))?;
     let slot = state.slots.enter(&slot_request(state, spec)).await;
-    resources.slot =
-        Some(slot.map_err(|refused| log_refusal(state, spec, request.headers(), refused))?);
+    let slot = slot.map_err(|refused| log_refusal(state, spec, request.headers(), refused));
+    let (slot, unsent) = unsent.check(slot)?;
+    resources.slot = Some(slot);
     // While the call waited, the upstream may have gone, or the host may have been suspended.
-    let local = find_upstream(state, spec)?;
+    let (local, unsent) = unsent.check(find_upstream(state, spec))?;
     // The request may have been quarantined while it waited.
-    state.quarantine.check_owner(fingerprint)?;
-    keep_suspects_apart(state, spec, fingerprint)?;
+    let ((), unsent) = unsent.check(state.quarantine.check_owner(fingerprint))?;
+    let ((), unsent) = unsent.check(keep_suspects_apart(state, spec, fingerprint))?;
     let began = state.ctx.now();
     let remaining = spec.deadline.since(began);
     if remaining.as_millis() == 0 {
-        return Err(refuse::Refusal::not_run(retry::Reason::TooLate).retry_in(state.retry_delay()));
+        let cause = refuse::Cause::new(retry::Reason::TooLate).retry_in(state.retry_delay());
+        return Err(refuse::Refusal::unsent(unsent, cause));
     }
     let end = state.timer(spec.deadline);
     let method = request.method().clone();
     let id = request.headers().get(&state.dialect.id).cloned();
     resources.run = Some(state.running.enter(id.clone(), fingerprint, spec.organisation.cloned()));
     add_headers(&state.dialect, &local, spec.organisation, remaining, request.headers_mut());
-    let (mut lease, answer) = send(state, &local, request, id.as_ref(), end).await?;
+    let (mut lease, answer) = send(state, &local, request, unsent, (id.as_ref(), end)).await?;
     let expected = answer::Expected { dialect: &state.dialect, method: &method, id: id.as_ref() };
     let answer = match answer.verify(&expected) {
         Ok(answer::Verified::Ran(answer)) => answer,
-        Ok(answer::Verified::NotRun(answer)) => {
+        Ok(answer::Verified::NotRun(answer, proof)) => {
             if let Some(echo) = answer.headers().get(&state.dialect.id) {
                 lease.record_rejected(echo);
             }
@@ -118,8 +124,7 @@
             }
             // A refusal without a delay would make the caller wait for a second, the default,
             // though a slot is free now.
-            let refusal =
-                refuse::Refusal::not_run(retry::Reason::UpstreamShed).vouched(proof::By::Upstream);
+            let refusal = refuse::Refusal::rejected(proof);
             return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
         }
         Err(rejected) => return Err(disbelieve(state, &local, id.as_ref(), rejected)),
@@ -166,13 +171,13 @@
 ///
 /// # Errors
 ///
-/// The refusal that [`run`] would return.
+/// The cause of the refusal that [`run`] would return.
 pub fn preview<C: claim::Claims>(
     state: &state::State<C>,
     spec: &call_spec::CallSpec<'_>,
     headers: &header::HeaderMap,
     size: &hyper::body::SizeHint,
-) -> Result<(), refuse::Refusal> {
+) -> Result<(), refuse::Cause> {
     find_upstream(state, spec)?;
     let transfer = if state.settings.call.body_room {
         state.inbound_link.transfer(&state.settings.proxy, size)
@@ -210,10 +215,10 @@
 fn find_upstream<C: claim::Claims>(
     state: &state::State<C>,
     spec: &call_spec::CallSpec<'_>,
-) -> Result<node::LocalUpstream, refuse::Refusal> {
+) -> Result<node::LocalUpstream, refuse::Cause> {
     // Another host may serve the call: the entry node treats an upstream that is gone or has
     // changed like one that drains.
-    const NOT_HERE: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Draining);
+    const NOT_HERE: refuse::Cause = refuse::Cause::new(retry::Reason::Draining);
     let local = state.local.borrow();
     let local = local.as_ref().ok_or(NOT_HERE)?;
     let upstream = &local.upstream;
@@ -230,11 +235,11 @@
     state: &state::State<C>,
     spec: &call_spec::CallSpec<'_>,
     fingerprint: quarantine::Fingerprint,
-) -> Result<(), refuse::Refusal> {
+) -> Result<(), refuse::Cause> {
     let suspect = |fingerprint| state.quarantine.needs_isolation(fingerprint);
     if suspect(fingerprint) && state.running.has_other(fingerprint, suspect) {
         let delay = state.slots.retry_delay(&slot_request(state, spec));
-        return Err(refuse::Refusal::not_run(retry::Reason::Full).retry_in(delay));
+        return Err(refuse::Cause::new(retry::Reason::Full).retry_in(delay));
     }
     Ok(())
 }
@@ -261,8 +266,8 @@
     state: &state::State<C>,
     local: &node::LocalUpstream,
     mut request: http::Request<upload::Upload>,
-    id: Option<&header::HeaderValue>,
-    end: time::Instant,
+    mut unsent: proof::Unsent,
+    (id, end): (Option<&header::HeaderValue>, time::Instant),
 ) -> Result<(pool::Lease, answer::Unverified), refuse::Refusal> {
     for connection in 1..=MAX_CONNECTION_TRIES {
         // If the upstream's host is gone, the connection attempt is not refused. It is bounded, so
@@ -273,17 +278,18 @@
         let lease = time::timeout_at(connect_by.min(end), lease).await;
         let reason =
             if connect_by < end { retry::Reason::Unreachable } else { retry::Reason::TooLate };
-        let lease = lease.map_err(|_| refuse::Refusal::not_run(reason))?;
-        let mut lease = lease.map_err(|_| refuse::Refusal::not_run(retry::Reason::Unreachable))?;
+        let lease = lease.map_err(|_| reason);
+        let lease = lease.and_then(|lease| lease.map_err(|_| retry::Reason::Unreachable));
+        let (mut lease, token) = unsent.check(lease)?;
         if connection > 1 {
             let to = trace::Destination::Upstream(local.address);
             state.record_resent(&trace::Resent { id, to, connection });
         }
-        let answer = time::timeout_at(end, lease.send(request)).await;
+        let answer = time::timeout_at(end, lease.send(request, token)).await;
         let answer = answer.map_err(|_| refuse::Refusal::unknown(retry::Reason::Timeout))?;
         match answer {
             Ok(answer) => return Ok((lease, answer)),
-            Err(pool::Failed::Unsent(unsent)) => request = *unsent,
+            Err(pool::Failed::Unsent(returned, token)) => (request, unsent) = (*returned, token),
             Err(pool::Failed::Lost(error)) => {
                 log::debug!("call lost at the upstream: {error:?}");
                 return Err(refuse::Refusal::unknown(retry::Reason::Cut));
@@ -293,7 +299,7 @@
             }
         }
     }
-    Err(refuse::Refusal::not_run(retry::Reason::Unreachable))
+    Err(refuse::Refusal::unsent(unsent, retry::Reason::Unreachable))
 }
 
 /// Counts and logs an answer that is not believed, and returns the refusal of its call.
@@ -309,13 +315,13 @@
     refuse::Refusal::unknown(retry::Reason::Malformed)
 }
 
-/// Logs a call that was not admitted, with the load at that time, and returns its refusal.
+/// Logs a call that was not admitted, with the load at that time, and returns the cause.
 fn log_refusal<C: claim::Claims>(
     state: &state::State<C>,
     spec: &call_spec::CallSpec<'_>,
     headers: &header::HeaderMap,
     refused: slots::Refused,
-) -> refuse::Refusal {
+) -> refuse::Cause {
     let now = state.ctx.now();
     if refused.reason == retry::Reason::Limited {
         state.notices.record_refused();
@@ -334,7 +340,7 @@
         retry_after: refused.retry_after,
     };
     state.trace.refused(&refused_call, now);
-    refuse::Refusal::not_run(refused.reason).retry_in(refused.retry_after)
+    refuse::Cause::new(refused.reason).retry_in(refused.retry_after)
 }
 
 /// Sets the headers of a request to an upstream that its caller must not set: the time remaining,
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -17,6 +17,7 @@
 use crate::proxy::internode;
 use crate::proxy::links;
 use crate::proxy::owner;
+use crate::proxy::proof;
 use crate::proxy::received_body;
 use crate::proxy::refuse;
 use crate::proxy::reply;
@@ -62,7 +63,7 @@
     let in_flight = Some(state.in_flight.enter());
     state.overload.call_entered();
     let resources = resources::Resources { in_flight, ..resources::Resources::default() };
-    let result = run(state, request, resources).await;
+    let result = run(state, request, proof::Unsent::fresh(), resources).await;
     let mut answer = match result {
         Ok(answer) => mark_ran(answer),
         Err(refusal) => refusal_answer(&refusal),
@@ -95,21 +96,16 @@
 async fn run<C: claim::Claims>(
     state: &Rc<state::State<C>>,
     request: http::Request<Incoming>,
+    unsent: proof::Unsent,
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
     let (parts, incoming) = request.into_parts();
-    let text = |name| {
-        let value = parts.headers.get(name)?.as_bytes();
-        str::from_utf8(value).ok().map(str::to_owned)
-    };
-    let service = text(headers::SERVICE).ok_or(MALFORMED)?;
+    let text = |name| text(&parts.headers, name);
+    let (required, unsent) = unsent.check(Required::read(&parts.headers))?;
+    let Required { service, weight, remaining, target } = required;
     let class = text(headers::CLASS);
     let kind = text(headers::KIND).unwrap_or_default();
-    let weight = request_head::number(&parts.headers, headers::WEIGHT)?.ok_or(MALFORMED)?;
-    let remaining = request_head::number(&parts.headers, headers::DEADLINE)?.ok_or(MALFORMED)?;
     let organisation = parts.headers.get(headers::ORGANISATION).cloned();
-    let target = request_head::number(&parts.headers, headers::TARGET)?.unwrap_or(remaining);
     let now = state.ctx.now();
     // The time budget was sent with the request, which has waited in this node since.
     let waited = state.overload.arrival_delay(now);
@@ -122,16 +118,43 @@
         service: &service,
         class: class.as_deref(),
         kind: &kind,
-        weight: u32::try_from(weight).map_err(|_| MALFORMED)?,
+        weight,
         organisation: organisation.as_ref(),
         nested: parts.headers.contains_key(headers::INNER),
         returning: parts.headers.contains_key(headers::RETURNING),
         target: now + target,
         deadline: now + remaining,
     };
-    let body = read_body(state, &spec, &parts, incoming).await?;
-    let request = internode::unwrap(parts, body.attempt())?;
-    owner::run(state, &spec, request, &mut resources).await
+    let (body, unsent) = unsent.check(read_body(state, &spec, &parts, incoming).await)?;
+    let (request, unsent) = unsent.check(internode::unwrap(parts, body.attempt()))?;
+    owner::run(state, &spec, request, unsent, &mut resources).await
+}
+
+/// The headers without which a request is no call.
+struct Required {
+    service: String,
+    weight: u32,
+    /// Milliseconds until the deadline.
+    remaining: u64,
+    /// Milliseconds to meet the target latency; [`headers::TARGET`] may be missing.
+    target: u64,
+}
+
+impl Required {
+    fn read(map: &header::HeaderMap) -> Result<Self, refuse::Cause> {
+        const MALFORMED: refuse::Cause = refuse::Cause::new(retry::Reason::Malformed);
+        let service = text(map, headers::SERVICE).ok_or(MALFORMED)?;
+        let weight = request_head::number(map, headers::WEIGHT)?.ok_or(MALFORMED)?;
+        let weight = u32::try_from(weight).map_err(|_| MALFORMED)?;
+        let remaining = request_head::number(map, headers::DEADLINE)?.ok_or(MALFORMED)?;
+        let target = request_head::number(map, headers::TARGET)?.unwrap_or(remaining);
+        Ok(Self { service, weight, remaining, target })
+    }
+}
+
+fn text(map: &header::HeaderMap, name: &str) -> Option<String> {
+    let value = map.get(name)?.as_bytes();
+    str::from_utf8(value).ok().map(str::to_owned)
 }
 
 /// Reads the body of a call before the call asks for a slot, so that no slot is held while the link
@@ -141,7 +164,7 @@
     spec: &call_spec::CallSpec<'_>,
     parts: &http::request::Parts,
     incoming: Incoming,
-) -> Result<upload::Body, refuse::Refusal> {
+) -> Result<upload::Body, refuse::Cause> {
     let received = received_body::ReceivedBody::new(incoming, received_body::Carrier::Http2);
     let size = received.size_hint();
     if !received.is_end_stream() {
@@ -152,9 +175,9 @@
     let mut turn = state.inbound_link.turn(size.exact().unwrap_or(size.lower()));
     let read = upload::Body::read(received, &bounds, &mut turn);
     let end = state.timer(owner::slot_deadline(state.ctx.now(), spec.deadline));
-    let late = refuse::Refusal::not_run(retry::Reason::TooLate).retry_in(state.retry_delay());
+    let late = refuse::Cause::new(retry::Reason::TooLate).retry_in(state.retry_delay());
     let body = tokio::time::timeout_at(end, read).await.map_err(|_| late)?;
-    body.map_err(refuse::Refusal::not_run)
+    body.map_err(refuse::Cause::new)
 }
 
 /// Returns the held answer of a call for which this node was the entry node.
@@ -171,8 +194,8 @@
     let find = state.held_answers.find(id, request_hash);
     match tokio::time::timeout(time::Duration::from_millis(remaining), find).await {
         Ok(held_answers::FirstCall::Answer(answer)) => mark_ran(answer.replay()),
-        Ok(held_answers::FirstCall::Released) => {
-            refusal_answer(&refuse::Refusal::not_run(retry::Reason::Conflict))
+        Ok(held_answers::FirstCall::Released(first)) => {
+            refusal_answer(&refuse::Refusal::released(first))
         }
         Ok(held_answers::FirstCall::Unknown) | Err(_) => refusal_answer(&unknown),
     }
@@ -185,14 +208,14 @@
 }
 
 fn refusal_answer(refusal: &refuse::Refusal) -> http::Response<body::Reply> {
-    let limited = refusal.outcome.is_limited();
+    let limited = refusal.outcome().is_limited();
     let mut answer = reply::answer(refusal, true);
     if limited {
         let full = header::HeaderValue::from_static(retry::Reason::Full.as_str());
         answer.headers_mut().insert(headers::REASON, full);
         answer.headers_mut().insert(headers::LIMITED, header::HeaderValue::from_static("1"));
     }
-    if let Some(after) = refusal.retry_after {
+    if let Some(after) = refusal.retry_after() {
         let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
         answer.headers_mut().insert(headers::RETRY, header::HeaderValue::from(millis));
     }
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -20,6 +20,7 @@
 
 use crate::proxy::answer;
 use crate::proxy::meter;
+use crate::proxy::proof;
 use crate::proxy::upload;
 use crate::socket;
 
@@ -186,7 +187,7 @@
 }
 
 impl Lease {
-    /// Sends a call.
+    /// Sends a call. Uses up `unsent`, which [`Failed::Unsent`] gives back.
     ///
     /// # Errors
     ///
@@ -194,9 +195,10 @@
     pub async fn send(
         &mut self,
         request: http::Request<upload::Upload>,
+        unsent: proof::Unsent,
     ) -> Result<answer::Unverified, Failed> {
         let Some(conn) = self.conn.as_mut() else {
-            return Err(Failed::Unsent(Box::new(request)));
+            return Err(Failed::Unsent(Box::new(request), unsent));
         };
         conn.rejected = None;
         conn.meter.record_progress();
@@ -207,7 +209,7 @@
         };
         conn.meter.record_progress();
         answer.map(answer::Unverified::new).map_err(|mut e| match e.take_message() {
-            Some(unsent) => Failed::Unsent(Box::new(unsent)),
+            Some(request) => Failed::Unsent(Box::new(request), unsent),
             None => Failed::Lost(e.into_error()),
         })
     }
@@ -238,7 +240,7 @@
 #[derive(Debug)]
 pub enum Failed {
     /// Nothing of the request was sent: the connection was closed, or had been released.
-    Unsent(Box<http::Request<upload::Upload>>),
+    Unsent(Box<http::Request<upload::Upload>>, proof::Unsent),
     /// The connection failed.
     Lost(hyper::Error),
     /// The upstream sent [`meter::MAX_BYTES`] that are no head of an answer.
--- a/src/proxy/quarantine_filter.rs
+++ b/src/proxy/quarantine_filter.rs
@@ -52,7 +52,7 @@
     pub fn check_entry(
         &self,
         fingerprint: impl FnOnce() -> quarantine::Fingerprint,
-    ) -> Result<(), refuse::Refusal> {
+    ) -> Result<(), refuse::Cause> {
         if self.snapshot.borrow().entries.is_empty() {
             return Ok(());
         }
@@ -65,7 +65,7 @@
     /// # Errors
     ///
     /// As [`QuarantineFilter::check_entry`].
-    pub fn check_owner(&self, fingerprint: quarantine::Fingerprint) -> Result<(), refuse::Refusal> {
+    pub fn check_owner(&self, fingerprint: quarantine::Fingerprint) -> Result<(), refuse::Cause> {
         self.check(fingerprint, 0.0)
     }
 
@@ -73,14 +73,14 @@
         &self,
         fingerprint: quarantine::Fingerprint,
         delay_share: f32,
-    ) -> Result<(), refuse::Refusal> {
+    ) -> Result<(), refuse::Cause> {
         let Some(remaining) =
             self.snapshot.borrow().remaining(fingerprint, delay_share, self.ctx.now())
         else {
             return Ok(());
         };
         self.side.counts.refused.inc();
-        Err(refuse::Refusal::not_run(retry::Reason::Quarantined).retry_in(remaining))
+        Err(refuse::Cause::new(retry::Reason::Quarantined).retry_in(remaining))
     }
 
     /// By how much this host extends the term of `fingerprint`, as a share of the term. The share
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -150,7 +150,7 @@
     pub async fn take(
         &self,
         organisation: &mesh::Organisation,
-    ) -> Result<Option<Spent>, refuse::Refusal> {
+    ) -> Result<Option<Spent>, refuse::Cause> {
         let Some(limit) = organisation.limit else { return Ok(None) };
         let id = organisation.id;
         let mut waiting = Waiting { quotas: self, organisation: id, active: false };
@@ -166,12 +166,12 @@
                     return Ok(Some(Spent { organisation: id, credit }));
                 }
                 borrower::Take::Unready => {
-                    return Err(refuse::Refusal::not_run(retry::Reason::NotReady));
+                    return Err(refuse::Cause::new(retry::Reason::NotReady));
                 }
                 borrower::Take::Refused { retry_after } => {
                     self.counts.refused.inc();
-                    let refusal = refuse::Refusal::not_run(retry::Reason::OverLimit);
-                    return Err(refusal.retry_in(retry_after));
+                    let cause = refuse::Cause::new(retry::Reason::OverLimit);
+                    return Err(cause.retry_in(retry_after));
                 }
                 borrower::Take::Wait { until } => {
                     let end = tokio::time::Instant::now() + until.since(self.ctx.now());
--- a/src/proxy/refuse.rs
+++ b/src/proxy/refuse.rs
@@ -2,57 +2,168 @@
 
 use std::time;
 
+use crate::proxy::answer;
 use crate::proxy::headers;
+use crate::proxy::held_answers;
+use crate::proxy::internode;
 use crate::proxy::proof;
 use crate::retry;
 
-/// Why a call has no answer of its upstream, and what its caller gets.
+/// Why a call is turned away, and what its caller is told. It says nothing of whether the call ran.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Refusal {
-    /// Never [`retry::Outcome::Ran`].
-    pub outcome: retry::Outcome,
-    /// Who vouches for it if it says that the call was not run.
-    pub by: proof::By,
+pub struct Cause {
+    reason: retry::Reason,
+    retry_after: Option<time::Duration>,
+    /// Replaces the status of the reason.
+    status: Option<http::StatusCode>,
+}
+
+impl Cause {
+    /// The cause `reason`.
+    pub const fn new(reason: retry::Reason) -> Self {
+        Self { reason, retry_after: None, status: None }
+    }
+
+    /// Sets the delay after which a retry may succeed.
+    #[must_use]
+    pub const fn retry_in(mut self, after: time::Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Sets the status of the answer to the caller.
+    #[must_use]
+    pub const fn status(mut self, status: http::StatusCode) -> Self {
+        self.status = Some(status);
+        self
+    }
+
     /// Delay after which a retry may succeed; `None` if no delay can be given.
-    pub retry_after: Option<time::Duration>,
-    /// Status of the answer to the caller.
-    pub status: http::StatusCode,
+    pub const fn retry_after(&self) -> Option<time::Duration> {
+        self.retry_after
+    }
+}
+
+impl From<retry::Reason> for Cause {
+    fn from(reason: retry::Reason) -> Self {
+        Self::new(reason)
+    }
+}
+
+/// Why a call has no answer of its upstream, and what its caller gets.
+///
+/// It says "not run" only if it was made from a proof of that (see [`proof`]), and it can only be
+/// weakened afterwards. It can't be copied, so that what is proven of one call is not said of
+/// another one.
+#[derive(Debug)]
+pub struct Refusal {
+    /// Invariant: never [`retry::Outcome::Ran`], and [`retry::Outcome::NotRun`] only if it was so
+    /// from the beginning.
+    outcome: retry::Outcome,
+    /// Who vouches for [`retry::Outcome::NotRun`].
+    by: proof::By,
+    retry_after: Option<time::Duration>,
+    status: http::StatusCode,
 }
 
 impl Refusal {
-    /// The refusal of a call that is proven not to have run.
-    pub const fn not_run(reason: retry::Reason) -> Self {
-        Self::new(retry::Outcome::NotRun(reason), None)
+    /// The refusal of a request of which this node has sent nothing.
+    pub fn unsent(_: proof::Unsent, cause: impl Into<Cause>) -> Self {
+        Self::not_run(proof::By::Here, cause.into())
+    }
+
+    /// The refusal of a request that its upstream has rejected.
+    pub const fn rejected(_: answer::NotRun) -> Self {
+        Self::not_run(proof::By::Upstream, Cause::new(retry::Reason::UpstreamShed))
+    }
+
+    /// The refusal of a request by the node to which it was sent.
+    pub fn relayed(_: internode::NotRun, cause: impl Into<Cause>) -> Self {
+        let cause = cause.into();
+        // A node gives this reason only to a request that its upstream has rejected.
+        let by = match cause.reason {
+            retry::Reason::UpstreamShed => proof::By::Upstream,
+            _ => proof::By::Node,
+        };
+        Self::not_run(by, cause)
+    }
+
+    /// The answer to another node that asks for the first call of a key, which did not run.
+    pub const fn released(first: held_answers::Released) -> Self {
+        Self::not_run(first.by(), Cause::new(retry::Reason::Conflict))
+    }
+
+    const fn not_run(by: proof::By, cause: Cause) -> Self {
+        let Cause { reason, retry_after, status } = cause;
+        let status = match status {
+            Some(status) => status,
+            None => refused(reason),
+        };
+        Self { outcome: retry::Outcome::NotRun(reason), by, retry_after, status }
     }
 
     /// The refusal of a call that may have run.
     pub const fn unknown(reason: retry::Reason) -> Self {
-        Self::new(retry::Outcome::Unknown(reason), None)
+        Self {
+            outcome: retry::Outcome::Unknown(reason),
+            by: proof::By::Here,
+            retry_after: None,
+            status: failed(reason),
+        }
     }
 
-    /// The refusal of a call that ended with `outcome`.
-    pub const fn new(outcome: retry::Outcome, retry_after: Option<time::Duration>) -> Self {
-        Self { outcome, by: proof::By::Here, retry_after, status: status(outcome) }
+    /// Sets the delay after which a retry may succeed.
+    #[must_use]
+    pub const fn retry_in(self, after: time::Duration) -> Self {
+        self.with_retry_after(Some(after))
     }
 
-    /// Sets who vouches for it.
-    pub const fn vouched(mut self, by: proof::By) -> Self {
-        self.by = by;
+    /// Sets or removes the delay after which a retry may succeed.
+    #[must_use]
+    pub const fn with_retry_after(mut self, retry_after: Option<time::Duration>) -> Self {
+        self.retry_after = retry_after;
         self
     }
 
-    /// Who vouches that the call was not run; `None` if it may have run.
-    pub const fn by(&self) -> Option<proof::By> {
-        match self.outcome {
-            retry::Outcome::NotRun(_) => Some(self.by),
-            retry::Outcome::Ran | retry::Outcome::Unknown(_) => None,
+    /// The same refusal where the call may have run, for `reason`.
+    #[must_use]
+    pub const fn weakened(self, reason: retry::Reason) -> Self {
+        Self::unknown(reason).with_retry_after(self.retry_after)
+    }
+
+    /// The same refusal, weakened if `outcome` is unknown. Any other outcome proves nothing and
+    /// changes nothing.
+    #[must_use]
+    pub const fn weakened_to(self, outcome: retry::Outcome) -> Self {
+        match outcome {
+            retry::Outcome::Unknown(reason) => self.weakened(reason),
+            retry::Outcome::NotRun(_) | retry::Outcome::Ran => self,
         }
     }
 
-    /// Sets the delay after which a retry may succeed.
-    pub const fn retry_in(mut self, after: time::Duration) -> Self {
-        self.retry_after = Some(after);
-        self
+    /// How the call ended; never [`retry::Outcome::Ran`].
+    pub const fn outcome(&self) -> retry::Outcome {
+        self.outcome
+    }
+
+    /// Whether the call certainly did not run.
+    pub const fn is_not_run(&self) -> bool {
+        matches!(self.outcome, retry::Outcome::NotRun(_))
+    }
+
+    /// Who vouches that the call was not run; `None` if it may have run.
+    pub fn by(&self) -> Option<proof::By> {
+        self.is_not_run().then_some(self.by)
+    }
+
+    /// Delay after which a retry may succeed; `None` if no delay can be given.
+    pub const fn retry_after(&self) -> Option<time::Duration> {
+        self.retry_after
+    }
+
+    /// Status of the answer to the caller.
+    pub const fn status(&self) -> http::StatusCode {
+        self.status
     }
 }
 
@@ -65,14 +176,6 @@
     }
 }
 
-const fn status(outcome: retry::Outcome) -> http::StatusCode {
-    match outcome {
-        retry::Outcome::NotRun(reason) => refused(reason),
-        retry::Outcome::Unknown(reason) => failed(reason),
-        retry::Outcome::Ran => http::StatusCode::OK,
-    }
-}
-
 /// Status of the answer to a call that was not run.
 const fn refused(reason: retry::Reason) -> http::StatusCode {
     match reason {
--- a/src/proxy/reply.rs
+++ b/src/proxy/reply.rs
@@ -16,22 +16,22 @@
 /// The answer for `refusal`, with the name of its reason as the body. `verbose` adds the project's
 /// own headers and rounds `Retry-After` to whole seconds.
 pub fn answer(refusal: &refuse::Refusal, verbose: bool) -> http::Response<body::Reply> {
-    let reason = refusal.outcome.reason().map_or("", retry::Reason::as_str);
+    let reason = refusal.outcome().reason().map_or("", retry::Reason::as_str);
     let mut answer =
         http::Response::new(body::Reply::buffered(Bytes::from_static(reason.as_bytes())));
-    *answer.status_mut() = refusal.status;
+    *answer.status_mut() = refusal.status();
     let map = answer.headers_mut();
     if verbose {
-        let outcome = refuse::name(refusal.outcome);
+        let outcome = refuse::name(refusal.outcome());
         map.insert(headers::OUTCOME, header::HeaderValue::from_static(outcome));
         map.insert(headers::REASON, header::HeaderValue::from_static(reason));
     }
     map.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/plain"));
-    if refusal.status == http::StatusCode::UNAUTHORIZED {
+    if refusal.status() == http::StatusCode::UNAUTHORIZED {
         let scheme = header::HeaderValue::from_static(headers::BEARER);
         map.insert(header::WWW_AUTHENTICATE, scheme);
     }
-    if let Some(after) = refusal.retry_after {
+    if let Some(after) = refusal.retry_after() {
         let whole = || header::HeaderValue::from(seconds(after));
         let exact = (!verbose).then(|| fraction(after)).flatten();
         map.insert(header::RETRY_AFTER, exact.unwrap_or_else(whole));
--- a/src/proxy/request_head.rs
+++ b/src/proxy/request_head.rs
@@ -59,12 +59,10 @@
         max_path: usize,
         dialect: &dialect::Dialect,
         id: impl FnOnce() -> header::HeaderValue,
-    ) -> Result<Self, refuse::Refusal> {
-        const TOO_LONG: refuse::Refusal = refuse::Refusal {
-            status: http::StatusCode::URI_TOO_LONG,
-            ..refuse::Refusal::not_run(retry::Reason::TooLarge)
-        };
-        const MALFORMED: refuse::Refusal = refuse::Refusal::not_run(retry::Reason::Malformed);
+    ) -> Result<Self, refuse::Cause> {
+        const TOO_LONG: refuse::Cause =
+            refuse::Cause::new(retry::Reason::TooLarge).status(http::StatusCode::URI_TOO_LONG);
+        const MALFORMED: refuse::Cause = refuse::Cause::new(retry::Reason::Malformed);
         let map = &mut parts.headers;
         let path = parts.uri.path_and_query().cloned().ok_or(MALFORMED)?;
         if parts.method == http::Method::CONNECT {
@@ -154,10 +152,10 @@
 /// # Errors
 ///
 /// [`retry::Reason::Malformed`] if the value is not a number.
-pub fn number(map: &header::HeaderMap, name: &str) -> Result<Option<u64>, refuse::Refusal> {
+pub fn number(map: &header::HeaderMap, name: &str) -> Result<Option<u64>, refuse::Cause> {
     let Some(value) = map.get(name) else { return Ok(None) };
     let number = value.to_str().ok().and_then(|v| v.parse().ok());
-    number.map(Some).ok_or(refuse::Refusal::not_run(retry::Reason::Malformed))
+    number.map(Some).ok_or(refuse::Cause::new(retry::Reason::Malformed))
 }
 
 /// `number`, or [`u8::MAX`] if it is larger.
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -324,7 +324,7 @@
                 let times = ran.map(|ran| ran.0).zip(self.run_times.borrow().mean(kind));
                 Some(rollouts::Observation { failed: answer.status().is_server_error(), times })
             }
-            Err(refusal) => match refusal.outcome {
+            Err(refusal) => match refusal.outcome() {
                 retry::Outcome::Unknown(
                     retry::Reason::Cut | retry::Reason::Malformed | retry::Reason::Timeout,
                 ) => Some(rollouts::Observation { failed: true, times: None }),
--- a/src/proxy/trace.rs
+++ b/src/proxy/trace.rs
@@ -263,11 +263,11 @@
         let refusal = ended.refusal;
         log::info!(
             id = text(ended.id),
-            outcome = refuse::name(refusal.outcome),
+            outcome = refuse::name(refusal.outcome()),
             by = by(refusal.by()),
-            reason = reason(refusal.outcome),
-            status = refusal.status.as_u16(),
-            retry_after_ms = millis(refusal.retry_after.unwrap_or_default()),
+            reason = reason(refusal.outcome()),
+            status = refusal.status().as_u16(),
+            retry_after_ms = millis(refusal.retry_after().unwrap_or_default()),
             version = ended.version.number(),
             took_ms = millis(ended.took),
             skipped;
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -10,6 +10,7 @@
 use dandelionspool::proxy;
 use dandelionspool::proxy::answer;
 use dandelionspool::proxy::pool;
+use dandelionspool::proxy::proof;
 use dandelionspool::proxy::upload;
 use http::HeaderValue;
 use http_body_util::BodyExt as _;
@@ -46,7 +47,7 @@
 async fn call(lease: &mut pool::Lease) -> Bytes {
     let request = http::Request::builder().uri("/").header("host", "a");
     let request = request.body(upload::Upload::Buffered(None)).unwrap();
-    let answer = lease.send(request).await.unwrap();
+    let answer = lease.send(request, proof::Unsent::fresh()).await.unwrap();
     verified(answer).into_body().collect().await.unwrap().to_bytes()
 }
 
@@ -55,7 +56,7 @@
     let expected = answer::Expected { dialect: &dialect, method: &method, id: None };
     match answer.verify(&expected).unwrap() {
         answer::Verified::Ran(answer) => answer,
-        answer::Verified::NotRun(_) => panic!("the upstream has rejected the request"),
+        answer::Verified::NotRun(..) => panic!("the upstream has rejected the request"),
     }
 }
 
@@ -144,7 +145,7 @@
             let mut lease = pool.acquire(fake.address, Some(id)).await.unwrap();
             let request = http::Request::builder().uri("/").header("host", "a");
             let request = request.body(upload::Upload::Buffered(None)).unwrap();
-            let answer = lease.send(request).await.unwrap();
+            let answer = lease.send(request, proof::Unsent::fresh()).await.unwrap();
             let _ = verified(answer).into_body().collect().await.unwrap();
             lease.record_rejected(id);
             lease.release();
--- a/tests/selection.rs
+++ b/tests/selection.rs
@@ -24,6 +24,7 @@
 use dandelionspool::proxy::headers;
 use dandelionspool::proxy::internode;
 use dandelionspool::proxy::links;
+use dandelionspool::proxy::proof;
 use dandelionspool::proxy::upload;
 use dandelionspool::seal;
 use http_body_util::Full;
@@ -73,7 +74,7 @@
     let mut request = request.body(upload::Upload::Buffered(None)).unwrap();
     internode::wrap(&mut request, None, &spec, ctx.clock.now()).unwrap();
     let end = tokio::time::Instant::now() + time::Duration::from_secs(5);
-    internode::call(&links, host, request, end).await
+    internode::call(&links, host, request, proof::Unsent::fresh(), end).await
 }
 
 /// Guards against measurements that count waits and run times as a delay of the node, and against
