fix(pool): a request never returns to a connection that has rejected it

An order ran three times, and its caller was told that it had not run: the upstream rejects A on a connection, runs B on it, gets A once more and sends the copy of A's rejection before it runs it. The copy bears the right id.

Cause: a connection knew only its last rejection, and forgot it with the next request that it carried.

Change: a connection knows the ids of all requests that were rejected on it, over its whole life, as hashes: 32 at most, after which it goes back to no pool. A connection without a rejection is not asked, and the id is hashed only for one that has some.

Stricter: the test of the connection that rejected a request also sends it again after another one. New: a connection that has rejected 32 requests is not reused.

--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -5,8 +5,10 @@
 //! connections are reused first, so there are never more open connections than calls that ran
 //! concurrently.
 
-use std::cell::RefCell;
+use std::cell::{LazyCell, RefCell};
 use std::future;
+use std::hash;
+use std::hash::{Hash as _, Hasher as _};
 use std::io;
 use std::net;
 use std::rc::Rc;
@@ -29,6 +31,10 @@
 /// Maximum time to wait until an idle connection is ready for its next call.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(20);
 
+/// Maximum number of rejected requests on one connection, after which it is not reused. A connection
+/// of an upstream that sheds costs one handshake in so many rejections, and 256 bytes.
+const MAX_REJECTED: usize = 32;
+
 /// The connections to the local upstream.
 #[derive(Debug)]
 pub struct Pool {
@@ -52,11 +58,18 @@
     probe: net::TcpStream,
     address: net::SocketAddr,
     meter: Rc<meter::Meter>,
-    /// Id of the last request, if it was rejected.
-    rejected: Option<header::HeaderValue>,
+    rejections: Rejections,
     task: task::AbortHandle,
 }
 
+/// The requests that were rejected on a connection, over its whole life: a second copy of their
+/// rejections may arrive at any time, and bears the right id if one of them is sent again.
+#[derive(Debug, Default)]
+struct Rejections {
+    /// Hashes of the ids, [`MAX_REJECTED`] at most. Ids with equal hashes only cost a connection.
+    ids: Vec<u64>,
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
@@ -80,7 +93,7 @@
     /// An idle connection to `address`, the most recently used one, or a new one, for the request
     /// `id`.
     ///
-    /// A connection on which `id` was just rejected is left out: a second copy of that rejection
+    /// A connection on which `id` was ever rejected is left out: a second copy of that rejection
     /// would bear the right id.
     ///
     /// # Errors
@@ -124,16 +137,27 @@
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
-    /// Takes the most recently used idle connection whose last request was not `id`, rejected.
+    /// Takes the most recently used idle connection on which `id` was not rejected.
     fn pop(&self, id: Option<&header::HeaderValue>) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
-        let other = |idle: &Idle| id.is_none() || idle.conn.rejected.as_ref() != id;
-        let last = idle.iter().rposition(other)?;
+        let id = LazyCell::new(|| id.map(hash));
+        let usable = |idle: &Idle| {
+            let rejections = &idle.conn.rejections;
+            rejections.ids.is_empty() || id.is_none_or(|id| !rejections.ids.contains(&id))
+        };
+        let last = idle.iter().rposition(usable)?;
         let last = idle.remove(last);
         (last.since.elapsed() < self.max_idle).then_some(last.conn)
     }
 }
 
+/// The hash by which [`Rejections`] knows an id.
+fn hash(id: &header::HeaderValue) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    id.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Conn {
     /// Waits until hyper has finished the previous call on this connection. `false` if it has not
     /// within [`READY_TIMEOUT`].
@@ -169,7 +193,14 @@
             log::debug!("connection to the upstream {address} ended: {error}");
         }
     });
-    Ok(Conn { send, probe, address, meter, rejected: None, task: task.abort_handle() })
+    Ok(Conn {
+        send,
+        probe,
+        address,
+        meter,
+        rejections: Rejections::default(),
+        task: task.abort_handle(),
+    })
 }
 
 impl Drop for Lease {
@@ -198,7 +229,6 @@
         let Some(conn) = self.conn.as_mut() else {
             return Err(Failed::Unsent(Box::new(request)));
         };
-        conn.rejected = None;
         conn.meter.record_progress();
         let answer = tokio::select! {
             biased;
@@ -215,7 +245,7 @@
     /// Records that the answer to the request `id` said that it was not run.
     pub fn record_rejected(&mut self, id: &header::HeaderValue) {
         if let Some(conn) = self.conn.as_mut() {
-            conn.rejected = Some(id.clone());
+            conn.rejections.ids.push(hash(id));
         }
     }
 
@@ -227,7 +257,7 @@
     /// Returns the connection to the pool after a complete answer.
     pub fn release(&mut self) {
         let Some(conn) = self.conn.take() else { return };
-        if !conn.send.is_closed() {
+        if !conn.send.is_closed() && conn.rejections.ids.len() < MAX_REJECTED {
             let since = time::Instant::now();
             self.pool.idle.borrow_mut().push(Idle { conn, since });
         }
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -1,6 +1,7 @@
 //! Calls through the call paths of several nodes in one process, with upstreams that misbehave.
 
 mod answers;
+mod copies;
 mod drain;
 mod endless;
 mod fake;
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -140,7 +140,8 @@
         let fake = fake::Fake::start(|_| vec![Step::Write(fake::answer("x"))]).await;
         let pool = Rc::new(pool::Pool::new(IDLE));
         let (first, other) = (HeaderValue::from_static("r1"), HeaderValue::from_static("r2"));
-        for (id, conns) in [(&first, 1), (&first, 2), (&other, 2)] {
+        // The last one comes back after another request.
+        for (id, conns) in [(&first, 1), (&first, 2), (&other, 2), (&first, 3)] {
             let mut lease = pool.acquire(fake.address, Some(id)).await.unwrap();
             let request = http::Request::builder().uri("/").header("host", "a");
             let request = request.body(upload::Upload::Buffered(None)).unwrap();
@@ -152,3 +153,23 @@
         }
     });
 }
+
+/// Guards against a connection that grows with the requests that it has rejected, and against one
+/// that forgets the first of them.
+#[test]
+fn a_connection_that_has_rejected_many_requests_is_not_reused() {
+    const REJECTED: usize = 32;
+    rig::run(async {
+        let fake = fake::Fake::start(|_| vec![Step::Write(fake::answer("x"))]).await;
+        let pool = Rc::new(pool::Pool::new(IDLE));
+        for number in 0..2 * REJECTED {
+            let id = HeaderValue::from_str(&format!("r{number}")).unwrap();
+            let mut lease = pool.acquire(fake.address, Some(&id)).await.unwrap();
+            call(&mut lease).await;
+            lease.record_rejected(&id);
+            lease.release();
+            assert_eq!(fake.conns(), number / REJECTED + 1, "after {id:?}");
+            assert_eq!(pool.idle(), usize::from(number % REJECTED < REJECTED - 1));
+        }
+    });
+}
