fix(pool): a connection carries nothing after a rejection without an id

An order ran twice: upstreams of the project's own dialect may leave the id out, and the second copy of such a rejection, sent late, was believed for the next order on its connection.

Cause: a rejection without an id belongs to any request, and its connection went back to the pool.

Change: `Lease::record_rejected` gets the id that the answer bears, or none; with none, the connection is not used again, so that no copy can meet another call.

Tests: `a_connection_that_rejected_a_request_without_its_id_is_not_used_again` failed before the mend with `assertion left == right failed: next0, left: ("ran", 2), right: ("ran", 1)`.

--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -108,9 +108,7 @@
     let answer = match answer.verify(&expected) {
         Ok(answer::Verified::Ran(answer)) => answer,
         Ok(answer::Verified::NotRun(answer)) => {
-            if let Some(echo) = answer.headers().get(&state.dialect.id) {
-                lease.record_rejected(echo);
-            }
+            lease.record_rejected(answer.headers().get(&state.dialect.id));
             release_shed(answer, lease, end);
             if let Some(slot) = resources.slot.take() {
                 slot.shed();
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -68,6 +68,8 @@
 struct Rejections {
     /// Hashes of the ids, [`MAX_REJECTED`] at most. Ids with equal hashes only cost a connection.
     ids: Vec<u64>,
+    /// Whether a rejection bore no id: a copy of it would be believed for any request.
+    anonymous: bool,
 }
 
 impl Drop for Conn {
@@ -151,6 +153,13 @@
     }
 }
 
+impl Rejections {
+    /// Whether a connection with these rejections may carry other requests.
+    const fn allow_reuse(&self) -> bool {
+        !self.anonymous && self.ids.len() < MAX_REJECTED
+    }
+}
+
 /// The hash by which [`Rejections`] knows an id.
 fn hash(id: &header::HeaderValue) -> u64 {
     let mut hasher = hash::DefaultHasher::new();
@@ -242,10 +251,13 @@
         })
     }
 
-    /// Records that the answer to the request `id` said that it was not run.
-    pub fn record_rejected(&mut self, id: &header::HeaderValue) {
-        if let Some(conn) = self.conn.as_mut() {
-            conn.rejections.ids.push(hash(id));
+    /// Records that an answer with the id `echo` said that its request was not run. Without an id,
+    /// the connection carries no other request.
+    pub fn record_rejected(&mut self, echo: Option<&header::HeaderValue>) {
+        let Some(conn) = self.conn.as_mut() else { return };
+        match echo {
+            Some(echo) => conn.rejections.ids.push(hash(echo)),
+            None => conn.rejections.anonymous = true,
         }
     }
 
@@ -257,7 +269,7 @@
     /// Returns the connection to the pool after a complete answer.
     pub fn release(&mut self) {
         let Some(conn) = self.conn.take() else { return };
-        if !conn.send.is_closed() && conn.rejections.ids.len() < MAX_REJECTED {
+        if !conn.send.is_closed() && conn.rejections.allow_reuse() {
             let since = time::Instant::now();
             self.pool.idle.borrow_mut().push(Idle { conn, since });
         }
--- a/tests/calls/copies.rs
+++ b/tests/calls/copies.rs
@@ -91,3 +91,24 @@
         }
     });
 }
+
+/// Guards against believing a copy of a rejection that bears no id: it belongs to any request that
+/// its connection carries next.
+#[test]
+fn a_connection_that_rejected_a_request_without_its_id_is_not_used_again() {
+    rig::run(async {
+        let upstream = Rc::<Upstream>::default();
+        let (_fake, nodes) = start(&upstream, |_| String::new()).await;
+        for (number, entry) in nodes.iter().enumerate() {
+            upstream.sheds.set(true);
+            let id = format!("rejected{number}");
+            let answer = rig::call(entry, rig::request("POST", "/orders", &id), b"").await;
+            assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+            upstream.sheds.set(false);
+            for id in [format!("next{number}"), id] {
+                let answer = rig::call(entry, rig::request("POST", "/orders", &id), b"").await;
+                assert_eq!((answer.outcome(), upstream.runs(&id)), ("ran", 1), "{id}");
+            }
+        }
+    });
+}
