fix(answer): a status that promises "not run" needs the upstream's word

Where callers see only the status, 408, 421, 429 and 503 tell them that their call has not run and never will. An upstream's answer with such a status and without its mark was passed on: an order that ran was refused in the eyes of its caller, without a line in the log.

Cause: an answer was either a rejection or one to pass on; a dialect without the header of the outcome has a third kind.

Change: `Verified::Unmarked`, for a terse dialect only. Its notices (limit, leaving) are read, as it is the upstream's own answer; then it counts, is logged as `unmarked` and ends as unknown like each answer that is not believed: 502 for what may run once, another attempt for an idempotent call. 421 needs no mark where an instance is named, as before. The verbose dialect passes all of them on as `ran`.

Tests: four statuses with and without the mark, through a node with a terse dialect; before the mend 408, 429 and 503 without it failed (`left: (503, 1), right: (502, 1)`: the status told and the runs). A leaving that comes with such an answer is still heard; that test failed, too, by its first status.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -18,7 +18,8 @@
 pub struct Counts {
     /// Answers with the id of another request, or without one where upstreams echo it.
     pub foreign: counter::Counter,
-    /// Answers that are no complete answer of an upstream: not signed, or without a marked end.
+    /// Answers that are no complete answer of an upstream: not signed, without a marked end, or with
+    /// a status that they don't confirm.
     pub malformed: counter::Counter,
 }
 
@@ -44,6 +45,9 @@
     NotRun(http::Response<Incoming>),
     /// The upstream ran the request.
     Ran(http::Response<Incoming>),
+    /// The upstream may have run the request, and the status would tell callers that it has not. The
+    /// answer is not passed on.
+    Unmarked(http::Response<Incoming>),
 }
 
 /// Why an answer is not believed.
@@ -64,6 +68,9 @@
     /// Its end is not marked, so that a part of it looks like the whole.
     #[error("unframed")]
     Unframed,
+    /// Its status tells callers that the request was not run, and the upstream doesn't say so.
+    #[error("unmarked")]
+    Unmarked,
 }
 
 /// An answer that is not believed. The request may have run, and its true answer may still come.
@@ -83,6 +90,16 @@
     pub const fn endless() -> Self {
         Self { mismatch: Mismatch::Endless, echo: None, status: None }
     }
+
+    /// The answer of [`Verified::Unmarked`].
+    pub fn unmarked<B>(answer: &http::Response<B>, dialect: &dialect::Dialect) -> Self {
+        Self::new(Mismatch::Unmarked, answer, dialect)
+    }
+
+    fn new<B>(mismatch: Mismatch, answer: &http::Response<B>, dialect: &dialect::Dialect) -> Self {
+        let echo = answer.headers().get(&dialect.id).cloned();
+        Self { mismatch, echo, status: Some(answer.status()) }
+    }
 }
 
 impl Counts {
@@ -90,9 +107,11 @@
     pub fn record(&self, mismatch: Mismatch) {
         match mismatch {
             Mismatch::Foreign => self.foreign.inc(),
-            Mismatch::Endless | Mismatch::Upgraded | Mismatch::Unsigned | Mismatch::Unframed => {
-                self.malformed.inc()
-            }
+            Mismatch::Endless
+            | Mismatch::Upgraded
+            | Mismatch::Unsigned
+            | Mismatch::Unframed
+            | Mismatch::Unmarked => self.malformed.inc(),
         };
     }
 }
@@ -109,13 +128,17 @@
     ///
     /// The answer is not believed. Its connection must not be used again.
     pub fn verify(self, expected: &Expected<'_>) -> Result<Verified, Rejected> {
-        let Self(answer) = self;
+        let (Self(answer), dialect) = (self, expected.dialect);
         if let Some(mismatch) = mismatch(&answer, expected) {
-            let echo = answer.headers().get(&expected.dialect.id).cloned();
-            return Err(Rejected { mismatch, echo, status: Some(answer.status()) });
+            return Err(Rejected::new(mismatch, &answer, dialect));
         }
-        let not_run = expected.dialect.is_not_run(answer.status(), answer.headers());
-        Ok(if not_run { Verified::NotRun(answer) } else { Verified::Ran(answer) })
+        Ok(if dialect.is_not_run(answer.status(), answer.headers()) {
+            Verified::NotRun(answer)
+        } else if dialect.promises_not_run(answer.status()) {
+            Verified::Unmarked(answer)
+        } else {
+            Verified::Ran(answer)
+        })
     }
 }
 
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -133,6 +133,12 @@
         shed || !self.verbose
     }
 
+    /// Whether `status` alone tells callers that their call was not run and never will be. Verbose
+    /// answers tell the outcome in a header.
+    pub const fn promises_not_run(&self, status: http::StatusCode) -> bool {
+        !self.verbose && matches!(status.as_u16(), 408 | 421 | 429 | 503)
+    }
+
     /// Whether an answer with these headers was made by an upstream itself.
     pub fn is_signed(&self, map: &header::HeaderMap) -> bool {
         self.signature.as_ref().is_none_or(|signature| map.contains_key(signature))
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -105,8 +105,9 @@
     add_headers(&state.dialect, &local, spec.organisation, remaining, request.headers_mut());
     let (mut lease, answer) = send(state, &local, request, id.as_ref(), end).await?;
     let expected = answer::Expected { dialect: &state.dialect, method: &method, id: id.as_ref() };
-    let answer = match answer.verify(&expected) {
-        Ok(answer::Verified::Ran(answer)) => answer,
+    let (answer, unmarked) = match answer.verify(&expected) {
+        Ok(answer::Verified::Ran(answer)) => (answer, false),
+        Ok(answer::Verified::Unmarked(answer)) => (answer, true),
         Ok(answer::Verified::NotRun(answer)) => {
             lease.record_rejected(answer.headers().get(&state.dialect.id));
             release_shed(answer, lease, end);
@@ -124,6 +125,10 @@
     if state.notices.read(&local, &state.dialect, answer.headers(), &state.trace, now) {
         state.apply_notice();
     }
+    if unmarked {
+        let rejected = answer::Rejected::unmarked(&answer, &state.dialect);
+        return Err(disbelieve(state, &local, id.as_ref(), rejected));
+    }
     if let Some(run) = resources.run.as_mut() {
         run.set_status(answer.status());
     }
--- a/tests/calls/copies.rs
+++ b/tests/calls/copies.rs
@@ -1,7 +1,27 @@
 //! Answers that an upstream sends once more: what the caller is told against what the upstream ran.
 
 use std::cell::{Cell, RefCell};
+use std::net;
 use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dandelionspool::clock;
+use dandelionspool::context;
+use dandelionspool::host;
+use dandelionspool::node;
+use dandelionspool::proxy;
+use dandelionspool::proxy::answer;
+use dandelionspool::proxy::shell;
+use dandelionspool::proxy::wiring;
+use dandelionspool::quarantine;
+use dandelionspool::view;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use rstest::rstest;
+use tokio::sync::watch;
+use tokio::task;
 
 use crate::fake;
 use crate::fake::Step;
@@ -112,3 +132,137 @@
         }
     });
 }
+
+/// A node whose callers and upstream use a dialect in which the status tells callers whether their
+/// call has run.
+struct TerseNode {
+    id: host::HostId,
+    /// Counts of the answers that it has not believed.
+    answers: answer::Counts,
+    task: task::JoinHandle<Result<(), proxy::Error>>,
+    _stage: watch::Sender<node::Stage>,
+    _quarantine: quarantine::MemberSide,
+}
+
+impl Drop for TerseNode {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl TerseNode {
+    /// Starts a node with an upstream at `address`.
+    async fn start(address: net::SocketAddr) -> Self {
+        let settings = rig::settings(rig::address());
+        let id = host::HostId::new(settings.listen);
+        let upstream = rig::shop(4);
+        let local = node::LocalUpstream {
+            address,
+            instance: "i1".into(),
+            born: None,
+            upstream: upstream.clone(),
+        };
+        let host = view::Host {
+            id,
+            locality: Arc::new(view::Locality { region: "region".into(), zone: "zone".into() }),
+            incarnation: 1,
+            health: view::Health::Alive,
+            upstream: Some(Arc::new(upstream)),
+        };
+        let dialect = proxy::Dialect::default().instance("instance").not_run("not-run");
+        let (stage, stages) = watch::channel(node::Stage::Run);
+        let (call_side, quarantine) = quarantine::channel();
+        let answers = answer::Counts::default();
+        let wiring = wiring::Wiring {
+            applied: watch::channel(rig::applied(1)).1,
+            view: watch::channel(Arc::new(view::View::new(vec![host]))).1,
+            local: watch::channel(Some(Arc::new(local))).1,
+            stage: stages,
+            tallies: dandelionspool::ring::bounded(64).0,
+            claims: rig::Claims::default(),
+            dialect: dialect.signature("signed").terse(),
+            quarantine: call_side,
+            quotas: Default::default(),
+            answers: answers.clone(),
+            notices: Default::default(),
+            picks: Default::default(),
+            retries: Default::default(),
+            slots: Default::default(),
+            overload: Default::default(),
+            rollouts: Default::default(),
+        };
+        let ctx = context::Context { clock: clock::System::new(), seed: 1 };
+        let task = task::spawn_local(shell::run(ctx, Arc::new(settings), wiring));
+        rig::until(|| net::TcpStream::connect(id.call_addr()).is_ok()).await;
+        tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+        Self { id, answers, task, _stage: stage, _quarantine: quarantine }
+    }
+
+    /// Calls the node on a new connection, and returns the status of its answer.
+    async fn call(&self, request: http::request::Builder) -> u16 {
+        let stream = tokio::net::TcpStream::connect(self.id.call_addr()).await.unwrap();
+        let (mut send, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        let conn = task::spawn_local(conn);
+        let answer = send.send_request(request.body(Full::<Bytes>::default()).unwrap()).await;
+        conn.abort();
+        answer.unwrap().status().as_u16()
+    }
+}
+
+/// Guards against passing on a status that tells callers that their call has not run and never will,
+/// where the upstream has not said so: the call ran.
+#[rstest]
+fn a_status_that_promises_not_run_is_passed_on_only_where_the_upstream_says_so(
+    #[values(408, 421, 429, 503)] status: u16,
+    #[values(false, true)] marked: bool,
+) {
+    rig::run(async move {
+        let ran = Rc::<Cell<usize>>::default();
+        let runs = Rc::clone(&ran);
+        let script = move |request: &fake::Request| {
+            let id = request.header("x-request-id");
+            runs.set(runs.get() + usize::from(!marked && status != 421));
+            let mark = if marked { "not-run: 1\r\n" } else { "" };
+            vec![Step::Write(
+                format!(
+                    "HTTP/1.1 {status} Status\r\nx-request-id: {id}\r\nsigned: 1\r\n\
+                     {mark}content-length: 0\r\n\r\n"
+                )
+                .into_bytes(),
+            )]
+        };
+        let fake = fake::Fake::start(script).await;
+        let node = TerseNode::start(fake.address).await;
+        let order = node.call(rig::request("POST", "/orders", "order")).await;
+        // An instance that was named says by 421 alone that it has not run the call.
+        if marked || status == 421 {
+            assert_eq!((order, ran.get()), (503, 0));
+            assert_eq!(node.answers.malformed.get(), 0);
+            return;
+        }
+        assert_eq!((order, ran.get()), (502, 1));
+        assert_eq!(node.answers.malformed.get(), 1);
+        let browse = node.call(rig::request("GET", "/browse", "browse")).await;
+        assert_eq!(browse, 502);
+        assert!(ran.get() > 2, "an idempotent call is tried again");
+    });
+}
+
+/// Guards against losing what an upstream says of itself in an answer that can't be passed on.
+#[test]
+fn an_upstream_that_leaves_in_an_answer_that_is_not_passed_on_gets_no_new_call() {
+    rig::run(async {
+        let script = |request: &fake::Request| {
+            let id = request.header("x-request-id");
+            let head = "HTTP/1.1 503 Busy\r\nsigned: 1\r\nupstream-leaving: 1\r\n";
+            vec![Step::Write(
+                format!("{head}x-request-id: {id}\r\ncontent-length: 0\r\n\r\n").into_bytes(),
+            )]
+        };
+        let fake = fake::Fake::start(script).await;
+        let node = TerseNode::start(fake.address).await;
+        assert_eq!(node.call(rig::request("POST", "/orders", "first")).await, 502);
+        assert_eq!(node.call(rig::request("POST", "/orders", "second")).await, 503);
+        assert_eq!(fake.requests().len(), 1);
+    });
+}
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -55,7 +55,9 @@
     let expected = answer::Expected { dialect: &dialect, method: &method, id: None };
     match answer.verify(&expected).unwrap() {
         answer::Verified::Ran(answer) => answer,
-        answer::Verified::NotRun(_) => panic!("the upstream has rejected the request"),
+        answer::Verified::NotRun(_) | answer::Verified::Unmarked(_) => {
+            panic!("the upstream has rejected the request")
+        }
     }
 }
 
