fix(answer): the head of a cut answer is not read as the begin of the true one

An order ran three times, and its caller was told that it had not run: an upstream sends the begin of a rejection, cut before its id and in the middle of a line, and then the true answer. The library reads one head: status and mark of the cut answer, id and body of the true one. In a terse dialect `HTTP/1.1 421 ` before the true answer is enough. A cut 204 hid a 200 and its body.

Cause: a status line is valid text of a reason phrase and of a header's value.

Change: an answer whose reason phrase holds a status line is not believed, and neither is one that may say "not run" and has a status line in a header's value (`merged`, counted as malformed). The usual answer has no reason phrase of its own and no mark, so that nothing of it is searched.

Answers that ran and name a status line in a header of their own are still passed on. Left: an answer that ran may still get the status of one that was cut in a header's value; services may name status lines there.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -6,6 +6,7 @@
 
 use http::header;
 use hyper::body::{Body, Incoming};
+use hyper::ext;
 use prometheus_client::metrics::counter;
 
 use crate::proxy::dialect;
@@ -18,8 +19,8 @@
 pub struct Counts {
     /// Answers with the id of another request, or without one where upstreams echo it.
     pub foreign: counter::Counter,
-    /// Answers that are no complete answer of an upstream: not signed, without a marked end, or with
-    /// a status that they don't confirm.
+    /// Answers that are no complete answer of an upstream: not signed, merged with a cut one,
+    /// without a marked end, or with a status that they don't confirm.
     pub malformed: counter::Counter,
 }
 
@@ -56,6 +57,10 @@
     /// It has the id of another request, or no id where upstreams echo it.
     #[error("foreign-id")]
     Foreign,
+    /// Its head holds the status line of another answer: the one before it was cut, and is read as
+    /// the begin of this one.
+    #[error("merged")]
+    Merged,
     /// It announces another protocol, which was not asked for.
     #[error("upgraded")]
     Upgraded,
@@ -108,6 +113,7 @@
         match mismatch {
             Mismatch::Foreign => self.foreign.inc(),
             Mismatch::Endless
+            | Mismatch::Merged
             | Mismatch::Upgraded
             | Mismatch::Unsigned
             | Mismatch::Unframed
@@ -151,6 +157,9 @@
     if is_foreign(answer.headers(), expected) {
         return Some(Mismatch::Foreign);
     }
+    if is_merged(answer, dialect) {
+        return Some(Mismatch::Merged);
+    }
     if answer.status().is_informational() {
         return Some(Mismatch::Upgraded);
     }
@@ -173,6 +182,33 @@
     echoes.any(|echo| Some(echo) != expected.id)
 }
 
+/// Whether the head of `answer` holds a second status line. Its status, and the mark of a rejection,
+/// may then be those of an answer that was cut before its id.
+///
+/// The values of headers are searched only where they may say that the request was not run: other
+/// answers may name a status line.
+fn is_merged<B>(answer: &http::Response<B>, dialect: &dialect::Dialect) -> bool {
+    let reason = answer.extensions().get::<ext::ReasonPhrase>();
+    if reason.is_some_and(|reason| has_status_line(reason.as_bytes())) {
+        return true;
+    }
+    let map = answer.headers();
+    let may_say_not_run =
+        map.contains_key(&dialect.not_run) || dialect.is_not_run(answer.status(), map);
+    may_say_not_run && map.values().any(|value| has_status_line(value.as_bytes()))
+}
+
+/// Whether `text` contains the begin of a status line: `HTTP/1.1 200`.
+fn has_status_line(text: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    text.windows(VERSION.len() + 5).any(|window| {
+        let line = window.strip_prefix(VERSION);
+        line.is_some_and(|line| {
+            line[0].is_ascii_digit() && line[1] == b' ' && line[2..].iter().all(u8::is_ascii_digit)
+        })
+    })
+}
+
 /// Whether the answer's end is marked: by its length, by chunks, or because it has no body.
 fn is_framed<B: Body>(method: &http::Method, answer: &http::Response<B>) -> bool {
     method == http::Method::HEAD
--- a/src/proxy/answer/tests.rs
+++ b/src/proxy/answer/tests.rs
@@ -69,3 +69,21 @@
     let crossed = answer(503, &[shed, ("x-request-id", "r0")]);
     assert_eq!(mismatch(&dialect, &crossed).0, Some(Mismatch::Foreign));
 }
+
+/// Guards against refusing answers that name a status line in a header of their own.
+#[rstest]
+#[case::ran(200, &[("x-log", "GET / HTTP/1.1 200")], None)]
+#[case::failed(502, &[("x-cause", "HTTP/1.1 503 Busy")], None)]
+#[case::versions(503, &[("not-run", "1"), ("via", "HTTP/1.1 proxy"), ("x", "HTTP/1.1 2")], None)]
+#[case::rejection(503, &[("not-run", "1"), ("date", "Fri, 04 HTTP/1.1 200 OK")], Some(Mismatch::Merged))]
+#[case::in_the_mark(503, &[("not-run", "HTTP/1.0 200")], Some(Mismatch::Merged))]
+#[case::misdirected(421, &[("date", "FriHTTP/1.1 500 Oops")], Some(Mismatch::Merged))]
+fn a_status_line_in_a_header_counts_where_the_answer_may_say_not_run(
+    #[case] status: u16,
+    #[case] headers: &[(&str, &str)],
+    #[case] expected: Option<Mismatch>,
+) {
+    let own = [("x-request-id", "r1"), ("signed", "s")];
+    let answer = answer(status, &[headers, &own].concat());
+    assert_eq!(mismatch(&signing(), &answer).0, expected);
+}
--- a/tests/calls/copies.rs
+++ b/tests/calls/copies.rs
@@ -266,3 +266,58 @@
         assert_eq!(fake.requests().len(), 1);
     });
 }
+
+/// An upstream that sends `prefix` before each of its answers.
+fn prefixed(prefix: &'static str, signed: &'static str) -> impl Fn(&fake::Request) -> Vec<Step> {
+    move |request| {
+        let id = request.header("x-request-id");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\n{signed}x-request-id: {id}\r\ncontent-length: 4\r\n\r\ndone"
+        );
+        vec![Step::Write([prefix.as_bytes(), answer.as_bytes()].concat())]
+    }
+}
+
+/// Guards against reading the head of a cut answer and that of the true one as a single head: its
+/// status, or the mark of a rejection, is that of the cut one, and its id that of the true one.
+#[rstest]
+#[case::rejection_cut_in_a_later_header(
+    "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\ndate: Fri, 04 De"
+)]
+#[case::rejection_cut_before_a_later_value(
+    "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\ndate: "
+)]
+#[case::rejection_cut_in_its_reason("HTTP/1.1 503 Serv")]
+#[case::success_cut_before_its_reason("HTTP/1.1 204 ")]
+#[case::cut_in_a_name("HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstr")]
+#[case::cut_in_the_mark("HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: sh")]
+#[case::cut_in_the_status("HTTP/1.1 50")]
+fn a_cut_answer_before_the_true_one_is_not_believed(#[case] prefix: &'static str) {
+    rig::run(async move {
+        let fake = fake::Fake::start(prefixed(prefix, "")).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for (number, entry) in nodes.iter().enumerate() {
+            let id = format!("r{number}");
+            let answer = rig::call(entry, rig::request("POST", "/orders", &id), b"").await;
+            let told = (answer.status, answer.outcome(), fake.runs(&id));
+            assert_eq!(told, (502, "unknown", 1));
+        }
+    });
+}
+
+/// Like the test above, where the status and the presence of the mark are enough.
+#[rstest]
+#[case::misdirected("HTTP/1.1 421 ")]
+#[case::rejection_cut_in_the_mark("HTTP/1.1 503 Service Unavailable\r\nnot-run: ")]
+#[case::rejection_cut_in_its_reason("HTTP/1.1 503 Serv")]
+#[case::success_cut_in_its_reason("HTTP/1.1 204 No C")]
+fn a_cut_answer_before_the_true_one_is_not_believed_in_a_terse_dialect(
+    #[case] prefix: &'static str,
+) {
+    rig::run(async move {
+        let fake = fake::Fake::start(prefixed(prefix, "signed: 1\r\n")).await;
+        let node = TerseNode::start(fake.address).await;
+        let status = node.call(rig::request("POST", "/orders", "order")).await;
+        assert_eq!((status, fake.runs("order")), (502, 1));
+    });
+}
