test(proxy): a request that is returned as unsent has not arrived

Tests: an upstream that closes each connection some time after its answer, while requests are sent on connections from the pool: what is returned as unsent must not be read by the upstream. Sending on a closed and on a released connection gives the token back with the request, and a connection that is closed once the request has arrived does not. What an upstream rejects is told as its own word.

It covers HTTP/1.1 to upstreams, not HTTP/2 between nodes.

--- a/src/proxy/answer/tests.rs
+++ b/src/proxy/answer/tests.rs
@@ -6,6 +6,9 @@
 
 use super::{Expected, Mismatch};
 use crate::proxy::dialect;
+use crate::proxy::proof;
+use crate::proxy::refuse;
+use crate::retry;
 
 /// A dialect whose upstreams sign their answers and echo the id of the request.
 fn signing() -> dialect::Dialect {
@@ -87,3 +90,11 @@
     let answer = answer(status, &[headers, &own].concat());
     assert_eq!(mismatch(&signing(), &answer).0, expected);
 }
+
+/// Guards against a log line that names a node as the witness of what its upstream said.
+#[test]
+fn the_word_of_the_upstream_is_told_as_its_own() {
+    let refusal = refuse::Refusal::rejected(super::NotRun(()));
+    assert_eq!(refusal.outcome(), retry::Outcome::NotRun(retry::Reason::UpstreamShed));
+    assert_eq!(refusal.by(), Some(proof::By::Upstream));
+}
--- a/src/proxy/proof/tests.rs
+++ b/src/proxy/proof/tests.rs
@@ -1,13 +1,24 @@
 //! Tests of what may be said of a call, and on which proof.
 
 use std::fs;
+use std::io::{Read as _, Write as _};
+use std::net::Ipv4Addr;
 use std::path;
+use std::rc::Rc;
+use std::sync;
+use std::thread;
+use std::time;
 
 use proptest::prelude::*;
 use rstest::rstest;
+use tokio::io::AsyncReadExt as _;
+use tokio::net;
+use tokio::task;
 
+use crate::proxy::pool;
 use crate::proxy::proof;
 use crate::proxy::refuse;
+use crate::proxy::upload;
 use crate::retry;
 
 fn not_run(reason: retry::Reason) -> refuse::Refusal {
@@ -118,6 +129,133 @@
     assert_eq!(refusal.weakened(retry::Reason::Cut).status(), http::StatusCode::BAD_GATEWAY);
 }
 
+/// Guards against a refusal as "not run" of a request that was written to its connection, and against
+/// a request that is lost although nothing of it was sent.
+#[tokio::test]
+async fn sending_gives_the_token_back_only_with_an_unsent_request() {
+    task::LocalSet::new()
+        .run_until(async {
+            let listener = net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let pool = Rc::new(pool::Pool::new(time::Duration::from_secs(10)));
+            let request = || {
+                let request = http::Request::builder().uri("/").header("host", "a");
+                request.body(upload::Upload::Buffered(None)).expect("a request")
+            };
+
+            // Closed before the request was sent.
+            let mut lease = pool.acquire(address, None).await.expect("a connection");
+            drop(listener.accept().await.expect("a connection"));
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            let closed = lease.send(request(), proof::Unsent::fresh()).await;
+            let Err(pool::Failed::Unsent(returned, unsent)) = closed else {
+                panic!("nothing was sent: {closed:?}");
+            };
+
+            // Released before.
+            lease.release();
+            let released = lease.send(*returned, unsent).await;
+            let Err(pool::Failed::Unsent(returned, unsent)) = released else {
+                panic!("nothing was sent: {released:?}");
+            };
+
+            // Closed once the request has arrived: the token is gone.
+            let mut lease = pool.acquire(address, None).await.expect("a connection");
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let close = async {
+                let read = stream.read(&mut [0; 16]).await.expect("a part of the request");
+                drop(stream);
+                read
+            };
+            let (lost, read) = tokio::join!(lease.send(*returned, unsent), close);
+            assert!(read > 0 && matches!(lost, Err(pool::Failed::Lost(_))), "{lost:?}");
+        })
+        .await;
+}
+
+/// An upstream on its own thread that answers each request and closes its connection some time after
+/// each answer. Returns its address, and the paths of the requests that it has read.
+fn closing_upstream() -> (std::net::SocketAddr, sync::Arc<sync::Mutex<Vec<String>>>) {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let paths = sync::Arc::new(sync::Mutex::new(Vec::new()));
+    let read = sync::Arc::clone(&paths);
+    thread::spawn(move || {
+        for (number, stream) in (0..).zip(listener.incoming()) {
+            let read = sync::Arc::clone(&read);
+            thread::spawn(move || {
+                let mut stream = stream.expect("a connection");
+                let mut buffer = [0; 1024];
+                let count = stream.read(&mut buffer).unwrap_or(0);
+                let path = |bytes: &[u8]| {
+                    let text = String::from_utf8_lossy(bytes).into_owned();
+                    text.split(' ').nth(1).map(str::to_owned)
+                };
+                read.lock().expect("no panic").extend(path(&buffer[..count]));
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+                thread::sleep(time::Duration::from_micros(number % 8 * 40));
+                // What arrives until the connection is closed may run, too.
+                stream.set_nonblocking(true).expect("a socket");
+                let count = stream.read(&mut buffer).unwrap_or(0);
+                read.lock().expect("no panic").extend(path(&buffer[..count]));
+            });
+        }
+    });
+    (address, paths)
+}
+
+/// Guards against a second run of a request that the library returns as unsent although it has
+/// written it: connections close at any time around the next request.
+#[tokio::test]
+async fn a_request_that_is_returned_as_unsent_has_not_arrived() {
+    const CALLS: usize = 400;
+    task::LocalSet::new()
+        .run_until(async {
+            let (address, paths) = closing_upstream();
+            let pool = Rc::new(pool::Pool::new(time::Duration::from_secs(10)));
+            let mut sent = vec![0; CALLS];
+            let mut returned = 0;
+            for (call, sent) in sent.iter_mut().enumerate() {
+                let mut request = Box::new(
+                    http::Request::builder()
+                        .uri(format!("/{call}"))
+                        .header("host", "a")
+                        .body(upload::Upload::Buffered(None))
+                        .expect("a request"),
+                );
+                let mut unsent = proof::Unsent::fresh();
+                loop {
+                    let mut lease = pool.acquire(address, None).await.expect("a connection");
+                    for _ in 0..call % 4 {
+                        task::yield_now().await;
+                    }
+                    thread::sleep(time::Duration::from_micros(call as u64 / 4 % 8 * 20));
+                    match lease.send(*request, unsent).await {
+                        Err(pool::Failed::Unsent(same, token)) => {
+                            (request, unsent) = (same, token);
+                            returned += 1;
+                        }
+                        answer => {
+                            *sent += 1;
+                            if answer.is_ok() {
+                                lease.release();
+                            }
+                            break;
+                        }
+                    }
+                }
+            }
+            println!("{returned} of {CALLS} requests were returned");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            let paths = paths.lock().expect("no panic");
+            for (call, sent) in sent.into_iter().enumerate() {
+                let arrived = paths.iter().filter(|path| **path == format!("/{call}")).count();
+                assert!(arrived <= sent, "call {call} arrived {arrived} times, sent {sent}");
+            }
+        })
+        .await;
+}
+
 /// Guards against a status that promises "not run" to callers who see nothing else, on a call that
 /// may have run.
 #[test]
