--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -6,6 +6,7 @@
 
 use http::header;
 use hyper::body::{Body, Incoming};
+use hyper::ext;
 use prometheus_client::metrics::counter;
 
 use crate::proxy::dialect;
@@ -18,7 +19,8 @@
 pub struct Counts {
     /// Answers with the id of another request, or without one where upstreams echo it.
     pub foreign: counter::Counter,
-    /// Answers that are no complete answer of an upstream: not signed, or without a marked end.
+    /// Answers that are no complete answer of an upstream: not signed, merged with a cut one,
+    /// without a marked end, or with a status that they don't confirm.
     pub malformed: counter::Counter,
 }
 
@@ -41,17 +43,28 @@
 #[derive(Debug)]
 pub enum Verified {
     /// The upstream has not run the request and never will.
-    NotRun(http::Response<Incoming>),
+    NotRun(http::Response<Incoming>, NotRun),
     /// The upstream ran the request.
     Ran(http::Response<Incoming>),
+    /// The upstream may have run the request, and the status would tell callers that it has not. The
+    /// answer is not passed on.
+    Unmarked(http::Response<Incoming>),
 }
 
+/// The word of the upstream, in its answer to a request, that it has not run the request.
+#[derive(Debug)]
+pub struct NotRun(());
+
 /// Why an answer is not believed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Mismatch {
     /// It has the id of another request, or no id where upstreams echo it.
     #[error("foreign-id")]
     Foreign,
+    /// Its head holds the status line of another answer: the one before it was cut, and is read as
+    /// the begin of this one.
+    #[error("merged")]
+    Merged,
     /// It announces another protocol, which was not asked for.
     #[error("upgraded")]
     Upgraded,
@@ -64,6 +77,9 @@
     /// Its end is not marked, so that a part of it looks like the whole.
     #[error("unframed")]
     Unframed,
+    /// Its status tells callers that the request was not run, and the upstream doesn't say so.
+    #[error("unmarked")]
+    Unmarked,
 }
 
 /// An answer that is not believed. The request may have run, and its true answer may still come.
@@ -83,6 +99,16 @@
     pub const fn endless() -> Self {
         Self { mismatch: Mismatch::Endless, echo: None, status: None }
     }
+
+    /// The answer of [`Verified::Unmarked`].
+    pub fn unmarked<B>(answer: &http::Response<B>, dialect: &dialect::Dialect) -> Self {
+        Self::new(Mismatch::Unmarked, answer, dialect)
+    }
+
+    fn new<B>(mismatch: Mismatch, answer: &http::Response<B>, dialect: &dialect::Dialect) -> Self {
+        let echo = answer.headers().get(&dialect.id).cloned();
+        Self { mismatch, echo, status: Some(answer.status()) }
+    }
 }
 
 impl Counts {
@@ -90,9 +116,12 @@
     pub fn record(&self, mismatch: Mismatch) {
         match mismatch {
             Mismatch::Foreign => self.foreign.inc(),
-            Mismatch::Endless | Mismatch::Upgraded | Mismatch::Unsigned | Mismatch::Unframed => {
-                self.malformed.inc()
-            }
+            Mismatch::Endless
+            | Mismatch::Merged
+            | Mismatch::Upgraded
+            | Mismatch::Unsigned
+            | Mismatch::Unframed
+            | Mismatch::Unmarked => self.malformed.inc(),
         };
     }
 }
@@ -109,13 +138,17 @@
     ///
     /// The answer is not believed. Its connection must not be used again.
     pub fn verify(self, expected: &Expected<'_>) -> Result<Verified, Rejected> {
-        let Self(answer) = self;
+        let (Self(answer), dialect) = (self, expected.dialect);
         if let Some(mismatch) = mismatch(&answer, expected) {
-            let echo = answer.headers().get(&expected.dialect.id).cloned();
-            return Err(Rejected { mismatch, echo, status: Some(answer.status()) });
+            return Err(Rejected::new(mismatch, &answer, dialect));
         }
-        let not_run = expected.dialect.is_not_run(answer.status(), answer.headers());
-        Ok(if not_run { Verified::NotRun(answer) } else { Verified::Ran(answer) })
+        Ok(if dialect.is_not_run(answer.status(), answer.headers()) {
+            Verified::NotRun(answer, NotRun(()))
+        } else if dialect.promises_not_run(answer.status()) {
+            Verified::Unmarked(answer)
+        } else {
+            Verified::Ran(answer)
+        })
     }
 }
 
@@ -128,6 +161,9 @@
     if is_foreign(answer.headers(), expected) {
         return Some(Mismatch::Foreign);
     }
+    if is_merged(answer, dialect) {
+        return Some(Mismatch::Merged);
+    }
     if answer.status().is_informational() {
         return Some(Mismatch::Upgraded);
     }
@@ -150,6 +186,33 @@
     echoes.any(|echo| Some(echo) != expected.id)
 }
 
+/// Whether the head of `answer` holds a second status line. Its status, and the mark of a rejection,
+/// may then be those of an answer that was cut before its id.
+///
+/// The values of headers are searched only where they may say that the request was not run: other
+/// answers may name a status line.
+fn is_merged<B>(answer: &http::Response<B>, dialect: &dialect::Dialect) -> bool {
+    let reason = answer.extensions().get::<ext::ReasonPhrase>();
+    if reason.is_some_and(|reason| has_status_line(reason.as_bytes())) {
+        return true;
+    }
+    let map = answer.headers();
+    let may_say_not_run =
+        map.contains_key(&dialect.not_run) || dialect.is_not_run(answer.status(), map);
+    may_say_not_run && map.values().any(|value| has_status_line(value.as_bytes()))
+}
+
+/// Whether `text` contains the begin of a status line: `HTTP/1.1 200`.
+fn has_status_line(text: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    text.windows(VERSION.len() + 5).any(|window| {
+        let line = window.strip_prefix(VERSION);
+        line.is_some_and(|line| {
+            line[0].is_ascii_digit() && line[1] == b' ' && line[2..].iter().all(u8::is_ascii_digit)
+        })
+    })
+}
+
 /// Whether the answer's end is marked: by its length, by chunks, or because it has no body.
 fn is_framed<B: Body>(method: &http::Method, answer: &http::Response<B>) -> bool {
     method == http::Method::HEAD
--- a/src/proxy/call/remote.rs
+++ b/src/proxy/call/remote.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use http::header;
+
 use crate::claim;
 use crate::host;
 use crate::proxy::attempt;
@@ -9,10 +11,12 @@
 use crate::proxy::call;
 use crate::proxy::headers;
 use crate::proxy::internode;
+use crate::proxy::proof;
 use crate::proxy::received_body;
 use crate::proxy::refuse;
 use crate::proxy::resources;
 use crate::proxy::state;
+use crate::proxy::trace;
 use crate::proxy::upload;
 use crate::retry;
 
@@ -23,10 +27,12 @@
     tries: call::Tries,
     host: host::HostId,
     mut request: http::Request<upload::Upload>,
+    unsent: proof::Unsent,
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
     let now = state.ctx.now();
-    internode::wrap(&mut request, call.head.host.as_ref(), &call.spec(), now)?;
+    let wrapped = internode::wrap(&mut request, call.head.host.as_ref(), &call.spec(), now);
+    let ((), unsent) = unsent.check(wrapped)?;
     if let Some(notice) = state.heard.borrow_mut().header(host, now) {
         request.headers_mut().insert(headers::NOTICE, notice);
     }
@@ -35,8 +41,13 @@
         attempt.set_expected(attempt::Expected { run, deadline: call.deadline });
     }
     let end = state.timer(call.deadline) + call::REPLY_GRACE;
-    let limit = connect_timeout(state, call, tries);
-    let mut answer = internode::call_within(&state.links, host, request, end, limit).await;
+    let wait = (end, connect_timeout(state, call, tries));
+    let resent = |map: &header::HeaderMap, connection| {
+        let to = trace::Destination::Node(host);
+        state.record_resent(&trace::Resent { id: map.get(&state.dialect.id), to, connection });
+    };
+    let answer = internode::call_within(&state.links, host, request, unsent, wait, resent);
+    let mut answer = answer.await;
     answer.bound_ran(state.ctx.now().since(now));
     // A refusal without a notice tells nothing: the node may have started anew and not know its
     // upstream yet.
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -5,8 +5,10 @@
 //! connections are reused first, so there are never more open connections than calls that ran
 //! concurrently.
 
-use std::cell::RefCell;
+use std::cell::{LazyCell, RefCell};
 use std::future;
+use std::hash;
+use std::hash::{Hash as _, Hasher as _};
 use std::io;
 use std::net;
 use std::rc::Rc;
@@ -20,6 +22,7 @@
 
 use crate::proxy::answer;
 use crate::proxy::meter;
+use crate::proxy::proof;
 use crate::proxy::upload;
 use crate::socket;
 
@@ -29,6 +32,10 @@
 /// Maximum time to wait until an idle connection is ready for its next call.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(20);
 
+/// Maximum number of rejected requests on one connection, after which it is not reused. A connection
+/// of an upstream that sheds costs one handshake in so many rejections, and 256 bytes.
+const MAX_REJECTED: usize = 32;
+
 /// The connections to the local upstream.
 #[derive(Debug)]
 pub struct Pool {
@@ -52,11 +59,20 @@
     probe: net::TcpStream,
     address: net::SocketAddr,
     meter: Rc<meter::Meter>,
-    /// Id of the last request, if it was rejected.
-    rejected: Option<header::HeaderValue>,
+    rejections: Rejections,
     task: task::AbortHandle,
 }
 
+/// The requests that were rejected on a connection, over its whole life: a second copy of their
+/// rejections may arrive at any time, and bears the right id if one of them is sent again.
+#[derive(Debug, Default)]
+struct Rejections {
+    /// Hashes of the ids, [`MAX_REJECTED`] at most. Ids with equal hashes only cost a connection.
+    ids: Vec<u64>,
+    /// Whether a rejection bore no id: a copy of it would be believed for any request.
+    anonymous: bool,
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
@@ -80,7 +96,7 @@
     /// An idle connection to `address`, the most recently used one, or a new one, for the request
     /// `id`.
     ///
-    /// A connection on which `id` was just rejected is left out: a second copy of that rejection
+    /// A connection on which `id` was ever rejected is left out: a second copy of that rejection
     /// would bear the right id.
     ///
     /// # Errors
@@ -124,16 +140,34 @@
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
-    /// Takes the most recently used idle connection whose last request was not `id`, rejected.
+    /// Takes the most recently used idle connection on which `id` was not rejected.
     fn pop(&self, id: Option<&header::HeaderValue>) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
-        let other = |idle: &Idle| id.is_none() || idle.conn.rejected.as_ref() != id;
-        let last = idle.iter().rposition(other)?;
+        let id = LazyCell::new(|| id.map(hash));
+        let usable = |idle: &Idle| {
+            let rejections = &idle.conn.rejections;
+            rejections.ids.is_empty() || id.is_none_or(|id| !rejections.ids.contains(&id))
+        };
+        let last = idle.iter().rposition(usable)?;
         let last = idle.remove(last);
         (last.since.elapsed() < self.max_idle).then_some(last.conn)
     }
 }
 
+impl Rejections {
+    /// Whether a connection with these rejections may carry other requests.
+    const fn allow_reuse(&self) -> bool {
+        !self.anonymous && self.ids.len() < MAX_REJECTED
+    }
+}
+
+/// The hash by which [`Rejections`] knows an id.
+fn hash(id: &header::HeaderValue) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    id.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Conn {
     /// Waits until hyper has finished the previous call on this connection. `false` if it has not
     /// within [`READY_TIMEOUT`].
@@ -169,7 +203,14 @@
             log::debug!("connection to the upstream {address} ended: {error}");
         }
     });
-    Ok(Conn { send, probe, address, meter, rejected: None, task: task.abort_handle() })
+    Ok(Conn {
+        send,
+        probe,
+        address,
+        meter,
+        rejections: Rejections::default(),
+        task: task.abort_handle(),
+    })
 }
 
 impl Drop for Lease {
@@ -186,7 +227,7 @@
 }
 
 impl Lease {
-    /// Sends a call.
+    /// Sends a call. Uses up `unsent`, which [`Failed::Unsent`] gives back.
     ///
     /// # Errors
     ///
@@ -194,11 +235,11 @@
     pub async fn send(
         &mut self,
         request: http::Request<upload::Upload>,
+        unsent: proof::Unsent,
     ) -> Result<answer::Unverified, Failed> {
         let Some(conn) = self.conn.as_mut() else {
-            return Err(Failed::Unsent(Box::new(request)));
+            return Err(Failed::Unsent(Box::new(request), unsent));
         };
-        conn.rejected = None;
         conn.meter.record_progress();
         let answer = tokio::select! {
             biased;
@@ -207,15 +248,18 @@
         };
         conn.meter.record_progress();
         answer.map(answer::Unverified::new).map_err(|mut e| match e.take_message() {
-            Some(unsent) => Failed::Unsent(Box::new(unsent)),
+            Some(request) => Failed::Unsent(Box::new(request), unsent),
             None => Failed::Lost(e.into_error()),
         })
     }
 
-    /// Records that the answer to the request `id` said that it was not run.
-    pub fn record_rejected(&mut self, id: &header::HeaderValue) {
-        if let Some(conn) = self.conn.as_mut() {
-            conn.rejected = Some(id.clone());
+    /// Records that an answer with the id `echo` said that its request was not run. Without an id,
+    /// the connection carries no other request.
+    pub fn record_rejected(&mut self, echo: Option<&header::HeaderValue>) {
+        let Some(conn) = self.conn.as_mut() else { return };
+        match echo {
+            Some(echo) => conn.rejections.ids.push(hash(echo)),
+            None => conn.rejections.anonymous = true,
         }
     }
 
@@ -227,7 +271,7 @@
     /// Returns the connection to the pool after a complete answer.
     pub fn release(&mut self) {
         let Some(conn) = self.conn.take() else { return };
-        if !conn.send.is_closed() {
+        if !conn.send.is_closed() && conn.rejections.allow_reuse() {
             let since = time::Instant::now();
             self.pool.idle.borrow_mut().push(Idle { conn, since });
         }
@@ -238,7 +282,7 @@
 #[derive(Debug)]
 pub enum Failed {
     /// Nothing of the request was sent: the connection was closed, or had been released.
-    Unsent(Box<http::Request<upload::Upload>>),
+    Unsent(Box<http::Request<upload::Upload>>, proof::Unsent),
     /// The connection failed.
     Lost(hyper::Error),
     /// The upstream sent [`meter::MAX_BYTES`] that are no head of an answer.
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -324,7 +324,7 @@
                 let times = ran.map(|ran| ran.0).zip(self.run_times.borrow().mean(kind));
                 Some(rollouts::Observation { failed: answer.status().is_server_error(), times })
             }
-            Err(refusal) => match refusal.outcome {
+            Err(refusal) => match refusal.outcome() {
                 retry::Outcome::Unknown(
                     retry::Reason::Cut | retry::Reason::Malformed | retry::Reason::Timeout,
                 ) => Some(rollouts::Observation { failed: true, times: None }),
@@ -333,6 +333,12 @@
         }
     }
 
+    /// Counts and logs that a request is sent again on another connection.
+    pub fn record_resent(&self, resent: &trace::Resent<'_>) {
+        self.running.counts().resent.get_or_create(&[("to", resent.to.as_str())]).inc();
+        self.trace.resent(resent, self.ctx.now());
+    }
+
     /// A number that no other call of this process has. The first one is random, so that a process
     /// whose incarnation is not known yet doesn't repeat the numbers of its predecessor.
     pub fn next_number(&self) -> u64 {
--- /dev/null
+++ b/tests/calls/copies.rs
@@ -0,0 +1,323 @@
+//! Answers that an upstream sends once more: what the caller is told against what the upstream ran.
+
+use std::cell::{Cell, RefCell};
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dandelionspool::clock;
+use dandelionspool::context;
+use dandelionspool::host;
+use dandelionspool::node;
+use dandelionspool::proxy;
+use dandelionspool::proxy::answer;
+use dandelionspool::proxy::shell;
+use dandelionspool::proxy::wiring;
+use dandelionspool::quarantine;
+use dandelionspool::view;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use rstest::rstest;
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::fake;
+use crate::fake::Step;
+use crate::rig;
+
+/// An answer of the project's own dialect that says that the request was not run. `id` is left out
+/// if it is empty.
+fn rejection(id: &str) -> Vec<u8> {
+    let echo = if id.is_empty() { String::new() } else { format!("x-request-id: {id}\r\n") };
+    let head = "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\n";
+    format!("{head}{echo}content-length: 0\r\n\r\n").into_bytes()
+}
+
+/// The answer to a request that ran.
+fn success(id: &str) -> Vec<u8> {
+    let echo = if id.is_empty() { String::new() } else { format!("x-request-id: {id}\r\n") };
+    format!("HTTP/1.1 200 OK\r\n{echo}content-length: 4\r\n\r\ndone").into_bytes()
+}
+
+/// An upstream that rejects all requests while `sheds` is set, and runs them otherwise.
+#[derive(Debug, Default)]
+struct Upstream {
+    sheds: Cell<bool>,
+    /// Ids of the requests that ran, in order.
+    ran: RefCell<Vec<String>>,
+}
+
+impl Upstream {
+    fn runs(&self, id: &str) -> usize {
+        self.ran.borrow().iter().filter(|ran| *ran == id).count()
+    }
+}
+
+/// Starts an upstream that sends `copy` of the id of each request before the true answer, once it
+/// runs requests.
+async fn start(
+    upstream: &Rc<Upstream>,
+    echo: impl Fn(&str) -> String + 'static,
+) -> (fake::Fake, Vec<rig::Node>) {
+    let shared = Rc::clone(upstream);
+    let rejected = RefCell::new(std::collections::HashMap::<usize, Vec<Vec<u8>>>::new());
+    let script = move |request: &fake::Request| {
+        let id = request.header("x-request-id");
+        let mut rejected = rejected.borrow_mut();
+        if shared.sheds.get() {
+            let answer = rejection(&echo(&id));
+            rejected.entry(request.conn).or_default().push(answer.clone());
+            return vec![Step::Write(answer)];
+        }
+        let mut bytes = Vec::new();
+        // Copies of rejections that bear the id of this request, or none.
+        for copy in rejected.get(&request.conn).into_iter().flatten() {
+            if *copy == rejection(&id) || *copy == rejection("") {
+                bytes.clone_from(copy);
+            }
+        }
+        shared.ran.borrow_mut().push(id.clone());
+        bytes.extend(success(&echo(&id)));
+        vec![Step::Write(bytes)]
+    };
+    let fake = fake::Fake::start(script).await;
+    let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+    (fake, nodes)
+}
+
+/// Guards against believing a copy of a rejection that bears the right id, as the request has come
+/// back to the connection after another one: an order runs twice, or its caller is told that it has
+/// not run.
+#[test]
+fn a_request_never_returns_to_a_connection_that_has_rejected_it() {
+    rig::run(async {
+        let upstream = Rc::<Upstream>::default();
+        let (_fake, nodes) = start(&upstream, str::to_owned).await;
+        for entry in &nodes {
+            upstream.sheds.set(true);
+            for id in ["a", "b", "c"] {
+                let answer = rig::call(entry, rig::request("POST", "/orders", id), b"").await;
+                assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+            }
+            upstream.sheds.set(false);
+            for id in ["between", "a", "b", "c"] {
+                let before = upstream.runs(id);
+                let answer = rig::call(entry, rig::request("POST", "/orders", id), b"").await;
+                let runs = upstream.runs(id) - before;
+                assert_eq!((answer.outcome(), runs), ("ran", 1), "{id}");
+            }
+        }
+    });
+}
+
+/// Guards against believing a copy of a rejection that bears no id: it belongs to any request that
+/// its connection carries next.
+#[test]
+fn a_connection_that_rejected_a_request_without_its_id_is_not_used_again() {
+    rig::run(async {
+        let upstream = Rc::<Upstream>::default();
+        let (_fake, nodes) = start(&upstream, |_| String::new()).await;
+        for (number, entry) in nodes.iter().enumerate() {
+            upstream.sheds.set(true);
+            let id = format!("rejected{number}");
+            let answer = rig::call(entry, rig::request("POST", "/orders", &id), b"").await;
+            assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+            upstream.sheds.set(false);
+            for id in [format!("next{number}"), id] {
+                let answer = rig::call(entry, rig::request("POST", "/orders", &id), b"").await;
+                assert_eq!((answer.outcome(), upstream.runs(&id)), ("ran", 1), "{id}");
+            }
+        }
+    });
+}
+
+/// A node whose callers and upstream use a dialect in which the status tells callers whether their
+/// call has run.
+struct TerseNode {
+    id: host::HostId,
+    /// Counts of the answers that it has not believed.
+    answers: answer::Counts,
+    task: task::JoinHandle<Result<(), proxy::Error>>,
+    _stage: watch::Sender<node::Stage>,
+    _quarantine: quarantine::MemberSide,
+}
+
+impl Drop for TerseNode {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl TerseNode {
+    /// Starts a node with an upstream at `address`.
+    async fn start(address: net::SocketAddr) -> Self {
+        let settings = rig::settings(rig::address());
+        let id = host::HostId::new(settings.listen);
+        let upstream = rig::shop(4);
+        let local = node::LocalUpstream {
+            address,
+            instance: "i1".into(),
+            born: None,
+            upstream: upstream.clone(),
+        };
+        let host = view::Host {
+            id,
+            locality: Arc::new(view::Locality { region: "region".into(), zone: "zone".into() }),
+            incarnation: 1,
+            health: view::Health::Alive,
+            upstream: Some(Arc::new(upstream)),
+        };
+        let dialect = proxy::Dialect::default().instance("instance").not_run("not-run");
+        let (stage, stages) = watch::channel(node::Stage::Run);
+        let (call_side, quarantine) = quarantine::channel();
+        let answers = answer::Counts::default();
+        let wiring = wiring::Wiring {
+            applied: watch::channel(rig::applied(1)).1,
+            view: watch::channel(Arc::new(view::View::new(vec![host]))).1,
+            local: watch::channel(Some(Arc::new(local))).1,
+            stage: stages,
+            tallies: dandelionspool::ring::bounded(64).0,
+            claims: rig::Claims::default(),
+            dialect: dialect.signature("signed").terse(),
+            quarantine: call_side,
+            quotas: Default::default(),
+            answers: answers.clone(),
+            notices: Default::default(),
+            picks: Default::default(),
+            retries: Default::default(),
+            slots: Default::default(),
+            overload: Default::default(),
+            rollouts: Default::default(),
+        };
+        let ctx = context::Context { clock: clock::System::new(), seed: 1 };
+        let task = task::spawn_local(shell::run(ctx, Arc::new(settings), wiring));
+        rig::until(|| net::TcpStream::connect(id.call_addr()).is_ok()).await;
+        tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+        Self { id, answers, task, _stage: stage, _quarantine: quarantine }
+    }
+
+    /// Calls the node on a new connection, and returns the status of its answer.
+    async fn call(&self, request: http::request::Builder) -> u16 {
+        let stream = tokio::net::TcpStream::connect(self.id.call_addr()).await.unwrap();
+        let (mut send, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        let conn = task::spawn_local(conn);
+        let answer = send.send_request(request.body(Full::<Bytes>::default()).unwrap()).await;
+        conn.abort();
+        answer.unwrap().status().as_u16()
+    }
+}
+
+/// Guards against passing on a status that tells callers that their call has not run and never will,
+/// where the upstream has not said so: the call ran.
+#[rstest]
+fn a_status_that_promises_not_run_is_passed_on_only_where_the_upstream_says_so(
+    #[values(408, 421, 429, 503)] status: u16,
+    #[values(false, true)] marked: bool,
+) {
+    rig::run(async move {
+        let ran = Rc::<Cell<usize>>::default();
+        let runs = Rc::clone(&ran);
+        let script = move |request: &fake::Request| {
+            let id = request.header("x-request-id");
+            runs.set(runs.get() + usize::from(!marked && status != 421));
+            let mark = if marked { "not-run: 1\r\n" } else { "" };
+            vec![Step::Write(
+                format!(
+                    "HTTP/1.1 {status} Status\r\nx-request-id: {id}\r\nsigned: 1\r\n\
+                     {mark}content-length: 0\r\n\r\n"
+                )
+                .into_bytes(),
+            )]
+        };
+        let fake = fake::Fake::start(script).await;
+        let node = TerseNode::start(fake.address).await;
+        let order = node.call(rig::request("POST", "/orders", "order")).await;
+        // An instance that was named says by 421 alone that it has not run the call.
+        if marked || status == 421 {
+            assert_eq!((order, ran.get()), (503, 0));
+            assert_eq!(node.answers.malformed.get(), 0);
+            return;
+        }
+        assert_eq!((order, ran.get()), (502, 1));
+        assert_eq!(node.answers.malformed.get(), 1);
+        let browse = node.call(rig::request("GET", "/browse", "browse")).await;
+        assert_eq!(browse, 502);
+        assert!(ran.get() > 2, "an idempotent call is tried again");
+    });
+}
+
+/// Guards against losing what an upstream says of itself in an answer that can't be passed on.
+#[test]
+fn an_upstream_that_leaves_in_an_answer_that_is_not_passed_on_gets_no_new_call() {
+    rig::run(async {
+        let script = |request: &fake::Request| {
+            let id = request.header("x-request-id");
+            let head = "HTTP/1.1 503 Busy\r\nsigned: 1\r\nupstream-leaving: 1\r\n";
+            vec![Step::Write(
+                format!("{head}x-request-id: {id}\r\ncontent-length: 0\r\n\r\n").into_bytes(),
+            )]
+        };
+        let fake = fake::Fake::start(script).await;
+        let node = TerseNode::start(fake.address).await;
+        assert_eq!(node.call(rig::request("POST", "/orders", "first")).await, 502);
+        assert_eq!(node.call(rig::request("POST", "/orders", "second")).await, 503);
+        assert_eq!(fake.requests().len(), 1);
+    });
+}
+
+/// An upstream that sends `prefix` before each of its answers.
+fn prefixed(prefix: &'static str, signed: &'static str) -> impl Fn(&fake::Request) -> Vec<Step> {
+    move |request| {
+        let id = request.header("x-request-id");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\n{signed}x-request-id: {id}\r\ncontent-length: 4\r\n\r\ndone"
+        );
+        vec![Step::Write([prefix.as_bytes(), answer.as_bytes()].concat())]
+    }
+}
+
+/// Guards against reading the head of a cut answer and that of the true one as a single head: its
+/// status, or the mark of a rejection, is that of the cut one, and its id that of the true one.
+#[rstest]
+#[case::rejection_cut_in_a_later_header(
+    "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\ndate: Fri, 04 De"
+)]
+#[case::rejection_cut_before_a_later_value(
+    "HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: shed\r\ndate: "
+)]
+#[case::rejection_cut_in_its_reason("HTTP/1.1 503 Serv")]
+#[case::success_cut_before_its_reason("HTTP/1.1 204 ")]
+#[case::cut_in_a_name("HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstr")]
+#[case::cut_in_the_mark("HTTP/1.1 503 Service Unavailable\r\ndandelionspool-upstream: sh")]
+#[case::cut_in_the_status("HTTP/1.1 50")]
+fn a_cut_answer_before_the_true_one_is_not_believed(#[case] prefix: &'static str) {
+    rig::run(async move {
+        let fake = fake::Fake::start(prefixed(prefix, "")).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for (number, entry) in nodes.iter().enumerate() {
+            let id = format!("r{number}");
+            let answer = rig::call(entry, rig::request("POST", "/orders", &id), b"").await;
+            let told = (answer.status, answer.outcome(), fake.runs(&id));
+            assert_eq!(told, (502, "unknown", 1));
+        }
+    });
+}
+
+/// Like the test above, where the status and the presence of the mark are enough.
+#[rstest]
+#[case::misdirected("HTTP/1.1 421 ")]
+#[case::rejection_cut_in_the_mark("HTTP/1.1 503 Service Unavailable\r\nnot-run: ")]
+#[case::rejection_cut_in_its_reason("HTTP/1.1 503 Serv")]
+#[case::success_cut_in_its_reason("HTTP/1.1 204 No C")]
+fn a_cut_answer_before_the_true_one_is_not_believed_in_a_terse_dialect(
+    #[case] prefix: &'static str,
+) {
+    rig::run(async move {
+        let fake = fake::Fake::start(prefixed(prefix, "signed: 1\r\n")).await;
+        let node = TerseNode::start(fake.address).await;
+        let status = node.call(rig::request("POST", "/orders", "order")).await;
+        assert_eq!((status, fake.runs("order")), (502, 1));
+    });
+}
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -10,6 +10,7 @@
 use dandelionspool::proxy;
 use dandelionspool::proxy::answer;
 use dandelionspool::proxy::pool;
+use dandelionspool::proxy::proof;
 use dandelionspool::proxy::upload;
 use http::HeaderValue;
 use http_body_util::BodyExt as _;
@@ -46,7 +47,7 @@
 async fn call(lease: &mut pool::Lease) -> Bytes {
     let request = http::Request::builder().uri("/").header("host", "a");
     let request = request.body(upload::Upload::Buffered(None)).unwrap();
-    let answer = lease.send(request).await.unwrap();
+    let answer = lease.send(request, proof::Unsent::fresh()).await.unwrap();
     verified(answer).into_body().collect().await.unwrap().to_bytes()
 }
 
@@ -55,7 +56,9 @@
     let expected = answer::Expected { dialect: &dialect, method: &method, id: None };
     match answer.verify(&expected).unwrap() {
         answer::Verified::Ran(answer) => answer,
-        answer::Verified::NotRun(_) => panic!("the upstream has rejected the request"),
+        answer::Verified::NotRun(..) | answer::Verified::Unmarked(_) => {
+            panic!("the upstream has rejected the request")
+        }
     }
 }
 
@@ -140,15 +143,36 @@
         let fake = fake::Fake::start(|_| vec![Step::Write(fake::answer("x"))]).await;
         let pool = Rc::new(pool::Pool::new(IDLE));
         let (first, other) = (HeaderValue::from_static("r1"), HeaderValue::from_static("r2"));
-        for (id, conns) in [(&first, 1), (&first, 2), (&other, 2)] {
+        // The last one comes back after another request.
+        for (id, conns) in [(&first, 1), (&first, 2), (&other, 2), (&first, 3)] {
             let mut lease = pool.acquire(fake.address, Some(id)).await.unwrap();
             let request = http::Request::builder().uri("/").header("host", "a");
             let request = request.body(upload::Upload::Buffered(None)).unwrap();
-            let answer = lease.send(request).await.unwrap();
+            let answer = lease.send(request, proof::Unsent::fresh()).await.unwrap();
             let _ = verified(answer).into_body().collect().await.unwrap();
-            lease.record_rejected(id);
+            lease.record_rejected(Some(id));
             lease.release();
             assert_eq!(fake.conns(), conns, "after {id:?}");
         }
     });
 }
+
+/// Guards against a connection that grows with the requests that it has rejected, and against one
+/// that forgets the first of them.
+#[test]
+fn a_connection_that_has_rejected_many_requests_is_not_reused() {
+    const REJECTED: usize = 32;
+    rig::run(async {
+        let fake = fake::Fake::start(|_| vec![Step::Write(fake::answer("x"))]).await;
+        let pool = Rc::new(pool::Pool::new(IDLE));
+        for number in 0..2 * REJECTED {
+            let id = HeaderValue::from_str(&format!("r{number}")).unwrap();
+            let mut lease = pool.acquire(fake.address, Some(&id)).await.unwrap();
+            call(&mut lease).await;
+            lease.record_rejected(Some(&id));
+            lease.release();
+            assert_eq!(fake.conns(), number / REJECTED + 1, "after {id:?}");
+            assert_eq!(pool.idle(), usize::from(number % REJECTED < REJECTED - 1));
+        }
+    });
+}
