fix(pool): a connection that is left out for an id is replaced, not kept beside another

A request that is sent and rejected again and again, as by a caller's retries, opened a connection each time and left the last one idle for up to `idle_ms`: more connections than the upstream takes, which bounds the calls that are admitted.

Change: where all idle connections are left out, the one unused for the longest time is closed before another is opened. There are again never more open connections than calls that ran concurrently.

Tests: `a_request_that_is_rejected_again_and_again_holds_one_connection` failed before at `left: (1, 1), right: (0, 1)` (idle, accepted).

--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -96,7 +96,8 @@
     /// `id`.
     ///
     /// A connection on which `id` was ever rejected is left out: a second copy of that rejection
-    /// would bear the right id.
+    /// would bear the right id. If all idle ones are left out, the new one takes the place of the
+    /// oldest.
     ///
     /// # Errors
     ///
@@ -111,6 +112,7 @@
                 return Ok(Lease { conn: Some(conn), pool: Rc::clone(self) });
             }
         }
+        self.close_oldest();
         let conn = open(address).await?;
         self.tasks.borrow_mut().push(conn.task.clone());
         Ok(Lease { conn: Some(conn), pool: Rc::clone(self) })
@@ -139,6 +141,14 @@
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
+    /// Closes the idle connection that has not been used for the longest time, if there is one.
+    fn close_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
     /// Takes the most recently used idle connection on which `id` was not rejected.
     fn pop(&self, id: Option<&header::HeaderValue>) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
--- a/tests/calls/pool.rs
+++ b/tests/calls/pool.rs
@@ -175,3 +175,21 @@
         }
     });
 }
+
+/// Guards against connections that pile up while a request is sent and rejected again and again: an
+/// upstream accepts no more of them than calls.
+#[test]
+fn a_request_that_is_rejected_again_and_again_holds_one_connection() {
+    rig::run(async {
+        let fake = fake::Fake::start(|_| vec![Step::Write(fake::answer("x"))]).await;
+        let pool = Rc::new(pool::Pool::new(IDLE));
+        let id = HeaderValue::from_static("r1");
+        for number in 1..10 {
+            let mut lease = pool.acquire(fake.address, Some(&id)).await.unwrap();
+            assert_eq!((pool.idle(), fake.conns()), (0, number - 1));
+            call(&mut lease).await;
+            lease.record_rejected(Some(&id));
+            lease.release();
+        }
+    });
+}
