fix(answer): only chunks mark the end of an answer without a length

A cut answer was passed on as whole: one with `transfer-encoding: gzip`, or with a coding after `chunked`, ends with its connection, as the library reads it to the end of that, and the header alone was taken for the mark of an end.

Change: the end counts as marked only where `chunked` is the last coding, as the library decides it; any other such answer is unknown (`unframed`).

Tests: two cases of `a_broken_answer_is_never_passed_on_as_complete`, which failed before the mend with `left: (200, "ran"), right: (502, "unknown")`.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -214,5 +214,13 @@
     method == http::Method::HEAD
         || answer.body().is_end_stream()
         || answer.body().size_hint().exact().is_some()
-        || answer.headers().contains_key(header::TRANSFER_ENCODING)
+        || is_chunked(answer.headers())
+}
+
+/// Whether the body comes in chunks, whose last one marks its end. After any other transfer coding
+/// it ends with its connection.
+fn is_chunked(map: &header::HeaderMap) -> bool {
+    let codings = map.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let codings = codings.and_then(|codings| codings.to_str().ok()).unwrap_or_default();
+    codings.rsplit(',').next().is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
 }
--- a/tests/calls/answers.rs
+++ b/tests/calls/answers.rs
@@ -19,6 +19,8 @@
 #[case::cut_in_a_chunk(b"transfer-encoding: chunked\r\n\r\n14\r\nhalf", "cut")]
 #[case::cut_after_a_chunk(b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n", "cut")]
 #[case::cut_in_the_head(b"content-length: 20\r\nx-ha", "cut")]
+#[case::neither_length_nor_chunks(b"transfer-encoding: gzip\r\n\r\nhalf", "malformed")]
+#[case::chunks_within(b"transfer-encoding: chunked, gzip\r\n\r\n4\r\nhalf", "malformed")]
 #[case::without_a_marked_end(b"\r\nwhole or half, who knows", "malformed")]
 #[case::for_another_call(b"x-request-id: r0\r\ncontent-length: 4\r\n\r\nr0!!", "malformed")]
 #[case::two_lengths(b"content-length: 4\r\ncontent-length: 2\r\n\r\nhalf", "cut")]
