test(calls): answers that only look like rejections, and bytes that follow an answer

Marks on other statuses, other protocols, ids in capitals, several ids in one line or in two, bodies where there are none (204, 304, HEAD), bodies and leftover bytes that are an answer with the id of the next call, rejections that close their connection. What the caller is told, how often the call was sent, and the next call on that upstream are checked.

--- a/tests/calls/copies.rs
+++ b/tests/calls/copies.rs
@@ -552,3 +552,91 @@
         }
     });
 }
+
+/// Guards against a belief in what only looks like a rejection or a whole answer, and against an
+/// answer whose leftover bytes reach the next call.
+///
+/// `{shed}` and `{echo}` stand for the headers of a rejection and of the id, `{next}` for an answer to
+/// the next call, and `|` for the end of a line.
+#[rstest]
+#[case::mark_on_a_success("200 OK", "{shed}{echo}", "done", "ran", 200)]
+#[case::mark_on_another_status("429 Too Many", "{shed}{echo}", "done", "ran", 429)]
+#[case::other_protocol("101 Switching Protocols", "{shed}{echo}", "", "unknown", 502)]
+#[case::id_in_capitals("503 Busy", "{shed}x-request-id: ORDER|", "", "unknown", 502)]
+#[case::id_of_another("503 Busy", "{shed}x-request-id: other|", "", "unknown", 502)]
+#[case::two_ids("503 Busy", "{shed}{echo}x-request-id: other|", "", "unknown", 502)]
+#[case::two_ids_in_a_line("503 Busy", "{shed}x-request-id: order, order|", "", "unknown", 502)]
+#[case::several_marks("503 Busy", "dandelionspool-upstream: no|{shed}{echo}", "done", "ran", 503)]
+#[case::no_content_with_a_body("204 No Content", "{echo}", "+HTTP/1.1 503 Busy||", "ran", 204)]
+#[case::not_modified_with_a_body("304 Not Modified", "{echo}", "+HTTP/1.1 503 Busy||", "ran", 304)]
+#[case::body_with_an_answer(
+    "200 OK",
+    "{echo}",
+    "HTTP/1.1 503 Busy|{shed}x-request-id: next||",
+    "ran",
+    200
+)]
+#[case::bytes_after_it(
+    "200 OK",
+    "{echo}",
+    "+HTTP/1.1 503 Busy|{shed}x-request-id: next||",
+    "ran",
+    200
+)]
+#[case::closed("200 OK", "{echo}connection: close|", "done", "ran", 200)]
+#[case::rejection_with_an_answer("503 Busy", "{shed}{echo}", "{next}", "not-run", 503)]
+#[case::bytes_after_a_rejection("503 Busy", "{shed}{echo}", "+{next}", "not-run", 503)]
+#[case::closed_rejection("503 Busy", "{shed}{echo}connection: close|", "x", "not-run", 503)]
+fn an_odd_answer_is_taken_for_no_rejection_and_reaches_no_other_call(
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+    #[case] body: &'static str,
+    #[case] outcome: &'static str,
+    #[case] told: u16,
+) {
+    let render = |text: &str| {
+        let next = "HTTP/1.1 200 OK|x-request-id: next|content-length: 4||oops";
+        let text = text.replace("{shed}", "dandelionspool-upstream: shed|").replace("{next}", next);
+        text.replace("{echo}", "x-request-id: order|").replace('|', "\r\n")
+    };
+    // Bytes after a `+` are beyond the marked end of the answer.
+    let within = if body.starts_with('+') { 0 } else { render(body).len() };
+    let length = format!("content-length: {within}|");
+    let body = body.trim_start_matches('+');
+    let odd = render(&format!("HTTP/1.1 {status}|{headers}{length}|{body}"));
+    rig::run(async move {
+        let script = move |request: &fake::Request| {
+            let id = request.header("x-request-id");
+            vec![Step::Write(if id == "order" { odd.clone().into_bytes() } else { success(&id) })]
+        };
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for entry in &nodes {
+            let before = fake.runs("order");
+            let answer = rig::call(entry, rig::request("POST", "/orders", "order"), b"").await;
+            let sent = fake.runs("order") - before;
+            assert_eq!((answer.outcome(), answer.status), (outcome, told));
+            assert!(sent == 1 || outcome == "not-run", "sent {sent} times");
+            let answer = rig::call(entry, rig::request("POST", "/orders", "next"), b"").await;
+            assert_eq!((answer.outcome(), answer.text()), ("ran", "done"));
+        }
+    });
+}
+
+/// Guards against a body where there is none: the bytes after an answer to HEAD, which has no body,
+/// reach the next call.
+#[test]
+fn a_body_after_an_answer_to_head_reaches_no_other_call() {
+    rig::run(async {
+        let script =
+            |request: &fake::Request| vec![Step::Write(success(&request.header("x-request-id")))];
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for entry in nodes.iter().cycle().take(6) {
+            let answer = rig::call(entry, rig::request("HEAD", "/browse", "head"), b"").await;
+            assert_eq!((answer.outcome(), answer.text()), ("ran", ""));
+            let answer = rig::call(entry, rig::request("POST", "/orders", "next"), b"").await;
+            assert_eq!((answer.outcome(), answer.text()), ("ran", "done"));
+        }
+    });
+}
