fix(internode): an answer with several outcomes proves nothing

An answer of another node that said both "not-run" and "ran" counted as not run: an order was sent to a second node.

Cause: the first of several outcome headers was taken, and the others dropped. No node of this code sends more than one, so this is a guard; it explains none of the refused calls that ran. Change: only a single outcome counts; otherwise the call may have run. Test: the case "contradictory" of calls::links.

--- a/src/proxy/internode.rs
+++ b/src/proxy/internode.rs
@@ -211,7 +211,9 @@
     let ran = ran.map(|micros| call_spec::RunTime(time::Duration::from_micros(micros)));
     let held = map.remove(headers::HELD_US).and_then(|v| v.to_str().ok()?.parse().ok());
     let held = held.map(time::Duration::from_micros);
-    let outcome = map.remove(headers::OUTCOME);
+    // Several outcomes may contradict each other; the first of them alone proves nothing.
+    let single = map.get_all(headers::OUTCOME).iter().count() == 1;
+    let outcome = map.remove(headers::OUTCOME).filter(|_| single);
     let result = match outcome.as_ref().map(header::HeaderValue::as_bytes) {
         Some(o) if o == headers::RAN.as_bytes() => Ok(answer),
         Some(o) if o == headers::NOT_RUN.as_bytes() => Err(refusal(&answer, true)),
--- a/tests/calls/links.rs
+++ b/tests/calls/links.rs
@@ -122,6 +122,12 @@
     ]
 }
 
+/// Says both, and so nothing that can be believed.
+fn contradictory(stream: u32) -> Vec<Step> {
+    let both = [(OUTCOME, "not-run"), (OUTCOME, "ran")];
+    vec![write(raw_peer::head(stream, true, 503, &both))]
+}
+
 /// An answer that breaks off.
 fn cut_answer(stream: u32) -> Vec<Step> {
     vec![
@@ -145,6 +151,7 @@
 #[case::other_outcome(other_outcome)]
 #[case::interim(interim)]
 #[case::trailing(trailing)]
+#[case::contradictory(contradictory)]
 #[case::cut_answer(cut_answer)]
 fn a_call_whose_stream_ended_without_a_word_may_have_run(
     #[case] steps: fn(u32) -> Vec<Step>,
