fix(owner): an upload that its upstream has rejected ends there

A rejected upload reached its upstream whole, after its caller had been told that it does not run.

Cause: an upstream may reject a request once it has read its head. The connection went back to the pool at once, and its task sent the rest of the streamed body for as long as the caller sent it; the entry node passed it on likewise. Change: if the upstream rejects an upload of which the caller has more to send, the connection is reset. A body that was read to its end leaves the connection open, as before. An upstream that holds to its rejection runs nothing either way, so this is not shown to be a cause of the refused calls that ran. Test: calls::last_word::an_upload_ends_with_its_rejection, entry beside the upstream or not, body with a length or chunked.

--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -103,6 +103,7 @@
     let id = request.headers().get(&state.dialect.id).cloned();
     resources.run = Some(state.running.enter(id.clone(), fingerprint, spec.organisation.cloned()));
     add_headers(&state.dialect, &local, spec.organisation, remaining, request.headers_mut());
+    let progress = request.body().progress();
     let (mut lease, answer) = send(state, &local, request, id.as_ref(), end).await?;
     let expected = answer::Expected { dialect: &state.dialect, method: &method, id: id.as_ref() };
     let answer = match answer.verify(&expected) {
@@ -111,7 +112,14 @@
             if let Some(echo) = answer.headers().get(&state.dialect.id) {
                 lease.record_rejected(echo);
             }
-            release_shed(answer, lease, end);
+            if progress.is_complete() {
+                release_shed(answer, lease, end);
+            } else {
+                // The connection is reset. Otherwise the rest of the upload would still be sent,
+                // and the upstream would have the whole request after the caller was told that it
+                // does not run.
+                drop(lease);
+            }
             if let Some(slot) = resources.slot.take() {
                 slot.shed();
             }
--- a/src/proxy/upload.rs
+++ b/src/proxy/upload.rs
@@ -80,10 +80,16 @@
     /// Number of bytes read so far.
     received: u64,
     max_bytes: u64,
+    /// Whether its marked end has been read.
+    ended: bool,
     /// Why the body ended early; `None` if it has not.
     fault: Option<retry::Reason>,
 }
 
+/// How far the body of an attempt has been read, also after it was handed over to be sent.
+#[derive(Debug)]
+pub struct Progress(Option<Rc<RefCell<Streamed>>>);
+
 /// The body of an attempt.
 #[derive(Debug)]
 pub enum Upload {
@@ -144,6 +150,7 @@
             started: false,
             received,
             max_bytes,
+            ended: false,
             fault: None,
         };
         Ok(Self::Stream(Rc::new(RefCell::new(stream))))
@@ -198,6 +205,7 @@
         if let Some(Ok(frame)) = &frame {
             self.received += frame.data_ref().map_or(0, |d| d.len() as u64);
         }
+        self.ended |= frame.is_none();
         if frame.as_ref().is_some_and(Result::is_err) {
             self.fault = Some(retry::Reason::Cut);
         }
@@ -210,7 +218,25 @@
     }
 }
 
+impl Progress {
+    /// Whether the body has been read to its end, so that the caller has nothing more to send.
+    pub fn is_complete(&self) -> bool {
+        self.0.as_ref().is_none_or(|stream| {
+            let stream = stream.borrow();
+            stream.ended || stream.rest.is_end_stream()
+        })
+    }
+}
+
 impl Upload {
+    /// The progress of this body.
+    pub fn progress(&self) -> Progress {
+        match self {
+            Upload::Buffered(_) => Progress(None),
+            Upload::Stream(stream, _) => Progress(Some(Rc::clone(stream))),
+        }
+    }
+
     /// The form of the body from which the request's fingerprint is computed. Invariant: nothing
     /// was sent yet.
     pub fn fingerprint_body(&self) -> quarantine::Body<'_> {
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod fake;
 mod idempotency;
+mod last_word;
 mod limits;
 mod links;
 mod nested;
