--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -1,7 +1,7 @@
 //! Runs the call paths of several nodes in one process, with views of the mesh made by the test,
 //! and sends calls to them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections;
 use std::future;
 use std::net;
@@ -60,6 +60,8 @@
     pub released: Rc<RefCell<Vec<claim::Attempt>>>,
     /// The error with which every claim fails, if set.
     pub error: Rc<RefCell<Option<claim::Error>>>,
+    /// Time that each claim takes.
+    pub delay: Rc<Cell<time::Duration>>,
 }
 
 impl claim::Claims for Claims {
@@ -70,6 +72,9 @@
         _deadline: clock::Instant,
     ) -> Result<claim::Verdict, claim::Error> {
         tokio::task::yield_now().await;
+        if !self.delay.get().is_zero() {
+            tokio::time::sleep(self.delay.get()).await;
+        }
         if let Some(error) = *self.error.borrow() {
             return Err(error);
         }
