test(calls): what the HTTP library gives back as unsent was not written

An order is sent on another connection, without a line at the entry, if the HTTP library gives it back as unsent.

Change: upstreams and a peer that end connections at random moments: before, within and after a request, by close, reset, half close and GOAWAY, with the request read or left in the buffer of the kernel. Each order may come on one connection only.

--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -19,3 +19,4 @@
 mod rig;
 mod slots;
 mod unreachable;
+mod unsent;
