test(failures): owners and entries that are frozen, killed or cut off

Change: real processes with two upstreams. The owner is frozen, killed or cut off while an order runs, or when its upstream has rejected the order and the entry does not know; the entry is frozen when the owner says "not run".

--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod crashes;
+mod ends;
 mod mesh;
 mod stops;
 mod support;
