fix(upload): the newest attempt alone reads a streamed body

An upload that a node had refused went on to that node, and the second attempt lacked what the first took: it ended unknown, by the deadline.

Cause: the HTTP library keeps the body of a stream after an answer. While the node gave no room for the first bytes, nothing of the rest had been read, so that the upload counted as repeatable and a second attempt shared the body. By its code, a node of ours resets the stream after a refusal, so that it takes a node that doesn't; chunked uploads only, as the head of others is not buffered. Change: each attempt has a number, and a body can be read by the newest one; a refused attempt ends, also if none follows. Its stream is reset. Test: calls::links::an_upload_goes_on_with_the_last_attempt_alone.

--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -402,6 +402,7 @@
         state.sizes.borrow_mut().record(&call.kind().name, bytes);
     }
     result.map_err(|mut refusal| {
+        call.body.end_attempt();
         let fault = call.body.fault();
         if let Some(attempt) = resources.attempt.as_mut().filter(|_| fault.is_some()) {
             attempt.record_broken_off();
--- a/src/proxy/error.rs
+++ b/src/proxy/error.rs
@@ -43,4 +43,7 @@
     /// The call was cancelled.
     #[error("the call was cancelled")]
     Cancelled,
+    /// The attempt that sends the body has ended.
+    #[error("the attempt has ended before the end of the body")]
+    AttemptEnded,
 }
--- a/src/proxy/upload.rs
+++ b/src/proxy/upload.rs
@@ -75,6 +75,8 @@
     /// The bytes read before the first attempt; each attempt starts with them.
     head: Bytes,
     rest: received_body::ReceivedBody,
+    /// Number of the attempt that may read, the newest one; no attempt has the number 0.
+    reader: u32,
     /// Whether an attempt has read from `rest`, so that no other attempt can start.
     started: bool,
     /// Number of bytes read so far.
@@ -95,8 +97,17 @@
 pub enum Upload {
     /// A buffered body; `None` once it was sent.
     Buffered(Option<Bytes>),
-    /// A streamed body; the flag tells whether the attempt has sent the head.
-    Stream(Rc<RefCell<Streamed>>, bool),
+    /// A streamed body, and what the attempt has of it.
+    Stream(Rc<RefCell<Streamed>>, Part),
+}
+
+/// What an attempt has of a streamed body.
+#[derive(Debug)]
+pub struct Part {
+    /// Number of the attempt.
+    attempt: u32,
+    /// Whether it has sent the head.
+    head_sent: bool,
 }
 
 impl Body {
@@ -147,6 +158,7 @@
         let stream = Streamed {
             head: head.freeze(),
             rest,
+            reader: 0,
             started: false,
             received,
             max_bytes,
@@ -158,11 +170,22 @@
 
     /// The body for an attempt.
     ///
-    /// Invariant: at most one attempt with a streamed body is in flight at a time.
+    /// Invariant: of a streamed body, the newest attempt alone reads. A connection may hold on to
+    /// the body of an attempt that was refused, and would take parts of it from the next one.
     pub fn attempt(&self) -> Upload {
         match self {
             Body::Buffered(body) => Upload::Buffered(Some(body.bytes.clone())),
-            Body::Stream(stream) => Upload::Stream(Rc::clone(stream), false),
+            Body::Stream(stream) => {
+                let attempt = stream.borrow_mut().next_reader();
+                Upload::Stream(Rc::clone(stream), Part { attempt, head_sent: false })
+            }
+        }
+    }
+
+    /// Ends the newest attempt, which must send no more of a streamed body.
+    pub fn end_attempt(&self) {
+        if let Body::Stream(stream) = self {
+            stream.borrow_mut().next_reader();
         }
     }
 
@@ -196,6 +219,12 @@
 }
 
 impl Streamed {
+    /// Takes the body from the attempt that reads it. Returns the number of the next one.
+    const fn next_reader(&mut self) -> u32 {
+        self.reader += 1;
+        self.reader
+    }
+
     fn poll(
         &mut self,
         cx: &mut task::Context<'_>,
@@ -262,10 +291,13 @@
                 let bytes = bytes.take().filter(|b| !b.is_empty());
                 task::Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
             }
-            Upload::Stream(stream, head_sent) => {
+            Upload::Stream(stream, part) => {
                 let mut stream = stream.borrow_mut();
-                if !*head_sent {
-                    *head_sent = true;
+                if part.attempt != stream.reader {
+                    return task::Poll::Ready(Some(Err(error::Broken::AttemptEnded)));
+                }
+                if !part.head_sent {
+                    part.head_sent = true;
                     if !stream.head.is_empty() {
                         return task::Poll::Ready(Some(Ok(Frame::data(stream.head.clone()))));
                     }
@@ -287,9 +319,9 @@
             Upload::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Upload::Stream(stream, head_sent) => {
+            Upload::Stream(stream, part) => {
                 let stream = stream.borrow();
-                let head = if *head_sent { 0 } else { stream.head.len() as u64 };
+                let head = if part.head_sent { 0 } else { stream.head.len() as u64 };
                 let rest = stream.rest.size_hint().exact();
                 rest.map_or_else(SizeHint::default, |n| SizeHint::with_exact(head + n))
             }
--- a/tests/calls/links.rs
+++ b/tests/calls/links.rs
@@ -1,16 +1,20 @@
 //! Calls to a node whose streams and connections end in any way: only what that node says of the
 //! stream of a call, or what proves that nothing was sent, counts as not run.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time;
 
+use bytes::Bytes;
 use dandelionspool::configs;
 use dandelionspool::proxy::internode;
 use dandelionspool::proxy::links;
 use dandelionspool::proxy::upload;
 use dandelionspool::retry;
 use dandelionspool::seal;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use rstest::rstest;
 
 use crate::fake;
@@ -303,3 +307,52 @@
     let end = tokio::time::Instant::now() + time::Duration::from_secs(2);
     internode::call_within(links, host, request.body(upload).unwrap(), end, limit).await
 }
+
+/// Says "not run" without having taken a byte of the body, and takes it later.
+fn not_run_then_take(stream: u32) -> Vec<Step> {
+    let take = 1 << 20;
+    vec![
+        write(raw_peer::head(stream, true, 503, &[(OUTCOME, "not-run"), REASON])),
+        Step::Wait(time::Duration::from_millis(10)),
+        write(raw_peer::window(0, take)),
+        write(raw_peer::window(stream, take)),
+    ]
+}
+
+/// Guards against an upload that two attempts read: the one that was refused would take parts of it
+/// from the other, and its node would receive them after its last word.
+#[test]
+fn an_upload_goes_on_with_the_last_attempt_alone() {
+    const PIECE_BYTES: usize = 1 << 16;
+    const BYTES: usize = 5 * PIECE_BYTES;
+    let interval = time::Duration::from_millis(20);
+    rig::run(async {
+        let mut refused = 0;
+        for mesh in 0..MESHES {
+            let fake = fake::Fake::start(fake::echo).await;
+            let upstreams = [None, Some(fake.address), Some(fake.address)];
+            let mut nodes = rig::nodes(&upstreams, &rig::Claims::default()).await;
+            let behaviour = raw_peer::Behaviour::new(When::Head, not_run_then_take).window(0);
+            let peer = raw_peer::Peer::replace(nodes.remove(1), behaviour).await;
+            let id = format!("upload-{mesh}");
+            let pieces = futures_util::stream::unfold(0, move |sent| async move {
+                tokio::time::sleep(interval).await;
+                let piece = Frame::data(Bytes::from_static(&[b'x'; PIECE_BYTES]));
+                (sent < BYTES / PIECE_BYTES).then_some((Ok::<_, Infallible>(piece), sent + 1))
+            });
+            let request = rig::request("PUT", "/uploads", &id)
+                .body(StreamBody::new(Box::pin(pieces)))
+                .unwrap();
+            let answer = rig::send(&nodes[0], request).await.unwrap();
+            tokio::time::sleep(SETTLE).await;
+            let seen = peer.seen();
+            let taken: usize = seen.iter().map(|seen| seen.body.len()).sum();
+            refused += seen.len();
+            // With the lines between its chunks.
+            let received = fake.requests().iter().map(|request| request.body).max();
+            assert_eq!((answer.outcome(), fake.runs(&id), taken), ("ran", 1, 0), "{answer:?}");
+            assert!(received >= Some(BYTES), "{received:?} bytes of {BYTES}");
+        }
+        assert!(refused > 0, "no upload went to the peer");
+    });
+}
--- a/tests/calls/raw_peer.rs
+++ b/tests/calls/raw_peer.rs
@@ -22,11 +22,15 @@
 const SETTINGS: u8 = 4;
 const PING: u8 = 6;
 const GOAWAY: u8 = 7;
+const WINDOW_UPDATE: u8 = 8;
 
 const END_STREAM: u8 = 1;
 const ACK: u8 = 1;
 const END_HEADERS: u8 = 4;
 
+/// The identifier of the setting for the initial window of a stream.
+const INITIAL_WINDOW: u16 = 4;
+
 /// Error codes of HTTP/2.
 pub const NO_ERROR: u32 = 0;
 pub const REFUSED_STREAM: u32 = 7;
@@ -73,6 +77,8 @@
 
 /// How a peer behaves.
 pub struct Behaviour {
+    /// The initial window of each stream; `None`: as the protocol has it.
+    window: Option<u32>,
     greeting: Script,
     when: When,
     call: Script,
@@ -82,7 +88,13 @@
     /// Accepts the greeting, and takes the steps `call` for the stream of each call.
     pub fn new(when: When, call: impl Fn(u32) -> Vec<Step> + 'static) -> Self {
         let greeting = |stream| vec![Step::Write(head(stream, true, 200, &[]))];
-        Self { greeting: Rc::new(greeting), when, call: Rc::new(call) }
+        Self { window: None, greeting: Rc::new(greeting), when, call: Rc::new(call) }
+    }
+
+    /// Lets the other end send `bytes` on a new stream.
+    pub fn window(mut self, bytes: u32) -> Self {
+        self.window = Some(bytes);
+        self
     }
 
     /// Takes the steps `greeting` for the stream of the greeting.
@@ -158,7 +170,12 @@
         }
     }
     buffer.advance(PREFACE_BYTES);
-    stream.write_all(&frame(SETTINGS, 0, 0, &[])).await?;
+    let mut settings = Vec::new();
+    if let Some(window) = behaviour.window {
+        settings.extend_from_slice(&INITIAL_WINDOW.to_be_bytes());
+        settings.extend_from_slice(&window.to_be_bytes());
+    }
+    stream.write_all(&frame(SETTINGS, 0, 0, &settings)).await?;
     loop {
         let Some(length) = frame_length(&buffer) else {
             if stream.read_buf(&mut buffer).await? == 0 {
@@ -276,3 +293,8 @@
 pub fn goaway(last: u32, code: u32) -> Vec<u8> {
     frame(GOAWAY, 0, 0, &[last.to_be_bytes(), code.to_be_bytes()].concat())
 }
+
+/// Lets the other end send `bytes` more on a stream, or on the connection if that is 0.
+pub fn window(stream: u32, bytes: u32) -> Vec<u8> {
+    frame(WINDOW_UPDATE, 0, stream, &bytes.to_be_bytes())
+}
