test(failures): owners that are frozen before they read an order

Two more moments of a frozen owner: the order lies in its buffer past the deadline, or waits for a connection to it that opens only when it goes on.

--- a/tests/failures/ends.rs
+++ b/tests/failures/ends.rs
@@ -147,6 +147,69 @@
     lose_running(Loss::CutOff).await;
 }
 
+/// The owner nodes are frozen before they read an order, and go on after its deadline. Nothing is
+/// promised, as they may start it then, and nobody else does.
+#[tokio::test]
+async fn an_order_that_its_owner_reads_after_the_deadline_runs_at_most_once() {
+    let (mut fleet, mut unknown) = (start().await, 0);
+    for round in 0..ROUNDS {
+        // Opens the connections between the nodes.
+        for number in 0..8 {
+            let _ = outcome(order(&fleet, &format!("before-{round}-{number}"), 5)).await;
+        }
+        let id = format!("unread-{round}");
+        for index in 0..UPSTREAMS {
+            fleet.pause(index, Part::Node).unwrap();
+        }
+        let outcome = outcome(order(&fleet, &id, 5)).await;
+        tokio::time::sleep(ARRIVAL).await;
+        for index in 0..UPSTREAMS {
+            fleet.resume(index, Part::Node).unwrap();
+        }
+        tokio::time::sleep(SETTLE).await;
+        let starts: u32 = starts(&fleet, &id).await.iter().sum();
+        println!("{id}: {outcome}, {starts} starts");
+        match outcome.as_str() {
+            headers::UNKNOWN => assert!(starts <= 1, "{starts} starts"),
+            // There was no connection to the owner yet.
+            headers::NOT_RUN => assert_eq!(starts, 0),
+            _ => panic!("{id}: {outcome}"),
+        }
+        unknown += usize::from(outcome == headers::UNKNOWN);
+        support::until_serving(&fleet, "shop", UPSTREAMS as u64).await;
+    }
+    assert!(unknown > 0, "no order was sent to a frozen owner");
+}
+
+/// The owner nodes are frozen before a connection to them is open, and go on later: an order that
+/// was refused for that, or sent elsewhere, must not lie in the connection that opens then.
+#[tokio::test]
+async fn an_order_whose_owner_is_frozen_before_its_link_opens_starts_nothing_later() {
+    for round in 0..ROUNDS {
+        let mut fleet = start().await;
+        let frozen = if round % 2 == 0 { 1 } else { UPSTREAMS };
+        for index in 0..frozen {
+            fleet.pause(index, Part::Node).unwrap();
+        }
+        let ids: Vec<_> = (0..8).map(|number| format!("order-{round}-{number}")).collect();
+        let answers: Vec<_> = ids.iter().map(|id| order(&fleet, id, 5)).collect();
+        let mut outcomes = Vec::new();
+        for answer in answers {
+            outcomes.push(outcome(answer).await);
+        }
+        for index in 0..frozen {
+            fleet.resume(index, Part::Node).unwrap();
+        }
+        tokio::time::sleep(SETTLE).await;
+        println!("{frozen} frozen: {outcomes:?}");
+        for (id, outcome) in ids.iter().zip(outcomes) {
+            let starts: u32 = starts(&fleet, id).await.iter().sum();
+            assert_eq!(starts, u32::from(outcome == headers::RAN), "{id}: {outcome}");
+            assert!(frozen == 1 || outcome == headers::NOT_RUN, "{id}: {outcome}");
+        }
+    }
+}
+
 /// Sends an order while the upstreams are frozen, runs `freeze`, and lets them reject it. Returns its
 /// answer and the index of the upstream that rejected it. From then on they run what they receive.
 async fn reject(
