--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -110,6 +110,7 @@
     let id = request.headers().get(&state.dialect.id).cloned();
     resources.run = Some(state.running.enter(id.clone(), fingerprint, spec.organisation.cloned()));
     add_headers(&state.dialect, &local, spec.organisation, remaining, request.headers_mut());
+    let progress = request.body().progress();
     let (mut lease, answer) = send(state, &local, request, unsent, (id.as_ref(), end)).await?;
     let expected = answer::Expected { dialect: &state.dialect, method: &method, id: id.as_ref() };
     let (answer, unmarked) = match answer.verify(&expected) {
@@ -117,7 +118,14 @@
         Ok(answer::Verified::Unmarked(answer)) => (answer, true),
         Ok(answer::Verified::NotRun(answer, proof)) => {
             lease.record_rejected(answer.headers().get(&state.dialect.id));
-            release_shed(answer, lease, end);
+            if progress.is_complete() {
+                release_shed(answer, lease, end);
+            } else {
+                // The connection is reset. Otherwise the rest of the upload would still be sent,
+                // and the upstream would have the whole request after the caller was told that it
+                // does not run.
+                drop(lease);
+            }
             if let Some(slot) = resources.slot.take() {
                 slot.shed();
             }
