fix(fleet): a process counts as paused once all of its threads have stopped

an_order_whose_owner_is_killed_after_its_rejection_is_sent_nowhere_else failed once, beside other builds and tests: the order ran at the other upstream (left: ("ran", 1), right: ("unknown", 0)), in 16 tests of which 15 passed.

Cause: SIGSTOP is sent, and the threads of the process go on until one of them takes it. The owner node passed the rejection on before it stood still, and the entry rightly sent the order to the other upstream. Change: pause returns once no thread runs, for all tests and the soak.

--- a/src/bench/fleet/process.rs
+++ b/src/bench/fleet/process.rs
@@ -5,12 +5,21 @@
 use std::os::unix::process::CommandExt;
 use std::path;
 use std::process;
+use std::thread;
+use std::time;
 
 use crate::bench::fleet;
+use crate::bench::fleet::stat;
 
 /// Size of the last part of the output that is shown when a process exited unexpectedly.
 const TAIL_BYTES: usize = 2000;
 
+/// Maximum time that a process may take to stop.
+const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// Time between two looks at whether it has stopped.
+const STOP_POLL_INTERVAL: time::Duration = time::Duration::from_millis(1);
+
 /// A process started by a fleet. It is killed when this value is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -57,6 +66,23 @@
         Err(fleet::Error::Process(self.name.clone(), io::Error::last_os_error()))
     }
 
+    /// Sends SIGSTOP and waits until all threads have stopped: on a busy machine, some of them run on
+    /// for a while.
+    pub fn pause(&mut self) -> Result<(), fleet::Error> {
+        self.signal(libc::SIGSTOP)?;
+        let limit = time::Instant::now() + STOP_TIMEOUT;
+        loop {
+            let stopped = stat::is_stopped(self.id());
+            if stopped.map_err(|e| fleet::Error::Process(self.name.clone(), e))? {
+                return Ok(());
+            }
+            if time::Instant::now() > limit {
+                return Err(fleet::Error::Late(format!("stop of {}", self.name)));
+            }
+            thread::sleep(STOP_POLL_INTERVAL);
+        }
+    }
+
     /// Kills it and waits until it has exited.
     pub fn kill(&mut self) -> Result<(), fleet::Error> {
         let done = self.child.kill().and_then(|()| self.child.wait());
--- a/src/bench/fleet/signals.rs
+++ b/src/bench/fleet/signals.rs
@@ -14,9 +14,9 @@
         slot.take().map_or(Err(fleet::Error::NoProcess(index)), |mut process| process.kill())
     }
 
-    /// Pauses a process (SIGSTOP).
+    /// Pauses a process (SIGSTOP), and returns once it has stopped.
     pub fn pause(&mut self, index: usize, part: fleet::Part) -> Result<(), fleet::Error> {
-        self.signal(index, part, libc::SIGSTOP)
+        self.slot(index, part)?.as_mut().ok_or(fleet::Error::NoProcess(index))?.pause()
     }
 
     /// Resumes a paused process (SIGCONT).
--- a/src/bench/fleet/stat.rs
+++ b/src/bench/fleet/stat.rs
@@ -31,6 +31,22 @@
     }
 }
 
+/// Whether all threads of the process `pid` are stopped by a signal.
+///
+/// # Errors
+///
+/// The process does not exist.
+pub fn is_stopped(pid: u32) -> io::Result<bool> {
+    for thread in fs::read_dir(format!("/proc/{pid}/task"))? {
+        // A thread that has just ended can't be read.
+        let stat = fs::read_to_string(thread?.path().join("stat")).unwrap_or_default();
+        if stat.rsplit_once(") ").is_some_and(|(_, fields)| !fields.starts_with('T')) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 fn ticks(stat: &str) -> Option<u64> {
     let (_, fields) = stat.rsplit_once(") ")?;
     let mut times = fields.split(' ').skip(USER_TIME_FIELD).map(str::parse::<u64>);
