test(internode): a call that is returned as unsent has not arrived

Tests: a node drops its connections at any time around the calls; what is returned as unsent must not arrive there. Both tests of this kind also fail if nothing arrives at all, as they would show nothing then.

--- a/src/proxy/internode/tests.rs
+++ b/src/proxy/internode/tests.rs
@@ -1,16 +1,30 @@
 //! Tests of what is taken from the answers of other nodes.
 
+use std::future;
+use std::net;
+use std::sync;
+use std::thread;
 use std::time;
 
+use http_body_util::Empty;
+use hyper::server::conn::http2;
+use hyper::service;
+use hyper_util::rt::TokioIo;
 use rstest::rstest;
+use tokio::task;
 
 use super::Answer;
+use crate::configs;
+use crate::host;
 use crate::proxy::call_spec;
 use crate::proxy::headers;
+use crate::proxy::links;
 use crate::proxy::proof;
 use crate::proxy::refuse;
 use crate::proxy::run_times;
+use crate::proxy::upload;
 use crate::retry;
+use crate::seal;
 
 /// The answer of a node to an attempt of 20 ms that says that the call ran for `micros`.
 fn answer(micros: Option<u64>) -> Answer {
@@ -69,3 +83,86 @@
 ) {
     assert_eq!(refused(outcome, reason), by);
 }
+
+/// A node on its own thread that answers each request and drops its connections at any time. Returns
+/// its host, and the paths of the requests that have arrived.
+fn closing_node() -> (host::HostId, sync::Arc<sync::Mutex<Vec<String>>>) {
+    let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let host = host::HostId::from_inner_addr(listener.local_addr().expect("an address"));
+    let paths = sync::Arc::new(sync::Mutex::new(Vec::new()));
+    let arrived = sync::Arc::clone(&paths);
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            listener.set_nonblocking(true).expect("a socket");
+            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+            for number in 0.. {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let arrived = sync::Arc::clone(&arrived);
+                let answer = service::service_fn(move |request: http::Request<_>| {
+                    arrived.lock().expect("no panic").push(request.uri().path().to_owned());
+                    let _: hyper::body::Incoming = request.into_body();
+                    let answer = http::Response::builder().header(headers::OUTCOME, headers::RAN);
+                    future::ready(answer.body(Empty::<&[u8]>::new()))
+                });
+                let builder = http2::Builder::new(links::LocalExecutor);
+                let serve = builder.serve_connection(TokioIo::new(stream), answer);
+                let life = time::Duration::from_micros(2000 + number % 16 * 150);
+                task::spawn_local(tokio::time::timeout(life, serve));
+            }
+        });
+    });
+    (host, paths)
+}
+
+/// Guards against a second run of a call that the library returns as unsent although it has written
+/// it: the connection to another node ends at any time around the call.
+#[tokio::test]
+async fn a_call_that_is_returned_as_unsent_has_not_arrived() {
+    const CALLS: usize = 400;
+    task::LocalSet::new()
+        .run_until(async {
+            let (host, paths) = closing_node();
+            let me = host::HostId::new(net::SocketAddr::from(([127, 0, 0, 1], 7100)));
+            let settings = sync::Arc::new(configs::Node::default());
+            let links = links::Links::new(me, seal::Seal::new("mesh", "key"), settings);
+            let mut returned = 0;
+            let mut sent = vec![0; CALLS];
+            for (call, sent) in sent.iter_mut().enumerate() {
+                let uri = format!("http://{}/{call}", super::NO_HOST);
+                let request = http::Request::builder().uri(uri);
+                let request = request.body(upload::Upload::Buffered(None)).expect("a request");
+                let mut request = Box::new(request);
+                let mut unsent = proof::Unsent::fresh();
+                loop {
+                    // The greeting may fail, too: the connection ends at any time.
+                    let Ok(mut link) = links.get_within(host, None).await else { continue };
+                    for _ in 0..call % 4 {
+                        task::yield_now().await;
+                    }
+                    thread::sleep(time::Duration::from_micros(call as u64 / 4 % 8 * 20));
+                    match super::send(&mut link, *request, unsent).await {
+                        Err(super::Failed::Unsent(same, token)) => {
+                            (request, unsent) = (same, token);
+                            returned += 1;
+                        }
+                        Ok(_) | Err(super::Failed::Lost(_)) => {
+                            *sent += 1;
+                            break;
+                        }
+                    }
+                }
+            }
+            println!("{returned} of {CALLS} calls were returned");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            let paths = paths.lock().expect("no panic");
+            let mut all = 0;
+            for (call, sent) in sent.into_iter().enumerate() {
+                let arrived = paths.iter().filter(|path| **path == format!("/{call}")).count();
+                all += arrived;
+                assert!(arrived <= sent, "call {call} arrived {arrived} times, sent {sent}");
+            }
+            assert!(all > 0, "none has arrived");
+        })
+        .await;
+}
--- a/src/proxy/proof/tests.rs
+++ b/src/proxy/proof/tests.rs
@@ -248,10 +248,13 @@
             println!("{returned} of {CALLS} requests were returned");
             tokio::time::sleep(time::Duration::from_millis(50)).await;
             let paths = paths.lock().expect("no panic");
+            let mut all = 0;
             for (call, sent) in sent.into_iter().enumerate() {
                 let arrived = paths.iter().filter(|path| **path == format!("/{call}")).count();
+                all += arrived;
                 assert!(arrived <= sent, "call {call} arrived {arrived} times, sent {sent}");
             }
+            assert!(all > CALLS / 4, "{all} have arrived");
         })
         .await;
 }
