feat(standin): an upstream sends a share of its answers once more

Change: upstream::repeat wraps a connection below hyper. A framer finds the ends of the answers by their length, and copies are sent between them: when the next request arrives, when the one after it does, twice, at once, or up to 40 ms later; for rejections, other answers or all. Each answer echoes x-request-id, without which no copy can be told from the true answer. A rejection of an arrival is drawn anew (reject), as one by the id alone (shed) would never let a call run that comes again; the request is read whole before while copies are sent, since hyper closes the connection otherwise. The record counts the copies. Connections for calls have an accept loop of their own, which hands the stream to the wrapper.

--- a/src/standin/upstream/faults.rs
+++ b/src/standin/upstream/faults.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::standin::upstream::repeat;
+
 /// How an upstream fails completely.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -29,8 +31,10 @@
     pub lie: bool,
     /// Age of the state that the health and load endpoints report, in milliseconds.
     pub lag_ms: u64,
-    /// Share of calls it sheds, 0 to 1.
+    /// Share of calls it sheds, 0 to 1. A call that comes again is shed again.
     pub shed: f64,
+    /// Share of arrivals that it sheds, 0 to 1. A call that comes again may run.
+    pub reject: f64,
     /// Share of responses it breaks off in the middle, 0 to 1.
     pub cut: f64,
     /// Pause before each part of a response, in milliseconds.
@@ -40,6 +44,12 @@
     pub limit: f64,
     /// Whether it says in its responses that it is leaving.
     pub leaving: bool,
+    /// Share of the answers covered by `repeat_of` that it sends once more, 0 to 1.
+    pub repeat: f64,
+    /// When it sends the copies.
+    pub repeat_how: repeat::How,
+    /// Which answers it sends once more.
+    pub repeat_of: repeat::Of,
 }
 
 /// A change of faults: fields that are absent stay as they are.
@@ -56,6 +66,8 @@
     pub lag_ms: Option<u64>,
     /// See [`Faults::shed`].
     pub shed: Option<f64>,
+    /// See [`Faults::reject`].
+    pub reject: Option<f64>,
     /// See [`Faults::cut`].
     pub cut: Option<f64>,
     /// See [`Faults::trickle_ms`].
@@ -64,6 +76,12 @@
     pub limit: Option<f64>,
     /// See [`Faults::leaving`].
     pub leaving: Option<bool>,
+    /// See [`Faults::repeat`].
+    pub repeat: Option<f64>,
+    /// See [`Faults::repeat_how`].
+    pub repeat_how: Option<repeat::How>,
+    /// See [`Faults::repeat_of`].
+    pub repeat_of: Option<repeat::Of>,
     /// If true, the upstream starts to drain, which can't be undone.
     pub drain: Option<bool>,
 }
@@ -77,10 +95,14 @@
             lie: change.lie.unwrap_or(self.lie),
             lag_ms: change.lag_ms.unwrap_or(self.lag_ms),
             shed: change.shed.unwrap_or(self.shed),
+            reject: change.reject.unwrap_or(self.reject),
             cut: change.cut.unwrap_or(self.cut),
             trickle_ms: change.trickle_ms.unwrap_or(self.trickle_ms),
             limit: change.limit.unwrap_or(self.limit),
             leaving: change.leaving.unwrap_or(self.leaving),
+            repeat: change.repeat.unwrap_or(self.repeat),
+            repeat_how: change.repeat_how.unwrap_or(self.repeat_how),
+            repeat_of: change.repeat_of.unwrap_or(self.repeat_of),
         }
     }
 
--- a/src/standin/upstream/mod.rs
+++ b/src/standin/upstream/mod.rs
@@ -6,10 +6,12 @@
 
 mod announce;
 pub mod answer;
+mod connections;
 mod control;
 pub mod faults;
 mod options;
 pub mod record;
+pub mod repeat;
 mod run;
 mod server;
 mod state;
--- a/src/standin/upstream/record.rs
+++ b/src/standin/upstream/record.rs
@@ -45,6 +45,8 @@
     pub starts: u64,
     /// Calls shed.
     pub sheds: u64,
+    /// Answers sent once more.
+    pub repeats: u64,
     /// Connections closed at once because there were too many.
     pub refusals: u64,
     /// Maximum number of calls that ran at the same time.
--- a/src/standin/upstream/run.rs
+++ b/src/standin/upstream/run.rs
@@ -96,13 +96,29 @@
     let call = Call::from_request(&request);
     let mut answer = match start(shared, &call) {
         state::Verdict::Run(time) => run(shared, &call, time, request.into_body()).await,
-        state::Verdict::Shed => shed(),
+        state::Verdict::Shed => {
+            // The connection, on which the copy is sent, stays open only if the request was read.
+            if shared.state().faults.repeat > 0.0 {
+                let _hash = hash(request.into_body()).await;
+            }
+            shed()
+        }
         state::Verdict::Hang => std::future::pending().await,
     };
     say(shared, &call.id, answer.headers_mut());
+    echo(&call.id, answer.headers_mut());
     answer
 }
 
+/// Sets the header that tells to which request the response belongs.
+fn echo(id: &SmolStr, map: &mut http::HeaderMap) {
+    if !id.is_empty()
+        && let Ok(id) = http::HeaderValue::from_str(id)
+    {
+        map.insert(headers::REQUEST_ID, id);
+    }
+}
+
 /// Sets the headers that tell what the upstream says of itself in its response to the call `id`, and
 /// records them, unless the response is broken off: nobody may receive that one.
 fn say(shared: &state::Shared, id: &SmolStr, map: &mut http::HeaderMap) {
@@ -126,6 +142,7 @@
     let now = shared.clock.now();
     let unix_ms = shared.clock.unix_millis();
     let mut state = shared.state();
+    state.arrivals += 1;
     let verdict = state.decide(&shared.options, &call.path, &call.id, call.remaining, now);
     match verdict {
         state::Verdict::Run(_) => {
--- a/src/standin/upstream/server.rs
+++ b/src/standin/upstream/server.rs
@@ -10,11 +10,11 @@
 
 use crate::standin::accept;
 use crate::standin::upstream::announce;
+use crate::standin::upstream::connections;
 use crate::standin::upstream::control;
 use crate::standin::upstream::faults;
 use crate::standin::upstream::options;
 use crate::standin::upstream::record;
-use crate::standin::upstream::run;
 use crate::standin::upstream::state;
 
 /// How often a draining upstream checks whether calls still run.
@@ -39,15 +39,6 @@
     control: net::SocketAddr,
 }
 
-/// Counts one open connection until it is dropped.
-struct OpenConnection(Arc<state::Shared>);
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.state().open -= 1;
-    }
-}
-
 impl Server {
     /// Binds the ports of the upstream that `options` describe.
     pub async fn bind(options: options::Options) -> io::Result<Self> {
@@ -72,7 +63,8 @@
     pub async fn serve(self, stop: impl future::Future<Output = ()>) {
         let handle = self.handle;
         let (closed, closing) = watch::channel(false);
-        let calls = tokio::spawn(calls(self.calls, closing.clone(), handle.clone()));
+        let calls = connections::serve(self.calls, closing.clone(), Arc::clone(&handle.shared));
+        let calls = tokio::spawn(calls);
         let controls = tokio::spawn(controls(self.controls, closing, handle.clone()));
         let heartbeat = handle.shared.options.admin.map(|admin| {
             let woken = Arc::clone(&handle.woken);
@@ -91,13 +83,6 @@
     }
 }
 
-async fn calls(listener: tokio::net::TcpListener, closing: watch::Receiver<bool>, handle: Handle) {
-    let shared = handle.shared;
-    let admission = Arc::clone(&shared);
-    let serve = move |request| run::serve(Arc::clone(&shared), request);
-    accept::serve(listener, closing, || admit(&admission), serve).await;
-}
-
 async fn controls(
     listener: tokio::net::TcpListener,
     closing: watch::Receiver<bool>,
@@ -107,20 +92,6 @@
     accept::serve(listener, closing, || Some(()), serve).await;
 }
 
-/// Admits a connection, unless the upstream refuses all or has too many; `None` refuses it.
-fn admit(shared: &Arc<state::Shared>) -> Option<OpenConnection> {
-    let mut state = shared.state();
-    if state.faults.dead == faults::Dead::Refuse {
-        return None;
-    }
-    if state.open >= u32::from(shared.options.connections) {
-        state.record.refusals += 1;
-        return None;
-    }
-    state.open += 1;
-    Some(OpenConnection(Arc::clone(shared)))
-}
-
 impl Handle {
     /// Address of the port for calls.
     pub fn address(&self) -> net::SocketAddr {
--- a/src/standin/upstream/state.rs
+++ b/src/standin/upstream/state.rs
@@ -36,6 +36,8 @@
     pub faults: faults::Faults,
     /// When the drain began.
     pub drain: Option<clock::Instant>,
+    /// Calls that have arrived.
+    pub arrivals: u64,
     /// Calls that run now.
     pub running: u32,
     /// Connections open now.
@@ -110,7 +112,9 @@
         let full = self.running >= u32::from(options.slots);
         let late = remaining.is_some_and(|remaining| remaining.is_zero());
         let dropped = options::share(options.seed, "shed", id) < self.faults.shed;
-        if drained || full || late || dropped {
+        let arrival = options.seed.wrapping_add(self.arrivals);
+        let rejected = options::share(arrival, "reject", id) < self.faults.reject;
+        if drained || full || late || dropped || rejected {
             return Verdict::Shed;
         }
         let warm = options.time_of(path, id) + self.faults.slow();
--- a/src/standin/upstream/tests.rs
+++ b/src/standin/upstream/tests.rs
@@ -172,3 +172,62 @@
     };
     assert!((cold.as_secs_f64() / warm.as_secs_f64() - factor).abs() < 0.001);
 }
+
+/// Bytes that `handle` sends on one connection for the requests `ids`, each sent once the answer to
+/// the one before has come.
+async fn converse(handle: &upstream::Handle, ids: &[&str]) -> String {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    const PAUSE: time::Duration = time::Duration::from_millis(100);
+    let mut stream = tokio::net::TcpStream::connect(handle.address()).await.unwrap();
+    let mut received = Vec::new();
+    for id in ids {
+        let head = format!("POST /buy?bytes=0 HTTP/1.1\r\n{}: {id}\r\n", headers::REQUEST_ID);
+        let request = format!("{head}content-length: 20000\r\n\r\n{}", "x".repeat(20_000));
+        stream.write_all(request.as_bytes()).await.unwrap();
+        while let Ok(read) = tokio::time::timeout(PAUSE, stream.read_buf(&mut received)).await {
+            assert_ne!(read.unwrap(), 0, "the upstream closed the connection");
+        }
+    }
+    String::from_utf8(received).unwrap()
+}
+
+/// Ids that the answers in `received` echo, in order.
+fn echoes(received: &str) -> Vec<&str> {
+    let lines = received.lines().filter_map(|line| line.split_once(": "));
+    lines.filter(|(name, _)| *name == headers::REQUEST_ID).map(|(_, id)| id).collect()
+}
+
+/// A copy of a rejection is only found to belong to another request if each answer echoes its id.
+#[rstest]
+#[case::rejections(upstream::repeat::Of::Rejections, 1.0, &["a", "a", "b", "b", "c"], 2)]
+#[case::successes(upstream::repeat::Of::Successes, 0.0, &["a", "a", "b", "b", "c"], 2)]
+#[case::other_answers(upstream::repeat::Of::Successes, 1.0, &["a", "b", "c"], 0)]
+#[tokio::test]
+async fn a_late_copy_comes_before_the_answer_to_the_next_request(
+    #[case] of: upstream::repeat::Of,
+    #[case] reject: f64,
+    #[case] expected: &[&str],
+    #[case] copies: u64,
+) {
+    let handle = start(options()).await;
+    let (reject, repeat, repeat_of) = (Some(reject), Some(1.0), Some(of));
+    handle.control(&faults::Change { reject, repeat, repeat_of, ..Default::default() });
+    let received = converse(&handle, &["a", "b", "c"]).await;
+    assert_eq!(echoes(&received), expected);
+    let record = handle.record();
+    assert_eq!(record.repeats, copies);
+    assert_eq!(record.starts, if reject == Some(1.0) { 0 } else { 3 });
+}
+
+/// With a rejection that depends on the id alone, a call that comes again would never run.
+#[test]
+fn a_call_that_comes_again_is_rejected_anew() {
+    let faults = faults::Faults { reject: 0.5, ..Default::default() };
+    let decide = |arrivals| {
+        let state = state::State { faults, arrivals, ..Default::default() };
+        let now = clock::Instant::from_millis(0);
+        state.decide(&options(), "/buy", &"r-1".into(), None, now) == state::Verdict::Shed
+    };
+    let shed = (0..1000).filter(|arrivals| decide(*arrivals)).count();
+    assert!((400..600).contains(&shed), "{shed} of 1000");
+}
