feat(soak): upstreams repeat answers, alone and as a storm

Change: `--repeats` draws acts from a generator of their own: one upstream that repeats a share of its answers, or a storm in which most or all upstreams reject calls and repeat answers at the same time while nodes are killed, paused, stopped and started again. All other acts of a seed stay, and without the flag each series is as before. A round reports the copies sent. The checks are unchanged: `twice` and `lie` compare what callers were told with what ran.

Shape has the field `repeats`, false in the existing cases.

--- a/soak/src/args.rs
+++ b/soak/src/args.rs
@@ -25,6 +25,8 @@
     /// Nodes protect themselves from overload, reserve slots for orders, and choose upstreams and
     /// retries selectively
     pub overload: bool,
+    /// Upstreams also send answers once more, late or behind others
+    pub repeats: bool,
 }
 
 impl Args {
@@ -36,6 +38,7 @@
             length_ms,
             notices: !self.silent,
             overload: self.overload,
+            repeats: self.repeats,
         }
     }
 }
--- a/soak/src/player.rs
+++ b/soak/src/player.rs
@@ -119,6 +119,15 @@
                 control(fleet, host, json!({ "cut": fraction(percent) })).await
             }
             Act::Limit(host, rate) => control(fleet, host, json!({ "limit": rate as f64 })).await,
+            Act::Reject(host, percent) => {
+                control(fleet, host, json!({ "reject": fraction(percent) })).await
+            }
+            Act::Repeat(host, copies, percent) => {
+                let (how, of) = (copies.how, copies.of);
+                let repeat = fraction(percent);
+                let change = json!({ "repeat": repeat, "repeat_how": how, "repeat_of": of });
+                control(fleet, host, change).await
+            }
             Act::Leave(host) => control(fleet, host, json!({ "leaving": true })).await,
             Act::Break(host, fault) => {
                 self.network_faults.insert(host, fault);
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -28,6 +28,8 @@
     pub calls: usize,
     /// Number of these calls that were served.
     pub served: usize,
+    /// Answers that upstreams sent once more.
+    pub repeats: u64,
     /// Promises that were broken.
     pub breaches: Vec<check::Breach>,
 }
@@ -56,7 +58,8 @@
     }
     breaches.extend(check::check(&series, &tally.results, &records));
     let served = tally.results.iter().filter(|t| t.outcome == load::Outcome::Served).count();
-    Ok(Report { series, calls: tally.results.len(), served, breaches })
+    let repeats = records.iter().map(|record| record.repeats).sum();
+    Ok(Report { series, calls: tally.results.len(), served, repeats, breaches })
 }
 
 /// Waits until every node runs `version` or a later one and answers. Returns a breach for each node
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -1,5 +1,6 @@
 //! Series of faults, drawn pseudo-randomly from a seed.
 
+use dandelionspool::standin::upstream::repeat;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -29,6 +30,19 @@
 /// Mean time between two notices of upstreams.
 const MEAN_NOTICE_GAP_MS: u64 = 1500;
 
+/// Mean time between two acts, or storms, of repeated answers.
+const MEAN_REPEAT_GAP_MS: u64 = 2000;
+
+/// Duration of a storm: long enough to use up the retry budgets, and for overlapping acts.
+const MIN_STORM_MS: u64 = 1500;
+const MAX_STORM_MS: u64 = 4000;
+
+/// One of this many draws of repeated answers is a storm.
+const STORM_ONE_IN: u32 = 2;
+
+/// Tells the generator of repeated answers from that of the other acts of a seed.
+const REPEAT_STREAM: u64 = 0x5eed_0001 << 32;
+
 /// Size of the fleet and length of a round.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
@@ -40,6 +54,17 @@
     pub notices: bool,
     /// Whether the parts for hard load are switched on.
     pub overload: bool,
+    /// Whether upstreams send answers once more.
+    pub repeats: bool,
+}
+
+/// Which answers an upstream sends once more, and when.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Copies {
+    /// When the copies are sent.
+    pub how: repeat::How,
+    /// Which answers are repeated.
+    pub of: repeat::Of,
 }
 
 /// A network fault between a host and the others.
@@ -103,6 +128,10 @@
     Truncate(usize, u8),
     /// An upstream names a limit, in calls a second, in its answers; 0 ends this.
     Limit(usize, u64),
+    /// An upstream refuses a percentage of arriving calls, each anew; 0 ends this.
+    Reject(usize, u8),
+    /// An upstream sends a percentage of its answers once more; 0 ends this.
+    Repeat(usize, Copies, u8),
     /// An upstream says in its answers that it leaves, and announces nothing.
     Leave(usize),
     /// Starts a network fault.
@@ -156,6 +185,9 @@
         if shape.notices && !planned {
             steps.extend(draw_notices(seed, shape));
         }
+        if shape.repeats && !planned {
+            steps.extend(draw_repeats(seed, shape));
+        }
         steps.sort_by_key(|step| step.at_ms);
         Self { seed, planned, steps }
     }
@@ -220,6 +252,80 @@
     steps
 }
 
+/// Upstreams that send answers once more, one alone or several at once, which also refuse calls.
+/// Drawn apart from the other acts, which are the same without these.
+fn draw_repeats(seed: u64, shape: Shape) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ REPEAT_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = FIRST_FAULT_MS;
+    while at_ms < shape.length_ms {
+        if rng.random_range(0..STORM_ONE_IN) == 0 {
+            draw_storm(&mut rng, shape, at_ms, &mut steps);
+        } else {
+            let host = rng.random_range(0..shape.hosts);
+            let end_ms = at_ms + rng.random_range(500..MAX_FAULT_MS);
+            let copies = draw_copies(&mut rng);
+            let percent = rng.random_range(20..=100);
+            steps.push(Step { at_ms, act: Act::Repeat(host, copies, percent) });
+            steps.push(Step { at_ms: end_ms, act: Act::Repeat(host, copies, 0) });
+            if copies.of != repeat::Of::Successes {
+                let percent = rng.random_range(10..60);
+                steps.push(Step { at_ms, act: Act::Reject(host, percent) });
+                steps.push(Step { at_ms: end_ms, act: Act::Reject(host, 0) });
+            }
+        }
+        at_ms += rng.random_range(1..=2 * MEAN_REPEAT_GAP_MS);
+    }
+    steps
+}
+
+/// Several upstreams refuse calls and repeat answers at the same time, so that the retry budgets run
+/// out, while nodes are killed, stopped, paused and started again.
+fn draw_storm(rng: &mut SmallRng, shape: Shape, at_ms: u64, steps: &mut Vec<Step>) {
+    let end_ms = at_ms + rng.random_range(MIN_STORM_MS..MAX_STORM_MS);
+    let all = rng.random_range(0..2) == 0;
+    for host in 0..shape.hosts {
+        if !all && rng.random_range(0..3) == 0 {
+            continue;
+        }
+        let copies = draw_copies(rng);
+        let repeated = rng.random_range(50..=100);
+        let rejected = rng.random_range(30..80);
+        steps.push(Step { at_ms, act: Act::Repeat(host, copies, repeated) });
+        steps.push(Step { at_ms, act: Act::Reject(host, rejected) });
+        steps.push(Step { at_ms: end_ms, act: Act::Repeat(host, copies, 0) });
+        steps.push(Step { at_ms: end_ms, act: Act::Reject(host, 0) });
+    }
+    for _ in 0..rng.random_range(1..=2) {
+        let host = rng.random_range(0..shape.hosts);
+        let begin_ms = rng.random_range(at_ms..end_ms);
+        let later_ms = begin_ms + rng.random_range(100..MAX_FAULT_MS);
+        let (act, end, later_ms) = match rng.random_range(0..3) {
+            0 => (Act::Kill(host), Act::Start(host), later_ms),
+            1 => (Act::Pause(host), Act::Resume(host), later_ms),
+            _ => (Act::Stop(host), Act::Start(host), begin_ms + STOP_TO_START_MS),
+        };
+        steps.push(Step { at_ms: begin_ms, act });
+        steps.push(Step { at_ms: later_ms, act: end });
+    }
+}
+
+fn draw_copies(rng: &mut SmallRng) -> Copies {
+    // The late copy of a rejection, the most harmful one, is drawn more often.
+    const HOWS: [repeat::How; 6] = [
+        repeat::How::Late,
+        repeat::How::Late,
+        repeat::How::AtOnce,
+        repeat::How::Delayed,
+        repeat::How::Twice,
+        repeat::How::Behind,
+    ];
+    const OFS: [repeat::Of; 4] =
+        [repeat::Of::All, repeat::Of::Rejections, repeat::Of::Rejections, repeat::Of::Successes];
+    let how = HOWS[rng.random_range(0..HOWS.len())];
+    Copies { how, of: OFS[rng.random_range(0..OFS.len())] }
+}
+
 /// A limit well below the share of an upstream in the calls of a round.
 fn draw_rate(rng: &mut SmallRng) -> u64 {
     rng.random_range(1..=5)
--- a/soak/tests/promises.rs
+++ b/soak/tests/promises.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 
 const SHAPE: series::Shape =
-    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false };
+    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false, repeats: false };
 
 fn result(id: &str, outcome: load::Outcome) -> load::TryResult {
     load::TryResult {
@@ -138,6 +138,46 @@
     assert_eq!(kinds.len(), 15, "every act is drawn");
 }
 
+/// Seeds that found something have to give the same acts again.
+#[test]
+fn repeated_answers_change_no_other_act_of_a_seed() {
+    let is_own =
+        |act: &series::Act| matches!(act, series::Act::Repeat(..) | series::Act::Reject(..));
+    for seed in 1..200 {
+        let shape = series::Shape { notices: true, ..SHAPE };
+        let before = series::Series::draw(seed, shape);
+        let after = series::Series::draw(seed, series::Shape { repeats: true, ..shape });
+        let mut rest = after.steps.iter();
+        let kept = before.steps.iter().all(|step| rest.any(|other| other == step));
+        assert!(kept, "seed {seed} lost an act");
+        assert_eq!(after.planned, before.planned);
+        assert_eq!(after.steps.iter().any(|step| is_own(&step.act)), !after.planned);
+    }
+}
+
+/// A storm that goes on would leave the end of the round without served calls.
+#[test]
+fn every_repetition_ends_and_storms_overlap_the_end_of_nodes() {
+    let shape = series::Shape { repeats: true, ..SHAPE };
+    let series = (1..200).map(|seed| series::Series::draw(seed, shape)).filter(|s| !s.planned);
+    let mut storms = 0;
+    for series in series {
+        let mut open = std::collections::BTreeMap::new();
+        for step in &series.steps {
+            match step.act {
+                series::Act::Repeat(host, _, percent) => open.insert((host, true), percent),
+                series::Act::Reject(host, percent) => open.insert((host, false), percent),
+                _ => None,
+            };
+            let hosts = open.iter().filter(|((_, repeat), percent)| *repeat && **percent > 0);
+            let ends = matches!(step.act, series::Act::Kill(_) | series::Act::Pause(_));
+            storms += usize::from(ends && hosts.count() >= 2);
+        }
+        assert!(open.values().all(|percent| *percent == 0), "seed {}", series.seed);
+    }
+    assert!(storms >= 100, "{storms} kills and pauses while several upstreams repeat answers");
+}
+
 /// A record of an upstream whose calls start every `gap_ms`.
 fn record_of_calls(gap_ms: u64) -> record::Record {
     let mut record = record::Record::default();
--- a/soak/tests/round.rs
+++ b/soak/tests/round.rs
@@ -6,11 +6,11 @@
 
 /// Small and short, so that every run of the tests can include it.
 const SHORT: series::Shape =
-    series::Shape { hosts: 4, length_ms: 4000, notices: false, overload: false };
+    series::Shape { hosts: 4, length_ms: 4000, notices: false, overload: false, repeats: false };
 
 /// Default shape of the command line.
 const DEFAULT: series::Shape =
-    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false };
+    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false, repeats: false };
 
 /// The same with upstreams that name limits and leave in their answers.
 const NOTICES: series::Shape = series::Shape { notices: true, ..DEFAULT };
@@ -18,7 +18,13 @@
 /// The same with the parts for hard load switched on.
 const OVERLOAD: series::Shape = series::Shape { overload: true, ..NOTICES };
 
+/// Short, with upstreams that refuse calls and send answers once more.
+const REPEATS: series::Shape = series::Shape { repeats: true, ..SHORT };
+
 #[rstest]
+// A copy of a rejection of another call was believed: orders ran twice, and others were answered
+// "not run" and had run.
+#[case::repeated_answers(6, REPEATS)]
 #[case::notices(1, NOTICES)]
 #[case::overload(5, OVERLOAD)]
 #[case::planned_work(4, SHORT)]
