feat(soak): an upstream withdraws and its node is killed at the acknowledgement

The soak had no act for docs/incidents/leave-forgotten.md: an acknowledged leaving that the next process of the node forgets.

Change: the stand-in withdraws by its control port, announces nothing more, records when that was acknowledged, and sends one heartbeat from before on request. `--withdrawals` draws, from a generator of its own: withdraw and kill the node, start it within 1.5 s, a late heartbeat within 1.5 s of that, and the upstream's end 3.5 s later. The new check `withdrawn` finds calls that start later than 2 s after the acknowledgement, or after the next start of the node. Left out where a network fault of that host is in force, since its node can then tell nobody; the reason stands at the act.

--- a/soak/src/args.rs
+++ b/soak/src/args.rs
@@ -27,6 +27,8 @@
     pub overload: bool,
     /// Upstreams also send answers once more, late or behind others
     pub repeats: bool,
+    /// Upstreams also withdraw, and their nodes are killed right after the acknowledgement
+    pub withdrawals: bool,
 }
 
 impl Args {
@@ -39,6 +41,7 @@
             notices: !self.silent,
             overload: self.overload,
             repeats: self.repeats,
+            withdrawals: self.withdrawals,
         }
     }
 }
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -20,6 +20,21 @@
 /// Time from the first answer that names a limit until calls count against it.
 const NEWS_MS: u64 = 500;
 
+/// Longest time after an acknowledged withdrawal, or after its node is back, at which a call may still
+/// start at the upstream.
+const MAX_START_AFTER_WITHDRAWAL_MS: u64 = 2000;
+
+/// A withdrawal that was acknowledged by a node that was killed right after.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Withdrawal {
+    /// Index of its host.
+    pub host: usize,
+    /// When the node acknowledged it, in milliseconds since the Unix epoch.
+    pub acknowledged_unix_ms: u64,
+    /// When the node was first started after that, in milliseconds since the Unix epoch.
+    pub back_unix_ms: Option<u64>,
+}
+
 /// A promise that was broken.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,6 +111,17 @@
         /// Time from its first answer that said so to the last start, in milliseconds.
         after_ms: u64,
     },
+    /// Calls started at an upstream too long after its withdrawal was acknowledged.
+    #[serde(rename = "withdrawn")]
+    StartAfterWithdrawal {
+        /// Index of its host.
+        host: usize,
+        /// Calls that started.
+        starts: usize,
+        /// Time from the acknowledgement, or the start of its node after that, to the last start of a
+        /// call, in milliseconds.
+        after_ms: u64,
+    },
     /// A node went back to an older version without a restart of its process.
     #[serde(rename = "backwards")]
     VersionRegressed {
@@ -247,6 +273,23 @@
     (late.len() > allowed).then_some(Breach::StartAfterLeave { starts: late.len(), after_ms })
 }
 
+/// Checks that no call started too long after `withdrawals` at the upstreams of `records`.
+pub fn check_withdrawals(
+    withdrawals: &[Withdrawal],
+    records: &[record::Record],
+) -> impl Iterator<Item = Breach> {
+    withdrawals.iter().filter_map(|withdrawal| {
+        let acknowledged = withdrawal.acknowledged_unix_ms;
+        let record = records.iter().find(|r| r.withdrawn_unix_ms == Some(acknowledged))?;
+        let from = withdrawal.back_unix_ms.unwrap_or(acknowledged);
+        let late = |at: &u64| *at > from + MAX_START_AFTER_WITHDRAWAL_MS;
+        let late: Vec<u64> = record.runs.values().map(|run| run.unix_ms).filter(late).collect();
+        let after_ms = late.iter().max()?.saturating_sub(from);
+        let (host, starts) = (withdrawal.host, late.len());
+        Some(Breach::StartAfterWithdrawal { host, starts, after_ms })
+    })
+}
+
 /// A round in which less than a tenth of the calls are served proves nothing.
 fn check_served(results: &[load::TryResult]) -> Option<Breach> {
     let served = results.iter().filter(|r| r.outcome == load::Outcome::Served).count() as u64;
--- a/soak/src/player.rs
+++ b/soak/src/player.rs
@@ -4,11 +4,13 @@
 use std::time;
 
 use dandelionspool::bench::fleet;
+use dandelionspool::clock::{self, Clock as _};
 use dandelionspool::standin::fault::rules;
 use dandelionspool::standin::upstream::record;
 use serde_json::json;
 
 use crate::Error;
+use crate::check;
 use crate::series;
 use crate::series::Act;
 use crate::setup;
@@ -44,6 +46,8 @@
     network_faults: collections::BTreeMap<usize, series::NetworkFault>,
     /// Hosts whose node was killed or asked to stop, and has not been started since.
     down_nodes: collections::BTreeSet<usize>,
+    /// Withdrawals that were acknowledged, of which the nodes were killed.
+    pub withdrawals: Vec<check::Withdrawal>,
     /// Draining upstreams: the time of their replacement and their host.
     draining: Vec<(time::Instant, usize)>,
 }
@@ -60,6 +64,7 @@
             shape,
             network_faults,
             down_nodes,
+            withdrawals: Vec::new(),
             draining: Vec::new(),
         }
     }
@@ -100,7 +105,13 @@
             Act::Resume(host) => ignore_absent(fleet.resume(host, fleet::Part::Node)),
             Act::Start(host) if self.down_nodes.remove(&host) => {
                 ignore_absent(fleet.kill(host, fleet::Part::Node))?;
-                Ok(fleet.restart(host, fleet::Part::Node)?)
+                fleet.restart(host, fleet::Part::Node)?;
+                let back = clock::System::new().unix_millis();
+                let of_host = self.withdrawals.iter_mut().filter(|w| w.host == host);
+                of_host.for_each(|withdrawal| {
+                    withdrawal.back_unix_ms.get_or_insert(back);
+                });
+                Ok(())
             }
             Act::Start(_) => Ok(()),
             Act::Crash(host) => self.crash(fleet, host).await,
@@ -119,6 +130,10 @@
                 control(fleet, host, json!({ "cut": fraction(percent) })).await
             }
             Act::Limit(host, rate) => control(fleet, host, json!({ "limit": rate as f64 })).await,
+            Act::Withdraw(host) => self.withdraw(fleet, host).await,
+            Act::LateHeartbeat(host) => {
+                control(fleet, host, json!({ "late_heartbeat": true })).await
+            }
             Act::Reject(host, percent) => {
                 control(fleet, host, json!({ "reject": fraction(percent) })).await
             }
@@ -154,6 +169,35 @@
         }
     }
 
+    /// Lets an upstream withdraw and kills its node once that is acknowledged.
+    async fn withdraw(&mut self, fleet: &mut fleet::Fleet, host: usize) -> Result<(), Error> {
+        // A node that is cut off can tell nobody else of the withdrawal, and one that is down can't
+        // acknowledge it.
+        if self.network_faults.contains_key(&host)
+            || self.down_nodes.contains(&host)
+            || self.draining.iter().any(|(_, other)| *other == host)
+        {
+            return Ok(());
+        }
+        control(fleet, host, json!({ "withdraw": true })).await?;
+        let Some(acknowledged) = record(fleet, host).await?.withdrawn_unix_ms else {
+            return Ok(());
+        };
+        let known =
+            |w: &check::Withdrawal| w.host == host && w.acknowledged_unix_ms == acknowledged;
+        if self.withdrawals.iter().any(known) {
+            return Ok(());
+        }
+        self.down_nodes.insert(host);
+        ignore_absent(fleet.kill(host, fleet::Part::Node))?;
+        self.withdrawals.push(check::Withdrawal {
+            host,
+            acknowledged_unix_ms: acknowledged,
+            back_unix_ms: None,
+        });
+        Ok(())
+    }
+
     async fn crash(&mut self, fleet: &mut fleet::Fleet, host: usize) -> Result<(), Error> {
         if self.draining.iter().any(|(_, other)| *other == host) {
             return Ok(());
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -28,6 +28,8 @@
     pub calls: usize,
     /// Number of these calls that were served.
     pub served: usize,
+    /// Withdrawals that were acknowledged right before the end of a node.
+    pub withdrawals: usize,
     /// Answers that upstreams sent once more.
     pub repeats: u64,
     /// Promises that were broken.
@@ -52,14 +54,16 @@
     // Sending fails only if the watch has panicked, which the next line reports.
     let _ = stop.send(());
     breaches.extend(watch.await?);
-    let mut records = player.records;
+    let mut records = std::mem::take(&mut player.records);
     for host in 0..shape.hosts {
         records.push(player::record(&fleet, host).await?);
     }
     breaches.extend(check::check(&series, &tally.results, &records));
+    breaches.extend(check::check_withdrawals(&player.withdrawals, &records));
     let served = tally.results.iter().filter(|t| t.outcome == load::Outcome::Served).count();
     let repeats = records.iter().map(|record| record.repeats).sum();
-    Ok(Report { series, calls: tally.results.len(), served, repeats, breaches })
+    let (calls, withdrawals) = (tally.results.len(), player.withdrawals.len());
+    Ok(Report { series, calls, served, withdrawals, repeats, breaches })
 }
 
 /// Waits until every node runs `version` or a later one and answers. Returns a breach for each node
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -40,6 +40,22 @@
 /// One of this many draws of repeated answers is a storm.
 const STORM_ONE_IN: u32 = 2;
 
+/// Mean time between two withdrawals.
+const MEAN_WITHDRAWAL_GAP_MS: u64 = 3000;
+
+/// Longest time from a withdrawal to the next start of the node.
+const MAX_AWAY_MS: u64 = 1500;
+
+/// Longest time from that start to the late heartbeat.
+const MAX_HEARTBEAT_MS: u64 = 1500;
+
+/// Time from the late heartbeat to the end of the upstream: calls that the heartbeat attracts are
+/// still seen after the time in which they are allowed.
+const WITHDRAWN_MS: u64 = 3500;
+
+/// Tells the generator of withdrawals from that of the other acts of a seed.
+const WITHDRAWAL_STREAM: u64 = 0x5eed_0002 << 32;
+
 /// Tells the generator of repeated answers from that of the other acts of a seed.
 const REPEAT_STREAM: u64 = 0x5eed_0001 << 32;
 
@@ -56,6 +72,8 @@
     pub overload: bool,
     /// Whether upstreams send answers once more.
     pub repeats: bool,
+    /// Whether upstreams withdraw and their nodes are killed then.
+    pub withdrawals: bool,
 }
 
 /// Which answers an upstream sends once more, and when.
@@ -130,6 +148,10 @@
     Limit(usize, u64),
     /// An upstream refuses a percentage of arriving calls, each anew; 0 ends this.
     Reject(usize, u8),
+    /// An upstream withdraws; its node is killed once that is acknowledged.
+    Withdraw(usize),
+    /// A heartbeat from before arrives, if the upstream has withdrawn.
+    LateHeartbeat(usize),
     /// An upstream sends a percentage of its answers once more; 0 ends this.
     Repeat(usize, Copies, u8),
     /// An upstream says in its answers that it leaves, and announces nothing.
@@ -188,6 +210,9 @@
         if shape.repeats && !planned {
             steps.extend(draw_repeats(seed, shape));
         }
+        if shape.withdrawals && !planned {
+            steps.extend(draw_withdrawals(seed, shape));
+        }
         steps.sort_by_key(|step| step.at_ms);
         Self { seed, planned, steps }
     }
@@ -279,6 +304,25 @@
     steps
 }
 
+/// Upstreams that withdraw, with the end of their node right after the acknowledgement and a late
+/// heartbeat at its next process. Drawn apart from the other acts, which are the same without these.
+fn draw_withdrawals(seed: u64, shape: Shape) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ WITHDRAWAL_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = FIRST_FAULT_MS;
+    while at_ms < shape.length_ms {
+        let host = rng.random_range(0..shape.hosts);
+        let start_ms = at_ms + rng.random_range(100..MAX_AWAY_MS);
+        let heartbeat_ms = start_ms + rng.random_range(0..MAX_HEARTBEAT_MS);
+        steps.push(Step { at_ms, act: Act::Withdraw(host) });
+        steps.push(Step { at_ms: start_ms, act: Act::Start(host) });
+        steps.push(Step { at_ms: heartbeat_ms, act: Act::LateHeartbeat(host) });
+        steps.push(Step { at_ms: heartbeat_ms + WITHDRAWN_MS, act: Act::Crash(host) });
+        at_ms += rng.random_range(1..=2 * MEAN_WITHDRAWAL_GAP_MS);
+    }
+    steps
+}
+
 /// Several upstreams refuse calls and repeat answers at the same time, so that the retry budgets run
 /// out, while nodes are killed, stopped, paused and started again.
 fn draw_storm(rng: &mut SmallRng, shape: Shape, at_ms: u64, steps: &mut Vec<Step>) {
--- a/soak/tests/promises.rs
+++ b/soak/tests/promises.rs
@@ -10,8 +10,14 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 
-const SHAPE: series::Shape =
-    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false, repeats: false };
+const SHAPE: series::Shape = series::Shape {
+    hosts: 5,
+    length_ms: 8000,
+    notices: false,
+    overload: false,
+    repeats: false,
+    withdrawals: false,
+};
 
 fn result(id: &str, outcome: load::Outcome) -> load::TryResult {
     load::TryResult {
@@ -224,3 +230,50 @@
     let breaches = breaches_of_record(record);
     assert!(matches!(breaches[..], [check::Breach::StartAfterLeave { .. }]), "{breaches:?}");
 }
+
+/// Calls may still start for two seconds after the node is back, or after the acknowledgement.
+#[rstest]
+#[case::node_away(None, 4000, None)]
+#[case::node_away_and_late(None, 3900, Some(100))]
+#[case::node_back(Some(4000), 2000, None)]
+#[case::node_back_and_late(Some(3500), 2000, Some(500))]
+fn a_call_long_after_a_withdrawal_is_found(
+    #[case] back_unix_ms: Option<u64>,
+    #[case] acknowledged_unix_ms: u64,
+    #[case] beyond_ms: Option<u64>,
+) {
+    let mut record = record_of_calls(100);
+    record.runs.retain(|_, run| run.unix_ms <= 6000);
+    record.withdrawn_unix_ms = Some(acknowledged_unix_ms);
+    let withdrawal = check::Withdrawal { host: 2, acknowledged_unix_ms, back_unix_ms };
+    let breaches: Vec<_> = check::check_withdrawals(&[withdrawal], &[record]).collect();
+    let after_ms = beyond_ms.map(|beyond| beyond + 2000);
+    let found = breaches.first().map(|breach| match breach {
+        check::Breach::StartAfterWithdrawal { host: 2, after_ms, .. } => *after_ms,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(found, after_ms);
+}
+
+/// The order of the acts is the trouble: a heartbeat before the node is back would be lost, and an
+/// upstream that ends too early gets no call that breaks the promise.
+#[test]
+fn a_withdrawn_upstream_outlives_its_late_heartbeat() {
+    let shape = series::Shape { withdrawals: true, ..SHAPE };
+    for seed in (1..200).filter(|seed| seed % 4 != 0) {
+        let series = series::Series::draw(seed, shape);
+        let before = series::Series::draw(seed, SHAPE);
+        assert!(before.steps.iter().all(|step| series.steps.contains(step)), "seed {seed}");
+        let find = |act| series.steps.iter().filter(move |step| step.act == act);
+        for withdrawal in &series.steps {
+            let series::Act::Withdraw(host) = withdrawal.act else { continue };
+            // Another withdrawal of the same host may have its own acts between these.
+            let whole = find(series::Act::LateHeartbeat(host)).any(|late| {
+                let between = withdrawal.at_ms + 1..=late.at_ms;
+                find(series::Act::Start(host)).any(|step| between.contains(&step.at_ms))
+                    && find(series::Act::Crash(host)).any(|step| step.at_ms == late.at_ms + 3500)
+            });
+            assert!(whole, "seed {seed}: {withdrawal:?}");
+        }
+    }
+}
--- a/soak/tests/round.rs
+++ b/soak/tests/round.rs
@@ -5,12 +5,24 @@
 use rstest::rstest;
 
 /// Small and short, so that every run of the tests can include it.
-const SHORT: series::Shape =
-    series::Shape { hosts: 4, length_ms: 4000, notices: false, overload: false, repeats: false };
+const SHORT: series::Shape = series::Shape {
+    hosts: 4,
+    length_ms: 4000,
+    notices: false,
+    overload: false,
+    repeats: false,
+    withdrawals: false,
+};
 
 /// Default shape of the command line.
-const DEFAULT: series::Shape =
-    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false, repeats: false };
+const DEFAULT: series::Shape = series::Shape {
+    hosts: 5,
+    length_ms: 8000,
+    notices: false,
+    overload: false,
+    repeats: false,
+    withdrawals: false,
+};
 
 /// The same with upstreams that name limits and leave in their answers.
 const NOTICES: series::Shape = series::Shape { notices: true, ..DEFAULT };
--- a/src/standin/upstream/announce.rs
+++ b/src/standin/upstream/announce.rs
@@ -21,14 +21,14 @@
 const PATH: &str = "/upstream/standin";
 
 /// Announces the upstream at `address` to the node at `admin` periodically, and immediately when
-/// `woken` is notified; never returns.
+/// `woken` is notified, until it is withdrawn; never returns.
 pub async fn repeat(
     shared: Arc<state::Shared>,
     admin: net::SocketAddr,
     address: net::SocketAddr,
     woken: Arc<tokio::sync::Notify>,
 ) {
-    loop {
+    while !shared.state().withdrawn {
         let accepted = announce(&shared, admin, address).await;
         let pause = if accepted { ANNOUNCE_INTERVAL } else { RETRY_DELAY };
         tokio::select! {
@@ -36,19 +36,25 @@
             () = woken.notified() => {}
         }
     }
+    std::future::pending().await
 }
 
-/// Withdraws the announcement.
-pub async fn withdraw(shared: &state::Shared, admin: net::SocketAddr) {
+/// Withdraws the announcement. Returns whether the node acknowledged that.
+pub async fn withdraw(shared: &state::Shared, admin: net::SocketAddr) -> bool {
+    shared.state().withdrawn = true;
     let method = ::http::Method::DELETE;
     let body = json!({ "born": shared.born });
-    let done = http::json(admin, method, PATH, &body, REQUEST_TIMEOUT).await;
-    if let Err(error) = done {
-        log::warn!("can't withdraw the announcement from the node: {error}");
+    match http::json(admin, method, PATH, &body, REQUEST_TIMEOUT).await {
+        Ok(answer) => answer.status().is_success(),
+        Err(error) => {
+            log::warn!("can't withdraw the announcement from the node: {error}");
+            false
+        }
     }
 }
 
-async fn announce(
+/// Announces the upstream once. Returns whether the node accepted that.
+pub async fn announce(
     shared: &state::Shared,
     admin: net::SocketAddr,
     address: net::SocketAddr,
--- a/src/standin/upstream/control.rs
+++ b/src/standin/upstream/control.rs
@@ -65,6 +65,12 @@
     match serde_json::from_slice::<faults::Change>(&body.to_bytes()) {
         Ok(change) => {
             handle.control(&change);
+            if change.withdraw == Some(true) {
+                handle.withdraw().await;
+            }
+            if change.late_heartbeat == Some(true) {
+                handle.announce_late().await;
+            }
             ok(&handle.faults())
         }
         Err(error) => run::plain(http::StatusCode::BAD_REQUEST, &format!("{error}\n")),
--- a/src/standin/upstream/faults.rs
+++ b/src/standin/upstream/faults.rs
@@ -84,6 +84,12 @@
     pub repeat_of: Option<repeat::Of>,
     /// If true, the upstream starts to drain, which can't be undone.
     pub drain: Option<bool>,
+    /// If true, the upstream withdraws its announcement, which can't be undone. It goes on to accept
+    /// calls, and announces nothing more.
+    pub withdraw: Option<bool>,
+    /// If true, an upstream that has withdrawn announces itself once more, as a heartbeat from before
+    /// that arrives late.
+    pub late_heartbeat: Option<bool>,
 }
 
 impl Faults {
--- a/src/standin/upstream/record.rs
+++ b/src/standin/upstream/record.rs
@@ -55,6 +55,9 @@
     pub unix_ms: u64,
     /// Wall-clock time at which the drain began, in milliseconds since the Unix epoch.
     pub drain_unix_ms: Option<u64>,
+    /// Wall-clock time at which the node acknowledged the withdrawal, in milliseconds since the Unix
+    /// epoch.
+    pub withdrawn_unix_ms: Option<u64>,
     /// The limits named, in order.
     pub limits: Vec<NamedLimit>,
     /// Wall-clock time of the first response that said that it leaves, in milliseconds since the
--- a/src/standin/upstream/server.rs
+++ b/src/standin/upstream/server.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::{Notify, watch};
 
+use crate::clock::Clock as _;
 use crate::standin::accept;
 use crate::standin::upstream::announce;
 use crate::standin::upstream::connections;
@@ -130,6 +131,23 @@
         self.woken.notify_one();
     }
 
+    /// Withdraws its announcement, and records when the node acknowledged that.
+    pub async fn withdraw(&self) {
+        let Some(admin) = self.shared.options.admin else { return };
+        if announce::withdraw(&self.shared, admin).await {
+            let unix_ms = self.shared.clock.unix_millis();
+            self.shared.state().record.withdrawn_unix_ms.get_or_insert(unix_ms);
+        }
+    }
+
+    /// Announces itself once more after it has withdrawn, as a heartbeat that arrives late.
+    pub async fn announce_late(&self) {
+        let withdrawn = self.shared.state().withdrawn;
+        if let Some(admin) = self.shared.options.admin.filter(|_| withdrawn) {
+            announce::announce(&self.shared, admin, self.address).await;
+        }
+    }
+
     /// Waits for the grace time and then until no call runs, at most for [`DRAIN_TIMEOUT`].
     async fn idle(&self) {
         tokio::time::sleep(self.shared.options.grace).await;
--- a/src/standin/upstream/state.rs
+++ b/src/standin/upstream/state.rs
@@ -36,6 +36,8 @@
     pub faults: faults::Faults,
     /// When the drain began.
     pub drain: Option<clock::Instant>,
+    /// Whether its announcement has been withdrawn, or is being.
+    pub withdrawn: bool,
     /// Calls that have arrived.
     pub arrivals: u64,
     /// Calls that run now.
--- a/src/standin/upstream/tests.rs
+++ b/src/standin/upstream/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the upstream stand-in over real sockets and of its pure parts.
 
 use std::net;
+use std::sync::{Arc, Mutex};
 use std::time;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 
 use crate::clock;
 use crate::proxy::headers;
+use crate::standin::accept;
 use crate::standin::http;
 use crate::standin::upstream;
 use crate::standin::upstream::answer;
@@ -231,3 +233,56 @@
     let shed = (0..1000).filter(|arrivals| decide(*arrivals)).count();
     assert!((400..600).contains(&shed), "{shed} of 1000");
 }
+
+/// An admin port that accepts everything. Returns its address and the requests that it gets, each as
+/// its method and body.
+async fn admin() -> (net::SocketAddr, Arc<Mutex<Vec<(::http::Method, serde_json::Value)>>>) {
+    use http_body_util::BodyExt as _;
+    let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(Mutex::new(Vec::new()));
+    let log = Arc::clone(&requests);
+    let answer = move |request: ::http::Request<hyper::body::Incoming>| {
+        let log = Arc::clone(&log);
+        async move {
+            let (parts, body) = request.into_parts();
+            let body = body.collect().await.unwrap().to_bytes();
+            log.lock().unwrap().push((parts.method, serde_json::from_slice(&body).unwrap()));
+            Ok(::http::Response::new(Full::new(Bytes::new())))
+        }
+    };
+    let (stop, closing) = tokio::sync::watch::channel(false);
+    tokio::spawn(async move {
+        accept::serve(listener, closing, || Some(()), answer).await;
+        drop(stop);
+    });
+    (address, requests)
+}
+
+/// A late heartbeat has to look like those from before the withdrawal, and no other one may follow.
+#[tokio::test]
+async fn an_upstream_that_has_withdrawn_announces_itself_only_late() {
+    let (admin, requests) = admin().await;
+    let handle = start(options().admin(admin)).await;
+    let control = async |change: serde_json::Value| {
+        let method = ::http::Method::POST;
+        let to = handle.control_address();
+        let answer = http::json(to, method, "/control", &change, TIMEOUT).await.unwrap();
+        assert_eq!(answer.status(), ::http::StatusCode::OK);
+    };
+    control(serde_json::json!({ "late_heartbeat": true })).await;
+    while requests.lock().unwrap().is_empty() {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    assert_eq!(handle.record().withdrawn_unix_ms, None);
+    control(serde_json::json!({ "withdraw": true })).await;
+    assert!(handle.record().withdrawn_unix_ms.is_some());
+    control(serde_json::json!({ "late_heartbeat": true })).await;
+    // Longer than the pause between two heartbeats.
+    tokio::time::sleep(time::Duration::from_millis(2200)).await;
+    let requests = requests.lock().unwrap();
+    let methods: Vec<_> = requests.iter().map(|(method, _)| method.as_str()).collect();
+    assert_eq!(methods, ["PUT", "DELETE", "PUT"]);
+    assert_eq!(requests[0].1, requests[2].1);
+    assert_eq!(requests[0].1["born"], requests[1].1["born"]);
+}
