feat(soak): publications with many routes, each with a timeout of its own

The soak published only small configurations that differ in a name, and could not show whether a large valid one is applied (docs/incidents/many-timeouts.md).

Change: `--routes` draws, from a generator of its own, publications in format 6 with 100 more routes of 100 timeouts, and one as the last act, whose version has to be in force everywhere within 20 s like that of any other. A configuration that the publish command finds invalid ends the round with an error; any other failure is passed over, as for the usual ones. The report counts those that were accepted. They go through the product's own program: the platform's translation, in which the incident's fault was, is not played.

--- a/soak/src/args.rs
+++ b/soak/src/args.rs
@@ -29,6 +29,8 @@
     pub repeats: bool,
     /// Upstreams also withdraw, and their nodes are killed right after the acknowledgement
     pub withdrawals: bool,
+    /// The operator also publishes configurations with many routes
+    pub routes: bool,
 }
 
 impl Args {
@@ -42,6 +44,7 @@
             overload: self.overload,
             repeats: self.repeats,
             withdrawals: self.withdrawals,
+            routes: self.routes,
         }
     }
 }
--- a/soak/src/player.rs
+++ b/soak/src/player.rs
@@ -39,6 +39,8 @@
     pub records: Vec<record::Record>,
     /// The version of the configuration that was accepted last.
     pub version: u64,
+    /// Number of accepted publications with many routes.
+    pub wide: u64,
     /// Number of publications so far.
     publications: u64,
     shape: series::Shape,
@@ -60,6 +62,7 @@
         Self {
             records: Vec::new(),
             version,
+            wide: 0,
             publications: 0,
             shape,
             network_faults,
@@ -156,17 +159,26 @@
                 Ok(fleet.log_faults(&log_faults(fault, self.publications)).await?)
             }
             Act::Restore => Ok(fleet.log_faults(&json!({})).await?),
-            Act::Publish => {
-                self.publications += 1;
-                // The log service may not accept a publication during an outage; later acts publish
-                // again when it is over.
-                let turn = self.publications;
-                if let Ok(version) = setup::publish(fleet, self.version, turn, self.shape).await {
-                    self.version = version;
-                }
-                Ok(())
+            Act::Publish => self.publish(fleet, 0).await,
+            Act::PublishRoutes => self.publish(fleet, setup::MANY_ROUTES).await,
+        }
+    }
+
+    /// Publishes a configuration with `routes` routes besides those of the calls.
+    async fn publish(&mut self, fleet: &fleet::Fleet, routes: u64) -> Result<(), Error> {
+        self.publications += 1;
+        let turn = self.publications;
+        match setup::publish(fleet, self.version, turn, routes, self.shape).await {
+            Ok(version) => {
+                self.version = version;
+                self.wide += u64::from(routes > 0);
             }
+            Err(Error::Publish(setup::INVALID)) => return Err(Error::Publish(setup::INVALID)),
+            // The log service may not accept a publication during an outage; later acts publish
+            // again when it is over.
+            Err(_) => {}
         }
+        Ok(())
     }
 
     /// Lets an upstream withdraw and kills its node once that is acknowledged.
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -28,6 +28,8 @@
     pub calls: usize,
     /// Number of these calls that were served.
     pub served: usize,
+    /// Publications with many routes that were accepted.
+    pub wide: u64,
     /// Withdrawals that were acknowledged right before the end of a node.
     pub withdrawals: usize,
     /// Answers that upstreams sent once more.
@@ -62,8 +64,9 @@
     breaches.extend(check::check_withdrawals(&player.withdrawals, &records));
     let served = tally.results.iter().filter(|t| t.outcome == load::Outcome::Served).count();
     let repeats = records.iter().map(|record| record.repeats).sum();
-    let (calls, withdrawals) = (tally.results.len(), player.withdrawals.len());
-    Ok(Report { series, calls, served, withdrawals, repeats, breaches })
+    let (calls, wide) = (tally.results.len(), player.wide);
+    let withdrawals = player.withdrawals.len();
+    Ok(Report { series, calls, served, wide, withdrawals, repeats, breaches })
 }
 
 /// Waits until every node runs `version` or a later one and answers. Returns a breach for each node
--- a/soak/src/series.rs
+++ b/soak/src/series.rs
@@ -56,6 +56,12 @@
 /// Tells the generator of withdrawals from that of the other acts of a seed.
 const WITHDRAWAL_STREAM: u64 = 0x5eed_0002 << 32;
 
+/// Mean time between two publications with many routes.
+const MEAN_ROUTES_GAP_MS: u64 = 3000;
+
+/// Tells the generator of these publications from that of the other acts of a seed.
+const ROUTES_STREAM: u64 = 0x5eed_0003 << 32;
+
 /// Tells the generator of repeated answers from that of the other acts of a seed.
 const REPEAT_STREAM: u64 = 0x5eed_0001 << 32;
 
@@ -74,6 +80,8 @@
     pub repeats: bool,
     /// Whether upstreams withdraw and their nodes are killed then.
     pub withdrawals: bool,
+    /// Whether configurations with many routes are published.
+    pub routes: bool,
 }
 
 /// Which answers an upstream sends once more, and when.
@@ -167,6 +175,8 @@
     Restore,
     /// The operator publishes a new version of the configuration.
     Publish,
+    /// The same, with many routes that each have a timeout of their own.
+    PublishRoutes,
 }
 
 /// An act and the time at which it is carried out.
@@ -213,6 +223,12 @@
         if shape.withdrawals && !planned {
             steps.extend(draw_withdrawals(seed, shape));
         }
+        if shape.routes {
+            steps.extend(draw_routes(seed, shape));
+            // The last version is in force everywhere at the end of a round.
+            let at_ms = steps.iter().map(|step| step.at_ms).max().unwrap_or_default();
+            steps.push(Step { at_ms, act: Act::PublishRoutes });
+        }
         steps.sort_by_key(|step| step.at_ms);
         Self { seed, planned, steps }
     }
@@ -323,6 +339,18 @@
     steps
 }
 
+/// Publications with many routes. Drawn apart from the other acts, which are the same without these.
+fn draw_routes(seed: u64, shape: Shape) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ ROUTES_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = FIRST_FAULT_MS;
+    while at_ms < shape.length_ms {
+        steps.push(Step { at_ms, act: Act::PublishRoutes });
+        at_ms += rng.random_range(1..=2 * MEAN_ROUTES_GAP_MS);
+    }
+    steps
+}
+
 /// Several upstreams refuse calls and repeat answers at the same time, so that the retry budgets run
 /// out, while nodes are killed, stopped, paused and started again.
 fn draw_storm(rng: &mut SmallRng, shape: Shape, at_ms: u64, steps: &mut Vec<Step>) {
--- a/soak/src/setup.rs
+++ b/soak/src/setup.rs
@@ -17,6 +17,13 @@
 /// Attempts that one call may have. A call that runs more often breaks a promise.
 pub const MAX_ATTEMPTS: u32 = 3;
 
+/// Routes of a configuration with many, each with a timeout of its own: more than the 64 kinds that
+/// a service may have.
+pub const MANY_ROUTES: u64 = 100;
+
+/// Exit code of the publish command for a configuration that is not valid.
+pub const INVALID: i32 = 1;
+
 /// Calls that an upstream runs at once.
 pub const SLOTS: u16 = 9;
 
@@ -44,7 +51,7 @@
     let dir = std::env::temp_dir();
     let file =
         dir.join(format!("dandelionspool-soak-{}-{}.json", std::process::id(), file_number()));
-    write_configuration(&file, 0, shape)?;
+    write_configuration(&file, 0, 0, shape)?;
     let group = fleet::Group::new(SERVICE, shape.hosts).mean_ms(5.0).grace_ms(500);
     let plan = fleet::Plan::new(fleet::Programs::beside()?);
     let plan = plan.group(group).faults().configuration(&file).settings(settings(shape));
@@ -79,7 +86,8 @@
     NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed)
 }
 
-/// Publishes a configuration that differs by `turn`, based on version `base`. Returns its version.
+/// Publishes a configuration that differs by `turn` and has `routes` more routes, based on version
+/// `base`. Returns its version.
 ///
 /// # Errors
 ///
@@ -88,10 +96,11 @@
     fleet: &fleet::Fleet,
     base: u64,
     turn: u64,
+    routes: u64,
     shape: series::Shape,
 ) -> Result<u64, Error> {
     let file = fleet.dir().join(format!("mesh-{turn}.json"));
-    write_configuration(&file, turn, shape)?;
+    write_configuration(&file, turn, routes, shape)?;
     let done = fleet.publish(&file, base, &["--json", "--wait-ms", "20000"]).await?;
     done.version().ok_or(Error::Publish(done.code))
 }
@@ -113,7 +122,12 @@
         .keep()
 }
 
-fn write_configuration(file: &path::Path, turn: u64, shape: series::Shape) -> Result<(), Error> {
+fn write_configuration(
+    file: &path::Path,
+    turn: u64,
+    routes: u64,
+    shape: series::Shape,
+) -> Result<(), Error> {
     // Orders are urgent beside reads of a lower priority.
     let priority = |idempotent: bool| u8::from(idempotent && shape.overload);
     let kind = |name, idempotent, body_bytes| {
@@ -124,7 +138,7 @@
         json!({ "name": name, "path": path, "methods": [method], "service": SERVICE,
                 "kind": name })
     };
-    let mesh = json!({
+    let mut mesh = json!({
         "format": 3,
         "organisations": [{ "name": "sellers" }, { "name": format!("organisation-{turn}") }],
         "services": [{
@@ -136,5 +150,16 @@
         }],
         "routes": [route("browse", "/browse", "GET"), route("order", "/orders", "POST")]
     });
+    if routes > 0 {
+        mesh["format"] = json!(6);
+        mesh["open"] = json!(true);
+        let more = (0..routes).map(|number| {
+            json!({ "name": format!("more-{number}"), "path": format!("/more/{number}"),
+                    "service": SERVICE, "kind": "browse", "timeout_ms": 1000 + number })
+        });
+        if let Some(all) = mesh["routes"].as_array_mut() {
+            all.extend(more);
+        }
+    }
     Ok(fs::write(file, mesh.to_string())?)
 }
--- a/soak/tests/promises.rs
+++ b/soak/tests/promises.rs
@@ -17,6 +17,7 @@
     overload: false,
     repeats: false,
     withdrawals: false,
+    routes: false,
 };
 
 fn result(id: &str, outcome: load::Outcome) -> load::TryResult {
@@ -277,3 +278,15 @@
         }
     }
 }
+
+/// Only the last version is compared at the end of a round, so that one with many routes has to be it.
+#[test]
+fn a_series_ends_with_a_publication_of_many_routes() {
+    let shape = series::Shape { routes: true, ..SHAPE };
+    for seed in 1..200 {
+        let series = series::Series::draw(seed, shape);
+        let before = series::Series::draw(seed, SHAPE);
+        assert!(before.steps.iter().all(|step| series.steps.contains(step)), "seed {seed}");
+        assert_eq!(series.steps.last().map(|step| step.act), Some(series::Act::PublishRoutes));
+    }
+}
--- a/soak/tests/round.rs
+++ b/soak/tests/round.rs
@@ -12,6 +12,7 @@
     overload: false,
     repeats: false,
     withdrawals: false,
+    routes: false,
 };
 
 /// Default shape of the command line.
@@ -22,6 +23,7 @@
     overload: false,
     repeats: false,
     withdrawals: false,
+    routes: false,
 };
 
 /// The same with upstreams that name limits and leave in their answers.
@@ -33,10 +35,16 @@
 /// Short, with upstreams that refuse calls and send answers once more.
 const REPEATS: series::Shape = series::Shape { repeats: true, ..SHORT };
 
+/// Short, with upstreams that withdraw and configurations with many routes.
+const WITHDRAWALS: series::Shape = series::Shape { withdrawals: true, routes: true, ..SHORT };
+
 #[rstest]
 // A copy of a rejection of another call was believed: orders ran twice, and others were answered
 // "not run" and had run.
 #[case::repeated_answers(6, REPEATS)]
+// A node that was killed forgot an acknowledged leaving, and a late heartbeat of the upstream brought
+// calls to it again.
+#[case::withdrawals(3, WITHDRAWALS)]
 #[case::notices(1, NOTICES)]
 #[case::overload(5, OVERLOAD)]
 #[case::planned_work(4, SHORT)]
