--- a/soak/src/args.rs
+++ b/soak/src/args.rs
@@ -25,6 +25,12 @@
     /// Nodes protect themselves from overload, reserve slots for orders, and choose upstreams and
     /// retries selectively
     pub overload: bool,
+    /// Upstreams also send answers once more, late or behind others
+    pub repeats: bool,
+    /// Upstreams also withdraw, and their nodes are killed right after the acknowledgement
+    pub withdrawals: bool,
+    /// The operator also publishes configurations with many routes
+    pub routes: bool,
 }
 
 impl Args {
@@ -36,6 +42,9 @@
             length_ms,
             notices: !self.silent,
             overload: self.overload,
+            repeats: self.repeats,
+            withdrawals: self.withdrawals,
+            routes: self.routes,
         }
     }
 }
--- a/soak/src/player.rs
+++ b/soak/src/player.rs
@@ -4,11 +4,13 @@
 use std::time;
 
 use dandelionspool::bench::fleet;
+use dandelionspool::clock::{self, Clock as _};
 use dandelionspool::standin::fault::rules;
 use dandelionspool::standin::upstream::record;
 use serde_json::json;
 
 use crate::Error;
+use crate::check;
 use crate::series;
 use crate::series::Act;
 use crate::setup;
@@ -37,6 +39,8 @@
     pub records: Vec<record::Record>,
     /// The version of the configuration that was accepted last.
     pub version: u64,
+    /// Number of accepted publications with many routes.
+    pub wide: u64,
     /// Number of publications so far.
     publications: u64,
     shape: series::Shape,
@@ -44,6 +48,8 @@
     network_faults: collections::BTreeMap<usize, series::NetworkFault>,
     /// Hosts whose node was killed or asked to stop, and has not been started since.
     down_nodes: collections::BTreeSet<usize>,
+    /// Withdrawals that were acknowledged, of which the nodes were killed.
+    pub withdrawals: Vec<check::Withdrawal>,
     /// Draining upstreams: the time of their replacement and their host.
     draining: Vec<(time::Instant, usize)>,
 }
@@ -56,10 +62,12 @@
         Self {
             records: Vec::new(),
             version,
+            wide: 0,
             publications: 0,
             shape,
             network_faults,
             down_nodes,
+            withdrawals: Vec::new(),
             draining: Vec::new(),
         }
     }
@@ -100,7 +108,13 @@
             Act::Resume(host) => ignore_absent(fleet.resume(host, fleet::Part::Node)),
             Act::Start(host) if self.down_nodes.remove(&host) => {
                 ignore_absent(fleet.kill(host, fleet::Part::Node))?;
-                Ok(fleet.restart(host, fleet::Part::Node)?)
+                fleet.restart(host, fleet::Part::Node)?;
+                let back = clock::System::new().unix_millis();
+                let of_host = self.withdrawals.iter_mut().filter(|w| w.host == host);
+                of_host.for_each(|withdrawal| {
+                    withdrawal.back_unix_ms.get_or_insert(back);
+                });
+                Ok(())
             }
             Act::Start(_) => Ok(()),
             Act::Crash(host) => self.crash(fleet, host).await,
@@ -119,6 +133,19 @@
                 control(fleet, host, json!({ "cut": fraction(percent) })).await
             }
             Act::Limit(host, rate) => control(fleet, host, json!({ "limit": rate as f64 })).await,
+            Act::Withdraw(host) => self.withdraw(fleet, host).await,
+            Act::LateHeartbeat(host) => {
+                control(fleet, host, json!({ "late_heartbeat": true })).await
+            }
+            Act::Reject(host, percent) => {
+                control(fleet, host, json!({ "reject": fraction(percent) })).await
+            }
+            Act::Repeat(host, copies, percent) => {
+                let (how, of) = (copies.how, copies.of);
+                let repeat = fraction(percent);
+                let change = json!({ "repeat": repeat, "repeat_how": how, "repeat_of": of });
+                control(fleet, host, change).await
+            }
             Act::Leave(host) => control(fleet, host, json!({ "leaving": true })).await,
             Act::Break(host, fault) => {
                 self.network_faults.insert(host, fault);
@@ -132,17 +159,55 @@
                 Ok(fleet.log_faults(&log_faults(fault, self.publications)).await?)
             }
             Act::Restore => Ok(fleet.log_faults(&json!({})).await?),
-            Act::Publish => {
-                self.publications += 1;
-                // The log service may not accept a publication during an outage; later acts publish
-                // again when it is over.
-                let turn = self.publications;
-                if let Ok(version) = setup::publish(fleet, self.version, turn, self.shape).await {
-                    self.version = version;
-                }
-                Ok(())
+            Act::Publish => self.publish(fleet, 0).await,
+            Act::PublishRoutes => self.publish(fleet, setup::MANY_ROUTES).await,
+        }
+    }
+
+    /// Publishes a configuration with `routes` routes besides those of the calls.
+    async fn publish(&mut self, fleet: &fleet::Fleet, routes: u64) -> Result<(), Error> {
+        self.publications += 1;
+        let turn = self.publications;
+        match setup::publish(fleet, self.version, turn, routes, self.shape).await {
+            Ok(version) => {
+                self.version = version;
+                self.wide += u64::from(routes > 0);
             }
+            Err(Error::Publish(setup::INVALID)) => return Err(Error::Publish(setup::INVALID)),
+            // The log service may not accept a publication during an outage; later acts publish
+            // again when it is over.
+            Err(_) => {}
         }
+        Ok(())
+    }
+
+    /// Lets an upstream withdraw and kills its node once that is acknowledged.
+    async fn withdraw(&mut self, fleet: &mut fleet::Fleet, host: usize) -> Result<(), Error> {
+        // A node that is cut off can tell nobody else of the withdrawal, and one that is down can't
+        // acknowledge it.
+        if self.network_faults.contains_key(&host)
+            || self.down_nodes.contains(&host)
+            || self.draining.iter().any(|(_, other)| *other == host)
+        {
+            return Ok(());
+        }
+        control(fleet, host, json!({ "withdraw": true })).await?;
+        let Some(acknowledged) = record(fleet, host).await?.withdrawn_unix_ms else {
+            return Ok(());
+        };
+        let known =
+            |w: &check::Withdrawal| w.host == host && w.acknowledged_unix_ms == acknowledged;
+        if self.withdrawals.iter().any(known) {
+            return Ok(());
+        }
+        self.down_nodes.insert(host);
+        ignore_absent(fleet.kill(host, fleet::Part::Node))?;
+        self.withdrawals.push(check::Withdrawal {
+            host,
+            acknowledged_unix_ms: acknowledged,
+            back_unix_ms: None,
+        });
+        Ok(())
     }
 
     async fn crash(&mut self, fleet: &mut fleet::Fleet, host: usize) -> Result<(), Error> {
--- a/soak/tests/promises.rs
+++ b/soak/tests/promises.rs
@@ -10,8 +10,15 @@
 use rstest::rstest;
 use smol_str::SmolStr;
 
-const SHAPE: series::Shape =
-    series::Shape { hosts: 5, length_ms: 8000, notices: false, overload: false };
+const SHAPE: series::Shape = series::Shape {
+    hosts: 5,
+    length_ms: 8000,
+    notices: false,
+    overload: false,
+    repeats: false,
+    withdrawals: false,
+    routes: false,
+};
 
 fn result(id: &str, outcome: load::Outcome) -> load::TryResult {
     load::TryResult {
@@ -138,6 +145,46 @@
     assert_eq!(kinds.len(), 15, "every act is drawn");
 }
 
+/// Seeds that found something have to give the same acts again.
+#[test]
+fn repeated_answers_change_no_other_act_of_a_seed() {
+    let is_own =
+        |act: &series::Act| matches!(act, series::Act::Repeat(..) | series::Act::Reject(..));
+    for seed in 1..200 {
+        let shape = series::Shape { notices: true, ..SHAPE };
+        let before = series::Series::draw(seed, shape);
+        let after = series::Series::draw(seed, series::Shape { repeats: true, ..shape });
+        let mut rest = after.steps.iter();
+        let kept = before.steps.iter().all(|step| rest.any(|other| other == step));
+        assert!(kept, "seed {seed} lost an act");
+        assert_eq!(after.planned, before.planned);
+        assert_eq!(after.steps.iter().any(|step| is_own(&step.act)), !after.planned);
+    }
+}
+
+/// A storm that goes on would leave the end of the round without served calls.
+#[test]
+fn every_repetition_ends_and_storms_overlap_the_end_of_nodes() {
+    let shape = series::Shape { repeats: true, ..SHAPE };
+    let series = (1..200).map(|seed| series::Series::draw(seed, shape)).filter(|s| !s.planned);
+    let mut storms = 0;
+    for series in series {
+        let mut open = std::collections::BTreeMap::new();
+        for step in &series.steps {
+            match step.act {
+                series::Act::Repeat(host, _, percent) => open.insert((host, true), percent),
+                series::Act::Reject(host, percent) => open.insert((host, false), percent),
+                _ => None,
+            };
+            let hosts = open.iter().filter(|((_, repeat), percent)| *repeat && **percent > 0);
+            let ends = matches!(step.act, series::Act::Kill(_) | series::Act::Pause(_));
+            storms += usize::from(ends && hosts.count() >= 2);
+        }
+        assert!(open.values().all(|percent| *percent == 0), "seed {}", series.seed);
+    }
+    assert!(storms >= 100, "{storms} kills and pauses while several upstreams repeat answers");
+}
+
 /// A record of an upstream whose calls start every `gap_ms`.
 fn record_of_calls(gap_ms: u64) -> record::Record {
     let mut record = record::Record::default();
@@ -184,3 +231,62 @@
     let breaches = breaches_of_record(record);
     assert!(matches!(breaches[..], [check::Breach::StartAfterLeave { .. }]), "{breaches:?}");
 }
+
+/// Calls may still start for two seconds after the node is back, or after the acknowledgement.
+#[rstest]
+#[case::node_away(None, 4000, None)]
+#[case::node_away_and_late(None, 3900, Some(100))]
+#[case::node_back(Some(4000), 2000, None)]
+#[case::node_back_and_late(Some(3500), 2000, Some(500))]
+fn a_call_long_after_a_withdrawal_is_found(
+    #[case] back_unix_ms: Option<u64>,
+    #[case] acknowledged_unix_ms: u64,
+    #[case] beyond_ms: Option<u64>,
+) {
+    let mut record = record_of_calls(100);
+    record.runs.retain(|_, run| run.unix_ms <= 6000);
+    record.withdrawn_unix_ms = Some(acknowledged_unix_ms);
+    let withdrawal = check::Withdrawal { host: 2, acknowledged_unix_ms, back_unix_ms };
+    let breaches: Vec<_> = check::check_withdrawals(&[withdrawal], &[record]).collect();
+    let after_ms = beyond_ms.map(|beyond| beyond + 2000);
+    let found = breaches.first().map(|breach| match breach {
+        check::Breach::StartAfterWithdrawal { host: 2, after_ms, .. } => *after_ms,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(found, after_ms);
+}
+
+/// The order of the acts is the trouble: a heartbeat before the node is back would be lost, and an
+/// upstream that ends too early gets no call that breaks the promise.
+#[test]
+fn a_withdrawn_upstream_outlives_its_late_heartbeat() {
+    let shape = series::Shape { withdrawals: true, ..SHAPE };
+    for seed in (1..200).filter(|seed| seed % 4 != 0) {
+        let series = series::Series::draw(seed, shape);
+        let before = series::Series::draw(seed, SHAPE);
+        assert!(before.steps.iter().all(|step| series.steps.contains(step)), "seed {seed}");
+        let find = |act| series.steps.iter().filter(move |step| step.act == act);
+        for withdrawal in &series.steps {
+            let series::Act::Withdraw(host) = withdrawal.act else { continue };
+            // Another withdrawal of the same host may have its own acts between these.
+            let whole = find(series::Act::LateHeartbeat(host)).any(|late| {
+                let between = withdrawal.at_ms + 1..=late.at_ms;
+                find(series::Act::Start(host)).any(|step| between.contains(&step.at_ms))
+                    && find(series::Act::Crash(host)).any(|step| step.at_ms == late.at_ms + 3500)
+            });
+            assert!(whole, "seed {seed}: {withdrawal:?}");
+        }
+    }
+}
+
+/// Only the last version is compared at the end of a round, so that one with many routes has to be it.
+#[test]
+fn a_series_ends_with_a_publication_of_many_routes() {
+    let shape = series::Shape { routes: true, ..SHAPE };
+    for seed in 1..200 {
+        let series = series::Series::draw(seed, shape);
+        let before = series::Series::draw(seed, SHAPE);
+        assert!(before.steps.iter().all(|step| series.steps.contains(step)), "seed {seed}");
+        assert_eq!(series.steps.last().map(|step| step.act), Some(series::Act::PublishRoutes));
+    }
+}
--- a/src/standin/upstream/record.rs
+++ b/src/standin/upstream/record.rs
@@ -45,6 +45,8 @@
     pub starts: u64,
     /// Calls shed.
     pub sheds: u64,
+    /// Answers sent once more.
+    pub repeats: u64,
     /// Connections closed at once because there were too many.
     pub refusals: u64,
     /// Maximum number of calls that ran at the same time.
@@ -53,6 +55,9 @@
     pub unix_ms: u64,
     /// Wall-clock time at which the drain began, in milliseconds since the Unix epoch.
     pub drain_unix_ms: Option<u64>,
+    /// Wall-clock time at which the node acknowledged the withdrawal, in milliseconds since the Unix
+    /// epoch.
+    pub withdrawn_unix_ms: Option<u64>,
     /// The limits named, in order.
     pub limits: Vec<NamedLimit>,
     /// Wall-clock time of the first response that said that it leaves, in milliseconds since the
--- a/src/standin/upstream/server.rs
+++ b/src/standin/upstream/server.rs
@@ -8,13 +8,14 @@
 
 use tokio::sync::{Notify, watch};
 
+use crate::clock::Clock as _;
 use crate::standin::accept;
 use crate::standin::upstream::announce;
+use crate::standin::upstream::connections;
 use crate::standin::upstream::control;
 use crate::standin::upstream::faults;
 use crate::standin::upstream::options;
 use crate::standin::upstream::record;
-use crate::standin::upstream::run;
 use crate::standin::upstream::state;
 
 /// How often a draining upstream checks whether calls still run.
@@ -39,15 +40,6 @@
     control: net::SocketAddr,
 }
 
-/// Counts one open connection until it is dropped.
-struct OpenConnection(Arc<state::Shared>);
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.state().open -= 1;
-    }
-}
-
 impl Server {
     /// Binds the ports of the upstream that `options` describe.
     pub async fn bind(options: options::Options) -> io::Result<Self> {
@@ -72,7 +64,8 @@
     pub async fn serve(self, stop: impl future::Future<Output = ()>) {
         let handle = self.handle;
         let (closed, closing) = watch::channel(false);
-        let calls = tokio::spawn(calls(self.calls, closing.clone(), handle.clone()));
+        let calls = connections::serve(self.calls, closing.clone(), Arc::clone(&handle.shared));
+        let calls = tokio::spawn(calls);
         let controls = tokio::spawn(controls(self.controls, closing, handle.clone()));
         let heartbeat = handle.shared.options.admin.map(|admin| {
             let woken = Arc::clone(&handle.woken);
@@ -91,13 +84,6 @@
     }
 }
 
-async fn calls(listener: tokio::net::TcpListener, closing: watch::Receiver<bool>, handle: Handle) {
-    let shared = handle.shared;
-    let admission = Arc::clone(&shared);
-    let serve = move |request| run::serve(Arc::clone(&shared), request);
-    accept::serve(listener, closing, || admit(&admission), serve).await;
-}
-
 async fn controls(
     listener: tokio::net::TcpListener,
     closing: watch::Receiver<bool>,
@@ -107,20 +93,6 @@
     accept::serve(listener, closing, || Some(()), serve).await;
 }
 
-/// Admits a connection, unless the upstream refuses all or has too many; `None` refuses it.
-fn admit(shared: &Arc<state::Shared>) -> Option<OpenConnection> {
-    let mut state = shared.state();
-    if state.faults.dead == faults::Dead::Refuse {
-        return None;
-    }
-    if state.open >= u32::from(shared.options.connections) {
-        state.record.refusals += 1;
-        return None;
-    }
-    state.open += 1;
-    Some(OpenConnection(Arc::clone(shared)))
-}
-
 impl Handle {
     /// Address of the port for calls.
     pub fn address(&self) -> net::SocketAddr {
@@ -159,6 +131,23 @@
         self.woken.notify_one();
     }
 
+    /// Withdraws its announcement, and records when the node acknowledged that.
+    pub async fn withdraw(&self) {
+        let Some(admin) = self.shared.options.admin else { return };
+        if announce::withdraw(&self.shared, admin).await {
+            let unix_ms = self.shared.clock.unix_millis();
+            self.shared.state().record.withdrawn_unix_ms.get_or_insert(unix_ms);
+        }
+    }
+
+    /// Announces itself once more after it has withdrawn, as a heartbeat that arrives late.
+    pub async fn announce_late(&self) {
+        let withdrawn = self.shared.state().withdrawn;
+        if let Some(admin) = self.shared.options.admin.filter(|_| withdrawn) {
+            announce::announce(&self.shared, admin, self.address).await;
+        }
+    }
+
     /// Waits for the grace time and then until no call runs, at most for [`DRAIN_TIMEOUT`].
     async fn idle(&self) {
         tokio::time::sleep(self.shared.options.grace).await;
