refactor(owner): what follows an answer in a file of its own

It ends where the answer is verified; what follows (a rejection is released, an answer that ran is read and logged, one that is not believed is counted) moves to owner::receive in functions of one job each. The help text of the malformed answers names what they are now.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -88,7 +88,7 @@
     pub fn answers(&self, counts: &answer::Counts) {
         let help = "Answers of the upstream that belong to another request";
         self.register("upstream_foreign_answers", help, counts.foreign.clone());
-        let help = "Answers that are no complete answer of the upstream";
+        let help = "Answers that are incomplete, cut, or promise what the upstream does not say";
         self.register("upstream_malformed_answers", help, counts.malformed.clone());
     }
 
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use http::header;
-use hyper::body::Body as _;
-use tokio::task;
 use tokio::time;
 
 use crate::admit;
@@ -19,9 +17,7 @@
 use crate::proxy::headers;
 use crate::proxy::pool;
 use crate::proxy::proof;
-use crate::proxy::received_body;
 use crate::proxy::refuse;
-use crate::proxy::request_head;
 use crate::proxy::resources;
 use crate::proxy::slots;
 use crate::proxy::state;
@@ -30,15 +26,11 @@
 use crate::quarantine;
 use crate::retry;
 
+mod receive;
+
 /// Maximum number of connections tried if they close before anything was sent.
 const MAX_CONNECTION_TRIES: u8 = 3;
 
-/// Maximum size of an answer that is read only to reuse its connection.
-const MAX_SHED_BYTES: u64 = 4096;
-
-/// Maximum time for which such an answer is read.
-const MAX_SHED_TIME: Duration = Duration::from_millis(100);
-
 /// Divides the time remaining on arrival. The quotient, within the two bounds below, is the margin
 /// before the deadline in which a call is no longer admitted.
 const MARGIN_DIVISOR: u32 = 20;
@@ -111,88 +103,32 @@
     resources.run = Some(state.running.enter(id.clone(), fingerprint, spec.organisation.cloned()));
     add_headers(&state.dialect, &local, spec.organisation, remaining, request.headers_mut());
     let progress = request.body().progress();
-    let (mut lease, answer) = send(state, &local, request, unsent, (id.as_ref(), end)).await?;
+    let (lease, answer) = send(state, &local, request, unsent, (id.as_ref(), end)).await?;
+    let sent =
+        receive::Sent { local: &local, method: &method, id: id.as_ref(), arrived, began, end };
     let expected = answer::Expected { dialect: &state.dialect, method: &method, id: id.as_ref() };
-    let (answer, unmarked) = match answer.verify(&expected) {
-        Ok(answer::Verified::Ran(answer)) => (answer, false),
-        Ok(answer::Verified::Unmarked(answer)) => (answer, true),
+    match answer.verify(&expected) {
+        Ok(answer::Verified::Ran(answer)) => {
+            receive::read_notices(state, &local, &answer);
+            receive::receive(state, spec, &sent, answer, lease, resources).await
+        }
+        Ok(answer::Verified::Unmarked(answer)) => {
+            receive::read_notices(state, &local, &answer);
+            let rejected = answer::Rejected::unmarked(&answer, &state.dialect);
+            Err(receive::disbelieve(state, &local, id.as_ref(), rejected))
+        }
         Ok(answer::Verified::NotRun(answer, proof)) => {
-            lease.record_rejected(answer.headers().get(&state.dialect.id));
-            if progress.is_complete() {
-                release_shed(answer, lease, end);
-            } else {
-                // The connection is reset. Otherwise the rest of the upload would still be sent,
-                // and the upstream would have the whole request after the caller was told that it
-                // does not run.
-                drop(lease);
-            }
+            receive::release_rejected(state, answer, lease, &progress, end);
             if let Some(slot) = resources.slot.take() {
                 slot.shed();
             }
             // A refusal without a delay would make the caller wait for a second, the default,
             // though a slot is free now.
             let refusal = refuse::Refusal::rejected(proof);
-            return Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))));
+            Err(refusal.retry_in(state.slots.retry_delay(&slot_request(state, spec))))
         }
-        Err(rejected) => return Err(disbelieve(state, &local, id.as_ref(), rejected)),
-    };
-    let now = state.ctx.now();
-    if state.notices.read(&local, &state.dialect, answer.headers(), &state.trace, now) {
-        state.apply_notice();
-    }
-    if unmarked {
-        let rejected = answer::Rejected::unmarked(&answer, &state.dialect);
-        return Err(disbelieve(state, &local, id.as_ref(), rejected));
+        Err(rejected) => Err(receive::disbelieve(state, &local, id.as_ref(), rejected)),
     }
-    if let Some(run) = resources.run.as_mut() {
-        run.set_status(answer.status());
-    }
-    let (mut parts, incoming) = answer.into_parts();
-    request_head::strip(&mut parts.headers);
-    if method != http::Method::HEAD && parts.status != http::StatusCode::NOT_MODIFIED {
-        parts.headers.remove(header::CONTENT_LENGTH);
-    }
-    let ran = call_spec::RunTime(state.ctx.now().since(began));
-    parts.extensions.insert(ran);
-    let (meter, failed) = (lease.meter(), lease.failed());
-    resources.lease = Some(lease);
-    state.record_run_time(spec.kind, parts.status, ran, resources);
-    resources.record_head(parts.status, Some(state.slots.load()), state.notices.relayed(&local));
-    let received = received_body::ReceivedBody::metered(incoming, meter);
-    let whole_bytes = state.settings.proxy.whole_bytes;
-    let reply = if received.size_hint().exact().is_some_and(|size| size <= whole_bytes) {
-        // The body of an answer that was cut may be filled up by the next one, the rest of which then
-        // ends the connection. The other resources are released only once that is ruled out.
-        let lease = resources.lease.take();
-        let mut upstream = resources::Resources { lease, ..resources::Resources::default() };
-        let reply = body::Reply::read(received, whole_bytes, end, &mut upstream).await?;
-        let failed = failed.is_some_and(|failed| failed.get());
-        if failed && reply.bytes().is_some_and(|bytes| answer::has_status_line(bytes)) {
-            let echo = parts.headers.get(&state.dialect.id).cloned();
-            let mismatch = answer::Mismatch::Merged;
-            let rejected = answer::Rejected { mismatch, echo, status: Some(parts.status) };
-            return Err(disbelieve(state, &local, id.as_ref(), rejected));
-        }
-        resources.complete();
-        reply
-    } else {
-        body::Reply::read(received, whole_bytes, end, resources).await?
-    };
-    if let Some(id) = &id {
-        let now = state.ctx.now();
-        let ran = trace::Ran {
-            id,
-            kind: spec.kind,
-            organisation: spec.organisation,
-            waited: began.since(arrived),
-            ran: now.since(began),
-            load: state.slots.load(),
-            reserved: state.slots.reserved().slots,
-            remaining: spec.deadline.since(now),
-        };
-        state.trace.ran(&ran, now);
-    }
-    Ok(http::Response::from_parts(parts, reply))
 }
 
 /// Refuses a call that would not be admitted now, before its body of `size` is read.
@@ -323,26 +259,13 @@
                 return Err(refuse::Refusal::unknown(retry::Reason::Cut));
             }
             Err(pool::Failed::Endless) => {
-                return Err(disbelieve(state, local, id, answer::Rejected::endless()));
+                return Err(receive::disbelieve(state, local, id, answer::Rejected::endless()));
             }
         }
     }
     Err(refuse::Refusal::unsent(unsent, retry::Reason::Unreachable))
 }
 
-/// Counts and logs an answer that is not believed, and returns the refusal of its call.
-fn disbelieve<C: claim::Claims>(
-    state: &state::State<C>,
-    local: &node::LocalUpstream,
-    id: Option<&header::HeaderValue>,
-    rejected: answer::Rejected,
-) -> refuse::Refusal {
-    state.answers.record(rejected.mismatch);
-    let disbelieved = trace::Disbelieved { id, local, rejected };
-    state.trace.disbelieved(&disbelieved, state.ctx.now());
-    refuse::Refusal::unknown(retry::Reason::Malformed)
-}
-
 /// Logs a call that was not admitted, with the load at that time, and returns the cause.
 fn log_refusal<C: claim::Claims>(
     state: &state::State<C>,
@@ -395,24 +318,3 @@
         map.insert(name, instance);
     }
 }
-
-/// Releases the connection of a shed call once the answer has been read to its end. The call
-/// doesn't wait for that: its outcome is known from the head.
-fn release_shed(
-    answer: http::Response<hyper::body::Incoming>,
-    mut lease: pool::Lease,
-    end: time::Instant,
-) {
-    if answer.body().is_end_stream() {
-        lease.release();
-        return;
-    }
-    let end = end.min(time::Instant::now() + MAX_SHED_TIME);
-    task::spawn_local(async move {
-        let received = received_body::ReceivedBody::metered(answer.into_body(), lease.meter());
-        let mut resources =
-            resources::Resources { lease: Some(lease), ..resources::Resources::default() };
-        // If the body is long or breaks off, the connection is closed, which is fine.
-        let _ = body::Reply::read(received, MAX_SHED_BYTES, end, &mut resources).await;
-    });
-}
