fix(caller): a request behind one that the library would refuse is not taken; a late head drops no call

Two faults of one connection, found by a review of the refused calls that ran. An order behind a request with a target that no URI has (GET http://) ran, and its caller got 400 with "connection: close" for the request before: what stands behind such an answer counts as not read and may be sent again. And a running order lost its answer, without a byte, when the head of the next request took longer than head_ms.

Cause: the framer accepted what the HTTP library refuses by itself, when later requests had been taken. The wait for an idle connection went by the begun head alone, also with calls in flight. Change: the framer checks the target (400, and 414 beyond 65,534 bytes, as the library answered). A head that does not end ends the connection once the calls before it are answered.

--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -164,7 +164,8 @@
                     Ok(0) | Err(_) => return End::Disconnected,
                     Ok(_) => {}
                 },
-                () = idle => return End::Written,
+                // A head that does not end is no reason to drop the calls before it.
+                () = idle => return self.finish().await,
                 () = closed, if between_requests => return self.finish().await,
             }
             while self.lanes.try_join_next().is_some() {}
@@ -280,10 +281,7 @@
 
     /// Refuses bytes that are no valid request and reads no further request.
     async fn refuse(&mut self, fault: frame::Fault) -> End {
-        let mut cause = refuse::Cause::new(fault.reason());
-        if fault == frame::Fault::TooLarge {
-            cause = cause.status(http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-        }
+        let cause = refuse::Cause::new(fault.reason()).status(fault.status());
         let refusal = refuse::Refusal::unsent(proof::Unsent::fresh(), cause);
         log::info!(reason:% = fault; "refused an invalid request of a caller");
         self.unanswered.send_modify(|unanswered| *unanswered += 1);
--- a/src/proxy/frame.rs
+++ b/src/proxy/frame.rs
@@ -34,6 +34,9 @@
     /// The head is too large.
     #[error("the head of the request is too large")]
     TooLarge,
+    /// The target is longer than the HTTP library reads.
+    #[error("the target of the request is too long")]
+    LongTarget,
 }
 
 impl Fault {
@@ -41,7 +44,16 @@
     pub const fn reason(self) -> retry::Reason {
         match self {
             Fault::Malformed => retry::Reason::Malformed,
-            Fault::TooLarge => retry::Reason::TooLarge,
+            Fault::TooLarge | Fault::LongTarget => retry::Reason::TooLarge,
+        }
+    }
+
+    /// The status sent to the caller.
+    pub const fn status(self) -> http::StatusCode {
+        match self {
+            Fault::Malformed => http::StatusCode::BAD_REQUEST,
+            Fault::TooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Fault::LongTarget => http::StatusCode::URI_TOO_LONG,
         }
     }
 }
@@ -133,6 +145,7 @@
         if request.method == Some("CONNECT") {
             return Err(Fault::Malformed);
         }
+        check_target(request.path.unwrap_or_default())?;
         let framing = framing(request.headers)?;
         let head = Head { close: wants_close(request.version, request.headers) };
         self.state = match framing {
@@ -184,6 +197,18 @@
     }
 }
 
+/// Maximum length of a target that the HTTP library reads.
+const MAX_TARGET_BYTES: usize = u16::MAX as usize - 1;
+
+/// Checks what the HTTP library would refuse by itself, with an answer that closes the connection.
+/// Requests behind it would have been taken by then, and callers count them as not read.
+fn check_target(target: &str) -> Result<(), Fault> {
+    if target.len() > MAX_TARGET_BYTES {
+        return Err(Fault::LongTarget);
+    }
+    http::Uri::try_from(target).map(drop).map_err(|_| Fault::Malformed)
+}
+
 /// The end of a line. A bare line feed is refused: some parsers accept it as a line end, others
 /// don't.
 const LINE_END: &[u8] = b"\r\n";
--- a/tests/calls/pipelining.rs
+++ b/tests/calls/pipelining.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
@@ -89,6 +90,54 @@
     });
 }
 
+/// Guards against running a request behind one that the HTTP library refuses: the answer to that one
+/// closes the connection, so that callers may send what was behind it again.
+#[rstest]
+#[case::no_authority("GET http:// HTTP/1.1\r\nhost: shop.test\r\n\r\n".to_owned(), " 400 ")]
+#[case::long_path(format!("GET /{} HTTP/1.1\r\nhost: shop.test\r\n\r\n", "a".repeat(70_000)), " 414 ")]
+fn a_request_behind_a_refused_one_is_not_taken(#[case] refused: String, #[case] status: &str) {
+    rig::run(async {
+        let fake = fake::Fake::start(script).await;
+        let large = |mut settings: dandelionspool::configs::Node| {
+            settings.proxy.head_bytes = 100_000;
+            settings
+        };
+        let upstreams = [Some(fake.address), None];
+        let nodes = rig::nodes_with(&upstreams, 4, &rig::Claims::default(), large).await;
+        let order = "POST /orders HTTP/1.1\r\nhost: shop.test\r\nx-request-id: order\r\n\r\n";
+        for before in [String::new(), get("slow-first", "")] {
+            let requests = [&*before, &*refused, order].concat();
+            let mut stream = TcpStream::connect(nodes[0].id.call_addr()).await.unwrap();
+            stream.write_all(requests.as_bytes()).await.unwrap();
+            let text = read(&mut stream, "connection: close").await;
+            assert!(text.contains(status), "{text}");
+            assert_eq!(ids(&text).len(), usize::from(!before.is_empty()), "{text}");
+            tokio::time::sleep(SLOW).await;
+            assert_eq!(fake.runs("order"), 0);
+        }
+    });
+}
+
+/// Guards against dropping a running call, without an answer, as the head behind it takes too long.
+#[test]
+fn a_call_is_answered_though_the_next_head_does_not_end() {
+    rig::run(async {
+        let fake = fake::Fake::start(script).await;
+        let impatient = |mut settings: dandelionspool::configs::Node| {
+            settings.proxy.head_ms = 100;
+            settings
+        };
+        let upstreams = [Some(fake.address), None];
+        let nodes = rig::nodes_with(&upstreams, 4, &rig::Claims::default(), impatient).await;
+        let requests = [&*get("slow", ""), "POST /ord"].concat();
+        let mut stream = TcpStream::connect(nodes[0].id.call_addr()).await.unwrap();
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        assert!(text.ends_with("answer to slow"), "{text}");
+    });
+}
+
 #[test]
 fn a_broken_answer_ends_the_connection_and_does_not_look_complete() {
     rig::run(async {
