fix(owner): what an upstream says of itself in a rejection is heard

An upstream that named its leaving only in rejections got further calls: three requests, then three more; nor was a limit in a rejection kept. Found by a review. Cause: a rejection returned before the notices were read, though it was verified like any other answer. Change: they are read from each verified answer. Test, failing before: an_upstream_that_leaves_in_a_rejection_gets_no_new_call (requests: left 6, right 1).

--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -118,6 +118,7 @@
             Err(receive::disbelieve(state, &local, id.as_ref(), rejected))
         }
         Ok(answer::Verified::NotRun(answer, proof)) => {
+            receive::read_notices(state, &local, &answer);
             receive::release_rejected(state, answer, lease, &progress, end);
             if let Some(slot) = resources.slot.take() {
                 slot.shed();
--- a/tests/calls/limits.rs
+++ b/tests/calls/limits.rs
@@ -142,6 +142,28 @@
     });
 }
 
+/// Guards against hearing what an upstream says of itself only in answers of calls that ran.
+#[test]
+fn an_upstream_that_leaves_in_a_rejection_gets_no_new_call() {
+    rig::run(async {
+        let script = |request: &fake::Request| {
+            let id = request.header("x-request-id");
+            let head =
+                "HTTP/1.1 503 Busy\r\ndandelionspool-upstream: shed\r\nupstream-leaving: 1\r\n";
+            vec![Step::Write(
+                format!("{head}x-request-id: {id}\r\ncontent-length: 0\r\n\r\n").into_bytes(),
+            )]
+        };
+        let leaving = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(leaving.address)], &rig::Claims::default()).await;
+        for id in ["first", "second"] {
+            let answer = rig::call(&nodes[0], rig::request("POST", "/orders", id), b"").await;
+            assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        }
+        assert_eq!(leaving.requests().len(), 1);
+    });
+}
+
 #[test]
 fn the_last_upstream_of_a_service_gets_no_call_once_it_leaves() {
     rig::run(async {
