test(calls): addresses of hosts don't come again within a run

Traced: rig::address counts modulo 200, and a run of tests/calls asks for 900 (a trial that printed the numbers), so that a host of a long test shared its address with a later one. Change: each 200 hosts get ports of their own.

--- a/tests/calls/rig.rs
+++ b/tests/calls/rig.rs
@@ -42,13 +42,20 @@
 
 static NEXT: atomic::AtomicU16 = atomic::AtomicU16::new(1);
 
+/// Hosts on one port; those after them get the next ports.
+const HOSTS_PER_PORT: u16 = 200;
+
+/// Ports from the base of a host to that of the next one on the same address.
+const PORT_STEP: u16 = 10;
+
 /// A host address that no other test of this process, or of another process, uses.
 pub fn address() -> net::SocketAddr {
     let pid = std::process::id();
     let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
     let [_, _, c, d] = pid.to_be_bytes();
-    let low = u8::try_from(number % 200).unwrap() + 1;
-    net::SocketAddr::from(([127, 16 + c % 64, d, low], PORT))
+    let low = u8::try_from(number % HOSTS_PER_PORT).unwrap() + 1;
+    let port = PORT + number / HOSTS_PER_PORT * PORT_STEP;
+    net::SocketAddr::from(([127, 16 + c % 64, d, low], port))
 }
 
 /// Claims in memory, shared by the nodes of a test.
