test(review): a leaving acknowledged while the store is away is forgotten after the end of all nodes

Cause: a leaving is acknowledged after 0.4 s though the directory in the store does not keep it. What is left is in the memory of nodes alone, and a heartbeat from before the leaving that arrives late is taken for a new backend once all nodes have started anew (rule DRAIN). docs/PROMISES.md names it as not proved.

Change: a case with the store answering 503 for 4.5 s and one kill of all processes right after the acknowledgement. Nothing is mended.

--- a/review/rig-2/backend.rs
+++ b/review/rig-2/backend.rs
@@ -1,7 +1,7 @@
 //! A stand-in for an application's backend. It does what the pages say of a sound backend, or of one
 //! with the disruption that its behaviour names.
 
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -76,6 +76,12 @@
     pub down: Duration,
     /// What it names as `Server-Limit` in its answers.
     pub limit: Option<&'static str>,
+    /// Length of the bodies of its answers: the request's id, repeated. By default a short text.
+    pub body: Option<usize>,
+    /// Whether its answers have `Connection: close`, and end their connection.
+    pub closes: bool,
+    /// Every so many answers, one is cut and followed by a copy of the answer before it.
+    pub cuts: Option<usize>,
 }
 
 impl Default for Behaviour {
@@ -88,6 +94,9 @@
             deadly: None,
             down: Duration::from_secs(3),
             limit: None,
+            body: None,
+            closes: false,
+            cuts: None,
         }
     }
 }
@@ -107,6 +116,12 @@
     born: AtomicU64,
     up: AtomicBool,
     ended: AtomicBool,
+    /// Whether it sends no more heartbeats of its own.
+    quiet: AtomicBool,
+    /// Number of its last heartbeat.
+    sequence: AtomicU64,
+    /// Number of answers, and the bytes of the newest one.
+    answers: Mutex<(usize, Vec<u8>)>,
     running: AtomicUsize,
     waiting: AtomicUsize,
     connections: Mutex<Vec<TcpStream>>,
@@ -140,6 +155,9 @@
             born: AtomicU64::new(0),
             up: AtomicBool::new(false),
             ended: AtomicBool::new(false),
+            quiet: AtomicBool::new(false),
+            sequence: AtomicU64::new(0),
+            answers: Mutex::default(),
             running: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             connections: Mutex::default(),
@@ -177,6 +195,7 @@
     fn launch(self) {
         let state = &self.0;
         state.incarnation.fetch_add(1, Ordering::SeqCst);
+        state.sequence.store(0, Ordering::SeqCst);
         let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         state.born.store(u64::try_from(born.as_millis()).unwrap_or(0), Ordering::SeqCst);
         let port = lock(&state.address).port();
@@ -222,32 +241,13 @@
     }
 
     fn beat(&self) {
-        let mut sequence = 0u64;
-        let mut told = 0;
         while !self.0.ended.load(Ordering::SeqCst) {
             let incarnation = self.0.incarnation.load(Ordering::SeqCst);
-            if !self.0.up.load(Ordering::SeqCst) {
+            if !self.0.up.load(Ordering::SeqCst) || self.0.quiet.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_millis(20));
                 continue;
             }
-            sequence = if incarnation == told { sequence + 1 } else { 1 };
-            told = incarnation;
-            let body = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                 \"upstream-slots\":{},\"current-phase\":\"in-service\",\"warmup-ms\":0,\
-                 \"sequence\":{sequence},\"born\":{}}}",
-                self.0.service,
-                lock(&self.0.address),
-                self.0.zone,
-                self.0.behaviour.slots,
-                self.0.born.load(Ordering::SeqCst),
-            );
-            let request = Message::request("PUT", &format!("/upstream/{}", self.id()))
-                .with("Host", "node")
-                .with("Content-Type", "application/json")
-                .with_body(body);
-            let acknowledged = client::exchange(self.0.control, &request, Duration::from_secs(1))
-                .is_ok_and(|answer| answer.status() / 100 == 2);
+            let acknowledged = self.send_heartbeat();
             let pause = if acknowledged { HEARTBEAT } else { Duration::from_millis(200) };
             let until = Instant::now() + pause;
             while Instant::now() < until && self.is_current(incarnation) {
@@ -256,6 +256,41 @@
         }
     }
 
+    /// Sends one heartbeat to the node on its machine; returns whether it was acknowledged.
+    pub fn send_heartbeat(&self) -> bool {
+        let sequence = self.0.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let body = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+             \"upstream-slots\":{},\"current-phase\":\"in-service\",\"warmup-ms\":0,\
+             \"sequence\":{sequence},\"born\":{}}}",
+            self.0.service,
+            lock(&self.0.address),
+            self.0.zone,
+            self.0.behaviour.slots,
+            self.0.born.load(Ordering::SeqCst),
+        );
+        let request = Message::request("PUT", &format!("/upstream/{}", self.id()))
+            .with("Host", "node")
+            .with("Content-Type", "application/json")
+            .with_body(body);
+        self.tell(&request)
+    }
+
+    /// Deregisters and sends no more heartbeats of its own; it serves on. Returns whether that was
+    /// acknowledged.
+    pub fn deregister(&self) -> bool {
+        self.0.quiet.store(true, Ordering::SeqCst);
+        // A heartbeat that is on its way arrives before.
+        thread::sleep(Duration::from_millis(100));
+        let path = format!("/upstream/{}", self.id());
+        self.tell(&Message::request("DELETE", &path).with("Host", "node"))
+    }
+
+    fn tell(&self, request: &Message) -> bool {
+        client::exchange(self.0.control, request, Duration::from_secs(1))
+            .is_ok_and(|answer| answer.status() / 100 == 2)
+    }
+
     fn serve(&self, stream: TcpStream, incarnation: u64) {
         let Ok(mut out) = stream.try_clone() else { return };
         let Ok(probe) = stream.try_clone() else { return };
@@ -270,12 +305,41 @@
                 let _ = out.shutdown(Shutdown::Both);
                 return;
             };
+            if let Some(spoilt) = self.spoil(&answer) {
+                self.0
+                    .record
+                    .line(&format!("the answer {:?} is cut and filled up", answer.headers));
+                let _ = out.write_all(&spoilt);
+                thread::sleep(Duration::from_millis(50));
+                let _ = out.shutdown(Shutdown::Both);
+                return;
+            }
             if answer.send(&mut out).is_err() {
                 return;
             }
+            if self.0.behaviour.closes {
+                let _ = out.shutdown(Shutdown::Both);
+                return;
+            }
         }
     }
 
+    /// The bytes to send in place of `answer` where it is one of those that are cut.
+    fn spoil(&self, answer: &Message) -> Option<Vec<u8>> {
+        let every = self.0.behaviour.cuts?;
+        let (mut spoilt, body) = (answer.head(), &answer.body);
+        let whole = [spoilt.as_slice(), body].concat();
+        let mut answers = lock(&self.0.answers);
+        answers.0 += 1;
+        let before = std::mem::replace(&mut answers.1, whole);
+        if before.is_empty() || !answers.0.is_multiple_of(every) {
+            return None;
+        }
+        spoilt.extend_from_slice(&body[..body.len() / 4]);
+        spoilt.extend_from_slice(&before);
+        Some(spoilt)
+    }
+
     /// Records that a request has reached this backend; returns its number among all.
     fn arrived(&self, request: &Message) -> usize {
         let text = |name: &str| request.header(name).unwrap_or_default().to_owned();
@@ -332,11 +396,17 @@
         }
         let status = result?;
         self.0.record.line(&format!("{id} has run at {own}: {status}"));
-        let answer = Message::answer(status)
+        let mut answer = Message::answer(status)
             .with("Attempt-Id", &id)
-            .with("Server-Signature", &format!("{own}.{id}"))
-            .with_body(format!("{own} ran {id}"));
-        Some(self.name_limit(answer))
+            .with("Server-Signature", &format!("{own}.{id}"));
+        if self.0.behaviour.closes {
+            answer = answer.with("Connection", "close");
+        }
+        let body = match self.0.behaviour.body {
+            Some(length) => id.bytes().cycle().take(length).collect(),
+            None => format!("{own} ran {id}").into_bytes(),
+        };
+        Some(self.name_limit(answer.with_body(body)))
     }
 
     fn name_limit(&self, answer: Message) -> Message {
--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -8,8 +8,10 @@
 use crate::http::Message;
 use crate::mesh::{self, Mesh, Place, Route};
 
+pub mod forgotten;
 pub mod inner;
 pub mod limit;
+pub mod merged;
 pub mod paths;
 pub mod poison;
 pub mod quota;
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -35,8 +35,10 @@
     record
         .say(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let run = match case.as_str() {
+        "forgotten" => cases::forgotten::run,
         "inner" => cases::inner::run,
         "limit" => cases::limit::run,
+        "merged" => cases::merged::run,
         "paths" => cases::paths::run,
         "poison" => cases::poison::run,
         "quota" => cases::quota::run,
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -1,4 +1,4 @@
-//! A stand-in for the platform's metadata store. It answers every call soundly.
+//! A stand-in for the platform's metadata store. It answers every call soundly unless it is down.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::BufReader;
@@ -20,6 +20,8 @@
     topics: HashMap<String, Topic>,
     /// How often each door (an address of the store) was asked to wait for operator's records.
     waits: HashMap<usize, usize>,
+    /// Whether it turns all calls away.
+    down: bool,
 }
 
 #[derive(Default)]
@@ -66,6 +68,11 @@
         self.lock().waits.clear();
     }
 
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+        self.0.changed.notify_all();
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.0.state.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -105,6 +112,9 @@
     }
 
     fn answer(&self, request: &Message, door: usize) -> Message {
+        if self.lock().down {
+            return Message::answer(503);
+        }
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let query: HashMap<&str, &str> =
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
@@ -145,6 +155,10 @@
         loop {
             let topic = state.topics.entry(name.to_owned()).or_default();
             let end = topic.records.len() as u64;
+            if state.down {
+                return Message::answer(503);
+            }
+            let topic = state.topics.entry(name.to_owned()).or_default();
             if from > end {
                 return json(410, "{\"firstOffset\":0}");
             }
