test(review): a version that fails one route of a service is rolled out to the end

Cause: answers are counted by version over all routes, and a version with less than about a tenth of failures in all is never found bad, however many of them come from one route (rule EXPOSURE).

Change: a case with an order of the operator and a version that fails three of four requests of a route with a twelfth of the requests. Nothing is mended.

--- a/review/rig-2/backend.rs
+++ b/review/rig-2/backend.rs
@@ -76,6 +76,10 @@
     pub down: Duration,
     /// What it names as `Server-Limit` in its answers.
     pub limit: Option<&'static str>,
+    /// The version of its software.
+    pub version: &'static str,
+    /// Begin of the paths for which three of four answers are failures.
+    pub fails: Option<&'static str>,
     /// Length of the bodies of its answers: the request's id, repeated. By default a short text.
     pub body: Option<usize>,
     /// Whether its answers have `Connection: close`, and end their connection.
@@ -94,6 +98,8 @@
             deadly: None,
             down: Duration::from_secs(3),
             limit: None,
+            version: "v1",
+            fails: None,
             body: None,
             closes: false,
             cuts: None,
@@ -260,12 +266,13 @@
     pub fn send_heartbeat(&self) -> bool {
         let sequence = self.0.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
              \"upstream-slots\":{},\"current-phase\":\"in-service\",\"warmup-ms\":0,\
              \"sequence\":{sequence},\"born\":{}}}",
             self.0.service,
             lock(&self.0.address),
             self.0.zone,
+            self.0.behaviour.version,
             self.0.behaviour.slots,
             self.0.born.load(Ordering::SeqCst),
         );
@@ -473,7 +480,9 @@
             }
             thread::sleep(Duration::from_millis(2));
         }
-        Some(200)
+        let fails = behaviour.fails.is_some_and(|prefix| request.target().starts_with(prefix));
+        // The first digit of the ids of client attempts is spread evenly.
+        Some(if fails && id.as_bytes()[0] < b'c' { 500 } else { 200 })
     }
 
     /// Makes a call of its own through the node on its machine, whether or not its caller waits.
--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -8,6 +8,7 @@
 use crate::http::Message;
 use crate::mesh::{self, Mesh, Place, Route};
 
+pub mod drill;
 pub mod forgotten;
 pub mod inner;
 pub mod limit;
@@ -15,6 +16,7 @@
 pub mod paths;
 pub mod poison;
 pub mod quota;
+pub mod rollout;
 pub mod stale;
 pub mod stop;
 pub mod uploads;
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -35,12 +35,14 @@
     record
         .say(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let run = match case.as_str() {
+        "drill" => cases::drill::run,
         "forgotten" => cases::forgotten::run,
         "inner" => cases::inner::run,
         "limit" => cases::limit::run,
         "merged" => cases::merged::run,
         "paths" => cases::paths::run,
         "poison" => cases::poison::run,
+        "rollout" => cases::rollout::run,
         "quota" => cases::quota::run,
         "stale" => cases::stale::run,
         "stop" => cases::stop::run,
--- a/review/rig-2/mesh.rs
+++ b/review/rig-2/mesh.rs
@@ -149,16 +149,11 @@
         std::thread::sleep(Duration::from_secs(1));
         mesh.store.publish(configuration);
         for (number, place) in places.iter_mut().enumerate() {
-            let node = &mesh.nodes[number];
-            prepare(node.outbound(), place);
-            mesh.backends.push(Backend::start(
-                &format!("i{number}"),
-                (place.service, place.zone),
-                (node.machine.ip, node.control()),
-                place.behaviour.clone(),
-                mesh.seen.clone(),
-                Arc::clone(record),
-            ));
+            prepare(mesh.nodes[number].outbound(), place);
+            // Backends of another version start later.
+            if place.behaviour.version == Behaviour::default().version {
+                mesh.start_backend(number, place);
+            }
         }
         mesh.wait_ready(&(0..mesh.nodes.len()).collect::<Vec<_>>(), START_LIMIT)?;
         std::thread::sleep((began + LEAD).saturating_duration_since(Instant::now()));
@@ -166,6 +161,19 @@
         Ok(mesh)
     }
 
+    /// Starts the backend beside the node `number`.
+    pub fn start_backend(&mut self, number: usize, place: &Place) {
+        let node = &self.nodes[number];
+        self.backends.push(Backend::start(
+            &format!("i{number}"),
+            (place.service, place.zone),
+            (node.machine.ip, node.control()),
+            place.behaviour.clone(),
+            self.seen.clone(),
+            Arc::clone(&self.record),
+        ));
+    }
+
     /// Waits until the nodes `numbers` say that they are ready.
     pub fn wait_ready(&self, numbers: &[usize], limit: Duration) -> Result<(), String> {
         let until = Instant::now() + limit;
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -9,7 +9,7 @@
 
 use crate::http::{self, Message};
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<Vec<u8>>,
     newest: BTreeMap<String, (u64, Vec<u8>)>,
@@ -22,6 +22,8 @@
     waits: HashMap<usize, usize>,
     /// Whether it turns all calls away.
     down: bool,
+    /// How often it has come back from an older copy.
+    era: u64,
 }
 
 #[derive(Default)]
@@ -30,6 +32,9 @@
     changed: Condvar,
 }
 
+/// What the store held at some time.
+pub struct Copy(HashMap<String, Topic>);
+
 /// The store. It has one address for each node, so that a run can tell who reads what.
 #[derive(Clone, Default)]
 pub struct Store(Arc<Inner>);
@@ -51,13 +56,25 @@
 
     /// Writes the operator's configuration and returns when that was acknowledged.
     pub fn publish(&self, configuration: &str) -> Instant {
-        let mut record = vec![6];
-        record.extend_from_slice(b"config");
-        record.extend_from_slice(configuration.as_bytes());
+        self.put("config", configuration)
+    }
+
+    /// Writes a record of the operator and returns when that was acknowledged.
+    pub fn put(&self, key: &str, value: &str) -> Instant {
+        let mut record = vec![u8::try_from(key.len()).expect("a short key")];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value.as_bytes());
         self.append("keyed.op", vec![record]);
         Instant::now()
     }
 
+    /// The newest value that the system has written with `key`.
+    pub fn status(&self, key: &str) -> Option<String> {
+        let state = self.lock();
+        let (_, value) = state.topics.get("keyed.status")?.newest.get(key)?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     /// How often the node behind `door` waited for the operator's records.
     pub fn waits(&self, door: usize) -> usize {
         self.lock().waits.get(&door).copied().unwrap_or(0)
@@ -73,6 +90,21 @@
         self.0.changed.notify_all();
     }
 
+    /// A copy of all that it holds.
+    pub fn copy(&self) -> Copy {
+        Copy(self.lock().topics.clone())
+    }
+
+    /// Comes back from `copy`.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.lock();
+        state.topics = copy.0;
+        state.era += 1;
+        state.down = false;
+        drop(state);
+        self.0.changed.notify_all();
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.0.state.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -104,7 +136,8 @@
         let Ok(mut out) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
-            let answer = self.answer(&request, door).with("Store-Era", "0");
+            let answer = self.answer(&request, door);
+            let answer = answer.with("Store-Era", &self.lock().era.to_string());
             if answer.send(&mut out).is_err() {
                 return;
             }
@@ -152,10 +185,11 @@
     fn read(&self, name: &str, from: u64, wait: Duration) -> Message {
         let until = Instant::now() + wait;
         let mut state = self.lock();
+        let era = state.era;
         loop {
             let topic = state.topics.entry(name.to_owned()).or_default();
             let end = topic.records.len() as u64;
-            if state.down {
+            if state.down || state.era != era {
                 return Message::answer(503);
             }
             let topic = state.topics.entry(name.to_owned()).or_default();
