fix(node): a planned stop uses the time until the kill; SIGTERM again cuts nothing

Cause: deploy/node.json had one schedule, made for a kill after 6 s, and nothing read the figure of the deployment. Ruled out: the upstream (it worked on) and the deadline (not reached). Beside it: a second SIGTERM ended the process with all calls in flight.

Change: stop.kill_s is the time until the kill, given by the variable DANDELIONSPOOL_SETTINGS, which overrides single settings and is checked like the file. The times of a stop follow from it; without it the stop waits for the calls in flight. A call that usually takes longer than what is left of a stop is refused as not run at once. Only SIGINT ends a stop early.

--- a/src/claim/shell.rs
+++ b/src/claim/shell.rs
@@ -16,6 +16,7 @@
 use crate::logs;
 use crate::mesh;
 use crate::node;
+use crate::node::stop;
 use crate::ring;
 use crate::seal;
 use crate::traffic;
@@ -146,7 +147,7 @@
         inputs,
         traffic: Arc::clone(&wiring.traffic),
     };
-    let flush = time::Duration::from_millis(settings.stop.flush_ms);
+    let flush = stop::Plan::new(&settings.stop).flush;
     let acceptor = task::spawn_local(serve::accept(listener, shared.clone()));
     let metrics = ledger::Metrics::new(&wiring.metrics);
     let state = ledger::Ledger::new(ctx, &settings, wiring.log, shared, metrics);
--- a/src/cli/local.rs
+++ b/src/cli/local.rs
@@ -38,7 +38,10 @@
     let mut signals = node::Signals::new().map_err(|e| exit::Failure::Refused(e.into()))?;
     let small = local_mesh::LocalMesh::start(settings, base).await.map_err(failure)?;
     explain(&small, &base.join("FILE"));
-    small.run(signals.next()).await.map_err(failure)
+    let stopped = async {
+        signals.next().await;
+    };
+    small.run(stopped).await.map_err(failure)
 }
 
 fn failure(error: local_mesh::Error) -> exit::Failure {
--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -25,8 +25,8 @@
     pub settings: path::PathBuf,
 }
 
-/// Runs the command until SIGTERM or SIGINT and the drain that follows; a second signal ends it
-/// at once.
+/// Runs the command until SIGTERM or SIGINT and the drain that follows; a SIGINT during it ends the
+/// command at once.
 ///
 /// # Errors
 ///
@@ -63,8 +63,15 @@
     let running = running.map_err(|e| exit::Failure::Refused(e.into()))?;
     let (stop, stops) = ring::bounded(STOP_QUEUE);
     tokio::spawn(async move {
+        let mut stopping = false;
         loop {
-            signals.next().await;
+            let signal = signals.next().await;
+            // A supervisor may repeat its request; only an operator at a terminal asks for the end
+            // of calls in flight.
+            if std::mem::replace(&mut stopping, true) && signal == Signal::Terminate {
+                log::info!("a planned stop is under way already");
+                continue;
+            }
             // If the queue is full, it already contains a stop request.
             let _ = stop.offer(node::shell::Stop);
         }
@@ -90,6 +97,15 @@
     }
 }
 
+/// A signal that asks for a planned stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Signal {
+    /// SIGINT.
+    Interrupt,
+    /// SIGTERM.
+    Terminate,
+}
+
 /// The signals that ask for a planned stop.
 pub(super) struct Signals {
     interrupt: unix::Signal,
@@ -106,10 +122,10 @@
     }
 
     /// Waits for the next signal.
-    pub(super) async fn next(&mut self) {
+    pub(super) async fn next(&mut self) -> Signal {
         tokio::select! {
-            _ = self.interrupt.recv() => {}
-            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => Signal::Interrupt,
+            _ = self.terminate.recv() => Signal::Terminate,
         }
     }
 }
--- a/src/configs/limits.rs
+++ b/src/configs/limits.rs
@@ -16,6 +16,7 @@
 const MIN_KEY_BYTES: usize = 16;
 
 const HOUR_MS: u64 = 3_600_000;
+const HOUR_S: u64 = 3600;
 const GIGABYTE: u64 = 1_073_741_824;
 const WEEK_S: u64 = 604_800;
 const MONTH_S: u64 = 31 * 86_400;
@@ -117,6 +118,7 @@
     limit("/spread/witness_ms", 0, 60_000),
     limit("/spread/keep", 0, 64),
     limit("/spread/datagram_bytes", 512, 65_000),
+    limit("/stop/kill_s", 0, HOUR_S),
     limit("/stop/serve_ms", 0, 60_000),
     limit("/stop/settle_ms", 0, 60_000),
     limit("/stop/drain_ms", 0, HOUR_MS),
--- a/src/configs/load.rs
+++ b/src/configs/load.rs
@@ -1,5 +1,7 @@
-//! Loading of settings files. A preset overrides the defaults, and the file overrides both.
+//! Loading of settings files. A preset overrides the defaults, the file overrides both, and the
+//! environment overrides the file.
 
+use std::env;
 use std::fs;
 use std::io;
 use std::path;
@@ -17,6 +19,10 @@
 /// Maximum size of a settings file.
 pub const MAX_FILE_BYTES: usize = 64 * 1024;
 
+/// Environment variable with settings that override those of the file: a JSON object of the same
+/// shape. It serves platforms that give a process some of its settings apart from its file.
+pub const OVERRIDES_VARIABLE: &str = "DANDELIONSPOOL_SETTINGS";
+
 /// Name of the field that selects the preset.
 const PRESET: &str = "preset";
 
@@ -37,7 +43,7 @@
         /// The operating system's error.
         source: io::Error,
     },
-    /// The file has faults.
+    /// The file, or what overrides it, has faults.
     #[error("{}:\n{faults}", path.display())]
     Faults {
         /// The file.
@@ -45,6 +51,12 @@
         /// All faults of the file.
         faults: fault::Faults,
     },
+    /// The environment variable with the overrides is no JSON object in UTF-8.
+    #[error("{OVERRIDES_VARIABLE}:\n{faults}")]
+    Overrides {
+        /// All faults of its value.
+        faults: fault::Faults,
+    },
 }
 
 /// Settings that have a file of their own.
@@ -59,15 +71,34 @@
     fn validate(tree: &Value, faults: &mut Vec<fault::Fault>);
 }
 
-/// Reads and checks the settings file at `path`.
+/// Reads and checks the settings file at `path`, overridden by the variable
+/// [`OVERRIDES_VARIABLE`].
 ///
 /// # Errors
 ///
-/// The file can't be read, or has faults.
+/// The file can't be read, or it or the variable has faults.
 pub fn load<T: Settings>(path: &path::Path) -> Result<T, SettingsError> {
     let body =
         fs::read(path).map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-    read(&body).map_err(|faults| SettingsError::Faults { path: path.to_owned(), faults })
+    let overrides = env::var_os(OVERRIDES_VARIABLE).map(|value| value.into_encoded_bytes());
+    let overrides = read_overrides(overrides.as_deref().unwrap_or_default());
+    let overrides = overrides.map_err(|faults| SettingsError::Overrides { faults })?;
+    read_with(&body, overrides)
+        .map_err(|faults| SettingsError::Faults { path: path.to_owned(), faults })
+}
+
+/// Reads settings that override those of a file; an empty `body` overrides none.
+///
+/// # Errors
+///
+/// The body is no JSON object.
+pub fn read_overrides(body: &[u8]) -> Result<Value, fault::Faults> {
+    if body.trim_ascii().is_empty() {
+        return Ok(Value::Object(Default::default()));
+    }
+    let mut faults = Vec::new();
+    let overrides = parse(body, &mut faults).map_err(single_fault)?;
+    if faults.is_empty() { Ok(overrides) } else { Err(fault::Faults::new(faults)) }
 }
 
 /// Reads and checks the settings file `body`.
@@ -76,8 +107,18 @@
 ///
 /// Every fault at once, each with its JSON pointer.
 pub fn read<T: Settings>(body: &[u8]) -> Result<T, fault::Faults> {
+    read_with(body, Value::Object(Default::default()))
+}
+
+/// Reads and checks the settings file `body`, of which `overrides` replaces parts.
+///
+/// # Errors
+///
+/// Every fault at once, each with its JSON pointer.
+pub fn read_with<T: Settings>(body: &[u8], overrides: Value) -> Result<T, fault::Faults> {
     let mut faults = Vec::new();
     let mut given = parse(body, &mut faults).map_err(single_fault)?;
+    merge(&mut given, overrides);
     let preset = take_preset(&mut given, &mut faults);
     let mut tree = to_tree(&T::default())?;
     if let Some(preset) = preset {
--- a/src/configs/load/tests.rs
+++ b/src/configs/load/tests.rs
@@ -103,3 +103,36 @@
 fn an_example_is_accepted(#[files("examples/settings/*.json")] path: path::PathBuf) {
     configs::load(&path).expect("no fault");
 }
+
+const FILE: &[u8] = br#"{"mesh": "m", "key": "0123456789abcdef", "stop": {"serve_ms": 7}}"#;
+
+#[rstest]
+#[case::none("", 0.0)]
+#[case::empty(" { } ", 0.0)]
+#[case::one(r#"{"stop": {"kill_s": 6}}"#, 6.0)]
+fn the_environment_overrides_single_settings_of_the_file(#[case] value: &str, #[case] kill_s: f64) {
+    let overrides = load::read_overrides(value.as_bytes()).expect("no fault");
+    let settings: configs::Node = load::read_with(FILE, overrides).expect("no fault");
+    assert_eq!((settings.stop.kill_s, settings.stop.serve_ms), (kill_s, 7));
+}
+
+/// Guards against a node that runs with other settings than it was given: what can't be read is an
+/// error, not ignored.
+#[rstest]
+#[case::no_json("{", "")]
+#[case::no_object("[1]", "")]
+#[case::twice(r#"{"stop": {"kill_s": 6, "kill_s": 7}}"#, "/stop/kill_s")]
+fn overrides_that_are_no_object_are_an_error(#[case] value: &str, #[case] pointer: &str) {
+    let faults = load::read_overrides(value.as_bytes()).expect_err("a fault");
+    assert!(faults.list().iter().any(|fault| fault.pointer == pointer), "{faults}");
+}
+
+#[rstest]
+#[case::unknown(r#"{"stop": {"kill": 6}}"#, "/stop/kill")]
+#[case::negative(r#"{"stop": {"kill_s": -1}}"#, "/stop/kill_s")]
+#[case::text(r#"{"stop": {"kill_s": "6s"}}"#, "/stop/kill_s")]
+fn a_fault_of_an_override_names_the_setting(#[case] value: &str, #[case] pointer: &str) {
+    let overrides = load::read_overrides(value.as_bytes()).expect("an object");
+    let faults = load::read_with::<configs::Node>(FILE, overrides).expect_err("a fault");
+    assert!(faults.list().iter().any(|fault| fault.pointer == pointer), "{faults}");
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 pub mod lifecycle;
 pub mod ports;
 pub mod shell;
+pub mod stop;
 
 #[cfg(test)]
 mod tests;
--- a/src/node/shell.rs
+++ b/src/node/shell.rs
@@ -19,6 +19,7 @@
 use crate::node::duty;
 use crate::node::lifecycle;
 use crate::node::ports;
+use crate::node::stop;
 use crate::notice;
 use crate::pick;
 use crate::proxy;
@@ -70,10 +71,12 @@
         settings: configs::Node,
         ports: P,
     ) -> Result<Self, duty::Error> {
+        let plan = stop::Plan::new(&settings.stop);
+        log_plan(&settings.stop, &plan);
         let limits = lifecycle::Limits {
-            serve: time::Duration::from_millis(settings.stop.serve_ms),
+            serve: plan.serve,
             settle: time::Duration::from_millis(settings.stop.settle_ms),
-            drain: time::Duration::from_millis(settings.stop.drain_ms),
+            drain: plan.cut.saturating_sub(plan.serve),
         };
         let builder = Builder::new(ctx, settings, ports);
         let stage = builder.stage.clone();
@@ -127,6 +130,25 @@
     }
 }
 
+/// Logs the times of a planned stop, and whether they follow from the time of the kill.
+fn log_plan(settings: &configs::stop::Stop, plan: &stop::Plan) {
+    if settings.kill_s == 0.0 {
+        log::warn!(
+            drain_ms = settings.drain_ms;
+            "no time of a kill is set; a planned stop waits for the calls in flight"
+        );
+    }
+    log::info!(
+        serve_ms = millis(plan.serve), answer_ms = millis(plan.answer), cut_ms = millis(plan.cut),
+        flush_ms = millis(plan.flush);
+        "times of a planned stop"
+    );
+}
+
+fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Connects and starts the duties of one node.
 struct Builder<P> {
     ports: P,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -131,6 +131,8 @@
     }
     let applied = state.applied();
     let (route, unsent) = unsent.check(find_route(state, &applied, &head))?;
+    let caller_deadline = started + max_duration(&applied.mesh, route, head.remaining);
+    let (_, unsent) = unsent.check(check_stop(state, &applied.mesh, route, caller_deadline))?;
     let parent = state.running.parent_of(&head.id);
     let matched = applied.mesh.route(route);
     let caller = organisations::identify(&applied.mesh, matched, parent.as_ref(), &mut head);
@@ -146,8 +148,18 @@
     };
     let (spent, unsent) = unsent.check(spent)?;
     let nested = parent.is_some();
-    let arrival =
-        Arrival { unsent, head, incoming, applied, route, caller, nested, caller_try, started };
+    let arrival = Arrival {
+        unsent,
+        head,
+        incoming,
+        applied,
+        route,
+        caller,
+        nested,
+        caller_try,
+        started,
+        caller_deadline,
+    };
     let resources = resources::Resources { in_flight, ..resources::Resources::default() };
     let result = run(state, arrival, resources).await;
     if result.as_ref().is_err_and(refuse::Refusal::is_not_run)
@@ -188,6 +200,8 @@
     /// `None` if the caller did not send the time for which it waits.
     caller_try: Option<CallerTry>,
     started: clock::Instant,
+    /// Until when its caller waits.
+    caller_deadline: clock::Instant,
 }
 
 /// Runs the call of a request.
@@ -196,8 +210,18 @@
     arrival: Arrival,
     mut resources: resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
-    let Arrival { unsent, head, incoming, applied, route, caller, nested, caller_try, started } =
-        arrival;
+    let Arrival {
+        unsent,
+        head,
+        incoming,
+        applied,
+        route,
+        caller,
+        nested,
+        caller_try,
+        started,
+        caller_deadline,
+    } = arrival;
     let kind = applied.mesh.route(route).kind;
     let service = state.traffic_split.borrow_mut().next(applied.mesh.route(route));
     resources.count = Some(count::Pending::new(
@@ -207,7 +231,7 @@
         kind,
         started,
     ));
-    let deadline = state.deadline(started + max_duration(&applied.mesh, route, head.remaining));
+    let deadline = state.deadline(caller_deadline);
     // A caller that retries has used up part of its target latency. Without this, retries that can
     // only be late displace calls that could be in time: 1337 answers of 4000 are in time instead
     // of 2551 (virtual time, the test `retries_do_not_displace_calls_in_time`).
@@ -218,6 +242,8 @@
         let name = &applied.mesh.kind(kind).name;
         let nested_call = begin_nested(state, &head.id, name)?;
         let body = read_body(state, incoming, limit, deadline).await?;
+        // A stop may have begun or gone on while the body arrived.
+        check_stop(state, &applied.mesh, route, caller_deadline)?;
         Ok::<_, refuse::Cause>((nested_call, body))
     };
     let ((nested_call, body), unsent) = match unsent.check(received.await) {
@@ -323,6 +349,20 @@
     route.ok_or(refuse::Cause::new(retry::Reason::NoRoute))
 }
 
+/// Refuses a call that can't be answered before a planned stop ends; another node may run it.
+fn check_stop<C: claim::Claims>(
+    state: &state::State<C>,
+    mesh: &mesh::Mesh,
+    route: mesh::RouteKey,
+    caller_deadline: clock::Instant,
+) -> Result<(), refuse::Cause> {
+    let kind = &mesh.kind(mesh.route(route).kind).name;
+    if state.can_answer(kind, mesh.latency(route), caller_deadline) {
+        return Ok(());
+    }
+    Err(refuse::Cause::new(retry::Reason::Draining).retry_in(state.retry_delay()))
+}
+
 /// Maximum duration of a call on `route` whose caller waits for `remaining`, if it sent that time.
 fn max_duration(
     mesh: &mesh::Mesh,
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -190,7 +190,8 @@
     let wanted = upstream.service == spec.service
         && spec.class.is_none_or(|class| upstream.class == class)
         && !state.is_upstream_leaving(local)
-        && !state.is_draining();
+        && !state.is_draining()
+        && state.can_answer(spec.kind, None, spec.deadline);
     if wanted { Ok((**local).clone()) } else { Err(NOT_HERE) }
 }
 
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -18,6 +18,7 @@
 use crate::host;
 use crate::mesh;
 use crate::node;
+use crate::node::stop;
 use crate::pick;
 use crate::proxy::answer;
 use crate::proxy::attempt;
@@ -53,9 +54,9 @@
 use crate::usage;
 use crate::view;
 
-/// How long before the end of a planned stop the last answers must be sent, so that they still
-/// reach their callers. A call that outlasted the process would end without an answer.
-const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(200);
+/// Mean deviations that are added to the mean run time of a kind for the time that nearly all of its
+/// calls take.
+const RUN_DEVIATIONS: u32 = 2;
 
 /// The state shared by all calls of a node.
 pub struct State<C> {
@@ -230,10 +231,9 @@
     /// Begins a planned stop: calls are answered before the process ends. Returns when the last
     /// answers must be sent.
     pub fn begin_stop(&self) -> clock::Instant {
-        let stop = &self.settings.stop;
-        let remaining = time::Duration::from_millis(stop.serve_ms + stop.drain_ms);
-        let answer_deadline = self.ctx.now() + remaining.saturating_sub(ANSWER_MARGIN);
-        let answer_deadline = self.answer_deadline.get().unwrap_or(answer_deadline);
+        let begun = self.answer_deadline.get();
+        let answer_deadline =
+            begun.unwrap_or_else(|| self.ctx.now() + stop::Plan::new(&self.settings.stop).answer);
         self.answer_deadline.set(Some(answer_deadline));
         answer_deadline
     }
@@ -252,6 +252,23 @@
         self.answer_deadline.get().map_or(caller_deadline, |last| last.min(caller_deadline))
     }
 
+    /// Whether a call of `kind` that begins now can be answered before a planned stop ends: its
+    /// caller waits until `caller_deadline` at most, or it ends by then if it takes as long as
+    /// others of its kind, or its `target` latency if there were none.
+    pub fn can_answer(
+        &self,
+        kind: &str,
+        target: Option<time::Duration>,
+        caller_deadline: clock::Instant,
+    ) -> bool {
+        let Some(last) = self.answer_deadline.get().filter(|last| *last < caller_deadline) else {
+            return true;
+        };
+        let known = self.run_times.borrow().spread(kind);
+        let usual = known.map(|times| times.mean + times.deviation * RUN_DEVIATIONS);
+        self.ctx.now() + usual.or(target).unwrap_or_default() <= last
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         *self.stage.borrow() >= node::Stage::Leave
--- a/tests/calls/drain.rs
+++ b/tests/calls/drain.rs
@@ -365,3 +365,32 @@
         assert_eq!((answer.outcome(), answer.text()), ("ran", "answer to other"));
     });
 }
+
+/// Guards against calls that are passed on in a planned stop although their answers can't be
+/// delivered any more, among them calls that must not run twice.
+#[test]
+fn a_call_that_a_stop_would_cut_is_refused_before_it_runs() {
+    rig::run(async {
+        let work = [vec![Step::Wait(time::Duration::from_millis(700))]];
+        let script = move |request: &fake::Request| [work.concat(), fake::echo(request)].concat();
+        let fake = fake::Fake::start(script).await;
+        let stop = configs::stop::Stop { kill_s: 3.0, serve_ms: 2000, ..Default::default() };
+        let change = |settings| configs::Node { stop: stop.clone(), ..settings };
+        let claims = rig::Claims::default();
+        let nodes = rig::nodes_with(&[None, Some(fake.address)], 4, &claims, change).await;
+        let first = rig::call(&nodes[0], rig::request("POST", "/orders", "usual"), b"").await;
+        assert_eq!(first.outcome(), "ran");
+        nodes[0].stage.send_replace(node::Stage::Leave);
+        let early = rig::call(&nodes[0], rig::request("POST", "/orders", "early"), b"").await;
+        assert_eq!(early.outcome(), "ran", "there is time for it");
+        tokio::time::sleep(time::Duration::from_millis(800)).await;
+        let late = rig::call(&nodes[0], rig::request("POST", "/orders", "late"), b"").await;
+        assert_eq!((late.status, late.outcome()), (503, "not-run"));
+        assert_eq!(late.header("dandelionspool-reason"), "draining");
+        let short = rig::request("POST", "/orders", "short");
+        let short = short.header("dandelionspool-deadline-ms", "900");
+        let short = rig::call(&nodes[0], short, b"").await;
+        assert_eq!(short.outcome(), "ran", "its caller waits no longer than the stop takes");
+        assert_eq!((fake.runs("late"), fake.runs("short")), (0, 1));
+    });
+}
