fix(rollout): a version that is bad on one route is found, and a move needs evidence

Cause: answers were counted over all routes, where such a version has 0.06 of bad ones, and what was not found bad by half of the time counted as proven. Ruled out: answers that are not counted and reports that come late.

The record of a host holds its report in a box, as few hosts send one.

--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -371,15 +371,15 @@
 fn read(datagram: &wire::Datagram, found: &wire::Record) -> table::Record {
     let region = datagram.name(found.region);
     let locality = view::Locality { region, zone: datagram.name(found.zone) };
-    let upstream = found.upstream.map(|u| view::Upstream {
+    let upstream = found.upstream.as_ref().map(|u| view::Upstream {
         service: datagram.name(u.service),
         class: datagram.name(u.class),
         phase: u.phase,
         slots: u.slots,
         connections: u.connections,
         incarnation: u.incarnation,
-        version: u.release.map(|r| datagram.name(r.version)).unwrap_or_default(),
-        trial: u.release.and_then(|r| r.trial).unwrap_or_default(),
+        version: u.release.as_ref().map(|r| datagram.name(r.version)).unwrap_or_default(),
+        trial: u.release.as_ref().and_then(|r| r.trial.as_deref().copied()).unwrap_or_default(),
     });
     table::Record {
         incarnation: found.incarnation,
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -113,7 +113,7 @@
 }
 
 /// An upstream on the wire.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Upstream {
     /// Index of its service among the names.
     pub service: u8,
@@ -132,16 +132,16 @@
 }
 
 /// The version of an upstream on the wire.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Release {
     /// Index of the version among the names.
     pub version: u8,
     /// Report of its node on the trial of the version; `None` without a trial.
-    pub trial: Option<rollout::TrialReport>,
+    pub trial: Option<Box<rollout::TrialReport>>,
 }
 
 /// A host's record of itself.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
     /// The host.
     pub host: host::HostId,
@@ -332,7 +332,7 @@
             record.upstream.iter().try_for_each(|u| {
                 check_name(u.service)?;
                 check_name(u.class)?;
-                u.release.map_or(Ok(()), |release| check_name(release.version))
+                u.release.as_ref().map_or(Ok(()), |release| check_name(release.version))
             })
         }
     }
@@ -452,7 +452,7 @@
             return Some(None);
         }
         let version = self.intern(&upstream.version)?;
-        let trial = Some(upstream.trial).filter(|trial| trial.order > 0);
+        let trial = Some(upstream.trial).filter(|trial| trial.order > 0).map(Box::new);
         Some(Some(Release { version, trial }))
     }
 
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -88,7 +88,8 @@
 }
 
 impl Call {
-    fn route(&self) -> &mesh::Route {
+    /// The route on which it came.
+    pub(super) fn route(&self) -> &mesh::Route {
         self.applied.mesh.route(self.route)
     }
 
@@ -420,7 +421,7 @@
         return;
     }
     if let Some(observation) = state.observation(&call.kind().name, result) {
-        state.rollouts.record_old(&call.service().name, observation);
+        state.rollouts.record_old(&call.service().name, &call.route().name, observation);
     }
 }
 
--- a/src/proxy/choice.rs
+++ b/src/proxy/choice.rs
@@ -35,7 +35,7 @@
         let target = call.target(&current, group)?;
         state.picker.borrow_mut().pick_with_cost(target, transfer_cost, now, avoid)
     };
-    let group = state.rollouts.next_group(service, now);
+    let group = state.rollouts.next_group(service, &call.route().name, now);
     let choice = pick(group).or_else(|| pick(state.rollouts.fallback(service, group)?));
     choice.ok_or_else(|| no_upstream(state, call, &current))
 }
--- a/src/proxy/owner.rs
+++ b/src/proxy/owner.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::header;
+use smol_str::SmolStr;
 use tokio::time;
 
 use crate::admit;
@@ -55,21 +56,35 @@
     unsent: proof::Unsent,
     resources: &mut resources::Resources,
 ) -> Result<http::Response<body::Reply>, refuse::Refusal> {
+    let route = state.rollouts.has_orders().then(|| find_route(state, &request));
     let result = admit(state, spec, request, unsent, resources).await;
     if let Err(refusal) = &result
         && let retry::Outcome::Unknown(reason) = refusal.outcome()
     {
         resources.report_broken(reason);
     }
-    if state.rollouts.has_orders()
+    if let Some(route) = route
         && let Some(observation) = state.observation(spec.kind, &result)
         && let Ok(local) = find_upstream(state, spec)
     {
-        state.rollouts.record_local(&local.upstream, observation);
+        state.rollouts.record_local(&local.upstream, &route, observation);
     }
     result
 }
 
+/// Name of the route on which a request came; empty if the configuration in force has none for it.
+fn find_route<C: claim::Claims>(
+    state: &state::State<C>,
+    request: &http::Request<upload::Upload>,
+) -> SmolStr {
+    let applied = state.applied();
+    let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.and_then(|host| host.parse::<http::uri::Authority>().ok());
+    let host = host.as_ref().map(http::uri::Authority::as_str);
+    let route = applied.mesh.find(host, request.method(), request.uri().path());
+    route.map(|route| applied.mesh.route(route).name.clone()).unwrap_or_default()
+}
+
 /// Like [`run`], without recording the result for roll-outs and crash detection.
 async fn admit<C: claim::Claims>(
     state: &Rc<state::State<C>>,
--- a/src/proxy/rollouts.rs
+++ b/src/proxy/rollouts.rs
@@ -13,19 +13,23 @@
 /// What the result of a call shows of a version.
 #[derive(Clone, Copy, Debug)]
 pub struct Observation {
-    /// Whether the upstream failed the call or did not answer it completely.
-    pub failed: bool,
+    /// What the result shows, apart from its run time.
+    pub verdict: rollout::Verdict,
     /// Run time at the upstream and mean run time of the kind; `None` if either is unknown.
     pub times: Option<(time::Duration, time::Duration)>,
 }
 
 impl Observation {
-    /// Whether the result counts against the version. Run times count only if the upstream
-    /// `is_warm`.
-    fn is_bad(&self, is_warm: bool) -> bool {
+    /// What the result shows of the version. Run times count only if the upstream `is_warm`.
+    fn verdict(&self, is_warm: bool) -> rollout::Verdict {
         let slow =
             |(ran, mean): (time::Duration, time::Duration)| ran > mean.mul_f32(counts::SLOW_FACTOR);
-        self.failed || (is_warm && self.times.is_some_and(slow))
+        match self.verdict {
+            rollout::Verdict::Good if is_warm && self.times.is_some_and(slow) => {
+                rollout::Verdict::Poor
+            }
+            verdict => verdict,
+        }
     }
 }
 
@@ -34,6 +38,8 @@
 pub struct Rollouts {
     table: RefCell<rollout::Table>,
     /// Results observed at the local upstream.
+    counted: RefCell<rollout::table::Counted>,
+    /// The report on them.
     trial: Cell<rollout::TrialReport>,
 }
 
@@ -66,9 +72,18 @@
         with(&self.table.borrow())
     }
 
-    /// Which versions serve the next call for `service`: all, those of the order, or the others.
-    pub fn next_group(&self, service: &str, now: clock::Instant) -> rollout::VersionGroup {
-        self.table.borrow_mut().next_group(service, now)
+    /// Which versions serve the next call for `service`, which came on the route `name`: all, those of
+    /// the order, or the others.
+    pub fn next_group(
+        &self,
+        service: &str,
+        name: &str,
+        now: clock::Instant,
+    ) -> rollout::VersionGroup {
+        if !self.has_orders() {
+            return rollout::VersionGroup::Any;
+        }
+        self.table.borrow_mut().next_group(service, rollout::RouteId::of(name), now)
     }
 
     /// Which versions serve a call for `service` if those of `group` have no upstream; `None` if no
@@ -92,26 +107,31 @@
     }
 
     /// Records a result of the old version, for a call that entered the mesh at this node.
-    pub fn record_old(&self, service: &str, observation: Observation) {
-        self.table.borrow_mut().record_old(service, observation.is_bad(true));
+    pub fn record_old(&self, service: &str, route: &str, observation: Observation) {
+        if self.has_orders() {
+            let route = rollout::RouteId::of(route);
+            self.table.borrow_mut().record_old(service, route, observation.verdict(true));
+        }
     }
 
     /// Records a result of the local upstream.
-    pub fn record_local(&self, upstream: &view::Upstream, observation: Observation) {
+    pub fn record_local(&self, upstream: &view::Upstream, route: &str, observation: Observation) {
         let order = self.table.borrow().trial_order(&upstream.service, &upstream.version);
-        let mut trial = self.trial.get();
-        if trial.order != order {
-            trial = rollout::TrialReport { order, ..rollout::TrialReport::default() };
+        let mut counted = self.counted.borrow_mut();
+        if counted.order != order {
+            *counted = rollout::table::Counted { order, ..rollout::table::Counted::default() };
         }
         if order > 0 {
-            trial.new.record(observation.is_bad(upstream.phase == view::Phase::Serving));
+            let verdict = observation.verdict(upstream.phase == view::Phase::Serving);
+            counted.new.record(verdict.is_bad());
+            counted.routes.record_new(rollout::RouteId::of(route), verdict);
         }
-        self.trial.set(trial);
     }
 
     /// Updates the published results for the current roll-out of the local upstream's service.
     pub fn update_trial(&self, upstream: Option<&view::Upstream>) {
-        let trial = upstream.map(|upstream| self.table.borrow().trial(upstream, self.trial.get()));
+        let counted = self.counted.borrow();
+        let trial = upstream.map(|upstream| self.table.borrow().trial(upstream, &counted));
         self.trial.set(trial.unwrap_or_default());
     }
 }
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -50,6 +50,7 @@
 use crate::proxy::wiring;
 use crate::quarantine;
 use crate::retry;
+use crate::rollout;
 use crate::seal;
 use crate::usage;
 use crate::view;
@@ -339,12 +340,18 @@
             Ok(answer) => {
                 let ran = answer.extensions().get::<call_spec::RunTime>();
                 let times = ran.map(|ran| ran.0).zip(self.run_times.borrow().mean(kind));
-                Some(rollouts::Observation { failed: answer.status().is_server_error(), times })
+                let verdict = match answer.status() {
+                    // What an upstream says at its deadline is a matter of time.
+                    http::StatusCode::GATEWAY_TIMEOUT => rollout::Verdict::Poor,
+                    status if status.is_server_error() => rollout::Verdict::Failed,
+                    _ => rollout::Verdict::Good,
+                };
+                Some(rollouts::Observation { verdict, times })
             }
             Err(refusal) => match refusal.outcome() {
                 retry::Outcome::Unknown(
                     retry::Reason::Cut | retry::Reason::Malformed | retry::Reason::Timeout,
-                ) => Some(rollouts::Observation { failed: true, times: None }),
+                ) => Some(rollouts::Observation { verdict: rollout::Verdict::Poor, times: None }),
                 _ => None,
             },
         }
--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -4,6 +4,11 @@
 //!
 //! The share of bad answers of the old version includes everything that affects both versions:
 //! overload, slow or starting upstreams, a release elsewhere. The test looks for a share beyond it.
+//!
+//! A version may be bad on one route only, whose answers are few among all. So each route is tested by
+//! itself, too: by its bad answers, and by its failures alone, which a sound version has hardly more of
+//! than the old one. The test of a route averages over several sizes of the excess, which keeps
+//! Wald's bound, and the limit of the ratio grows with the number of tests.
 
 use crate::rollout::counts;
 
@@ -32,24 +37,145 @@
 /// Largest share of bad answers that is assumed of a sound version.
 const MAX_SOUND_SHARE: f64 = 0.8;
 
+/// Largest share of bad answers that is assumed of a bad version.
+const MAX_BAD_SHARE: f64 = 0.99;
+
+/// The same for a single route, of which each node knows less than of all: each judges by itself.
+const ROUTE_STANDARD_ERRORS: f64 = 4.0;
+
+/// Tests made of each route.
+const TESTS_PER_ROUTE: f64 = 2.0;
+
+/// What is assumed of the answers that one kind of test looks at.
+struct Assumptions {
+    /// Share that a sound version may have beyond that of the old one.
+    margin: f64,
+    /// Share in the prior.
+    prior: f64,
+    /// Standard errors that are added to the old version's share.
+    errors: f64,
+    /// Shares beyond the margin of a bad version, any of which is as likely.
+    excess: [f64; 3],
+}
+
+/// Bad answers of one route, which depend on the speed of few upstreams.
+const BAD: Assumptions = Assumptions {
+    margin: MARGIN,
+    prior: PRIOR_BAD_SHARE,
+    errors: ROUTE_STANDARD_ERRORS,
+    excess: [EXCESS_SHARE, 0.4, 0.75],
+};
+
+/// Failures that upstreams have answered, which don't depend on it.
+const FAILURES: Assumptions = Assumptions {
+    margin: 0.01,
+    prior: 0.01,
+    errors: ROUTE_STANDARD_ERRORS,
+    excess: [0.05, 0.2, 0.6],
+};
+
+/// Share of bad answers beyond the margin that is ruled out before a route counts as clear.
+const CLEAR_EXCESS: f64 = 0.25;
+
+/// Logarithm of the likelihood ratio below which that is ruled out, as unlikely as the other error.
+const CLEAR_LOG_RATIO: f64 = -MAX_LOG_RATIO;
+
+/// Logarithm of the likelihood ratio above which a route is under suspicion: 10 to 1.
+const SUSPECT_LOG_RATIO: f64 = 2.3;
+
+/// Answers of the new version on a route that rule that out if it is sound; an open question after
+/// them is no lack of answers.
+const ENOUGH_ANSWERS: u32 = 120;
+
+/// Answers of the old version on a route from which on the route has to be clear, too: with fewer,
+/// the trial can't bring enough answers either.
+const MIN_OLD_ANSWERS: u32 = 16;
+
 /// Whether `new` shows a bad version, compared with `old`.
 pub fn is_bad(new: counts::AnswerCounts, old: counts::AnswerCounts) -> bool {
     log_ratio(new, old) > MAX_LOG_RATIO
 }
 
-/// Logarithm of how much likelier `new` is for a bad version than for a sound one.
-fn log_ratio(new: counts::AnswerCounts, old: counts::AnswerCounts) -> f64 {
-    let sound = sound_share(old);
-    let bad_share = sound + EXCESS_SHARE;
-    let bad = f64::from(new.bad);
-    let good = f64::from(new.answers.saturating_sub(new.bad));
-    bad * (bad_share / sound).ln() + good * ((1.0 - bad_share) / (1.0 - sound)).ln()
+/// What is known of the routes of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Finding {
+    /// Nothing speaks against any route, and those with many answers are clear.
+    #[default]
+    Clear,
+    /// Some route has too few answers for its traffic.
+    Open,
+    /// Some route is likelier bad than sound.
+    Suspect,
+    /// Some route is bad.
+    Bad,
+}
+
+/// Judges the version by the answers on each route, and on all of them together.
+pub fn examine(routes: &counts::Routes) -> Finding {
+    let mut all = counts::RouteReport::default();
+    for report in routes.iter() {
+        all.new = all.new.plus(report.new);
+        all.old = all.old.plus(report.old);
+    }
+    let groups = routes.iter().count() + 1;
+    let penalty = (TESTS_PER_ROUTE * groups as f64).ln();
+    routes
+        .iter()
+        .chain([&all])
+        .map(|report| examine_route(report, penalty))
+        .max()
+        .unwrap_or_default()
+}
+
+/// Judges one route; `penalty` is the logarithm of the number of tests.
+fn examine_route(report: &counts::RouteReport, penalty: f64) -> Finding {
+    let counts::RouteReport { new, old, .. } = report;
+    let (answers, old_answers) = (f64::from(new.answers), f64::from(old.answers));
+    let bad_sound = sound(&BAD, f64::from(old.bad), old_answers);
+    let failures_sound = sound(&FAILURES, f64::from(old.failed), old_answers);
+    let bad = mean_ratio(&BAD, bad_sound, f64::from(new.bad), answers);
+    let failures = mean_ratio(&FAILURES, failures_sound, f64::from(new.failed), answers);
+    let ratio = bad.max(failures) - penalty;
+    let clear = ratio_of(bad_sound, CLEAR_EXCESS, f64::from(new.bad), answers);
+    let is_open = clear > CLEAR_LOG_RATIO;
+    if ratio > MAX_LOG_RATIO {
+        Finding::Bad
+    } else if ratio > SUSPECT_LOG_RATIO || (is_open && new.answers >= ENOUGH_ANSWERS) {
+        Finding::Suspect
+    } else if is_open && old.answers >= MIN_OLD_ANSWERS {
+        Finding::Open
+    } else {
+        Finding::Clear
+    }
+}
+
+/// Logarithm of the mean likelihood ratio over the excess shares that are assumed.
+fn mean_ratio(assumed: &Assumptions, sound: f64, bad: f64, answers: f64) -> f64 {
+    let ratios = assumed.excess.map(|excess| ratio_of(sound, excess, bad, answers));
+    // The largest is taken out, so that the exponentials don't overflow.
+    let max = ratios.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    let sum: f64 = ratios.iter().map(|ratio| (ratio - max).exp()).sum();
+    max + (sum / ratios.len() as f64).ln()
 }
 
-/// The share of bad answers that a sound version may have.
-fn sound_share(old: counts::AnswerCounts) -> f64 {
-    let answers = f64::from(old.answers) + PRIOR_ANSWERS;
-    let share = (f64::from(old.bad) + PRIOR_ANSWERS * PRIOR_BAD_SHARE) / answers;
+/// Logarithm of how much likelier `bad` of `answers` are with `excess` beyond the `sound` share than
+/// with that share.
+fn ratio_of(sound: f64, excess: f64, bad: f64, answers: f64) -> f64 {
+    let share = (sound + excess).min(MAX_BAD_SHARE);
+    bad * (share / sound).ln() + (answers - bad) * ((1.0 - share) / (1.0 - sound)).ln()
+}
+
+/// The share that a sound version may have where the old one has `bad` of `answers`.
+fn sound(assumed: &Assumptions, bad: f64, answers: f64) -> f64 {
+    let answers = answers + PRIOR_ANSWERS;
+    let share = (bad + PRIOR_ANSWERS * assumed.prior) / answers;
     let error = (share * (1.0 - share) / answers).sqrt();
-    (share + STANDARD_ERRORS * error + MARGIN).min(MAX_SOUND_SHARE)
+    (share + assumed.errors * error + assumed.margin).min(MAX_SOUND_SHARE)
+}
+
+/// Logarithm of how much likelier `new` is for a bad version than for a sound one.
+fn log_ratio(new: counts::AnswerCounts, old: counts::AnswerCounts) -> f64 {
+    let assumed = Assumptions { errors: STANDARD_ERRORS, ..BAD };
+    let sound = sound(&assumed, f64::from(old.bad), f64::from(old.answers));
+    ratio_of(sound, EXCESS_SHARE, f64::from(new.bad), f64::from(new.answers))
 }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -25,7 +25,7 @@
 
 use crate::logs;
 
-pub use self::counts::{AnswerCounts, TrialReport};
+pub use self::counts::{AnswerCounts, RouteId, TrialReport, Verdict};
 pub use self::plan::{Plan, Stage, VersionGroup};
 pub use self::table::Table;
 
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -8,6 +8,8 @@
 use crate::clock;
 use crate::mesh;
 use crate::rollout;
+use crate::rollout::counts;
+use crate::rollout::judge;
 use crate::view;
 
 /// How long the table still counts as active after a version without an order may get calls, so
@@ -26,6 +28,9 @@
 /// Thousandths in one.
 const PERMILLE: u32 = 1000;
 
+/// Routes whose calls take turns of their own; further ones share one turn.
+const MAX_TURNS: usize = 1024;
+
 /// Fewest new upstreams in a trial. Their speeds differ, and a single slow one says little about
 /// its version.
 const MIN_TRIAL_UPSTREAMS: usize = 3;
@@ -37,12 +42,67 @@
     plan: rollout::Plan,
     /// Answers of the old version to calls of this node.
     old: rollout::AnswerCounts,
-    /// Counter of calls, modulo a thousand, that assigns each call to a version group.
-    calls: u32,
+    /// The same by route.
+    routes: counts::Routes,
+    /// Calls of this node.
+    turns: Turns,
     /// New upstreams that get calls before the version is proven.
     trial_size: usize,
 }
 
+/// The calls that a node has assigned to version groups, by route.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Turns {
+    /// Calls of all routes.
+    total: u32,
+    routes: collections::BTreeMap<rollout::RouteId, Turn>,
+}
+
+/// The calls of one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct Turn {
+    /// How many there were.
+    calls: u32,
+    /// Their counter, modulo a thousand, that assigns each call to a version group.
+    position: u32,
+}
+
+impl Turns {
+    /// Whether the next call of `route` goes to the new version of `plan`.
+    pub(super) fn next_is_new(
+        &mut self,
+        plan: &rollout::Plan,
+        route: rollout::RouteId,
+        now: clock::Instant,
+    ) -> bool {
+        /// Coprime to a thousand, so that the calls of the new version are spread evenly among the
+        /// others.
+        const STRIDE: u32 = 617;
+        let is_known = self.routes.contains_key(&route) || self.routes.len() < MAX_TURNS;
+        let route = if is_known { route } else { rollout::RouteId::default() };
+        self.total = self.total.saturating_add(1);
+        // Routes with few calls would get no call of the new version if all began at the same place.
+        let position = self.total.wrapping_mul(STRIDE) % PERMILLE;
+        let turn = self.routes.entry(route).or_insert(Turn { calls: 0, position });
+        turn.calls = turn.calls.saturating_add(1);
+        turn.position = (turn.position + STRIDE) % PERMILLE;
+        let Turn { calls, position } = *turn;
+        let routes = u32::try_from(self.routes.len()).unwrap_or(u32::MAX);
+        position < plan.route_share((calls, self.total, routes), now)
+    }
+}
+
+/// What the node beside a new upstream has counted.
+#[derive(Clone, Debug, Default)]
+pub struct Counted {
+    /// Number of the order under which it was counted; 0 if there is none.
+    pub order: u64,
+    /// All answers.
+    pub new: rollout::AnswerCounts,
+    /// The same by route.
+    pub routes: counts::Routes,
+}
+
 /// Assigns the upstreams of one service to version groups.
 #[derive(Debug)]
 pub struct Classifier<'a> {
@@ -159,9 +219,15 @@
         );
         let plan = rollout::Plan::new(rollout.order.within, now);
         let order = rollout.order.clone();
-        let old = rollout::AnswerCounts::default();
-        self.entries
-            .insert(rollout.service.clone(), Entry { order, plan, old, calls: 0, trial_size: 0 });
+        let entry = Entry {
+            order,
+            plan,
+            old: rollout::AnswerCounts::default(),
+            routes: counts::Routes::default(),
+            turns: Turns::default(),
+            trial_size: 0,
+        };
+        self.entries.insert(rollout.service.clone(), entry);
     }
 
     /// Sets the final stage that the mesh has published for the order `number` of `service`.
@@ -171,14 +237,15 @@
         }
     }
 
-    /// The version group that serves the next call for `service`.
-    pub fn next_group(&mut self, service: &str, now: clock::Instant) -> rollout::VersionGroup {
-        /// Coprime to a thousand, so that the calls of the new version are spread evenly among the
-        /// others.
-        const STRIDE: u32 = 617;
+    /// The version group that serves the next call for `service`, which came on `route`.
+    pub fn next_group(
+        &mut self,
+        service: &str,
+        route: rollout::RouteId,
+        now: clock::Instant,
+    ) -> rollout::VersionGroup {
         let Some(entry) = self.entries.get_mut(service) else { return rollout::VersionGroup::Any };
-        entry.calls = entry.calls.wrapping_add(STRIDE) % PERMILLE;
-        let new = entry.calls < entry.plan.share(now);
+        let new = entry.turns.next_is_new(&entry.plan, route, now);
         if new { rollout::VersionGroup::New } else { rollout::VersionGroup::Old }
     }
 
@@ -214,13 +281,8 @@
     }
 
     /// The report to the other nodes on the order for the service of this node's `upstream`.
-    /// `counted` holds the answers of the upstream and the number of the order under which they
-    /// were counted.
-    pub fn trial(
-        &self,
-        upstream: &view::Upstream,
-        counted: rollout::TrialReport,
-    ) -> rollout::TrialReport {
+    /// `counted` holds the answers of the upstream.
+    pub fn trial(&self, upstream: &view::Upstream, counted: &Counted) -> rollout::TrialReport {
         let Some(entry) = self.entries.get(&upstream.service) else {
             return rollout::TrialReport::default();
         };
@@ -232,9 +294,10 @@
             let order = if rejected { order } else { 0 };
             return rollout::TrialReport { order, rejected, ..rollout::TrialReport::default() };
         }
-        let new =
-            if counted.order == order { counted.new } else { rollout::AnswerCounts::default() };
-        rollout::TrialReport { order, new, old: entry.old, rejected }
+        let none = Counted::default();
+        let counted = if counted.order == order { counted } else { &none };
+        let routes = counted.routes.most_answers(&entry.routes);
+        rollout::TrialReport { order, new: counted.new, old: entry.old, rejected, routes }
     }
 
     /// Number of the order that moves `service` to `version`; 0 if there is none.
@@ -243,10 +306,16 @@
         entry.map_or(0, |entry| entry.order.number)
     }
 
-    /// Records an answer of the old version of `service`.
-    pub fn record_old(&mut self, service: &str, bad: bool) {
+    /// Records an answer of the old version of `service` on `route`.
+    pub fn record_old(
+        &mut self,
+        service: &str,
+        route: rollout::RouteId,
+        verdict: rollout::Verdict,
+    ) {
         let Some(entry) = self.entries.get_mut(service) else { return };
-        entry.old.record(bad);
+        entry.routes.record_old(route, verdict);
+        entry.old.record(verdict.is_bad());
         if entry.old.answers >= MAX_OLD_ANSWERS {
             entry.old = entry.old.halved();
         }
@@ -280,6 +349,7 @@
     let mut known = rollout::plan::Observations {
         new: rollout::AnswerCounts::default(),
         old: entry.old,
+        routes: entry.routes.clone(),
         rejected: false,
         ready: 0,
         serving: 0,
@@ -291,6 +361,7 @@
         if upstream.trial.order == entry.order.number {
             known.new = known.new.plus(upstream.trial.new);
             known.old = known.old.plus(upstream.trial.old);
+            known.routes.add(&upstream.trial.routes);
             known.rejected |= upstream.trial.rejected;
         }
         if upstream.version == entry.order.version {
@@ -326,7 +397,8 @@
         service, version = entry.order.version.as_str(), order = entry.order.number,
         stage:? = stage, answers = known.new.answers, bad = known.new.bad,
         old_answers = known.old.answers, old_bad = known.old.bad, condemned = known.rejected,
-        ready = known.ready, serving = known.serving;
+        ready = known.ready, serving = known.serving,
+        routes = known.routes.iter().count(), finding:? = judge::examine(&known.routes);
         "stage of a roll-out changed"
     );
 }
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -19,6 +19,8 @@
 use crate::rollout::status;
 use crate::view;
 
+mod routes;
+
 /// Entry nodes of the modelled mesh.
 const ENTRIES: usize = 90;
 
@@ -84,7 +86,7 @@
     calls: u32,
 }
 
-fn at(millis: u64) -> clock::Instant {
+pub(super) fn at(millis: u64) -> clock::Instant {
     clock::Instant::from_millis(millis)
 }
 
@@ -183,7 +185,8 @@
     }
     let plan = entry.plan.get_or_insert_with(|| rollout::Plan::new(WITHIN, at(now)));
     let old = entry.old.plus(old);
-    let known = plan::Observations { new, old, rejected, ready: 288, serving: 288 };
+    let known =
+        plan::Observations { new, old, rejected, ready: 288, serving: 288, ..Default::default() };
     plan.update(&known, at(now));
 }
 
@@ -266,7 +269,14 @@
     let mut plan = rollout::Plan::new(WITHIN, at(0));
     let (new, old) = (rollout::AnswerCounts::default(), rollout::AnswerCounts::default());
     for now in (0..12_000).step_by(100) {
-        let known = plan::Observations { new, old, rejected: false, ready: 0, serving: 40 };
+        let known = plan::Observations {
+            new,
+            old,
+            rejected: false,
+            ready: 0,
+            serving: 40,
+            ..Default::default()
+        };
         plan.update(&known, at(now));
     }
     assert_eq!(plan.stage(), rollout::Stage::RolledBack);
@@ -279,7 +289,14 @@
     let old = rollout::AnswerCounts { answers: 150, bad: 2 };
     let mut since = None;
     for now in (0..12_000).step_by(100) {
-        let known = plan::Observations { new, old, rejected: false, ready: 40, serving: 40 };
+        let known = plan::Observations {
+            new,
+            old,
+            rejected: false,
+            ready: 40,
+            serving: 40,
+            ..Default::default()
+        };
         plan.update(&known, at(now));
         if plan.share(at(now)) == 1000 {
             since.get_or_insert(now);
@@ -305,7 +322,8 @@
         for (now, (answers, bad, rejected, ready, serving)) in (0..).step_by(200).zip(updates) {
             let new = rollout::AnswerCounts { answers, bad: bad.min(answers) };
             let old = rollout::AnswerCounts { answers: 100, bad: 3 };
-            plan.update(&plan::Observations { new, old, rejected, ready, serving }, at(now));
+            let known = plan::Observations { new, old, rejected, ready, serving, ..Default::default() };
+            plan.update(&known, at(now));
             let stage = plan.stage();
             prop_assert!(end.is_none_or(|end| end == stage));
             if status::State::from(stage).is_final() {
@@ -367,7 +385,7 @@
     assert_eq!(next.map(|status| status.state), expected);
 }
 
-fn host(n: u8, version: &str) -> view::Host {
+pub(super) fn host(n: u8, version: &str) -> view::Host {
     let listen = std::net::SocketAddr::from(([10, 0, 0, n], 7000));
     let locality = view::Locality { region: "r".into(), zone: "z".into() };
     let upstream = view::Upstream {
@@ -431,11 +449,13 @@
     announce(&mut table, &mesh, &versions, 1_000);
     let (old, new) = (Some(plan::VersionGroup::Old), Some(plan::VersionGroup::New));
     assert_eq!(groups(&table, &versions, 1_000), [old, new, new, new, None, None]);
-    let tried =
-        (0..1_000).filter(|_| table.next_group("shop", at(1_000)) == plan::VersionGroup::New);
+    let tried = (0..1_000).filter(|_| {
+        table.next_group("shop", rollout::RouteId::of("r"), at(1_000)) == plan::VersionGroup::New
+    });
     assert_eq!(tried.count(), 50);
     table.settle("shop", 3, rollout::Stage::RolledBack);
-    assert!((0..1_000).all(|_| table.next_group("shop", at(1_000)) == plan::VersionGroup::Old));
+    assert!((0..1_000).all(|_| table.next_group("shop", rollout::RouteId::of("r"), at(1_000))
+        == plan::VersionGroup::Old));
     assert_eq!(
         table.fallback("shop", plan::VersionGroup::Old),
         None,
@@ -447,7 +467,14 @@
 fn the_published_final_stage_replaces_the_own_one() {
     let mut plan = rollout::Plan::new(WITHIN, at(0));
     let (new, old) = (rollout::AnswerCounts::default(), rollout::AnswerCounts::default());
-    let known = plan::Observations { new, old, rejected: false, ready: 0, serving: 40 };
+    let known = plan::Observations {
+        new,
+        old,
+        rejected: false,
+        ready: 0,
+        serving: 40,
+        ..Default::default()
+    };
     plan.update(&known, at(11_000));
     assert_eq!(plan.stage(), rollout::Stage::RolledBack, "this node learned of the order late");
     plan.settle(rollout::Stage::Completed);
@@ -492,7 +519,8 @@
             (progress[0].order.number, progress[0].stage),
             (number, plan::Stage::RolledBack)
         );
-        assert!((0..1_000).all(|_| table.next_group("shop", at(2_000)) == plan::VersionGroup::Old));
+        assert!((0..1_000).all(|_| table.next_group("shop", rollout::RouteId::of("r"), at(2_000))
+            == plan::VersionGroup::Old));
     }
     announce(&mut table, &ordered(logs::ordinal(5, 9), "v2"), &versions, 3_000);
     assert_eq!(table.progress()[0].stage, plan::Stage::Trial, "the version was ordered again");
