fix(rollout): reports by route are no part of a stored profile

What callers would see: nodes of two builds in one mesh read each other's profiles in the directory wrongly, as the report by route came before the leavings, which would be lost in an upgrade. Found by reading; it came with the counts by route and was not seen.

Change: the counts by route travel beside the report in the record of a host, and a stored upstream has the bytes that it had before. counts_by_route_are_no_part_of_a_stored_upstream fails without that.

--- a/src/host.rs
+++ b/src/host.rs
@@ -19,8 +19,8 @@
 
 /// Identity of a host: its IP address and base port.
 ///
-/// Invariant: the base port is at most `65535 - PORT_COUNT`, checked where settings are read and
-/// where a datagram is decoded. With a larger one the other ports wrap around, so that the host
+/// Invariant: the base port is at most `65535 - PORT_COUNT`, checked where settings and the directory
+/// are read and where a datagram is decoded. With a larger one the other ports wrap around, so that the host
 /// can't be reached.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct HostId(net::SocketAddr);
@@ -31,6 +31,12 @@
         Self(base)
     }
 
+    /// Whether all ports of the host exist. One that others have written need not be such a host.
+    pub const fn has_valid_ports(self) -> bool {
+        let port = self.0.port();
+        port > 0 && port <= u16::MAX - PORT_COUNT
+    }
+
     /// The host that sends its configuration datagrams from `address`.
     pub fn from_spread_addr(address: net::SocketAddr) -> Self {
         Self::from_offset(address, SPREAD_OFFSET)
--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -379,7 +379,12 @@
         connections: u.connections,
         incarnation: u.incarnation,
         version: u.release.as_ref().map(|r| datagram.name(r.version)).unwrap_or_default(),
-        trial: u.release.as_ref().and_then(|r| r.trial.as_deref().copied()).unwrap_or_default(),
+        trial: u
+            .release
+            .as_ref()
+            .and_then(|r| r.trial.as_deref())
+            .map(wire::Trial::received)
+            .unwrap_or_default(),
     });
     table::Record {
         incarnation: found.incarnation,
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -136,8 +136,29 @@
 pub struct Release {
     /// Index of the version among the names.
     pub version: u8,
-    /// Report of its node on the trial of the version; `None` without a trial.
-    pub trial: Option<Box<rollout::TrialReport>>,
+    /// What its node observed during the trial of the version; `None` without a trial.
+    pub trial: Option<Box<Trial>>,
+}
+
+/// The report of a node on the trial of a version.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Trial {
+    /// Counts over all routes.
+    pub report: rollout::TrialReport,
+    /// Counts of single routes.
+    pub routes: rollout::counts::RouteReports,
+}
+
+impl Trial {
+    /// The report `report` as it is sent.
+    fn new(report: rollout::TrialReport) -> Self {
+        Self { report, routes: report.routes }
+    }
+
+    /// The report as it was received.
+    pub fn received(&self) -> rollout::TrialReport {
+        rollout::TrialReport { routes: self.routes, ..self.report }
+    }
 }
 
 /// A host's record of itself.
@@ -298,8 +319,7 @@
 }
 
 fn check_host(id: host::HostId) -> Result<(), Error> {
-    let port = id.member_addr().port();
-    if port == 0 || port > u16::MAX - host::PORT_COUNT { Err(Error::Port) } else { Ok(()) }
+    if id.has_valid_ports() { Ok(()) } else { Err(Error::Port) }
 }
 
 fn check_body(body: &Body) -> Result<(), Error> {
@@ -452,7 +472,8 @@
             return Some(None);
         }
         let version = self.intern(&upstream.version)?;
-        let trial = Some(upstream.trial).filter(|trial| trial.order > 0).map(Box::new);
+        let trial = Some(upstream.trial).filter(|trial| trial.order > 0).map(Trial::new);
+        let trial = trial.map(Box::new);
         Some(Some(Release { version, trial }))
     }
 
--- a/src/rollout/counts.rs
+++ b/src/rollout/counts.rs
@@ -95,7 +95,9 @@
     pub old: AnswerCounts,
     /// Whether the node itself has found the new version bad.
     pub rejected: bool,
-    /// The same counts for the routes with the most answers of the new version.
+    /// The same counts for the routes with the most answers of the new version. They are no part of a
+    /// profile in the directory, whose fields builds have in common.
+    #[serde(skip)]
     pub routes: RouteReports,
 }
 
--- a/src/rollout/tests/routes.rs
+++ b/src/rollout/tests/routes.rs
@@ -333,3 +333,19 @@
     let max = outcome.all as f64 * MAX_SHARE + EXTRA_CALLS;
     assert!(outcome.new as f64 <= max, "{outcome:?}");
 }
+
+/// Guards against a stored profile that another build reads differently: what follows its upstream, the
+/// leavings, would be lost.
+#[test]
+fn counts_by_route_are_no_part_of_a_stored_upstream() {
+    let one = rollout::counts::RouteReport {
+        route: rollout::RouteId::of("r"),
+        new: rollout::counts::RouteCounts { answers: 3, bad: 2, failed: 1 },
+        ..rollout::counts::RouteReport::default()
+    };
+    let plain = rollout::TrialReport { order: 3, ..rollout::TrialReport::default() };
+    let report = rollout::TrialReport { routes: [one].into_iter().collect(), ..plain };
+    let bytes = postcard::to_allocvec(&report).expect("encodes");
+    assert_eq!(bytes, postcard::to_allocvec(&plain).expect("encodes"));
+    assert_eq!(bytes, [3, 0, 0, 0, 0, 0]);
+}
