fix(member): an odd entry of the directory is not taken into the table

What callers would see: after one entry of another writer with a port out of range or a name of kilobytes, a host that joins knows no other one, and refuses calls that others serve.

Cause: entries of the directory were taken into the table unchecked and passed on in datagrams, which receivers check and refuse as a whole; a record that fits no datagram ends a page that begins with it, for ever.

--- a/src/member/join.rs
+++ b/src/member/join.rs
@@ -155,6 +155,10 @@
         self.join.awaits_directory = false;
         let mut unknown = Vec::new();
         for directory::Listed { host, profile } in hosts {
+            if !host.has_valid_ports() {
+                log::warn!(host:% = host; "ignoring an entry of the directory with an invalid port");
+                continue;
+            }
             if host == self.id {
                 self.check_own_profile(profile);
                 continue;
@@ -195,6 +199,12 @@
             locality: profile.locality.into(),
             upstream: profile.upstream.map(Into::into),
         };
+        // A record that fits no datagram could not be passed on, and a page that begins with it would
+        // never end.
+        if !record.pack(host, &mut wire::Packer::new(self.id, wire::Body::Gossip)) {
+            log::warn!(host:% = host; "ignoring a host profile of the directory that is too large");
+            return;
+        }
         let change = self.table.merge(host, record, self.now);
         self.apply_change(host, change, updates::Priority::Plain, gossip::Source::Page);
         self.join.unconfirmed_at.get_or_insert(self.now + CONFIRM_TIMEOUT);
--- a/tests/member/main.rs
+++ b/tests/member/main.rs
@@ -6,6 +6,7 @@
 mod feed;
 mod leaves;
 mod net;
+mod odd_entries;
 mod presets;
 mod quarantine;
 mod scenarios;
