fix(answer): a status above 599 is no answer

What callers saw: an upstream's answer with status 600 or 999 was passed on as its answer.

Cause: the parser takes any three digits from 100 on. Below that, with other digits or none, and 101, callers got 502 already, and so they did for answers that are reset during an upload.

Change: such an answer is not believed: 502, unknown, malformed for health, bad for roll-outs. an_answer_without_a_valid_status_is_unknown fails before for 600 and 999 and passes now.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -14,13 +14,16 @@
 #[cfg(test)]
 mod tests;
 
+/// Highest status of HTTP.
+const MAX_STATUS: u16 = 599;
+
 /// Counts of the answers that were not believed.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
     /// Answers with the id of another request, or without one where upstreams echo it.
     pub foreign: counter::Counter,
     /// Answers that are no complete answer of an upstream: not signed, merged with a cut one,
-    /// without a marked end, or with a status that they don't confirm.
+    /// without a marked end, or with a status that is invalid or that they don't confirm.
     pub malformed: counter::Counter,
 }
 
@@ -65,6 +68,9 @@
     /// they are read as one.
     #[error("merged")]
     Merged,
+    /// Its status is none of HTTP.
+    #[error("invalid-status")]
+    Invalid,
     /// It announces another protocol, which was not asked for.
     #[error("upgraded")]
     Upgraded,
@@ -117,6 +123,7 @@
         match mismatch {
             Mismatch::Foreign => self.foreign.inc(),
             Mismatch::Endless
+            | Mismatch::Invalid
             | Mismatch::Merged
             | Mismatch::Upgraded
             | Mismatch::Unsigned
@@ -164,6 +171,10 @@
     if is_merged(answer, dialect) {
         return Some(Mismatch::Merged);
     }
+    // The parser has refused statuses below 100 already.
+    if answer.status().as_u16() > MAX_STATUS {
+        return Some(Mismatch::Invalid);
+    }
     if answer.status().is_informational() {
         return Some(Mismatch::Upgraded);
     }
--- a/tests/calls/answers.rs
+++ b/tests/calls/answers.rs
@@ -315,3 +315,53 @@
         rig::until(|| fake.requests()[0].closed).await;
     });
 }
+
+/// Guards against a status that no caller understands, passed on as the answer of the upstream. The
+/// request may have run.
+#[rstest]
+#[case::zero("000")]
+#[case::too_low("099")]
+#[case::too_high("600")]
+#[case::highest("999")]
+#[case::four_digits("2000")]
+#[case::two_digits("20")]
+#[case::none("")]
+#[case::letters("2xx")]
+#[case::not_asked_for("101")]
+fn an_answer_without_a_valid_status_is_unknown(#[case] status: &str) {
+    let status = status.to_owned();
+    rig::run(async move {
+        let answer = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 4\r\n\r\ndone");
+        let script = move |_: &fake::Request| vec![Step::Write(answer.clone().into()), Step::Close];
+        let fake = fake::Fake::start(script).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        for entry in &nodes {
+            let answer = rig::call(entry, rig::request("POST", "/orders", "r1"), b"x").await;
+            assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
+        }
+        assert_eq!(fake.runs("r1"), 2, "one run for each call");
+    });
+}
+
+/// Guards against a part of an answer that is taken for the whole: it came without a length while the
+/// upload was still written, and its connection was reset.
+#[rstest]
+#[case::without_a_length("\r\nhalf of the answer")]
+#[case::of_a_length("content-length: 1000\r\n\r\nhalf of the answer")]
+#[case::in_chunks("transfer-encoding: chunked\r\n\r\n12\r\nhalf of the answer\r\n")]
+fn an_early_answer_that_is_reset_during_the_upload_does_not_look_whole(#[case] rest: &'static str) {
+    rig::run(async {
+        let pause = time::Duration::from_millis(20);
+        let early = move |_: &fake::Request| {
+            let bytes = [HEAD, rest.as_bytes()].concat();
+            Some(vec![Step::Write(bytes), Step::Wait(time::Duration::from_millis(50)), Step::Close])
+        };
+        let fake = fake::Fake::start_early(pause, early, fake::echo).await;
+        let nodes = rig::nodes(&[None, Some(fake.address)], &rig::Claims::default()).await;
+        let body = vec![b'x'; 4_000_000];
+        for entry in &nodes {
+            let answer = rig::call(entry, rig::request("PUT", "/uploads", "r1"), &body).await;
+            assert_eq!((answer.status, answer.outcome()), (502, "unknown"), "{answer:?}");
+        }
+    });
+}
