--- a/src/spread/tests/faults.rs
+++ b/src/spread/tests/faults.rs
@@ -230,3 +230,45 @@
     let reads = net.counts.reads - reads;
     assert!(reads <= 4 * 2 * 7 + lossy, "{reads} reads in a minute");
 }
+
+/// Guards against a lease that one host still renews for a zone whose other hosts are cut off from it
+/// or gone.
+#[rstest]
+fn the_last_host_of_a_zone_gets_a_version_in_time(#[values(121, 122, 123)] seed: u64) {
+    let (mut net, _) = fleet::started(4, 12, configs::spread::Spread::cascadia(), seed);
+    net.advance(SECOND * 5);
+    // The host that stays does not read the log.
+    let stays = (0..12).find(|&n| {
+        net.nodes[n].core.as_ref().is_some_and(|c| c.role() == read_schedule::Role::Idle)
+    });
+    let stays = stays.expect("a host that does not read");
+    (0..12).filter(|&n| n != stays).for_each(|n| net.kill(n));
+    let version = net.publish(&fleet::file(1));
+    let took = net.run_until(SECOND * 2, |n| n.all_run(version));
+    assert!(took.is_some(), "{}", net.behind(version));
+}
+
+/// Guards against hosts that rely on readers which are lost again before the first loss is known, or
+/// which come back without what they had read.
+#[rstest]
+fn a_version_reaches_all_in_time_though_readers_are_lost_twice(
+    #[values(131, 132, 133)] seed: u64,
+    #[values(100, 500, 1500)] pause_ms: u64,
+) {
+    let (mut net, _) = fleet::started(4, 12, configs::spread::Spread::cascadia(), seed);
+    net.advance(SECOND * 5);
+    let reads = |net: &net::Net, n: usize| {
+        let role = net.nodes[n].core.as_ref().map(|core| core.role());
+        role.is_some_and(|role| role != read_schedule::Role::Idle)
+    };
+    let readers: Vec<usize> = (0..48).filter(|&n| reads(&net, n)).collect();
+    readers.iter().for_each(|&n| net.kill(n));
+    net.advance(time::Duration::from_millis(500));
+    readers.iter().for_each(|&n| net.start(n));
+    net.advance(time::Duration::from_millis(pause_ms));
+    let again: Vec<usize> = (0..48).filter(|&n| reads(&net, n)).collect();
+    again.iter().for_each(|&n| net.kill(n));
+    let version = net.publish(&fleet::file(1));
+    let took = net.run_until(SECOND * 2, |n| n.all_run(version));
+    assert!(took.is_some(), "{}", net.behind(version));
+}
--- a/tests/member/odd_entries.rs
+++ b/tests/member/odd_entries.rs
@@ -7,6 +7,7 @@
 use dandelionspool::leave;
 use dandelionspool::member;
 use dandelionspool::member::directory;
+use dandelionspool::member::wire;
 use dandelionspool::view;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -122,4 +123,29 @@
             prop_assert!((0..HOSTS).all(|index| net.standing(index).is_some()));
         }
     }
+
+    /// Guards against messages that were made wrongly and end the process which gets them, or keep a
+    /// mesh from agreeing on its hosts.
+    #[test]
+    fn mutated_datagrams_end_no_host(
+        changes in prop::collection::vec((0usize..300, any::<u8>()), 1..8),
+    ) {
+        let mut packer = wire::Packer::new(mesh::id(2), wire::Body::Gossip);
+        let upstream = mesh::upstream(5, view::Phase::Serving).into();
+        let locality = profile(5).locality;
+        packer.record(mesh::id(5), (7, 2), &locality, Some(&upstream));
+        packer.claim(mesh::id(6), 1, wire::Claim::Suspect);
+        let mut bytes = wire::encode(&packer.finish()).expect("encodes");
+        for (position, byte) in changes {
+            if let Some(old) = bytes.get_mut(position) {
+                *old = byte;
+            }
+        }
+        if let Ok(datagram) = wire::decode(&bytes) {
+            let mut net = mesh::Net::settled(HOSTS, 6);
+            net.handle(0, member::Event::Datagram(Box::new(datagram)));
+            net.run(time::Duration::from_secs(2));
+            prop_assert!((0..HOSTS).all(|index| net.standing(index).is_some()));
+        }
+    }
 }
