--- a/soak/src/player.rs
+++ b/soak/src/player.rs
@@ -99,11 +99,11 @@
                 self.down_nodes.insert(host);
                 ignore_absent(fleet.kill(host, fleet::Part::Node))
             }
-            // A second request to stop would cut the graceful stop short.
-            Act::Stop(host) if self.down_nodes.insert(host) => {
+            // A repeated request to stop must not cut the planned stop short.
+            Act::Stop(host) => {
+                self.down_nodes.insert(host);
                 ignore_absent(fleet.terminate(host, fleet::Part::Node))
             }
-            Act::Stop(_) => Ok(()),
             Act::Pause(host) => ignore_absent(fleet.pause(host, fleet::Part::Node)),
             Act::Resume(host) => ignore_absent(fleet.resume(host, fleet::Part::Node)),
             Act::Start(host) if self.down_nodes.remove(&host) => {
