--- a/src/host.rs
+++ b/src/host.rs
@@ -19,9 +19,9 @@
 
 /// Identity of a host: its IP address and base port.
 ///
-/// Invariant: the base port is at most `65535 - PORT_COUNT`, checked where settings and the directory
-/// are read and where a datagram is decoded. With a larger one the other ports wrap around, so that the host
-/// can't be reached.
+/// Invariant: the base port is at most `65535 - PORT_COUNT`, checked where settings and the
+/// directory are read and where a datagram is decoded. With a larger one the other ports wrap
+/// around, so that the host can't be reached.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct HostId(net::SocketAddr);
 
--- a/src/member/join.rs
+++ b/src/member/join.rs
@@ -199,8 +199,8 @@
             locality: profile.locality.into(),
             upstream: profile.upstream.map(Into::into),
         };
-        // A record that fits no datagram could not be passed on, and a page that begins with it would
-        // never end.
+        // A record that fits no datagram could not be passed on, and a page that begins with it
+        // would never end.
         if !record.pack(host, &mut wire::Packer::new(self.id, wire::Body::Gossip)) {
             log::warn!(host:% = host; "ignoring a host profile of the directory that is too large");
             return;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -49,8 +49,8 @@
     NotRun(http::Response<Incoming>, NotRun),
     /// The upstream ran the request.
     Ran(http::Response<Incoming>),
-    /// The upstream may have run the request, and the status would tell callers that it has not. The
-    /// answer is not passed on.
+    /// The upstream may have run the request, and the status would tell callers that it has not.
+    /// The answer is not passed on.
     Unmarked(http::Response<Incoming>),
 }
 
@@ -197,8 +197,8 @@
     echoes.any(|echo| Some(echo) != expected.id)
 }
 
-/// Whether the head of `answer` holds a second status line. Its status, and the mark of a rejection,
-/// may then be those of an answer that was cut before its id.
+/// Whether the head of `answer` holds a second status line. Its status, and the mark of a
+/// rejection, may then be those of an answer that was cut before its id.
 ///
 /// The values of headers are searched only where they may say that the request was not run: other
 /// answers may name a status line.
--- a/src/proxy/rollouts.rs
+++ b/src/proxy/rollouts.rs
@@ -72,8 +72,8 @@
         with(&self.table.borrow())
     }
 
-    /// Which versions serve the next call for `service`, which came on the route `name`: all, those of
-    /// the order, or the others.
+    /// Which versions serve the next call for `service`, which came on the route `name`: all, those
+    /// of the order, or the others.
     pub fn next_group(
         &self,
         service: &str,
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -55,8 +55,8 @@
 use crate::usage;
 use crate::view;
 
-/// Mean deviations that are added to the mean run time of a kind for the time that nearly all of its
-/// calls take.
+/// Mean deviations that are added to the mean run time of a kind for the time that nearly all of
+/// its calls take.
 const RUN_DEVIATIONS: u32 = 2;
 
 /// The state shared by all calls of a node.
--- a/src/rollout/counts.rs
+++ b/src/rollout/counts.rs
@@ -28,8 +28,8 @@
 /// Routes that a node counts by themselves; the answers of further ones are added up.
 const MAX_ROUTES: usize = 1024;
 
-/// Identifies a route in messages between nodes, by the FNV-1a hash of its name. If two names share a
-/// hash, their answers are added up.
+/// Identifies a route in messages between nodes, by the FNV-1a hash of its name. If two names share
+/// a hash, their answers are added up.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
@@ -95,8 +95,8 @@
     pub old: AnswerCounts,
     /// Whether the node itself has found the new version bad.
     pub rejected: bool,
-    /// The same counts for the routes with the most answers of the new version. They are no part of a
-    /// profile in the directory, whose fields builds have in common.
+    /// The same counts for the routes with the most answers of the new version. They are no part of
+    /// a profile in the directory, whose fields builds have in common.
     #[serde(skip)]
     pub routes: RouteReports,
 }
@@ -206,8 +206,8 @@
         self.0.is_empty()
     }
 
-    /// The counts of the routes with the most answers of the new version, then of the old one, whose
-    /// answers are those in `old`.
+    /// The counts of the routes with the most answers of the new version, then of the old one,
+    /// whose answers are those in `old`.
     pub fn most_answers(&self, old: &Self) -> RouteReports {
         let mut sum = self.clone();
         for known in old.iter() {
--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -5,10 +5,10 @@
 //! The share of bad answers of the old version includes everything that affects both versions:
 //! overload, slow or starting upstreams, a release elsewhere. The test looks for a share beyond it.
 //!
-//! A version may be bad on one route only, whose answers are few among all. So each route is tested by
-//! itself, too: by its bad answers, and by its failures alone, which a sound version has hardly more of
-//! than the old one. The test of a route averages over several sizes of the excess, which keeps
-//! Wald's bound, and the limit of the ratio grows with the number of tests.
+//! A version may be bad on one route only, whose answers are few among all. So each route is tested
+//! by itself, too: by its bad answers, and by its failures alone, which a sound version has hardly
+//! more of than the old one. The test of a route averages over several sizes of the excess, which
+//! keeps Wald's bound, and the limit of the ratio grows with the number of tests.
 
 use crate::rollout::counts;
 
@@ -158,8 +158,8 @@
     max + (sum / ratios.len() as f64).ln()
 }
 
-/// Logarithm of how much likelier `bad` of `answers` are with `excess` beyond the `sound` share than
-/// with that share.
+/// Logarithm of how much likelier `bad` of `answers` are with `excess` beyond the `sound` share
+/// than with that share.
 fn ratio_of(sound: f64, excess: f64, bad: f64, answers: f64) -> f64 {
     let share = (sound + excess).min(MAX_BAD_SHARE);
     bad * (share / sound).ln() + (answers - bad) * ((1.0 - share) / (1.0 - sound)).ln()
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -205,8 +205,8 @@
     /// The same for the calls of one route, which had `calls` of the `total` that came on `routes`
     /// routes.
     ///
-    /// During the trial, half of the new version's calls are spread evenly over the routes, so that rare
-    /// ones bring as many answers as others. The share of all calls is not exceeded.
+    /// During the trial, half of the new version's calls are spread evenly over the routes, so that
+    /// rare ones bring as many answers as others. The share of all calls is not exceeded.
     pub fn route_share(&self, (calls, total, routes): (u32, u32, u32), now: clock::Instant) -> u32 {
         let share = self.share(now);
         if self.stage != Stage::Trial || routes == 0 {
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -81,7 +81,8 @@
         let is_known = self.routes.contains_key(&route) || self.routes.len() < MAX_TURNS;
         let route = if is_known { route } else { rollout::RouteId::default() };
         self.total = self.total.saturating_add(1);
-        // Routes with few calls would get no call of the new version if all began at the same place.
+        // Routes with few calls would get no call of the new version if all began at the same
+        // place.
         let position = self.total.wrapping_mul(STRIDE) % PERMILLE;
         let turn = self.routes.entry(route).or_insert(Turn { calls: 0, position });
         turn.calls = turn.calls.saturating_add(1);
--- a/src/rollout/tests/routes.rs
+++ b/src/rollout/tests/routes.rs
@@ -1,5 +1,5 @@
-//! Roll-outs of versions that are bad in one part, in virtual time: hosts that send calls on several
-//! routes, count the answers and tell one another what they have counted.
+//! Roll-outs of versions that are bad in one part, in virtual time: hosts that send calls on
+//! several routes, count the answers and tell one another what they have counted.
 
 use std::collections;
 use std::time;
@@ -210,8 +210,8 @@
     }
 }
 
-/// Guards against a version that fails one route of several and is completed, since its failures are
-/// few among all answers.
+/// Guards against a version that fails one route of several and is completed, since its failures
+/// are few among all answers.
 #[rstest]
 #[case::a_twelfth(case(rare(1.0 / 12.0), Fault::Fails(0.75, 0)))]
 #[case::always(case(rare(1.0 / 12.0), Fault::Fails(1.0, 0)))]
@@ -235,8 +235,8 @@
     }
 }
 
-/// Guards against good versions that are rolled back since one of many routes looks bad by chance, or
-/// since a fault fails both versions.
+/// Guards against good versions that are rolled back since one of many routes looks bad by chance,
+/// or since a fault fails both versions.
 #[rstest]
 #[case::one_route(case(even(1), Fault::None))]
 #[case::a_rare_one(case(rare(1.0 / 30.0), Fault::None))]
@@ -321,8 +321,8 @@
     assert!(postcard::from_bytes::<rollout::counts::RouteReports>(&bytes).is_err());
 }
 
-/// Guards against a slow version that is moved on, since its route had few answers that looked good by
-/// chance, and is found bad only when it has most calls.
+/// Guards against a slow version that is moved on, since its route had few answers that looked good
+/// by chance, and is found bad only when it has most calls.
 #[rstest]
 #[case::at_first(116)]
 #[case::again(168)]
@@ -334,8 +334,8 @@
     assert!(outcome.new as f64 <= max, "{outcome:?}");
 }
 
-/// Guards against a stored profile that another build reads differently: what follows its upstream, the
-/// leavings, would be lost.
+/// Guards against a stored profile that another build reads differently: what follows its upstream,
+/// the leavings, would be lost.
 #[test]
 fn counts_by_route_are_no_part_of_a_stored_upstream() {
     let one = rollout::counts::RouteReport {
--- a/src/spread/lease.rs
+++ b/src/spread/lease.rs
@@ -1,12 +1,13 @@
 //! The lease under which a node relies on others to read the log for it.
 //!
-//! Few hosts of each availability zone read the log. Membership notices the loss of one host at a time, so
-//! that a node whose readers are all lost at once would not read the log for seconds. So readers
-//! renew a lease of the hosts of their zone along a tree; a node whose lease has expired reads the log by
-//! itself, and renews the leases below it in the tree, whatever has become of those above.
+//! Few hosts of each availability zone read the log. Membership notices the loss of one host at a
+//! time, so that a node whose readers are all lost at once would not read the log for seconds. So
+//! readers renew a lease of the hosts of their zone along a tree; a node whose lease has expired
+//! reads the log by itself, and renews the leases below it in the tree, whatever has become of
+//! those above.
 //!
-//! A renewal tells the version that its sender holds. It reaches the hosts which the push of that version
-//! does not, as hosts that are lost would have forwarded it.
+//! A renewal tells the version that its sender holds. It reaches the hosts which the push of that
+//! version does not, as hosts that are lost would have forwarded it.
 
 use std::time;
 
--- a/src/spread/peers.rs
+++ b/src/spread/peers.rs
@@ -106,8 +106,8 @@
         self.readers.first().copied().unwrap_or(self.me)
     }
 
-    /// The hosts of this zone below this one in the tree along which leases are renewed, without the
-    /// first `readers` hosts, which need none. Each host has `fanout` hosts below it.
+    /// The hosts of this zone below this one in the tree along which leases are renewed, without
+    /// the first `readers` hosts, which need none. Each host has `fanout` hosts below it.
     pub fn lease_children(&self, fanout: usize, readers: usize) -> Vec<host::HostId> {
         let first = self.rank() * fanout + 1;
         let below = first.max(readers)..first + fanout;
--- a/src/spread/tests/faults.rs
+++ b/src/spread/tests/faults.rs
@@ -173,8 +173,8 @@
     assert!(net.counts.read_bytes <= 16 * size, "{:?}, a record has {size}", net.counts);
 }
 
-/// Loses the hosts that read the log in all zones but the last, together with others: `share` of the
-/// hosts in all.
+/// Loses the hosts that read the log in all zones but the last, together with others: `share` of
+/// the hosts in all.
 fn lose_readers(net: &mut net::Net, share: f64, lose: impl Fn(&mut net::Net, usize)) {
     let last = net.zone(net.nodes.len() - 1);
     let is_reader = |net: &net::Net, n: usize| {
@@ -231,8 +231,8 @@
     assert!(reads <= 4 * 2 * 7 + lossy, "{reads} reads in a minute");
 }
 
-/// Guards against a lease that one host still renews for a zone whose other hosts are cut off from it
-/// or gone.
+/// Guards against a lease that one host still renews for a zone whose other hosts are cut off from
+/// it or gone.
 #[rstest]
 fn the_last_host_of_a_zone_gets_a_version_in_time(#[values(121, 122, 123)] seed: u64) {
     let (mut net, _) = fleet::started(4, 12, configs::spread::Spread::cascadia(), seed);
@@ -248,8 +248,8 @@
     assert!(took.is_some(), "{}", net.behind(version));
 }
 
-/// Guards against hosts that rely on readers which are lost again before the first loss is known, or
-/// which come back without what they had read.
+/// Guards against hosts that rely on readers which are lost again before the first loss is known,
+/// or which come back without what they had read.
 #[rstest]
 fn a_version_reaches_all_in_time_though_readers_are_lost_twice(
     #[values(131, 132, 133)] seed: u64,
--- a/src/spread/tests/propagation.rs
+++ b/src/spread/tests/propagation.rs
@@ -75,8 +75,8 @@
     assert!(net.all_run(version));
 }
 
-/// Bytes that a host may send a second for the distribution while nothing changes: a tenth of what a
-/// node's control may send.
+/// Bytes that a host may send a second for the distribution while nothing changes: a tenth of what
+/// a node's control may send.
 const MAX_IDLE_BYTES: u64 = 300;
 
 #[rstest]
--- a/tests/calls/answers.rs
+++ b/tests/calls/answers.rs
@@ -343,8 +343,8 @@
     });
 }
 
-/// Guards against a part of an answer that is taken for the whole: it came without a length while the
-/// upload was still written, and its connection was reset.
+/// Guards against a part of an answer that is taken for the whole: it came without a length while
+/// the upload was still written, and its connection was reset.
 #[rstest]
 #[case::without_a_length("\r\nhalf of the answer")]
 #[case::of_a_length("content-length: 1000\r\n\r\nhalf of the answer")]
--- a/tests/member/odd_entries.rs
+++ b/tests/member/odd_entries.rs
@@ -47,8 +47,8 @@
     net
 }
 
-/// Guards against one odd entry that hosts pass on in datagrams which others refuse as a whole, so that
-/// no host gets to know the others.
+/// Guards against one odd entry that hosts pass on in datagrams which others refuse as a whole, so
+/// that no host gets to know the others.
 #[rstest]
 #[case::no_port(0, profile(3))]
 #[case::port_too_high(65_530, profile(3))]
@@ -81,8 +81,8 @@
     assert!(took.is_some(), "a host that joins doesn't get the table");
 }
 
-/// Guards against a host that ends or can't raise its incarnation, since an entry with its own address
-/// has the highest number.
+/// Guards against a host that ends or can't raise its incarnation, since an entry with its own
+/// address has the highest number.
 #[test]
 fn an_odd_entry_of_its_own_does_not_keep_a_host_out() {
     let leaves = vec![leave::Leave {
@@ -124,8 +124,8 @@
         }
     }
 
-    /// Guards against messages that were made wrongly and end the process which gets them, or keep a
-    /// mesh from agreeing on its hosts.
+    /// Guards against messages that were made wrongly and end the process which gets them, or keep
+    /// a mesh from agreeing on its hosts.
     #[test]
     fn mutated_datagrams_end_no_host(
         changes in prop::collection::vec((0usize..300, any::<u8>()), 1..8),
--- a/tests/odd_bytes.rs
+++ b/tests/odd_bytes.rs
@@ -144,8 +144,8 @@
     }
 }
 
-/// Guards against usage that is charged wrongly, or a report that ends, since a total names a number
-/// which no node counted.
+/// Guards against usage that is charged wrongly, or a report that ends, since a total names a
+/// number which no node counted.
 #[test]
 fn numbers_too_large_of_usage_are_added_up() {
     let mut sum = sum::Sum::new(1000);
